--- /dev/null
+++ b/bilberryramp/decisions/__init__.py
@@ -0,0 +1,35 @@
+"""Pure decisions: typed messages in, effects out.
+
+Nothing here imports asyncio, sockets, files, a wall clock or the global
+random generator; `tests/test_purity.py` checks that. Time is an integer
+argument in milliseconds and randomness is a `random.Random` argument.
+"""
+
+__all__ = [
+    "admission",
+    "call_messages",
+    "charting",
+    "commands",
+    "control_state",
+    "effects",
+    "entry_calls",
+    "errors",
+    "feed",
+    "feed_messages",
+    "ledger",
+    "links",
+    "log_entries",
+    "membership",
+    "model_orders",
+    "once_records",
+    "placement",
+    "quarantine",
+    "replication",
+    "replication_messages",
+    "routing",
+    "shutdown",
+    "subscription",
+    "tables",
+    "upstream_work",
+    "views",
+]
--- /dev/null
+++ b/bilberryramp/decisions/admission.py
@@ -0,0 +1,165 @@
+"""The bounded queue of an upstream, shared fairly between pools.
+
+Start-time fair queueing in tokens: each pool advances a virtual clock by
+cost over weight, and the pool that is furthest behind goes next. A pool
+without work takes no part, so its share is lent to the others. Inside a
+pool the order is priority, then deadline.
+"""
+
+import dataclasses
+import heapq
+
+from bilberryramp.decisions import tables
+
+__all__ = ["Item", "Queue", "length", "offer", "remove", "take"]
+
+_RANK = {
+    tables.Priority.URGENT: 0,
+    tables.Priority.NORMAL: 1,
+    tables.Priority.CAREFUL: 2,
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Item:
+    """Queued work.
+
+    Attributes
+    ----------
+    key
+        The attempt's id.
+    pool, weight
+        The pool it is charged to and that pool's weight.
+    tokens
+        Its cost.
+    priority, deadline_ms
+        Its order inside the pool.
+    """
+
+    key: str
+    pool: str
+    weight: int
+    tokens: int
+    priority: tables.Priority
+    deadline_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Lane:
+    """One pool's waiting work and its virtual clock in tokens/weight."""
+
+    clock: float = 0.0
+    weight: int = 1
+    heap: list[tuple] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Queue:
+    """Waiting work of an upstream.
+
+    Attributes
+    ----------
+    limit
+        Most items that wait.
+    fair
+        False for the baseline that ignores pools.
+    """
+
+    limit: int
+    fair: bool = True
+    lanes: dict[str, _Lane] = dataclasses.field(default_factory=dict)
+    clock: float = 0.0
+    arrivals: int = 0
+
+
+def length(queue: Queue) -> int:
+    """Return how many items wait."""
+    return sum(len(lane.heap) for lane in queue.lanes.values())
+
+
+def offer(queue: Queue, item: Item) -> Item | None:
+    """Add an item, displacing another when the queue is full.
+
+    Parameters
+    ----------
+    queue
+        Changed in place.
+    item
+        The new work.
+
+    Returns
+    -------
+    Item or None
+        The item that has no room: the last one of the pool that holds
+        the most of the queue for its weight, possibly `item` itself.
+    """
+    name = item.pool if queue.fair else ""
+    lane = queue.lanes.setdefault(name, _Lane())
+    if not lane.heap:
+        lane.clock = max(lane.clock, queue.clock)
+    lane.weight = max(item.weight, 1) if queue.fair else 1
+    queue.arrivals += 1
+    rank = (_RANK[item.priority], item.deadline_ms, queue.arrivals)
+    heapq.heappush(lane.heap, (*rank, item))
+    if length(queue) <= queue.limit:
+        return None
+    return _displace(queue)
+
+
+def take(queue: Queue) -> Item | None:
+    """Remove the item that goes next.
+
+    Parameters
+    ----------
+    queue
+        Changed in place.
+
+    Returns
+    -------
+    Item or None
+        None when nothing waits.
+    """
+    waiting = [(lane.clock, n) for n, lane in queue.lanes.items() if lane.heap]
+    if not waiting:
+        return None
+    clock, name = min(waiting)
+    lane = queue.lanes[name]
+    item = heapq.heappop(lane.heap)[-1]
+    queue.clock = clock
+    lane.clock = clock + item.tokens / lane.weight
+    return item
+
+
+def remove(queue: Queue, key: str) -> bool:
+    """Remove an item by its key.
+
+    Parameters
+    ----------
+    queue
+        Changed in place.
+    key
+        The attempt's id.
+
+    Returns
+    -------
+    bool
+        Whether it was waiting.
+    """
+    for lane in queue.lanes.values():
+        kept = [row for row in lane.heap if row[-1].key != key]
+        if len(kept) < len(lane.heap):
+            heapq.heapify(kept)
+            lane.heap = kept
+            return True
+    return False
+
+
+def _displace(queue: Queue) -> Item:
+    lane = max(
+        (lane for lane in queue.lanes.values() if lane.heap),
+        key=lambda lane: len(lane.heap) / lane.weight,
+    )
+    last = max(lane.heap)
+    lane.heap.remove(last)
+    heapq.heapify(lane.heap)
+    return last[-1]
--- /dev/null
+++ b/bilberryramp/decisions/control_state.py
@@ -0,0 +1,223 @@
+"""The deterministic state machine behind control's replicated log."""
+
+import dataclasses
+
+from bilberryramp.decisions import (
+    commands,
+    once_records,
+    placement,
+    quarantine,
+    tables,
+    views,
+)
+
+__all__ = [
+    "MAX_SUBMISSIONS",
+    "ControlState",
+    "Entry",
+    "apply",
+    "apply_to_view",
+    "changes_view",
+]
+
+MAX_SUBMISSIONS = 10_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Entry:
+    """One entry of the replicated log; `command` is of `commands`."""
+
+    term: int
+    index: int
+    command: object
+
+
+@dataclasses.dataclass(slots=True)
+class ControlState:
+    """Everything the log builds up.
+
+    Attributes
+    ----------
+    view
+        The part that every process follows.
+    once
+        Records of requests not to be repeated.
+    submissions
+        Accepted submissions by id, oldest first, for resends.
+    admitted
+        The disk incarnation with which each control replica may vote.
+    """
+
+    view: views.View = dataclasses.field(default_factory=views.View)
+    once: once_records.OnceTable = dataclasses.field(
+        default_factory=once_records.OnceTable
+    )
+    submissions: dict[str, commands.SubmitAccepted] = dataclasses.field(
+        default_factory=dict
+    )
+    admitted: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+def apply(state: ControlState, entry: Entry):
+    """Apply a committed entry.
+
+    Parameters
+    ----------
+    state
+        Changed in place.
+    entry
+        The entry after the last one applied.
+
+    Returns
+    -------
+    object
+        The result for whoever proposed it, one of `commands`.
+    """
+    command = entry.command
+    result = commands.Done(entry.index)
+    if isinstance(command, commands.SubmitTables):
+        result = _submit(state, entry)
+    elif isinstance(command, commands.ReserveOnce):
+        result = once_records.reserve(state.once, entry.index, command)
+    elif isinstance(command, commands.FinishOnce):
+        once_records.finish(state.once, command)
+    elif isinstance(command, commands.ReleaseOnce):
+        once_records.release(state.once, command)
+    elif isinstance(command, commands.ReadmitReplica):
+        state.admitted[command.replica_id] = command.incarnation
+    else:
+        _change_view(state.view, entry)
+    state.view.term, state.view.index = entry.term, entry.index
+    return result
+
+
+def changes_view(result, command) -> bool:
+    """Tell whether followers of the view need an applied entry.
+
+    Parameters
+    ----------
+    result
+        What `apply` returned for it.
+    command
+        Its command.
+
+    Returns
+    -------
+    bool
+        False for once-records and refused submissions.
+    """
+    if isinstance(command, commands.SubmitTables):
+        return isinstance(result, commands.SubmitAccepted)
+    return isinstance(
+        command,
+        commands.JoinUpstream
+        | commands.RemoveUpstream
+        | commands.DrainUpstream
+        | commands.PlaceReplicas
+        | commands.ReportStrike,
+    )
+
+
+def apply_to_view(view: views.View, entry: Entry) -> bool:
+    """Apply an entry for which `changes_view` holds to a follower's view.
+
+    Parameters
+    ----------
+    view
+        Changed in place.
+    entry
+        A committed entry.
+
+    Returns
+    -------
+    bool
+        False when the view is already at or past the entry.
+    """
+    if entry.index <= view.index:
+        return False
+    if isinstance(entry.command, commands.SubmitTables):
+        _put_in_force(view, entry.command)
+    else:
+        _change_view(view, entry)
+    view.term, view.index = entry.term, entry.index
+    return True
+
+
+def _submit(state: ControlState, entry: Entry):
+    command = entry.command
+    first = state.submissions.get(command.submission_id)
+    if first is not None:
+        return first
+    view = state.view
+    if command.base_version != view.version:
+        return commands.SubmitConflict(view.version, view.submitted_by)
+    problems = _problems(view, command.tables)
+    if problems:
+        return commands.SubmitRefused(problems)
+    _put_in_force(view, command)
+    result = commands.SubmitAccepted(view.version, entry.term, entry.index)
+    state.submissions[command.submission_id] = result
+    if len(state.submissions) > MAX_SUBMISSIONS:
+        del state.submissions[next(iter(state.submissions))]
+    return result
+
+
+def _put_in_force(view: views.View, command: commands.SubmitTables) -> None:
+    view.tables = command.tables
+    view.version += 1
+    view.submitted_by = command.submitter
+
+
+def _problems(view, wanted: tables.Tables) -> tuple[tables.Problem, ...]:
+    faults = tuple(tables.check(wanted))
+    if faults:
+        return faults
+    return tuple(
+        tables.Problem(
+            path=f"routes[{wanted.routes.index(short.route)}].memory_mib",
+            seen=f"{short.accelerators} x {short.memory_mib} MiB",
+            expected=(
+                f"room on {short.route.service}, where one accelerator has "
+                f"at most {short.free_mib} MiB free"
+            ),
+        )
+        for short in placement.shortfalls(view, wanted)
+    )
+
+
+def _change_view(view: views.View, entry: Entry) -> None:
+    command = entry.command
+    if isinstance(command, commands.JoinUpstream):
+        _join(view, command.upstream)
+    elif isinstance(command, commands.RemoveUpstream):
+        _remove(view, command)
+    elif isinstance(command, commands.DrainUpstream):
+        _drain(view, command.upstream_id)
+    elif isinstance(command, commands.PlaceReplicas):
+        _place(view, entry.index, command)
+    elif isinstance(command, commands.ReportStrike):
+        quarantine.strike(view, command)
+
+
+def _join(view: views.View, upstream: views.Upstream) -> None:
+    view.upstreams[upstream.upstream_id] = upstream
+
+
+def _remove(view: views.View, command: commands.RemoveUpstream) -> None:
+    known = view.upstreams.get(command.upstream_id)
+    if known is not None and known.incarnation == command.incarnation:
+        del view.upstreams[command.upstream_id]
+        view.placements.pop(command.upstream_id, None)
+
+
+def _drain(view: views.View, upstream_id: str) -> None:
+    known = view.upstreams.get(upstream_id)
+    if known is not None:
+        view.upstreams[upstream_id] = dataclasses.replace(known, leaving=True)
+
+
+def _place(view: views.View, index: int, command) -> None:
+    if command.upstream_id in view.upstreams:
+        view.placements[command.upstream_id] = views.Placement(
+            index, command.replicas
+        )
--- /dev/null
+++ b/bilberryramp/decisions/errors.py
@@ -0,0 +1,111 @@
+"""Typed failures shared by every role.
+
+A failure that reaches a caller always carries an `Outcome`, so that the
+caller knows whether its request ran.
+"""
+
+import dataclasses
+import enum
+
+__all__ = [
+    "BilberryError",
+    "CallFailure",
+    "FailureCode",
+    "Outcome",
+    "call_failure",
+]
+
+
+class BilberryError(Exception):
+    """Base of every exception this package raises on purpose."""
+
+
+class Outcome(enum.StrEnum):
+    """What is known about whether a failed request ran."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class FailureCode(enum.StrEnum):
+    """The closed set of failures a caller can receive."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    MODEL_NOT_FOUND = "model_not_found"
+    ROUTE_NOT_FOUND = "route_not_found"
+    NO_UPSTREAM = "no_upstream"
+    NOT_RESIDENT = "not_resident"
+    OVERLOADED = "overloaded"
+    LEAVING = "leaving"
+    WRONG_INCARNATION = "wrong_incarnation"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    SHUTTING_DOWN = "shutting_down"
+    STALE_CONFIGURATION = "stale_configuration"
+    QUARANTINED = "quarantined"
+    UPSTREAM_LOST = "upstream_lost"
+    ENGINE_CRASHED = "engine_crashed"
+    ENGINE_REFUSED = "engine_refused"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    SLOW_READER = "slow_reader"
+    CALLER_LEFT = "caller_left"
+    CONTROL_UNAVAILABLE = "control_unavailable"
+    KEY_RUNNING = "key_running"
+    KEY_UNKNOWN = "key_unknown"
+    KEY_EXPIRED = "key_expired"
+    KEY_MISMATCH = "key_mismatch"
+    KEY_REQUIRED = "key_required"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallFailure:
+    """A failure as told to a caller or between our processes.
+
+    Attributes
+    ----------
+    code
+        Which failure this is.
+    outcome
+        Whether the request ran.
+    message
+        One sentence for a person.
+    retry_after_ms
+        When trying again may help, in milliseconds; 0 when it does not.
+    """
+
+    code: FailureCode
+    outcome: Outcome
+    message: str
+    retry_after_ms: int = 0
+
+
+_RETRY_AFTER_MS = {
+    FailureCode.OVERLOADED: 1000,
+    FailureCode.NO_UPSTREAM: 2000,
+    FailureCode.NOT_RESIDENT: 2000,
+    FailureCode.STALE_CONFIGURATION: 2000,
+    FailureCode.CONTROL_UNAVAILABLE: 1000,
+    FailureCode.SHUTTING_DOWN: 1000,
+    FailureCode.KEY_RUNNING: 1000,
+}
+
+
+def call_failure(
+    code: FailureCode, message: str, outcome: Outcome = Outcome.NOT_RUN
+) -> CallFailure:
+    """Build a failure with the customary retry delay of its code.
+
+    Parameters
+    ----------
+    code, message, outcome
+        As in `CallFailure`.
+
+    Returns
+    -------
+    CallFailure
+        With `retry_after_ms` filled in from the code.
+    """
+    delay_ms = _RETRY_AFTER_MS.get(code, 0)
+    return CallFailure(code, outcome, message, delay_ms)
--- /dev/null
+++ b/bilberryramp/decisions/feed.py
@@ -0,0 +1,240 @@
+"""How one control replica keeps its followers' views up to date.
+
+Followers of the view are spread over the replicas: the log is the trunk
+of the tree and each replica feeds its own branch. A change is pushed when
+it is applied; a beat is answered once the replica has proved that it
+holds all that was committed when the beat arrived.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterator
+
+from bilberryramp.decisions import control_state, effects, views
+from bilberryramp.decisions import feed_messages as msgs
+
+__all__ = [
+    "MAX_HISTORY",
+    "SUBSCRIBER_TTL_MS",
+    "Feed",
+    "Subscriber",
+    "note_applied",
+    "note_restored",
+    "on_beat",
+    "on_tick",
+    "take_digest",
+]
+
+MAX_HISTORY = 2000
+SUBSCRIBER_TTL_MS = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class Subscriber:
+    """One follower of the view; times are the replica's, in milliseconds."""
+
+    seen_ms: int
+    index: int
+    probe: int = -1
+    beat_sent_ms: int = -1
+    report: msgs.UpstreamReport | None = None
+    report_passed_on: bool = False
+    beaten: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Feed:
+    """State of one replica's branch.
+
+    Attributes
+    ----------
+    replica_id
+        Name of the replica.
+    subscribers
+        Followers by name.
+    history
+        Entries that changed the view, oldest first.
+    history_after
+        Every change after this index is in `history`.
+    last_change
+        Index of the newest change.
+    waiting
+        Followers whose beat is not answered yet, in order of arrival.
+    pruned_ms
+        When silent followers were last dropped.
+    """
+
+    replica_id: str
+    subscribers: dict[str, Subscriber] = dataclasses.field(
+        default_factory=dict
+    )
+    history: collections.deque[control_state.Entry] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    history_after: int = 0
+    last_change: int = 0
+    waiting: dict[str, None] = dataclasses.field(default_factory=dict)
+    pruned_ms: int = 0
+
+
+def on_beat(feed: Feed, now_ms: int, beat: msgs.Beat, probe: int) -> None:
+    """Take in a heartbeat; `on_tick` answers it.
+
+    Parameters
+    ----------
+    feed
+        Changed in place.
+    now_ms
+        The replica's clock in milliseconds.
+    beat
+        The heartbeat.
+    probe
+        From `replication.next_probe`.
+    """
+    known = feed.subscribers.get(beat.sender)
+    if known is None:
+        known = Subscriber(now_ms, beat.index)
+        feed.subscribers[beat.sender] = known
+    known.seen_ms = now_ms
+    known.index = beat.index
+    known.beat_sent_ms = beat.sent_ms
+    known.beaten = True
+    feed.waiting[beat.sender] = None
+    if known.probe < 0:
+        known.probe = probe
+    if beat.report is not None:
+        known.report = beat.report
+        known.report_passed_on = False
+
+
+def on_tick(
+    feed: Feed,
+    now_ms: int,
+    view: views.View,
+    is_fresh: Callable[[int], bool],
+) -> Iterator:
+    """Answer the beats for which freshness is proved.
+
+    Parameters
+    ----------
+    feed
+        Changed in place.
+    now_ms
+        The replica's clock in milliseconds.
+    view
+        The replica's view.
+    is_fresh
+        Tells whether a probe has been answered.
+
+    Yields
+    ------
+    Send
+        A `Delta` or `WholeView` for each follower that waited.
+    """
+    if now_ms - feed.pruned_ms > SUBSCRIBER_TTL_MS // 4:
+        _prune(feed, now_ms)
+    for name in list(feed.waiting):
+        subscriber = feed.subscribers[name]
+        if is_fresh(subscriber.probe):
+            del feed.waiting[name]
+            subscriber.probe = -1
+            yield effects.Send(name, _catch_up(feed, subscriber, view))
+
+
+def note_applied(
+    feed: Feed, entry: control_state.Entry, result
+) -> Iterator[effects.Send]:
+    """Push an applied entry to every follower if it changed the view.
+
+    Parameters
+    ----------
+    feed
+        Changed in place.
+    entry, result
+        The entry and the result of applying it.
+
+    Yields
+    ------
+    Send
+        A `Delta` for each follower.
+    """
+    if not control_state.changes_view(result, entry.command):
+        return
+    after = feed.last_change
+    feed.history.append(entry)
+    feed.last_change = entry.index
+    if len(feed.history) > MAX_HISTORY:
+        feed.history_after = feed.history.popleft().index
+    push = msgs.Delta(feed.replica_id, after, (entry,))
+    for name, subscriber in feed.subscribers.items():
+        if subscriber.index >= after:
+            subscriber.index = entry.index
+            yield effects.Send(name, push)
+
+
+def note_restored(feed: Feed, index: int) -> None:
+    """Forget the history: the view was replaced as a whole.
+
+    Parameters
+    ----------
+    feed
+        Changed in place.
+    index
+        Log index of the new view.
+    """
+    feed.history.clear()
+    feed.history_after = index
+    feed.last_change = index
+
+
+def take_digest(feed: Feed, whole: bool) -> msgs.Digest:
+    """Gather the upstreams' heartbeats for the leader.
+
+    Parameters
+    ----------
+    feed
+        Changed in place: what is taken counts as passed on.
+    whole
+        Whether the leader is new and needs every report.
+
+    Returns
+    -------
+    Digest
+        Upstreams alive since the last one, and reports that are due.
+    """
+    with_report = [
+        (name, subscriber)
+        for name, subscriber in feed.subscribers.items()
+        if subscriber.report is not None and subscriber.beaten
+    ]
+    due = [
+        subscriber.report
+        for _, subscriber in with_report
+        if whole or not subscriber.report_passed_on
+    ]
+    for _, subscriber in with_report:
+        subscriber.report_passed_on = True
+        subscriber.beaten = False
+    alive = tuple(
+        subscriber.report.upstream.upstream_id for _, subscriber in with_report
+    )
+    return msgs.Digest(feed.replica_id, alive, tuple(due))
+
+
+def _prune(feed: Feed, now_ms: int) -> None:
+    feed.pruned_ms = now_ms
+    for name, subscriber in list(feed.subscribers.items()):
+        if now_ms - subscriber.seen_ms > SUBSCRIBER_TTL_MS:
+            del feed.subscribers[name]
+            feed.waiting.pop(name, None)
+
+
+def _catch_up(feed: Feed, subscriber: Subscriber, view: views.View):
+    sent_ms, want = subscriber.beat_sent_ms, subscriber.report is None
+    if subscriber.index < feed.history_after:
+        subscriber.index = view.index
+        return msgs.WholeView(feed.replica_id, view, sent_ms, want)
+    missing = tuple(e for e in feed.history if e.index > subscriber.index)
+    after = subscriber.index
+    subscriber.index = max(subscriber.index, feed.last_change)
+    return msgs.Delta(feed.replica_id, after, missing, sent_ms, want)
--- /dev/null
+++ b/bilberryramp/decisions/feed_messages.py
@@ -0,0 +1,121 @@
+"""Messages between control replicas and the followers of the view."""
+
+import dataclasses
+
+from bilberryramp.decisions import control_state, views
+
+__all__ = [
+    "Ask",
+    "AskReply",
+    "Beat",
+    "Delta",
+    "Digest",
+    "UpstreamReport",
+    "WholeView",
+]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamReport:
+    """What an upstream process tells control about itself.
+
+    Attributes
+    ----------
+    upstream
+        The upstream as announced.
+    resident
+        Replicas confirmed resident, in order of their models.
+    """
+
+    upstream: views.Upstream
+    resident: tuple[views.ReplicaPlace, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Beat:
+    """A heartbeat of an entry or upstream process.
+
+    Attributes
+    ----------
+    sender
+        Name of the process.
+    sent_ms
+        The sender's clock, echoed in the answer.
+    index
+        Log index of the sender's view; -1 while it has none.
+    report
+        Sent when it changed or control asked for it; None else.
+    """
+
+    sender: str
+    sent_ms: int
+    index: int
+    report: UpstreamReport | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Delta:
+    """Entries that bring a follower's view forward.
+
+    Attributes
+    ----------
+    after_index
+        The view must be at this index or later for the entries to apply.
+    entries
+        In order; possibly none.
+    beat_sent_ms
+        Echo of the beat that is answered; -1 on a push. An answered beat
+        means that nothing committed before it is missing.
+    want_report
+        Whether the next beat should carry the report.
+    """
+
+    sender: str
+    after_index: int
+    entries: tuple[control_state.Entry, ...]
+    beat_sent_ms: int = -1
+    want_report: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WholeView:
+    """The view itself, for a follower too far behind for a delta."""
+
+    sender: str
+    view: views.View
+    beat_sent_ms: int
+    want_report: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Digest:
+    """Heartbeats gathered by a replica, passed to the leader.
+
+    Attributes
+    ----------
+    alive
+        Upstreams that sent a beat since the last digest.
+    reports
+        Reports that changed or are new to this leader.
+    """
+
+    sender: str
+    alive: tuple[str, ...]
+    reports: tuple[UpstreamReport, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ask:
+    """A command that a process wants committed."""
+
+    sender: str
+    ask_id: str
+    command: object
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AskReply:
+    """The result of an `Ask`, one of `commands`."""
+
+    ask_id: str
+    result: object
--- /dev/null
+++ b/bilberryramp/decisions/membership.py
@@ -0,0 +1,153 @@
+"""The leader's watch over upstreams, and the commands it calls for."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from bilberryramp.decisions import commands, feed_messages, placement, views
+
+__all__ = [
+    "FORGET_MS",
+    "PROPOSAL_PAUSE_MS",
+    "Membership",
+    "Seen",
+    "on_digest",
+    "on_tick",
+    "resident_places",
+    "start_term",
+]
+
+FORGET_MS = 5000
+PROPOSAL_PAUSE_MS = 300
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """When an upstream last sent a heartbeat, and its last report."""
+
+    seen_ms: int
+    report: feed_messages.UpstreamReport | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Membership:
+    """What the leader knows beyond the log; lost with its term.
+
+    Attributes
+    ----------
+    seen
+        By upstream id; times on the leader's clock in milliseconds.
+    quiet_until_ms
+        No commands before then, so that earlier ones can commit.
+    """
+
+    seen: dict[str, Seen] = dataclasses.field(default_factory=dict)
+    quiet_until_ms: int = 0
+
+
+def start_term(view: views.View, now_ms: int) -> Membership:
+    """Begin a leader's watch, counting each known upstream as just seen.
+
+    Parameters
+    ----------
+    view
+        The view in force.
+    now_ms
+        The leader's clock in milliseconds.
+
+    Returns
+    -------
+    Membership
+        Without reports yet.
+    """
+    seen = {upstream_id: Seen(now_ms) for upstream_id in view.upstreams}
+    return Membership(seen, now_ms + PROPOSAL_PAUSE_MS)
+
+
+def on_digest(
+    members: Membership, now_ms: int, digest: feed_messages.Digest
+) -> None:
+    """Take in heartbeats gathered by a replica.
+
+    Parameters
+    ----------
+    members
+        Changed in place.
+    now_ms
+        The leader's clock in milliseconds.
+    digest
+        The heartbeats.
+    """
+    for upstream_id in digest.alive:
+        members.seen.setdefault(upstream_id, Seen(now_ms)).seen_ms = now_ms
+    for report in digest.reports:
+        upstream_id = report.upstream.upstream_id
+        members.seen[upstream_id] = Seen(now_ms, report)
+
+
+def on_tick(members: Membership, now_ms: int, view: views.View) -> Iterator:
+    """Yield the commands that bring the log in line with what is seen.
+
+    Parameters
+    ----------
+    members
+        Changed in place.
+    now_ms
+        The leader's clock in milliseconds.
+    view
+        The view in force.
+
+    Yields
+    ------
+    command
+        Joins and removals first; placements only when there are none.
+    """
+    if now_ms < members.quiet_until_ms:
+        return
+    wanted = list(_membership_changes(members, now_ms, view))
+    if not wanted:
+        wanted = list(placement.plan(view, resident_places(members)))
+    if wanted:
+        members.quiet_until_ms = now_ms + PROPOSAL_PAUSE_MS
+    yield from wanted
+
+
+def resident_places(members: Membership) -> placement.Resident:
+    """Map each upstream seen to the replicas it reported resident.
+
+    Parameters
+    ----------
+    members
+        The leader's watch.
+
+    Returns
+    -------
+    dict
+        For each upstream id, its replicas by model.
+    """
+    return {
+        upstream_id: {place.model: place for place in seen.report.resident}
+        for upstream_id, seen in members.seen.items()
+        if seen.report is not None
+    }
+
+
+def _membership_changes(members, now_ms, view) -> Iterator:
+    for upstream_id, seen in list(members.seen.items()):
+        known = view.upstreams.get(upstream_id)
+        if now_ms - seen.seen_ms > FORGET_MS:
+            del members.seen[upstream_id]
+            if known is not None:
+                yield commands.RemoveUpstream(upstream_id, known.incarnation)
+        elif seen.report is not None and _differs(known, seen.report):
+            yield commands.JoinUpstream(seen.report.upstream)
+
+
+def _differs(known: views.Upstream | None, report) -> bool:
+    upstream = report.upstream
+    if known is None:
+        return not upstream.leaving
+    # An operator's drain holds until the upstream process starts anew.
+    same_process = known.incarnation == upstream.incarnation
+    if same_process and known.leaving:
+        return False
+    return known != upstream
--- /dev/null
+++ b/bilberryramp/decisions/model_orders.py
@@ -0,0 +1,358 @@
+"""Which models an engine holds, and the orders that change it.
+
+Each model follows ``charts/order.yaml``. What is wanted comes from the
+placement in the view, whose log index is the fencing number, so a lost or
+late order is repeated or refused and never mistaken for a newer one.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterator
+
+from bilberryramp.decisions import charting, errors, ledger, views
+
+__all__ = [
+    "EngineOrder",
+    "ModelOrder",
+    "OrderKind",
+    "OrderOutcome",
+    "Orders",
+    "ResidencyChanged",
+    "actions",
+    "guards",
+    "is_resident",
+    "note_answer",
+    "note_engine",
+    "note_idle",
+    "note_timer",
+    "reconcile",
+    "resident_places",
+]
+
+
+class OrderKind(enum.StrEnum):
+    """What an engine is told to do with a model."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class OrderOutcome(enum.StrEnum):
+    """How an order ended, as far as is known."""
+
+    CONFIRMED = "confirmed"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineOrder:
+    """Send an order to the engine.
+
+    Attributes
+    ----------
+    fence
+        Fencing number: the log index of the placement followed.
+    place
+        The model with its accelerators and memory.
+    """
+
+    kind: OrderKind
+    fence: int
+    place: views.ReplicaPlace
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ResidencyChanged:
+    """The set of models that may take requests has changed."""
+
+
+@dataclasses.dataclass(slots=True)
+class ModelOrder:
+    """One model; `key`, `phase`, `timer` are its machine's."""
+
+    orders: "Orders"
+    place: views.ReplicaPlace
+    key: str
+    phase: str
+    timer: int = 0
+    unanswered: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Orders:
+    """State of one engine's orders.
+
+    Attributes
+    ----------
+    fenced
+        Whether the engine refuses an order with an old fencing number.
+    boot_id
+        Changes when the engine restarts; empty while it is not known.
+    placement
+        The newest one followed; None until one is known.
+    running
+        Requests running by model.
+    """
+
+    chart: charting.Chart
+    ledger: ledger.Ledger
+    fenced: bool
+    boot_id: str = ""
+    placement: views.Placement | None = None
+    models: dict[str, ModelOrder] = dataclasses.field(default_factory=dict)
+    running: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+class EngineHoldsMoreError(errors.BilberryError):
+    """An engine reports models that its memory cannot hold."""
+
+
+def reconcile(
+    orders: Orders, now_ms: int, placement: views.Placement | None
+) -> Iterator:
+    """Follow a placement, unless a newer one was followed already.
+
+    Parameters
+    ----------
+    orders
+        Changed in place.
+    now_ms
+        The process's clock in milliseconds.
+    placement
+        From the view; None or one with an older fence changes nothing.
+
+    Yields
+    ------
+    EngineOrder, ResidencyChanged, SetTimer
+        What follows from it.
+    """
+    if placement is None or _is_outdated(orders, placement):
+        return
+    orders.placement = placement
+    if not orders.boot_id:
+        return
+    wanted = {place.model: place for place in placement.replicas}
+    for model, machine in list(orders.models.items()):
+        keep = wanted.get(model) == machine.place
+        event = "wanted_again" if keep else "unwanted"
+        yield from _fire(machine, event, now_ms)
+    for model, place in wanted.items():
+        if model not in orders.models:
+            key = f"order/{model}"
+            initial = orders.chart.spec.initial
+            orders.models[model] = ModelOrder(orders, place, key, initial)
+    yield from _grant_memory(orders, now_ms)
+
+
+def note_engine(
+    orders: Orders, now_ms: int, boot_id: str, held: tuple
+) -> Iterator:
+    """Take in what the engine says it holds.
+
+    Parameters
+    ----------
+    orders
+        Changed in place.
+    now_ms
+        The process's clock in milliseconds.
+    boot_id
+        The engine's present boot.
+    held
+        A `views.ReplicaPlace` for each model it holds.
+
+    Yields
+    ------
+    EngineOrder, ResidencyChanged, SetTimer
+        What follows; models of an earlier boot are loaded anew.
+
+    Raises
+    ------
+    EngineHoldsMoreError
+        When what it holds exceeds its memory.
+    """
+    if boot_id == orders.boot_id:
+        return
+    first = not orders.boot_id
+    orders.boot_id = boot_id
+    if first:
+        yield from _adopt(orders, held)
+    else:
+        for machine in list(orders.models.values()):
+            machine.unanswered = False
+            yield from _fire(machine, "engine_restarted", now_ms)
+    yield from reconcile(orders, now_ms, orders.placement)
+
+
+def note_answer(
+    orders: Orders, now_ms: int, order: EngineOrder, outcome: OrderOutcome
+) -> Iterator:
+    """Take in how an order ended.
+
+    Parameters
+    ----------
+    orders
+        Changed in place.
+    now_ms
+        The process's clock in milliseconds.
+    order, outcome
+        The order and its end.
+
+    Yields
+    ------
+    EngineOrder, ResidencyChanged, SetTimer
+        What follows from it.
+    """
+    machine = orders.models.get(order.place.model)
+    if machine is None or _expected_kind(machine) != order.kind:
+        return
+    yield from _fire(machine, outcome.value, now_ms)
+    yield from reconcile(orders, now_ms, orders.placement)
+
+
+def note_idle(orders: Orders, now_ms: int, model: str) -> Iterator:
+    """Tell that no request of a model runs any more.
+
+    Parameters
+    ----------
+    orders
+        Changed in place.
+    now_ms
+        The process's clock in milliseconds.
+    model
+        The model's name.
+
+    Yields
+    ------
+    EngineOrder, SetTimer
+        The unload, when the model is retiring.
+    """
+    machine = orders.models.get(model)
+    if machine is not None and not orders.running.get(model):
+        yield from _fire(machine, "idle", now_ms)
+
+
+def note_timer(orders: Orders, now_ms: int, key: str, token: int) -> Iterator:
+    """Handle a timer of a model's machine.
+
+    Parameters
+    ----------
+    orders
+        Changed in place.
+    now_ms
+        The process's clock in milliseconds.
+    key, token
+        From the `SetTimer`.
+
+    Yields
+    ------
+    EngineOrder, ResidencyChanged, SetTimer
+        What follows from it.
+    """
+    machine = orders.models.get(key.partition("/")[2])
+    if machine is not None:
+        chart = orders.chart
+        yield from charting.fire_timer(chart, machine, token, now_ms)
+        yield from reconcile(orders, now_ms, orders.placement)
+
+
+def is_resident(orders: Orders, model: str) -> bool:
+    """Tell whether a model may take requests."""
+    machine = orders.models.get(model)
+    return machine is not None and machine.phase == "resident"
+
+
+def resident_places(orders: Orders) -> tuple[views.ReplicaPlace, ...]:
+    """List the replicas that may take requests, in order of their models."""
+    return tuple(
+        orders.models[model].place
+        for model in sorted(orders.models)
+        if is_resident(orders, model)
+    )
+
+
+def _is_outdated(orders: Orders, placement: views.Placement) -> bool:
+    known = orders.placement
+    return known is not None and placement.fence < known.fence
+
+
+_LOADING_PHASES = frozenset(("loading",))
+_UNLOADING_PHASES = frozenset(("unloading", "unloading_again"))
+
+
+def _expected_kind(machine: ModelOrder) -> OrderKind | None:
+    if machine.phase in _LOADING_PHASES:
+        return OrderKind.LOAD
+    if machine.phase in _UNLOADING_PHASES:
+        return OrderKind.UNLOAD
+    return None
+
+
+def _adopt(orders: Orders, held) -> Iterator:
+    for place in held:
+        if not ledger.reserve(orders.ledger, place):
+            raise EngineHoldsMoreError(place.model)
+        key = f"order/{place.model}"
+        machine = ModelOrder(orders, place, key, "resident")
+        orders.models[place.model] = machine
+    yield ResidencyChanged()
+
+
+def _grant_memory(orders: Orders, now_ms: int) -> Iterator:
+    for machine in list(orders.models.values()):
+        waiting = machine.phase == "wanted"
+        if waiting and ledger.reserve(orders.ledger, machine.place):
+            yield from _fire(machine, "memory_granted", now_ms)
+
+
+def _fire(machine: ModelOrder, event: str, now_ms: int) -> Iterator:
+    chart = machine.orders.chart
+    yield from charting.fire(chart, machine, event, now_ms, None)
+    if chart.spec.states[machine.phase].final:
+        machine.orders.models.pop(machine.place.model, None)
+
+
+def _send(kind: OrderKind):
+    def action(machine: ModelOrder, _now_ms: int, _payload) -> Iterator:
+        fence = machine.orders.placement.fence
+        yield EngineOrder(kind, fence, machine.place)
+
+    return action
+
+
+def _release_memory(machine: ModelOrder, _now_ms: int, _payload) -> Iterator:
+    ledger.release(machine.orders.ledger, machine.place.model)
+    yield from ()
+
+
+def _report(_machine, _now_ms: int, _payload) -> Iterator:
+    yield ResidencyChanged()
+
+
+def _note_unanswered(machine: ModelOrder, _now_ms: int, _payload) -> Iterator:
+    machine.unanswered = True
+    yield from ()
+
+
+def _check_idle(machine: ModelOrder, now_ms: int, _payload) -> Iterator:
+    yield from note_idle(machine.orders, now_ms, machine.place.model)
+
+
+def _seek_memory(machine: ModelOrder, now_ms: int, _payload) -> Iterator:
+    yield from _grant_memory(machine.orders, now_ms)
+
+
+def _late_order_possible(machine: ModelOrder, _payload) -> bool:
+    return machine.unanswered and not machine.orders.fenced
+
+
+guards = {"late_order_possible": _late_order_possible}
+actions = {
+    "send_load": _send(OrderKind.LOAD),
+    "send_unload": _send(OrderKind.UNLOAD),
+    "release_memory": _release_memory,
+    "report": _report,
+    "note_unanswered": _note_unanswered,
+    "check_idle": _check_idle,
+    "seek_memory": _seek_memory,
+}
--- /dev/null
+++ b/bilberryramp/decisions/once_records.py
@@ -0,0 +1,163 @@
+"""Records that keep a request with an idempotency key to one run.
+
+A record is committed before its request is dispatched. Records older than
+the retention shrink to tombstones, whose keys are refused.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterator
+
+from bilberryramp.decisions import commands, errors
+
+__all__ = [
+    "MAX_ANSWER_BYTES",
+    "MAX_RECORDS",
+    "MAX_TOMBSTONES",
+    "RETENTION_MS",
+    "OnceRecord",
+    "OnceState",
+    "OnceTable",
+    "finish",
+    "release",
+    "reserve",
+]
+
+RETENTION_MS = 24 * 3600 * 1000
+MAX_RECORDS = 100_000
+MAX_TOMBSTONES = 400_000
+MAX_ANSWER_BYTES = 64 * 1024
+
+
+class OnceState(enum.StrEnum):
+    """What is known of a claimed request."""
+
+    RESERVED = "reserved"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True)
+class OnceRecord:
+    """One claimed key; times are wall time in milliseconds."""
+
+    request_id: str
+    fingerprint: str
+    state: OnceState
+    reserved_at_ms: int
+    lease_until_ms: int
+    answer: commands.KeptAnswer | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class OnceTable:
+    """Records and tombstones, both in the order of their claims."""
+
+    records: dict[str, OnceRecord] = dataclasses.field(default_factory=dict)
+    tombstones: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+def reserve(table: OnceTable, index: int, command: commands.ReserveOnce):
+    """Claim a key, or tell what became of the request that holds it.
+
+    Parameters
+    ----------
+    table
+        Changed when the key is granted.
+    index
+        Log index of the command.
+    command
+        The claim; a repeat of the same request is granted again.
+
+    Returns
+    -------
+    OnceGranted, OnceKept or OnceRefused
+        The answer for the entry.
+    """
+    _expire(table, command.at_ms)
+    if command.key in table.tombstones:
+        return commands.OnceRefused(errors.FailureCode.KEY_EXPIRED)
+    record = table.records.get(command.key)
+    if record is not None:
+        return _answer_repeat(record, index, command)
+    table.records[command.key] = OnceRecord(
+        request_id=command.request_id,
+        fingerprint=command.fingerprint,
+        state=OnceState.RESERVED,
+        reserved_at_ms=command.at_ms,
+        lease_until_ms=command.at_ms + command.lease_ms,
+    )
+    return commands.OnceGranted(index)
+
+
+def finish(table: OnceTable, command: commands.FinishOnce) -> None:
+    """Record the end of a claimed request; a later claim keeps its own.
+
+    Parameters
+    ----------
+    table
+        Changed when the request still holds the key.
+    command
+        The key, the request and its answer.
+    """
+    record = table.records.get(command.key)
+    if record is None or record.request_id != command.request_id:
+        return
+    if record.state == OnceState.FINISHED:
+        return
+    record.state = OnceState.FINISHED if command.ran else OnceState.UNKNOWN
+    record.answer = command.answer
+
+
+def release(table: OnceTable, command: commands.ReleaseOnce) -> None:
+    """Give a key back, unless its request is known to have ended.
+
+    Parameters
+    ----------
+    table
+        Changed when the request still holds the key.
+    command
+        The key and the request that did not run.
+    """
+    record = table.records.get(command.key)
+    if record is None or record.request_id != command.request_id:
+        return
+    if record.state == OnceState.RESERVED:
+        del table.records[command.key]
+
+
+def _answer_repeat(record: OnceRecord, index: int, command):
+    if record.fingerprint != command.fingerprint:
+        return commands.OnceRefused(errors.FailureCode.KEY_MISMATCH)
+    if record.state == OnceState.FINISHED:
+        return _kept(record)
+    same_request = record.request_id == command.request_id
+    if same_request and record.state == OnceState.RESERVED:
+        return commands.OnceGranted(index)
+    leased = command.at_ms < record.lease_until_ms
+    if record.state == OnceState.RESERVED and leased:
+        return commands.OnceRefused(errors.FailureCode.KEY_RUNNING)
+    return commands.OnceRefused(errors.FailureCode.KEY_UNKNOWN)
+
+
+def _kept(record: OnceRecord):
+    if record.answer is None:
+        return commands.OnceRefused(errors.FailureCode.ANSWER_TOO_LARGE)
+    return commands.OnceKept(record.answer)
+
+
+def _expire(table: OnceTable, now_ms: int) -> None:
+    for key in list(_expired_keys(table, now_ms)):
+        record = table.records.pop(key)
+        table.tombstones[key] = record.reserved_at_ms
+    while len(table.tombstones) > MAX_TOMBSTONES:
+        del table.tombstones[next(iter(table.tombstones))]
+
+
+def _expired_keys(table: OnceTable, now_ms: int) -> Iterator[str]:
+    surplus = len(table.records) - MAX_RECORDS
+    for at, (key, record) in enumerate(table.records.items()):
+        too_old = now_ms - record.reserved_at_ms > RETENTION_MS
+        if at >= surplus and not too_old:
+            return
+        yield key
--- /dev/null
+++ b/bilberryramp/decisions/replication.py
@@ -0,0 +1,784 @@
+"""One replica of control's log: elections, leases, commits, recovery.
+
+The role is a function from (replica, now, message) to effects. Its
+transitions between roles come from ``charts/replica.yaml``.
+
+Safety rests on four rules. A vote or an acknowledgement leaves only after
+its write is synced, because the driver performs every ``Persist`` effect
+before any ``Send``. An entry commits once a majority of all configured
+replicas holds it. A replica whose disk is new neither votes nor counts
+until the majority without it has committed its readmission. A leader
+accepts proposals only while a majority acknowledged it within the lease,
+which is shorter than the time for which followers refuse to vote.
+"""
+
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from bilberryramp.decisions import (
+    charting,
+    commands,
+    control_state,
+    effects,
+    errors,
+    log_entries,
+)
+from bilberryramp.decisions import replication_messages as msgs
+
+__all__ = [
+    "GENESIS",
+    "Progress",
+    "Replica",
+    "ReplicaSettings",
+    "TermRegressedError",
+    "actions",
+    "guards",
+    "is_fresh",
+    "lease_is_valid",
+    "new_replica",
+    "next_probe",
+    "step",
+]
+
+GENESIS = "genesis"
+_KEEP_NONE = 2**62
+
+
+class TermRegressedError(errors.BilberryError):
+    """A committed entry would change; a defect, never load."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReplicaSettings:
+    """Settings of one replica; durations in milliseconds.
+
+    Attributes
+    ----------
+    replica_id, replica_ids
+        This replica, and every replica of the cluster.
+    heartbeat_ms
+        Time between a leader's heartbeats.
+    election_ms
+        Least time without a leader before an election; up to twice that.
+    lease_ms
+        How long a leader may rely on a majority's acknowledgement. Less
+        than `election_ms` by more than clocks drift in that time.
+    batch_entries
+        Most entries in one `Append`.
+    snapshot_entries, kept_entries
+        Entries between snapshots, and entries kept behind one.
+    snapshot_pause_ms
+        Time given to a follower to take in a snapshot.
+    max_pending
+        Most proposals waiting for their commit.
+    """
+
+    replica_id: str
+    replica_ids: tuple[str, ...]
+    heartbeat_ms: int = 50
+    election_ms: int = 400
+    lease_ms: int = 300
+    batch_entries: int = 256
+    snapshot_entries: int = 4000
+    kept_entries: int = 1000
+    snapshot_pause_ms: int = 2000
+    max_pending: int = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What a leader knows of one follower; times in milliseconds."""
+
+    next_index: int
+    match_index: int = 0
+    incarnation: str = ""
+    acked_ms: int = -1
+    sent_ms: int = -1
+    in_flight_to: int = 0
+    probe: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Waiter:
+    """Whoever waits for the entry at an index to commit."""
+
+    term: int
+    sender: str
+    origin: str
+    ask_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class Replica:
+    """State of one replica; `key`, `phase` and `timer` are its machine's."""
+
+    cfg: ReplicaSettings
+    chart: charting.Chart
+    rng: random.Random
+    incarnation: str
+    key: str = "replica"
+    phase: str = "recovering"
+    timer: int = 0
+    term: int = 0
+    voted_for: str = ""
+    leader_id: str = ""
+    tail: log_entries.LogTail = dataclasses.field(
+        default_factory=log_entries.LogTail
+    )
+    state: control_state.ControlState = dataclasses.field(
+        default_factory=control_state.ControlState
+    )
+    commit_index: int = 0
+    applied_index: int = 0
+    snapshot_index: int = 0
+    election_due_ms: int = 0
+    leader_seen_ms: int = 0
+    votes: set[str] = dataclasses.field(default_factory=set)
+    transfer: bool = False
+    progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
+    waiters: dict[int, _Waiter] = dataclasses.field(default_factory=dict)
+    readmitting: set[str] = dataclasses.field(default_factory=set)
+    probe_sent: int = 0
+    probe_echoed: int = 0
+    probe_commit: int = 0
+
+
+def new_replica(
+    cfg: ReplicaSettings,
+    chart: charting.Chart,
+    rng: random.Random,
+    incarnation: str,
+    now_ms: int,
+    hard_state: msgs.HardState | None = None,
+    snapshot: msgs.Snapshot | None = None,
+    entries: tuple[control_state.Entry, ...] = (),
+) -> Replica:
+    """Build a replica from what its disk holds.
+
+    Parameters
+    ----------
+    cfg, chart, rng
+        Settings, the bound chart and the source of election jitter.
+    incarnation
+        `GENESIS` on a disk prepared when the cluster was created, else a
+        value made when the disk was first used.
+    now_ms
+        The present; votes are refused for `election_ms` from here, since
+        a promise to a leader may have been made before the restart.
+    hard_state, snapshot, entries
+        What was read from disk; None and empty on a new one.
+
+    Returns
+    -------
+    Replica
+        A follower, or recovering when its incarnation is not admitted.
+    """
+    rep = Replica(cfg, chart, rng, incarnation)
+    rep.phase = chart.spec.initial
+    rep.state.admitted = dict.fromkeys(cfg.replica_ids, GENESIS)
+    rep.leader_seen_ms = now_ms
+    if hard_state is not None:
+        rep.term, rep.voted_for = hard_state.term, hard_state.voted_for
+    if snapshot is not None:
+        _adopt_snapshot(rep, snapshot)
+    log_entries.replace_from(rep.tail, entries)
+    _set_election_due(rep, now_ms)
+    for _ in _check_admission(rep, now_ms):
+        pass
+    return rep
+
+
+def step(rep: Replica, now_ms: int, message) -> Iterator:
+    """Handle one message.
+
+    Parameters
+    ----------
+    rep
+        Changed in place.
+    now_ms
+        The replica's monotonic clock in milliseconds.
+    message
+        One of `replication_messages`.
+
+    Yields
+    ------
+    effect
+        ``Persist`` effects come before the sends that rely on them.
+    """
+    yield from _HANDLERS[type(message)](rep, now_ms, message)
+
+
+def lease_is_valid(rep: Replica, now_ms: int) -> bool:
+    """Tell whether this replica leads and a majority knew it lately.
+
+    Parameters
+    ----------
+    rep
+        The replica asked.
+    now_ms
+        Its clock in milliseconds.
+
+    Returns
+    -------
+    bool
+        True only for a leader within its lease.
+    """
+    if rep.phase != "leader":
+        return False
+    acked = [p.acked_ms for p in _counted(rep)]
+    acked.append(now_ms)
+    acked.sort(reverse=True)
+    needed = _quorum(rep)
+    if len(acked) < needed:
+        return False
+    return now_ms - acked[needed - 1] < rep.cfg.lease_ms
+
+
+def next_probe(rep: Replica) -> int:
+    """Start a freshness probe.
+
+    Parameters
+    ----------
+    rep
+        The replica that will answer a reader.
+
+    Returns
+    -------
+    int
+        To be passed to `is_fresh`.
+    """
+    rep.probe_sent += 1
+    return rep.probe_sent
+
+
+def is_fresh(rep: Replica, probe: int, now_ms: int) -> bool:
+    """Tell whether the state holds all that was committed at a probe.
+
+    Parameters
+    ----------
+    rep
+        The replica asked.
+    probe
+        From `next_probe`.
+    now_ms
+        Its clock in milliseconds.
+
+    Returns
+    -------
+    bool
+        On a leader: its lease is valid and its term has committed. On a
+        follower: the leader echoed the probe with a commit index that is
+        applied here.
+    """
+    if rep.phase == "leader":
+        own_term = log_entries.term_at(rep.tail, rep.commit_index) == rep.term
+        return own_term and lease_is_valid(rep, now_ms)
+    return rep.probe_echoed >= probe and rep.applied_index >= rep.probe_commit
+
+
+# Elections.
+
+
+def _on_tick(rep: Replica, now_ms: int, _message) -> Iterator:
+    if rep.phase == "leader":
+        yield from _tick_leader(rep, now_ms)
+    elif now_ms >= rep.election_due_ms:
+        yield from _raise(rep, "election_timeout", now_ms)
+
+
+def _tick_leader(rep: Replica, now_ms: int) -> Iterator:
+    if not lease_is_valid(rep, now_ms) and _lease_has_run(rep, now_ms):
+        yield from _raise(rep, "lease_expired", now_ms)
+        return
+    for peer in _peers(rep):
+        if now_ms - rep.progress[peer].sent_ms >= rep.cfg.heartbeat_ms:
+            yield _append_for(rep, peer, now_ms, resend=True)
+
+
+def _lease_has_run(rep: Replica, now_ms: int) -> bool:
+    return now_ms - rep.leader_seen_ms >= rep.cfg.lease_ms
+
+
+def _start_prevote(rep: Replica, now_ms: int, _payload) -> Iterator:
+    _set_election_due(rep, now_ms)
+    rep.leader_id = ""
+    yield from _canvass(rep, now_ms, rep.term + 1, pre=True)
+
+
+def _start_election(rep: Replica, now_ms: int, _payload) -> Iterator:
+    _set_election_due(rep, now_ms)
+    rep.term += 1
+    rep.voted_for = rep.cfg.replica_id
+    rep.leader_id = ""
+    yield _hard_state(rep)
+    yield from _canvass(rep, now_ms, rep.term, pre=False)
+
+
+def _canvass(rep: Replica, now_ms: int, term: int, pre: bool) -> Iterator:
+    rep.votes = {rep.cfg.replica_id}
+    request = msgs.RequestVote(
+        sender=rep.cfg.replica_id,
+        term=term,
+        last_index=log_entries.last_index(rep.tail),
+        last_term=log_entries.last_term(rep.tail),
+        pre=pre,
+        transfer=rep.transfer,
+    )
+    for peer in _peers(rep):
+        yield effects.Send(peer, request)
+    yield from _count_votes(rep, now_ms, pre)
+
+
+def _count_votes(rep: Replica, now_ms: int, pre: bool) -> Iterator:
+    if len(rep.votes) >= _quorum(rep):
+        event = "prevote_quorum" if pre else "vote_quorum"
+        yield from _raise(rep, event, now_ms)
+
+
+def _on_request_vote(rep: Replica, now_ms: int, ask) -> Iterator:
+    promised = now_ms - rep.leader_seen_ms < rep.cfg.election_ms
+    shielded = (promised or rep.phase == "leader") and not ask.transfer
+    if not ask.pre and ask.term > rep.term and not shielded:
+        yield from _adopt_term(rep, now_ms, ask.term)
+    granted = _may_vote(rep, ask) and not shielded
+    if granted and not ask.pre:
+        rep.voted_for = ask.sender
+        _set_election_due(rep, now_ms)
+        yield _hard_state(rep)
+    yield effects.Send(
+        ask.sender,
+        msgs.VoteReply(
+            sender=rep.cfg.replica_id,
+            incarnation=rep.incarnation,
+            term=rep.term,
+            asked_term=ask.term,
+            pre=ask.pre,
+            granted=granted,
+        ),
+    )
+
+
+def _may_vote(rep: Replica, ask) -> bool:
+    if rep.phase == "recovering":
+        return False
+    own = (log_entries.last_term(rep.tail), log_entries.last_index(rep.tail))
+    if (ask.last_term, ask.last_index) < own:
+        return False
+    if ask.pre:
+        return ask.term > rep.term
+    return ask.term == rep.term and rep.voted_for in ("", ask.sender)
+
+
+def _on_vote_reply(rep: Replica, now_ms: int, reply) -> Iterator:
+    if reply.term > rep.term:
+        yield from _adopt_term(rep, now_ms, reply.term)
+        return
+    asked = rep.term + 1 if reply.pre else rep.term
+    expected = "pre_candidate" if reply.pre else "candidate"
+    admitted = rep.state.admitted.get(reply.sender) == reply.incarnation
+    if rep.phase != expected or reply.asked_term != asked:
+        return
+    if reply.granted and admitted:
+        rep.votes.add(reply.sender)
+        yield from _count_votes(rep, now_ms, reply.pre)
+
+
+def _become_leader(rep: Replica, now_ms: int, _payload) -> Iterator:
+    rep.leader_id = rep.cfg.replica_id
+    rep.leader_seen_ms = now_ms
+    rep.transfer = False
+    rep.readmitting.clear()
+    following = log_entries.last_index(rep.tail) + 1
+    rep.progress = {peer: Progress(following) for peer in _peers(rep)}
+    yield _leader_changed(rep)
+    yield from _propose(rep, now_ms, commands.Noop(), None)
+
+
+def _on_timeout_now(rep: Replica, now_ms: int, message) -> Iterator:
+    if message.term == rep.term:
+        rep.transfer = True
+        yield from _raise(rep, "transfer_asked", now_ms)
+
+
+def _on_stop(rep: Replica, now_ms: int, _message) -> Iterator:
+    yield from _raise(rep, "stop_asked", now_ms)
+
+
+def _hand_over(rep: Replica, now_ms: int, _payload) -> Iterator:
+    ready = [
+        (progress.match_index, peer)
+        for peer, progress in rep.progress.items()
+        if rep.state.admitted.get(peer) == progress.incarnation
+    ]
+    rep.leader_id = ""
+    yield _leader_changed(rep)
+    if ready:
+        message = msgs.TimeoutNow(rep.cfg.replica_id, rep.term)
+        yield effects.Send(max(ready)[1], message)
+
+
+def _adopt_term(rep: Replica, now_ms: int, term: int) -> Iterator:
+    rep.term = term
+    rep.voted_for = ""
+    rep.leader_id = ""
+    yield _hard_state(rep)
+    yield from _raise(rep, "higher_term", now_ms)
+
+
+# Proposals.
+
+
+def _on_propose(rep: Replica, now_ms: int, ask) -> Iterator:
+    forward = msgs.Forward(
+        rep.cfg.replica_id, ask.origin, ask.ask_id, ask.command
+    )
+    if rep.phase == "leader" or not rep.leader_id:
+        yield from _on_forward(rep, now_ms, forward)
+    else:
+        yield effects.Send(rep.leader_id, forward)
+
+
+def _on_forward(rep: Replica, now_ms: int, ask) -> Iterator:
+    waiter = _Waiter(rep.term, ask.sender, ask.origin, ask.ask_id)
+    reason = _refusal(rep, now_ms)
+    if reason is not None:
+        result = commands.Unavailable(reason, rep.leader_id)
+        yield _answer(rep, waiter, result)
+        return
+    yield from _propose(rep, now_ms, ask.command, waiter)
+
+
+def _on_forward_reply(rep: Replica, _now_ms: int, reply) -> Iterator:
+    yield msgs.Answer(reply.origin, reply.ask_id, reply.result)
+
+
+def _refusal(rep: Replica, now_ms: int) -> commands.UnavailableReason | None:
+    if rep.phase == "stopping":
+        return commands.UnavailableReason.STOPPING
+    if rep.phase != "leader":
+        return commands.UnavailableReason.NOT_LEADER
+    if not lease_is_valid(rep, now_ms):
+        return commands.UnavailableReason.LEASE_EXPIRED
+    if len(rep.waiters) >= rep.cfg.max_pending:
+        return commands.UnavailableReason.TOO_MANY_PENDING
+    return None
+
+
+def _propose(rep: Replica, now_ms: int, command, waiter) -> Iterator:
+    index = log_entries.last_index(rep.tail) + 1
+    entry = control_state.Entry(rep.term, index, command)
+    log_entries.append(rep.tail, entry)
+    if waiter is not None:
+        rep.waiters[index] = waiter
+    yield msgs.PersistEntries((entry,))
+    for peer in _peers(rep):
+        if rep.progress[peer].in_flight_to <= rep.progress[peer].match_index:
+            yield _append_for(rep, peer, now_ms)
+    yield from _advance_commit(rep, now_ms)
+
+
+def _answer(rep: Replica, waiter: _Waiter, result):
+    if waiter.sender == rep.cfg.replica_id:
+        return msgs.Answer(waiter.origin, waiter.ask_id, result)
+    reply = msgs.ForwardReply(
+        rep.cfg.replica_id, waiter.origin, waiter.ask_id, result
+    )
+    return effects.Send(waiter.sender, reply)
+
+
+def _fail_pending(rep: Replica, _now_ms: int, _payload) -> Iterator:
+    if rep.leader_id == rep.cfg.replica_id:
+        rep.leader_id = ""
+    reason = commands.UnavailableReason.NOT_LEADER
+    result = commands.Unavailable(reason, rep.leader_id)
+    for waiter in rep.waiters.values():
+        yield _answer(rep, waiter, result)
+    rep.waiters.clear()
+    yield _leader_changed(rep)
+
+
+# Replication.
+
+
+def _append_for(rep: Replica, peer: str, now_ms: int, resend: bool = False):
+    progress = rep.progress[peer]
+    progress.sent_ms = now_ms
+    if resend:
+        progress.next_index = progress.match_index + 1
+    prev_index = progress.next_index - 1
+    prev_term = log_entries.term_at(rep.tail, prev_index)
+    if prev_term is None:
+        return _snapshot_for(rep, peer, now_ms)
+    entries = log_entries.slice_from(
+        rep.tail, progress.next_index, rep.cfg.batch_entries
+    )
+    progress.in_flight_to = prev_index + len(entries)
+    return effects.Send(
+        peer,
+        msgs.Append(
+            sender=rep.cfg.replica_id,
+            term=rep.term,
+            prev_index=prev_index,
+            prev_term=prev_term,
+            entries=entries,
+            commit_index=rep.commit_index,
+            sent_ms=now_ms,
+            probe=progress.probe,
+        ),
+    )
+
+
+def _snapshot_for(rep: Replica, peer: str, now_ms: int):
+    # The next append waits, or each heartbeat would carry a whole snapshot.
+    rep.progress[peer].sent_ms = now_ms + rep.cfg.snapshot_pause_ms
+    snapshot = _take_snapshot(rep)
+    message = msgs.InstallSnapshot(
+        rep.cfg.replica_id, rep.term, snapshot, now_ms
+    )
+    return effects.Send(peer, message)
+
+
+def _take_snapshot(rep: Replica) -> msgs.Snapshot:
+    term = log_entries.term_at(rep.tail, rep.applied_index)
+    return msgs.Snapshot(rep.applied_index, term, rep.state)
+
+
+def _on_append(rep: Replica, now_ms: int, append) -> Iterator:
+    if append.term < rep.term:
+        yield _append_reply(rep, append, False, 0)
+        return
+    yield from _follow(rep, now_ms, append)
+    held = log_entries.term_at(rep.tail, append.prev_index)
+    covered = append.prev_index < rep.tail.base_index
+    if held != append.prev_term and not covered:
+        hint = min(append.prev_index - 1, log_entries.last_index(rep.tail))
+        yield _append_reply(rep, append, False, max(hint, rep.commit_index))
+        return
+    _assert_committed_stay(rep, append.entries)
+    fresh = log_entries.replace_from(rep.tail, append.entries)
+    if fresh:
+        yield msgs.PersistEntries(fresh)
+    matched = append.prev_index + len(append.entries)
+    rep.probe_echoed = max(rep.probe_echoed, append.probe)
+    rep.probe_commit = append.commit_index
+    yield _append_reply(rep, append, True, matched)
+    yield from _commit_to(rep, now_ms, min(append.commit_index, matched))
+
+
+def _follow(rep: Replica, now_ms: int, message) -> Iterator:
+    if message.term > rep.term:
+        yield from _adopt_term(rep, now_ms, message.term)
+    rep.leader_seen_ms = now_ms
+    known = rep.leader_id == message.sender
+    rep.leader_id = message.sender
+    rep.transfer = False
+    yield from _raise(rep, "leader_seen", now_ms)
+    if not known:
+        yield _leader_changed(rep)
+
+
+def _append_reply(rep: Replica, message, matched: bool, index: int):
+    reply = msgs.AppendReply(
+        sender=rep.cfg.replica_id,
+        incarnation=rep.incarnation,
+        term=rep.term,
+        matched=matched,
+        match_index=index,
+        sent_ms=message.sent_ms,
+        probe=rep.probe_sent,
+    )
+    return effects.Send(message.sender, reply)
+
+
+def _on_append_reply(rep: Replica, now_ms: int, reply) -> Iterator:
+    if reply.term > rep.term:
+        yield from _adopt_term(rep, now_ms, reply.term)
+        return
+    if rep.phase != "leader" or reply.term < rep.term:
+        return
+    progress = rep.progress[reply.sender]
+    _note_incarnation(progress, reply.incarnation)
+    progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+    progress.probe = max(progress.probe, reply.probe)
+    if not reply.matched:
+        progress.next_index = reply.match_index + 1
+        yield _append_for(rep, reply.sender, now_ms)
+        return
+    progress.match_index = max(progress.match_index, reply.match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    yield from _advance_commit(rep, now_ms)
+    yield from _readmit(rep, now_ms, reply.sender)
+    if progress.match_index < log_entries.last_index(rep.tail):
+        yield _append_for(rep, reply.sender, now_ms)
+
+
+def _note_incarnation(progress: Progress, incarnation: str) -> None:
+    if progress.incarnation not in ("", incarnation):
+        progress.match_index = 0
+        progress.acked_ms = -1
+        progress.probe = 0
+    progress.incarnation = incarnation
+
+
+def _readmit(rep: Replica, now_ms: int, peer: str) -> Iterator:
+    progress = rep.progress[peer]
+    admitted = rep.state.admitted.get(peer) == progress.incarnation
+    caught_up = progress.match_index >= rep.commit_index
+    if admitted or not caught_up or progress.incarnation in rep.readmitting:
+        return
+    rep.readmitting.add(progress.incarnation)
+    command = commands.ReadmitReplica(peer, progress.incarnation)
+    yield from _propose(rep, now_ms, command, None)
+
+
+def _on_install(rep: Replica, now_ms: int, message) -> Iterator:
+    if message.term < rep.term:
+        yield _append_reply(rep, message, False, 0)
+        return
+    yield from _follow(rep, now_ms, message)
+    snapshot = message.snapshot
+    if snapshot.index > rep.applied_index:
+        _adopt_snapshot(rep, snapshot)
+        yield msgs.PersistSnapshot(snapshot, _KEEP_NONE)
+        if rep.tail.entries:
+            yield msgs.PersistEntries(tuple(rep.tail.entries))
+        yield msgs.Restored(snapshot.index)
+        yield from _check_admission(rep, now_ms)
+    yield _append_reply(rep, message, True, snapshot.index)
+
+
+def _adopt_snapshot(rep: Replica, snapshot: msgs.Snapshot) -> None:
+    if log_entries.term_at(rep.tail, snapshot.index) == snapshot.term:
+        log_entries.compact(rep.tail, snapshot.index)
+    else:
+        rep.tail = log_entries.LogTail(snapshot.index, snapshot.term)
+    rep.state = snapshot.state
+    rep.commit_index = snapshot.index
+    rep.applied_index = snapshot.index
+    rep.snapshot_index = snapshot.index
+
+
+def _advance_commit(rep: Replica, now_ms: int) -> Iterator:
+    matches = [progress.match_index for progress in _counted(rep)]
+    matches.append(log_entries.last_index(rep.tail))
+    matches.sort(reverse=True)
+    needed = _quorum(rep)
+    if len(matches) < needed:
+        return
+    index = matches[needed - 1]
+    if log_entries.term_at(rep.tail, index) == rep.term:
+        yield from _commit_to(rep, now_ms, index)
+
+
+def _commit_to(rep: Replica, now_ms: int, index: int) -> Iterator:
+    rep.commit_index = max(rep.commit_index, index)
+    while rep.applied_index < rep.commit_index:
+        yield from _apply_next(rep)
+    yield from _check_admission(rep, now_ms)
+    grown = rep.applied_index - rep.snapshot_index
+    if grown >= rep.cfg.snapshot_entries:
+        yield _compact(rep)
+
+
+def _apply_next(rep: Replica) -> Iterator:
+    index = rep.applied_index + 1
+    entry = rep.tail.entries[index - rep.tail.base_index - 1]
+    result = control_state.apply(rep.state, entry)
+    rep.applied_index = index
+    yield msgs.Applied(entry, result)
+    waiter = rep.waiters.pop(index, None)
+    if waiter is not None:
+        yield _answer(rep, waiter, result)
+
+
+def _compact(rep: Replica):
+    snapshot = _take_snapshot(rep)
+    rep.snapshot_index = rep.applied_index
+    oldest = rep.tail.base_index
+    first_kept = max(oldest, rep.applied_index - rep.cfg.kept_entries)
+    log_entries.compact(rep.tail, first_kept)
+    return msgs.PersistSnapshot(snapshot, first_kept + 1)
+
+
+def _check_admission(rep: Replica, now_ms: int) -> Iterator:
+    admitted = rep.state.admitted.get(rep.cfg.replica_id)
+    event = "admitted" if admitted == rep.incarnation else "revoked"
+    yield from _raise(rep, event, now_ms)
+
+
+def _assert_committed_stay(rep: Replica, entries) -> None:
+    for entry in entries:
+        held = log_entries.term_at(rep.tail, entry.index)
+        if entry.index <= rep.commit_index and held not in (None, entry.term):
+            raise TermRegressedError(
+                f"index {entry.index}: {held}, {entry.term}"
+            )
+
+
+# Shared by all.
+
+
+def _raise(rep: Replica, event: str, now_ms: int) -> Iterator:
+    yield from charting.fire(rep.chart, rep, event, now_ms, None)
+
+
+def _reset_election(rep: Replica, now_ms: int, _payload) -> Iterator:
+    _set_election_due(rep, now_ms)
+    yield from ()
+
+
+def _set_election_due(rep: Replica, now_ms: int) -> None:
+    jitter_ms = rep.rng.randrange(rep.cfg.election_ms)
+    rep.election_due_ms = now_ms + rep.cfg.election_ms + jitter_ms
+
+
+def _quorum(rep: Replica) -> int:
+    return len(rep.cfg.replica_ids) // 2 + 1
+
+
+def _peers(rep: Replica) -> Iterator[str]:
+    own = rep.cfg.replica_id
+    return (peer for peer in rep.cfg.replica_ids if peer != own)
+
+
+def _counted(rep: Replica) -> Iterator[Progress]:
+    return (
+        progress
+        for peer, progress in rep.progress.items()
+        if progress.incarnation
+        and rep.state.admitted.get(peer) == progress.incarnation
+    )
+
+
+def _hard_state(rep: Replica):
+    return msgs.PersistHardState(msgs.HardState(rep.term, rep.voted_for))
+
+
+def _leader_changed(rep: Replica):
+    return msgs.LeaderChanged(rep.phase, rep.term, rep.leader_id)
+
+
+guards: dict = {}
+actions = {
+    "reset_election": _reset_election,
+    "start_prevote": _start_prevote,
+    "start_election": _start_election,
+    "become_leader": _become_leader,
+    "fail_pending": _fail_pending,
+    "hand_over": _hand_over,
+}
+
+_HANDLERS = {
+    msgs.Tick: _on_tick,
+    msgs.StopReplica: _on_stop,
+    msgs.Propose: _on_propose,
+    msgs.Forward: _on_forward,
+    msgs.ForwardReply: _on_forward_reply,
+    msgs.RequestVote: _on_request_vote,
+    msgs.VoteReply: _on_vote_reply,
+    msgs.Append: _on_append,
+    msgs.AppendReply: _on_append_reply,
+    msgs.InstallSnapshot: _on_install,
+    msgs.TimeoutNow: _on_timeout_now,
+}
--- /dev/null
+++ b/bilberryramp/decisions/routing.py
@@ -0,0 +1,153 @@
+"""Which upstream an entry sends a request to.
+
+A policy is a function ``(candidates, affinity_key, rng) -> candidate``. Each
+is made by a function of its own and kept by name, so that baselines stay
+runnable beside the default.
+"""
+
+import dataclasses
+import hashlib
+import random
+from collections.abc import Callable, Sequence
+
+from bilberryramp.decisions import call_messages, errors
+
+__all__ = [
+    "POLICIES",
+    "Candidate",
+    "Policy",
+    "UnknownPolicyError",
+    "load_of",
+    "make_policy",
+]
+
+AFFINITY_SLACK = 0.25
+
+
+class UnknownPolicyError(errors.BilberryError):
+    """No routing policy has this name."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Candidate:
+    """An upstream that can run a request, with its load.
+
+    Attributes
+    ----------
+    load
+        Requests running or waiting, for each slot.
+    """
+
+    upstream_id: str
+    load: float
+
+
+Policy = Callable[[Sequence[Candidate], str, random.Random], Candidate]
+
+
+def load_of(report: call_messages.Load | None, own: int) -> float:
+    """Estimate an upstream's load.
+
+    Parameters
+    ----------
+    report
+        Its last report, or None when it has sent none.
+    own
+        Requests the entry has sent there and that have not ended.
+
+    Returns
+    -------
+    float
+        Requests running or waiting, for each slot.
+    """
+    if report is None:
+        return float(own)
+    busy = max(report.running + report.queued, own)
+    return busy / max(report.slots, 1)
+
+
+def make_policy(name: str) -> Policy:
+    """Make a policy by its name.
+
+    Parameters
+    ----------
+    name
+        A key of `POLICIES`.
+
+    Returns
+    -------
+    Policy
+        With state of its own where it needs any.
+
+    Raises
+    ------
+    UnknownPolicyError
+        When there is none of that name.
+    """
+    if name not in POLICIES:
+        known = ", ".join(sorted(POLICIES))
+        raise UnknownPolicyError(f"{name}; known: {known}")
+    return POLICIES[name]()
+
+
+def _make_random() -> Policy:
+    def choose(found, _affinity_key, rng):
+        return rng.choice(found)
+
+    return choose
+
+
+def _make_round_robin() -> Policy:
+    turns = {}
+
+    def choose(found, _affinity_key, _rng):
+        group = tuple(candidate.upstream_id for candidate in found)
+        turn = turns.get(group, -1) + 1
+        turns[group] = turn
+        return found[turn % len(found)]
+
+    return choose
+
+
+def _make_least_loaded() -> Policy:
+    def choose(found, _affinity_key, _rng):
+        return min(found, key=lambda c: (c.load, c.upstream_id))
+
+    return choose
+
+
+def _make_power_of_two() -> Policy:
+    def choose(found, _affinity_key, rng):
+        pair = rng.sample(found, min(2, len(found)))
+        return min(pair, key=lambda c: c.load)
+
+    return choose
+
+
+def _make_affinity() -> Policy:
+    fallback = _make_power_of_two()
+
+    def choose(found, affinity_key, rng):
+        if not affinity_key:
+            return fallback(found, affinity_key, rng)
+        favourite = max(found, key=lambda c: _score(affinity_key, c))
+        least = min(candidate.load for candidate in found)
+        if favourite.load <= least + AFFINITY_SLACK:
+            return favourite
+        return fallback(found, affinity_key, rng)
+
+    return choose
+
+
+def _score(affinity_key: str, candidate: Candidate) -> bytes:
+    text = f"{affinity_key}\0{candidate.upstream_id}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
+POLICIES: dict[str, Callable[[], Policy]] = {
+    "random": _make_random,
+    "round_robin": _make_round_robin,
+    "least_loaded": _make_least_loaded,
+    "power_of_two": _make_power_of_two,
+    "affinity": _make_affinity,
+}
--- /dev/null
+++ b/bilberryramp/decisions/tests/builders.py
@@ -0,0 +1,209 @@
+"""Builders of test data for the decisions."""
+
+import random
+
+from bilberryramp.charts import loader
+from bilberryramp.decisions import (
+    admission,
+    call_messages,
+    charting,
+    commands,
+    control_state,
+    entry_calls,
+    errors,
+    ledger,
+    model_orders,
+    routing,
+    shutdown,
+    subscription,
+    tables,
+    upstream_work,
+    views,
+)
+
+
+def bound(name: str, module) -> charting.Chart:
+    return charting.bind(loader.load(name), module.guards, module.actions)
+
+
+def pool(name="guild-drafting", **changes) -> tables.Pool:
+    return tables.Pool(
+        name, **({"partner": "guild", "accelerators": 2} | changes)
+    )
+
+
+def route(model="m1", **changes) -> tables.Route:
+    fields = {
+        "name": f"route-{model}",
+        "pool": "guild-drafting",
+        "service": "drafting-desk",
+        "model": model,
+        "memory_mib": 1000,
+    }
+    return tables.Route(**(fields | changes))
+
+
+def service_route(**changes) -> tables.Route:
+    fields = {
+        "name": "corrections",
+        "pool": "guild-drafting",
+        "service": "corrections-ledger",
+        "kind": tables.RouteKind.SERVICE,
+        "path_prefix": "/services/corrections",
+        "repeat_never": True,
+    }
+    return tables.Route(**(fields | changes))
+
+
+def both_tables(*routes) -> tables.Tables:
+    return tables.Tables(routes or (route(),), (pool(),))
+
+
+def upstream(upstream_id="u1", **changes) -> views.Upstream:
+    fields = {
+        "incarnation": f"{upstream_id}-a",
+        "address": "tcp://127.0.0.1:1",
+        "service": "drafting-desk",
+        "kind": views.UpstreamKind.ENGINE,
+        "accelerators": 2,
+        "memory_mib": 4000,
+    }
+    return views.Upstream(upstream_id, **(fields | changes))
+
+
+def place(model="m1", accelerators=(0,), memory_mib=1000):
+    return views.ReplicaPlace(model, accelerators, memory_mib)
+
+
+def submit(base_version=0, submission_id="s1", submitter="ann", wanted=None):
+    return commands.SubmitTables(
+        submission_id, submitter, base_version, wanted or both_tables()
+    )
+
+
+def state_after(*wanted) -> control_state.ControlState:
+    state = control_state.ControlState()
+    for command in wanted:
+        apply(state, command)
+    return state
+
+
+def apply(state: control_state.ControlState, command):
+    entry = control_state.Entry(1, state.view.index + 1, command)
+    return control_state.apply(state, entry)
+
+
+def view_with(upstream_ids=("u1",), model="m1", **route_changes):
+    joins = [commands.JoinUpstream(upstream(u)) for u in upstream_ids]
+    wanted = both_tables(
+        route(model, replicas=len(upstream_ids), **route_changes)
+    )
+    places = [commands.PlaceReplicas(u, (place(model),)) for u in upstream_ids]
+    return state_after(*joins, submit(wanted=wanted), *places).view
+
+
+def entry(view=None, policy="least_loaded", **changes) -> entry_calls.Entry:
+    return entry_calls.Entry(
+        cfg=entry_calls.EntrySettings("e1", policy=policy, **changes),
+        chart=bound("request", entry_calls),
+        rng=random.Random(1),
+        view=view or view_with(),
+        policy=routing.make_policy(policy),
+        fresh=True,
+    )
+
+
+def caller_request(request_id="r1", **changes) -> entry_calls.CallerRequest:
+    fields = {
+        "model": "m1",
+        "method": "POST",
+        "path": "/v1/completions",
+        "body": b"{}",
+        "once_key": "",
+        "repeat_never": False,
+        "deadline_ms": 10_000,
+        "fingerprint": "f1",
+        "affinity_key": "",
+        "tokens": 10,
+        "traceparent": "",
+    }
+    return entry_calls.CallerRequest(request_id, **(fields | changes))
+
+
+def marked_request(request_id="r1", **changes) -> entry_calls.CallerRequest:
+    fields = {"once_key": "k1", "repeat_never": True} | changes
+    return caller_request(request_id, **fields)
+
+
+def arrived(request=None, wall_ms=1_000_000) -> entry_calls.CallArrived:
+    return entry_calls.CallArrived(request or caller_request(), wall_ms)
+
+
+def load(running=0, queued=0, slots=8) -> call_messages.Load:
+    return call_messages.Load(running, queued, slots)
+
+
+def refused(attempt_id, code=errors.FailureCode.OVERLOADED):
+    failure = errors.call_failure(code, "refused")
+    return call_messages.Refused(attempt_id, failure, 1, load())
+
+
+def broken(attempt_id, crashed=False):
+    failure = errors.call_failure(
+        errors.FailureCode.ENGINE_CRASHED, "broken", errors.Outcome.UNKNOWN
+    )
+    return call_messages.AnswerBroken(attempt_id, failure, crashed, load())
+
+
+def subscriber(name="entry/e1", controls=("c1",), now_ms=0):
+    chart = bound("config", subscription)
+    return subscription.new_subscription(name, controls, chart, now_ms)
+
+
+def orders(accelerators=1, memory_mib=2000, fenced=True):
+    return model_orders.Orders(
+        chart=bound("order", model_orders),
+        ledger=ledger.Ledger(accelerators, memory_mib),
+        fenced=fenced,
+    )
+
+
+def upstream_state(view=None, slots=2, queue_limit=4, fair=True, **changes):
+    own = upstream(slots=slots, **changes)
+    state = upstream_work.UpstreamState(
+        upstream=own,
+        view=view or view_with(),
+        queue=admission.Queue(queue_limit, fair),
+        orders=orders(2, 4000),
+        fresh=True,
+        engine_up=True,
+    )
+    state.stop = shutdown.Shutdown(
+        bound("shutdown", shutdown), lambda: not state.works
+    )
+    found = upstream_work.EngineFound("boot-1", (place(),))
+    list(upstream_work.step(state, 0, found))
+    return state
+
+
+def dispatch(attempt_id="r1.1", **changes) -> call_messages.Dispatch:
+    fields = {
+        "request_id": attempt_id.partition(".")[0],
+        "incarnation": "u1-a",
+        "view_index": 1,
+        "route": "route-m1",
+        "pool": "guild-drafting",
+        "weight": 2,
+        "priority": tables.Priority.NORMAL,
+        "model": "m1",
+        "method": "POST",
+        "path": "/v1/completions",
+        "body": b"{}",
+        "once_key": "",
+        "suspect": False,
+        "budget_ms": 10_000,
+        "tokens": 10,
+        "credit": 8,
+        "traceparent": "",
+    }
+    return call_messages.Dispatch(attempt_id, **(fields | changes))
--- /dev/null
+++ b/bilberryramp/decisions/tests/test_charting.py
@@ -0,0 +1,113 @@
+import dataclasses
+import unittest
+
+from bilberryramp.charts import loader
+from bilberryramp.decisions import (
+    charting,
+    entry_calls,
+    links,
+    model_orders,
+    replication,
+    shutdown,
+    subscription,
+)
+
+TEXT = """
+name: door
+initial: shut
+events: [push, slam]
+states:
+  shut:
+    on:
+      push:
+        - {target: open, guard: unlocked, actions: [creak]}
+        - {target: shut}
+    ignore: [slam]
+  open:
+    on: {slam: {target: shut}}
+    ignore: [push]
+    timeout: {event: slam, after_ms: 100}
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class Door:
+    key: str = "door"
+    phase: str = "shut"
+    timer: int = 0
+    unlocked: bool = True
+
+
+def creak(_door, _now_ms, payload):
+    yield payload
+
+
+GUARDS = {"unlocked": lambda door, _payload: door.unlocked}
+
+
+def bound(text):
+    return charting.bind(loader.parse(text), GUARDS, {"creak": creak})
+
+
+class ChartingTest(unittest.TestCase):
+    def test_guard_picks_transition_and_timer_is_set(self):
+        chart, door = bound(TEXT), Door()
+        effects = list(charting.fire(chart, door, "push", 5, "noise"))
+        self.assertEqual(door.phase, "open")
+        self.assertEqual(effects[0], "noise")
+        self.assertEqual(effects[1].due_ms, 105)
+        locked = Door(unlocked=False)
+        self.assertEqual(list(charting.fire(chart, locked, "push", 5, "")), [])
+        self.assertEqual(locked.phase, "shut")
+
+    def test_outdated_timer_is_ignored(self):
+        chart, door = bound(TEXT), Door()
+        timer = list(charting.fire(chart, door, "push", 0, ""))[1]
+        list(charting.fire(chart, door, "slam", 1, ""))
+        list(charting.fire(chart, door, "push", 2, ""))
+        list(charting.fire_timer(chart, door, timer.token, 100))
+        self.assertEqual(door.phase, "open")
+
+    def test_changing_the_file_changes_behaviour(self):
+        other = TEXT.replace("slam: {target: shut}", "slam: {target: open}")
+        for text, expected in ((TEXT, "shut"), (other, "open")):
+            door = Door(phase="open")
+            list(charting.fire(bound(text), door, "slam", 0, ""))
+            self.assertEqual(door.phase, expected)
+
+    def test_bad_charts_are_refused(self):
+        cases = (
+            ("initial: shut", "initial: ajar", "MissingInitialStateError"),
+            ("guard: unlocked", "guard: lucky", "UnboundNameError"),
+            ("actions: [creak]", "actions: [hum]", "UnboundNameError"),
+            ("    ignore: [push]\n", "", "UnhandledEventError"),
+            ("ignore: [push]", "ignore: [push, kick]", "UnknownEventError"),
+            ("event: slam, after", "event: push, after",
+             "UnhandledTimeoutError"),
+            ("target: open, guard", "target: gone, guard",
+             "UnknownStateError"),
+            ("target: open, guard", "target: shut, guard",
+             "UnreachableStateError"),
+            ("initial: shut", "initially: shut", "ChartFileError"),
+            ("states:", "states: [", "ChartFileError"),
+        )  # fmt: skip
+        for old, new, error in cases:
+            with (
+                self.subTest(new),
+                self.assertRaises(charting.ChartError) as caught,
+            ):
+                bound(TEXT.replace(old, new))
+            self.assertEqual(type(caught.exception).__name__, error)
+
+    def test_every_shipped_chart_binds(self):
+        modules = {
+            "config": subscription,
+            "connection": links,
+            "order": model_orders,
+            "replica": replication,
+            "request": entry_calls,
+            "shutdown": shutdown,
+        }
+        self.assertEqual(sorted(modules), loader.names())
+        for name, module in modules.items():
+            charting.bind(loader.load(name), module.guards, module.actions)
--- /dev/null
+++ b/bilberryramp/decisions/upstream_work.py
@@ -0,0 +1,526 @@
+"""An upstream process's decisions: the only door to its engine.
+
+The role is a function from (upstream, now, message) to effects. Requests
+wait in a bounded queue shared between pools; memory and models are in
+`model_orders`; the planned stop is in `shutdown`.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+
+from bilberryramp.decisions import (
+    admission,
+    call_messages,
+    effects,
+    errors,
+    model_orders,
+    shutdown,
+    tables,
+    views,
+)
+
+__all__ = [
+    "CancelRun",
+    "EngineAnswered",
+    "EngineFound",
+    "EngineLost",
+    "FrameArrived",
+    "FreshnessNoted",
+    "GrantCredit",
+    "QUEUE_WAIT_KEY",
+    "ReportDue",
+    "RunEnded",
+    "SenderLost",
+    "StartRun",
+    "StopAsked",
+    "TimerFired",
+    "UpstreamState",
+    "ViewNoted",
+    "Work",
+    "report_of",
+    "step",
+]
+
+QUEUE_WAIT_KEY = "queue/"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FrameArrived:
+    """A frame came from an entry."""
+
+    sender: str
+    frame: object
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SenderLost:
+    """An entry has been silent too long; its attempts have no reader."""
+
+    sender: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunEnded:
+    """A run is over.
+
+    Attributes
+    ----------
+    chunks
+        How many chunks of the answer were sent.
+    failure
+        None when the answer is whole.
+    crashed
+        Whether the engine went down.
+    """
+
+    attempt_id: str
+    chunks: int
+    failure: errors.CallFailure | None
+    crashed: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineFound:
+    """The engine answered and told what it holds."""
+
+    boot_id: str
+    held: tuple[views.ReplicaPlace, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineLost:
+    """The engine does not answer."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineAnswered:
+    """An order to the engine ended."""
+
+    order: model_orders.EngineOrder
+    outcome: model_orders.OrderOutcome
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ViewNoted:
+    """The view took in entries."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FreshnessNoted:
+    """The view's freshness lease was gained or ran out."""
+
+    fresh: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopAsked:
+    """A planned stop begins."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TimerFired:
+    """A timer of `SetTimer` came due."""
+
+    key: str
+    token: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StartRun:
+    """Run a request on the engine; `RunEnded` must follow."""
+
+    sender: str
+    dispatch: call_messages.Dispatch
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CancelRun:
+    """Stop a run; `RunEnded` still follows."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GrantCredit:
+    """Let a run send more chunks."""
+
+    attempt_id: str
+    chunks: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportDue:
+    """Control should be told of a change at once."""
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """An attempt that waits or runs.
+
+    Attributes
+    ----------
+    deadline_ms
+        On the own clock.
+    """
+
+    sender: str
+    dispatch: call_messages.Dispatch
+    deadline_ms: int
+    running: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamState:
+    """State of an upstream process.
+
+    Attributes
+    ----------
+    upstream
+        What it announces.
+    works
+        Attempts by id.
+    ended
+        Ids of recent attempts, so that a repeated dispatch is not run.
+    orders
+        None beside a plain service.
+    """
+
+    upstream: views.Upstream
+    view: views.View
+    queue: admission.Queue
+    orders: model_orders.Orders | None
+    stop: shutdown.Shutdown | None = None
+    fresh: bool = False
+    engine_up: bool = False
+    running: int = 0
+    works: dict[str, Work] = dataclasses.field(default_factory=dict)
+    ended: dict[str, None] = dataclasses.field(default_factory=dict)
+
+
+MAX_ENDED = 4096
+
+
+def step(state: UpstreamState, now_ms: int, message) -> Iterator:
+    """Handle one message.
+
+    Parameters
+    ----------
+    state
+        Changed in place.
+    now_ms
+        The process's monotonic clock in milliseconds.
+    message
+        One of this module's messages.
+
+    Yields
+    ------
+    effect
+        Frames to entries, runs, orders to the engine, timers.
+    """
+    yield from _HANDLERS[type(message)](state, now_ms, message)
+
+
+def report_of(state: UpstreamState) -> tuple:
+    """Build what control should know.
+
+    Parameters
+    ----------
+    state
+        The upstream process.
+
+    Returns
+    -------
+    tuple of (Upstream, tuple of ReplicaPlace)
+        The announcement and the resident replicas.
+    """
+    leaving = state.stop is not None and shutdown.is_draining(state.stop)
+    upstream = dataclasses.replace(state.upstream, leaving=leaving)
+    if state.orders is None or not state.engine_up:
+        return upstream, ()
+    return upstream, model_orders.resident_places(state.orders)
+
+
+# Frames.
+
+
+def _on_frame(state: UpstreamState, now_ms: int, message) -> Iterator:
+    frame = message.frame
+    if isinstance(frame, call_messages.Dispatch):
+        yield from _on_dispatch(state, now_ms, message.sender, frame)
+    elif isinstance(frame, call_messages.Cancel):
+        yield from _cancel(state, now_ms, frame.attempt_id)
+    elif isinstance(frame, call_messages.Credit):
+        yield GrantCredit(frame.attempt_id, frame.chunks)
+    elif isinstance(frame, call_messages.Ping):
+        yield effects.Send(message.sender, _pong(state))
+
+
+def _on_dispatch(state, now_ms: int, sender: str, dispatch) -> Iterator:
+    if dispatch.attempt_id in state.works or (
+        dispatch.attempt_id in state.ended
+    ):
+        return
+    failure = _refusal(state, dispatch)
+    if failure is not None:
+        yield _refuse(state, sender, dispatch.attempt_id, failure)
+        return
+    deadline_ms = now_ms + dispatch.budget_ms
+    state.works[dispatch.attempt_id] = Work(sender, dispatch, deadline_ms)
+    item = admission.Item(
+        key=dispatch.attempt_id,
+        pool=dispatch.pool,
+        weight=dispatch.weight,
+        tokens=dispatch.tokens,
+        priority=dispatch.priority,
+        deadline_ms=deadline_ms,
+    )
+    displaced = admission.offer(state.queue, item)
+    if displaced is not None:
+        yield from _shed(state, displaced)
+    if dispatch.attempt_id in state.works:
+        key = QUEUE_WAIT_KEY + dispatch.attempt_id
+        yield effects.SetTimer(key, 0, deadline_ms)
+    yield from _start_waiting(state)
+
+
+def _refusal(state, dispatch) -> errors.CallFailure | None:
+    code = errors.FailureCode
+    if dispatch.incarnation != state.upstream.incarnation:
+        return _failure(code.WRONG_INCARNATION, "another process was meant")
+    if state.stop is not None and shutdown.is_draining(state.stop):
+        return _failure(code.LEAVING, "the upstream is leaving")
+    if _is_marked_leaving(state):
+        return _failure(code.LEAVING, "the upstream is being drained")
+    if not state.fresh and not _serves_stale(state, dispatch.route):
+        text = "configuration may be out of date"
+        return _failure(code.STALE_CONFIGURATION, text)
+    if not state.engine_up:
+        return _failure(code.NO_UPSTREAM, "the engine does not answer")
+    if state.orders is not None and not model_orders.is_resident(
+        state.orders, dispatch.model
+    ):
+        return _failure(code.NOT_RESIDENT, "the model is not resident")
+    if dispatch.suspect and _runs_suspect(state):
+        return _failure(code.OVERLOADED, "a suspect request is running")
+    return None
+
+
+def _is_marked_leaving(state: UpstreamState) -> bool:
+    known = state.view.upstreams.get(state.upstream.upstream_id)
+    if known is None or known.incarnation != state.upstream.incarnation:
+        return False
+    return known.leaving
+
+
+def _serves_stale(state: UpstreamState, route_name: str) -> bool:
+    return any(
+        route.name == route_name and route.when_stale == tables.StaleRule.SERVE
+        for route in state.view.tables.routes
+    )
+
+
+def _runs_suspect(state: UpstreamState) -> bool:
+    return any(work.dispatch.suspect for work in state.works.values())
+
+
+def _failure(code: errors.FailureCode, message: str) -> errors.CallFailure:
+    return errors.call_failure(code, message)
+
+
+def _refuse(state, sender: str, attempt_id: str, failure) -> effects.Send:
+    frame = call_messages.Refused(
+        attempt_id, failure, state.view.index, _load(state)
+    )
+    return effects.Send(sender, frame)
+
+
+def _shed(state: UpstreamState, item: admission.Item) -> Iterator:
+    text = "the queue of the upstream is full"
+    failure = _failure(errors.FailureCode.OVERLOADED, text)
+    yield from _refuse_waiting(state, item.key, failure)
+
+
+def _refuse_waiting(state, attempt_id: str, failure) -> Iterator:
+    work = _end(state, attempt_id)
+    yield _refuse(state, work.sender, attempt_id, failure)
+
+
+def _end(state: UpstreamState, attempt_id: str) -> Work:
+    state.ended[attempt_id] = None
+    if len(state.ended) > MAX_ENDED:
+        del state.ended[next(iter(state.ended))]
+    return state.works.pop(attempt_id)
+
+
+# Running.
+
+
+def _start_waiting(state: UpstreamState) -> Iterator:
+    while state.running < state.upstream.slots:
+        item = admission.take(state.queue)
+        if item is None:
+            return
+        yield from _start(state, item.key)
+
+
+def _start(state: UpstreamState, attempt_id: str) -> Iterator:
+    work = state.works[attempt_id]
+    model = work.dispatch.model
+    if state.orders is not None:
+        if not model_orders.is_resident(state.orders, model):
+            text = "the model is not resident any more"
+            failure = _failure(errors.FailureCode.NOT_RESIDENT, text)
+            yield from _refuse_waiting(state, attempt_id, failure)
+            return
+        running = state.orders.running
+        running[model] = running.get(model, 0) + 1
+    work.running = True
+    state.running += 1
+    yield StartRun(work.sender, work.dispatch)
+
+
+def _on_run_ended(state: UpstreamState, now_ms: int, ended) -> Iterator:
+    work = _end(state, ended.attempt_id)
+    state.running -= 1
+    load = _load(state)
+    if ended.failure is None:
+        frame = call_messages.AnswerEnd(ended.attempt_id, ended.chunks, load)
+    else:
+        frame = call_messages.AnswerBroken(
+            ended.attempt_id, ended.failure, ended.crashed, load
+        )
+    yield effects.Send(work.sender, frame)
+    if state.orders is not None:
+        model = work.dispatch.model
+        state.orders.running[model] -= 1
+        yield from model_orders.note_idle(state.orders, now_ms, model)
+    yield from _start_waiting(state)
+    yield from _check_stop(state, now_ms)
+
+
+def _cancel(state: UpstreamState, now_ms: int, attempt_id: str) -> Iterator:
+    work = state.works.get(attempt_id)
+    if work is None:
+        return
+    if work.running:
+        yield CancelRun(attempt_id)
+        return
+    admission.remove(state.queue, attempt_id)
+    text = "cancelled before it ran"
+    failure = _failure(errors.FailureCode.CALLER_LEFT, text)
+    yield from _refuse_waiting(state, attempt_id, failure)
+    yield from _check_stop(state, now_ms)
+
+
+def _on_sender_lost(state: UpstreamState, now_ms: int, message) -> Iterator:
+    orphans = [
+        attempt_id
+        for attempt_id, work in state.works.items()
+        if work.sender == message.sender and not work.dispatch.once_key
+    ]
+    for attempt_id in orphans:
+        yield from _cancel(state, now_ms, attempt_id)
+
+
+def _on_timer(state: UpstreamState, now_ms: int, message) -> Iterator:
+    if not message.key.startswith(QUEUE_WAIT_KEY):
+        yield from model_orders.note_timer(
+            state.orders, now_ms, message.key, message.token
+        )
+        return
+    attempt_id = message.key.removeprefix(QUEUE_WAIT_KEY)
+    work = state.works.get(attempt_id)
+    if work is None:
+        return
+    if work.running:
+        yield CancelRun(attempt_id)
+        return
+    admission.remove(state.queue, attempt_id)
+    text = "the deadline passed in the queue"
+    failure = _failure(errors.FailureCode.DEADLINE_EXCEEDED, text)
+    yield from _refuse_waiting(state, attempt_id, failure)
+    yield from _check_stop(state, now_ms)
+
+
+# Engine, view and stop.
+
+
+def _on_engine_found(state: UpstreamState, now_ms: int, found) -> Iterator:
+    came_back = not state.engine_up
+    state.engine_up = True
+    if state.orders is not None:
+        yield from model_orders.note_engine(
+            state.orders, now_ms, found.boot_id, found.held
+        )
+        yield from _follow_placement(state, now_ms)
+    if came_back:
+        yield ReportDue()
+    yield from _start_waiting(state)
+
+
+def _on_engine_lost(state: UpstreamState, _now_ms: int, _message) -> Iterator:
+    if state.engine_up:
+        state.engine_up = False
+        yield ReportDue()
+
+
+def _on_engine_answered(state, now_ms: int, message) -> Iterator:
+    yield from model_orders.note_answer(
+        state.orders, now_ms, message.order, message.outcome
+    )
+
+
+def _on_view(state: UpstreamState, now_ms: int, _message) -> Iterator:
+    yield from _follow_placement(state, now_ms)
+
+
+def _follow_placement(state: UpstreamState, now_ms: int) -> Iterator:
+    if state.orders is None:
+        return
+    placed = state.view.placements.get(state.upstream.upstream_id)
+    yield from model_orders.reconcile(state.orders, now_ms, placed)
+
+
+def _on_freshness(state: UpstreamState, _now_ms: int, message) -> Iterator:
+    state.fresh = message.fresh
+    yield from ()
+
+
+def _on_stop(state: UpstreamState, now_ms: int, _message) -> Iterator:
+    yield from shutdown.ask(state.stop, now_ms)
+    yield ReportDue()
+
+
+def _check_stop(state: UpstreamState, now_ms: int) -> Iterator:
+    if state.stop is not None:
+        yield from shutdown.note_idle(state.stop, now_ms)
+
+
+def _load(state: UpstreamState) -> call_messages.Load:
+    return call_messages.Load(
+        state.running, admission.length(state.queue), state.upstream.slots
+    )
+
+
+def _pong(state: UpstreamState) -> call_messages.Pong:
+    leaving = state.stop is not None and shutdown.is_draining(state.stop)
+    return call_messages.Pong(
+        state.upstream.incarnation,
+        state.view.index,
+        _load(state),
+        leaving or _is_marked_leaving(state),
+    )
+
+
+_HANDLERS = {
+    FrameArrived: _on_frame,
+    SenderLost: _on_sender_lost,
+    RunEnded: _on_run_ended,
+    EngineFound: _on_engine_found,
+    EngineLost: _on_engine_lost,
+    EngineAnswered: _on_engine_answered,
+    ViewNoted: _on_view,
+    FreshnessNoted: _on_freshness,
+    StopAsked: _on_stop,
+    TimerFired: _on_timer,
+}
--- /dev/null
+++ b/bilberryramp/programs/control.py
@@ -0,0 +1,64 @@
+"""`bilberry-control`: one replica of the system's durable state."""
+
+import asyncio
+import pathlib
+import random
+
+from absl import flags
+
+from bilberryramp.decisions import replication
+from bilberryramp.programs import launch
+from bilberryramp.settings import reader, schema
+from bilberryramp.storage import journal
+from bilberryramp.tasks import control_node, mailbox, operator_api
+from bilberryramp.telemetry import events
+
+__all__ = ["run"]
+
+FORMAT_FLAG = flags.DEFINE_boolean(
+    "format",
+    False,
+    "Prepare the data folder of a new cluster and exit. Never use it to "
+    "replace a lost disk: start with an empty folder instead.",
+)
+
+
+def run() -> None:
+    """Run the program."""
+    launch.run_app(_main)
+
+
+async def _main() -> int:
+    cfg = reader.read_or_raise(
+        launch.SETTINGS_FLAG.value, schema.ControlSettings
+    )
+    folder = pathlib.Path(cfg.data_folder)
+    if FORMAT_FLAG.value:
+        journal.format_folder(folder, cfg.replica_id)
+        return 0
+    launch.start_telemetry("bilberry-control", cfg.replica_id, cfg.telemetry)
+    disk, recovered = journal.open_folder(folder, cfg.replica_id)
+    _log_recovery(recovered)
+    chart = launch.bind_chart("replica", replication)
+    node = control_node.new_node(cfg, chart, disk, recovered, random.Random())
+    own = next(r for r in cfg.replicas if r.replica_id == cfg.replica_id)
+    host, _, port = own.operator_address.rpartition(":")
+    api = operator_api.make_app(node.box)
+    runner, _ = await launch.listen(api, host, int(port))
+    launch.on_stop_signal(
+        lambda: mailbox.post_now(node.box, control_node.StopNode())
+    )
+    events.emit(events.STARTED, address=own.address)
+    await control_node.run(node)
+    await asyncio.wait_for(runner.cleanup(), 5)
+    events.emit(events.STOPPED)
+    return 0
+
+
+def _log_recovery(recovered: journal.Recovered) -> None:
+    if recovered.cut_bytes:
+        events.emit(events.TAIL_CUT, size_bytes=recovered.cut_bytes)
+    if recovered.identity.incarnation != replication.GENESIS:
+        events.emit(
+            events.RECOVERING, incarnation=recovered.identity.incarnation
+        )
--- /dev/null
+++ b/bilberryramp/programs/ctl.py
@@ -0,0 +1,262 @@
+"""`bilberryctl`: what operators use to change and inspect the system.
+
+Exit codes: 0 done; 2 bad settings, tables or command line; 5 refused;
+6 another submission was accepted first; 7 the outcome is not known.
+"""
+
+import asyncio
+import getpass
+import sys
+import time
+import uuid
+from collections.abc import Iterator
+
+import aiohttp
+import msgspec
+from absl import app, flags
+from returns import result
+
+from bilberryramp.decisions import tables
+from bilberryramp.settings import reader, schema
+from bilberryramp.tasks import operator_api
+
+__all__ = ["run"]
+
+EXIT_USAGE = 2
+EXIT_REFUSED = 5
+EXIT_CONFLICT = 6
+EXIT_UNKNOWN = 7
+TRY_INTERVAL_S = 0.2
+
+_ROUTES = flags.DEFINE_string("routes", "routes.yaml", "The routes' file.")
+_POOLS = flags.DEFINE_string("pools", "pools.yaml", "The pools' file.")
+_SETTINGS = flags.DEFINE_string(
+    "ctl_settings", "ctl.yaml", "Settings that name the control replicas."
+)
+_JSON = flags.DEFINE_boolean("json", False, "Print JSON.")
+_BASE = flags.DEFINE_integer(
+    "base_version", -1, "Version the change starts from; -1 asks for it."
+)
+_SUBMISSION = flags.DEFINE_string(
+    "submission_id", "", "Id of an earlier try that is sent again."
+)
+_SUBMITTER = flags.DEFINE_string("submitter", "", "Name told to others.")
+_WAIT_S = flags.DEFINE_float(
+    "wait_s", 10.0, "How long to keep trying, in seconds."
+)
+
+USAGE = "bilberryctl [flags] validate|submit|diff|status|watch|drain UPSTREAM"
+
+
+def run() -> None:
+    """Run the program."""
+    app.run(_main)
+
+
+def _main(argv: list[str]) -> None:
+    command = _COMMANDS.get(argv[1]) if len(argv) > 1 else None
+    if command is None:
+        print(f"usage: {USAGE}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    try:
+        sys.exit(command(argv[2:]))
+    except reader.SettingsError as exc:
+        print(f"error: {exc}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def _read_tables() -> tables.Tables:
+    routes = reader.read_or_raise(_ROUTES.value, schema.RoutesFile)
+    pools = reader.read_or_raise(_POOLS.value, schema.PoolsFile)
+    return tables.Tables(routes.routes, pools.pools)
+
+
+def _validate(_args: list[str]) -> int:
+    problems = tuple(tables.check(_read_tables()))
+    if problems:
+        return _show_problems(problems)
+    print("valid")
+    return 0
+
+
+def _show_problems(problems: tuple[tables.Problem, ...]) -> int:
+    for found in problems:
+        file = _POOLS if found.path.startswith("pools") else _ROUTES
+        line = reader.SettingsProblem(
+            file.value, found.path, repr(found.seen), found.expected
+        )
+        print(f"error: {line}", file=sys.stderr)
+    return EXIT_REFUSED
+
+
+def _submit(_args: list[str]) -> int:
+    wanted = _read_tables()
+    problems = tuple(tables.check(wanted))
+    if problems:
+        return _show_problems(problems)
+    base = _BASE.value
+    if base < 0:
+        base = _ask_status().version
+    submission_id = _SUBMISSION.value or uuid.uuid4().hex
+    request = operator_api.SubmitRequest(
+        submission_id=submission_id,
+        submitter=_SUBMITTER.value or getpass.getuser(),
+        base_version=base,
+        routes=wanted.routes,
+        pools=wanted.pools,
+    )
+    body = msgspec.json.encode(request)
+    found = asyncio.run(_try_all("POST", "/v1/tables", body))
+    if isinstance(found, result.Failure):
+        hint = f"--base_version {base} --submission_id {submission_id}"
+        print(f"not known: {found.failure()}; resend with {hint}")
+        return EXIT_UNKNOWN
+    reply = msgspec.json.decode(found.unwrap(), type=operator_api.SubmitReply)
+    return _show_submit(reply)
+
+
+def _show_submit(reply: operator_api.SubmitReply) -> int:
+    if _JSON.value:
+        print(msgspec.json.encode(reply).decode())
+    if reply.outcome == "accepted":
+        _say(f"accepted as version {reply.version}")
+        return 0
+    if reply.outcome == "conflict":
+        _say(
+            f"conflict: version {reply.version} by {reply.submitted_by} "
+            "was accepted first"
+        )
+        return EXIT_CONFLICT
+    return _show_problems(reply.problems)
+
+
+def _say(text: str) -> None:
+    if not _JSON.value:
+        print(text)
+
+
+def _status(_args: list[str]) -> int:
+    status = _ask_status()
+    if _JSON.value:
+        print(msgspec.json.encode(status).decode())
+        return 0
+    for line in _status_lines(status):
+        print(line)
+    return 0
+
+
+def _status_lines(status: operator_api.StatusReply) -> Iterator[str]:
+    yield (
+        f"replica {status.replica_id}: {status.phase}, term {status.term}, "
+        f"leader {status.leader_id or 'none'}, index {status.index}"
+    )
+    by = f" by {status.submitted_by}" if status.submitted_by else ""
+    yield (
+        f"version {status.version}{by}: {len(status.routes)} routes, "
+        f"{len(status.pools)} pools, {status.once_records} once-records"
+    )
+    free = {row.upstream_id: row.free_mib for row in status.memory}
+    for upstream in status.upstreams:
+        placed = status.placements.get(upstream.upstream_id)
+        models = [place.model for place in placed.replicas] if placed else []
+        state = "leaving" if upstream.leaving else "in service"
+        yield (
+            f"upstream {upstream.upstream_id} ({upstream.service}): {state}, "
+            f"models {', '.join(models) or 'none'}, "
+            f"free MiB {list(free[upstream.upstream_id])}"
+        )
+    for fingerprint, record in status.quarantine.items():
+        yield f"struck request {fingerprint}: {len(record.strikes)} strikes"
+    for name in status.lagging:
+        yield f"lagging: {name} at index {status.followers[name]}"
+
+
+def _watch(_args: list[str]) -> int:
+    previous: list[str] = []
+    while True:
+        lines = list(_status_lines(_ask_status()))
+        for line in lines:
+            if line not in previous:
+                print(line, flush=True)
+        previous = lines
+        time.sleep(1)
+
+
+def _diff(_args: list[str]) -> int:
+    wanted, status = _read_tables(), _ask_status()
+    pairs = ((wanted.routes, status.routes), (wanted.pools, status.pools))
+    for new, old in pairs:
+        for line in _changes(new, old):
+            print(line)
+    return 0
+
+
+def _changes(new: tuple, old: tuple) -> Iterator[str]:
+    before = {row.name: row for row in old}
+    after = {row.name: row for row in new}
+    yield from (f"- {row}" for n, row in before.items() if n not in after)
+    yield from (f"+ {row}" for n, row in after.items() if n not in before)
+    for name, row in after.items():
+        if name in before and before[name] != row:
+            yield f"- {before[name]}"
+            yield f"+ {row}"
+
+
+def _drain(args: list[str]) -> int:
+    if len(args) != 1:
+        print(f"usage: {USAGE}", file=sys.stderr)
+        return EXIT_USAGE
+    path = f"/v1/upstreams/{args[0]}/drain"
+    found = asyncio.run(_try_all("POST", path, b""))
+    if isinstance(found, result.Failure):
+        print(f"not known: {found.failure()}")
+        return EXIT_UNKNOWN
+    print(f"draining {args[0]}")
+    return 0
+
+
+def _ask_status() -> operator_api.StatusReply:
+    found = asyncio.run(_try_all("GET", "/v1/status", b""))
+    if isinstance(found, result.Failure):
+        print(f"no control replica answers: {found.failure()}")
+        sys.exit(EXIT_UNKNOWN)
+    return msgspec.json.decode(found.unwrap(), type=operator_api.StatusReply)
+
+
+async def _try_all(method: str, path: str, body: bytes) -> result.Result:
+    cfg = reader.read_or_raise(_SETTINGS.value, schema.CtlSettings)
+    deadline = time.monotonic() + _WAIT_S.value
+    last: result.Result = result.Failure("no control replica is named")
+    async with aiohttp.ClientSession() as session:
+        while time.monotonic() < deadline:
+            for control in cfg.controls:
+                url = f"http://{control.operator_address}{path}"
+                last = await _try_one(session, method, url, body)
+                if isinstance(last, result.Success):
+                    return last
+            await asyncio.sleep(TRY_INTERVAL_S)
+    return last
+
+
+async def _try_one(session, method: str, url: str, body: bytes):
+    timeout = aiohttp.ClientTimeout(total=6)
+    try:
+        async with session.request(
+            method, url, data=body, timeout=timeout
+        ) as resp:
+            data = await resp.read()
+    except (aiohttp.ClientError, TimeoutError) as exc:
+        return result.Failure(f"{type(exc).__name__} from {url}")
+    if resp.status >= 500 or resp.status == 400:
+        return result.Failure(data.decode(errors="replace"))
+    return result.Success(data)
+
+
+_COMMANDS = {
+    "validate": _validate,
+    "submit": _submit,
+    "diff": _diff,
+    "status": _status,
+    "watch": _watch,
+    "drain": _drain,
+}
--- /dev/null
+++ b/bilberryramp/programs/entry.py
@@ -0,0 +1,89 @@
+"""`bilberry-entry`: takes callers' requests."""
+
+import asyncio
+import random
+import uuid
+
+from bilberryramp.decisions import (
+    entry_calls,
+    links,
+    routing,
+    shutdown,
+    subscription,
+)
+from bilberryramp.programs import launch
+from bilberryramp.settings import reader, schema
+from bilberryramp.tasks import (
+    clock,
+    control_link,
+    entry_frontend,
+    entry_router,
+    mailbox,
+)
+from bilberryramp.telemetry import events, metrics
+
+__all__ = ["run"]
+
+
+def run() -> None:
+    """Run the program."""
+    launch.run_app(_main)
+
+
+async def _main() -> int:
+    cfg = reader.read_or_raise(
+        launch.SETTINGS_FLAG.value, schema.EntryProgramSettings
+    )
+    launch.start_telemetry("bilberry-entry", cfg.name, cfg.telemetry)
+    router = _new_router(cfg)
+    api = entry_frontend.make_app(
+        cfg,
+        router.box,
+        router.entry.view,
+        router.metrics,
+        lambda: router.entry.fresh and not router.entry.stopping,
+    )
+    runner, port = await launch.listen(
+        api, cfg.host, cfg.port, cfg.max_header_bytes
+    )
+    launch.on_stop_signal(
+        lambda: mailbox.post_now(router.box, entry_router.StopRouter())
+    )
+    events.emit(events.STARTED, host=cfg.host, port=port)
+    await entry_router.run(router)
+    # The balancer notices the failing readiness check before the port goes.
+    await asyncio.sleep(cfg.stop_notice_ms / 1000)
+    await runner.cleanup()
+    events.emit(events.STOPPED)
+    return 0
+
+
+def _new_router(cfg: schema.EntryProgramSettings) -> entry_router.Router:
+    chart = launch.bind_chart("config", subscription)
+    # A restarted entry is another sender to upstream processes.
+    name = f"entry/{cfg.name}/{uuid.uuid4().hex[:8]}"
+    controls = tuple(control.replica_id for control in cfg.controls)
+    sub = subscription.new_subscription(name, controls, chart, clock.now_ms())
+    entry = entry_calls.Entry(
+        cfg=entry_calls.EntrySettings(
+            name=name, policy=cfg.policy, max_calls=cfg.max_calls
+        ),
+        chart=launch.bind_chart("request", entry_calls),
+        rng=random.Random(),
+        view=sub.view,
+        policy=routing.make_policy(cfg.policy),
+    )
+    stop = shutdown.Shutdown(
+        chart=launch.bind_chart("shutdown", shutdown),
+        is_idle=lambda: not entry.calls,
+    )
+    return entry_router.Router(
+        name=name,
+        entry=entry,
+        sub=sub,
+        stop=stop,
+        link_chart=launch.bind_chart("connection", links),
+        box=mailbox.Mailbox(limit=8192),
+        control=control_link.open_link(name, cfg.controls),
+        metrics=metrics.Metrics(),
+    )
--- /dev/null
+++ b/bilberryramp/programs/upstream.py
@@ -0,0 +1,106 @@
+"""`bilberry-upstream`: the process beside one engine or plain service."""
+
+import uuid
+
+import aiohttp
+import zmq
+import zmq.asyncio
+
+from bilberryramp.decisions import (
+    admission,
+    ledger,
+    model_orders,
+    shutdown,
+    subscription,
+    upstream_work,
+    views,
+)
+from bilberryramp.programs import launch
+from bilberryramp.settings import reader, schema
+from bilberryramp.tasks import clock, control_link, mailbox, upstream_node
+from bilberryramp.telemetry import events
+
+__all__ = ["run"]
+
+
+def run() -> None:
+    """Run the program."""
+    launch.run_app(_main)
+
+
+async def _main() -> int:
+    cfg = reader.read_or_raise(
+        launch.SETTINGS_FLAG.value, schema.UpstreamSettings
+    )
+    launch.start_telemetry("bilberry-upstream", cfg.name, cfg.telemetry)
+    door, address = _open_door(cfg.address)
+    node = _new_node(cfg, door, address)
+    launch.on_stop_signal(
+        lambda: mailbox.post_now(node.box, upstream_work.StopAsked())
+    )
+    events.emit(events.STARTED, address=address)
+    await upstream_node.run(node)
+    events.emit(events.STOPPED)
+    return 0
+
+
+def _open_door(address: str) -> tuple[zmq.asyncio.Socket, str]:
+    door = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
+    door.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    door.setsockopt(zmq.LINGER, 1000)
+    host, _, port = address.rpartition(":")
+    if port == "0":
+        door.bind(f"{host}:*")
+    else:
+        door.bind(address)
+    return door, door.getsockopt_string(zmq.LAST_ENDPOINT)
+
+
+def _new_node(
+    cfg: schema.UpstreamSettings, door: zmq.asyncio.Socket, address: str
+) -> upstream_node.UpstreamNode:
+    chart = launch.bind_chart("config", subscription)
+    name = f"upstream/{cfg.name}"
+    controls = tuple(control.replica_id for control in cfg.controls)
+    sub = subscription.new_subscription(name, controls, chart, clock.now_ms())
+    state = _new_state(cfg, address, sub.view)
+    state.stop = shutdown.Shutdown(
+        chart=launch.bind_chart("shutdown", shutdown),
+        is_idle=lambda: not state.works,
+    )
+    return upstream_node.UpstreamNode(
+        cfg=cfg,
+        state=state,
+        sub=sub,
+        box=mailbox.Mailbox(limit=8192),
+        door=door,
+        control=control_link.open_link(name, cfg.controls),
+        session=aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        ),
+    )
+
+
+def _new_state(
+    cfg: schema.UpstreamSettings, address: str, view: views.View
+) -> upstream_work.UpstreamState:
+    upstream = views.Upstream(
+        upstream_id=cfg.name,
+        incarnation=uuid.uuid4().hex,
+        address=address,
+        service=cfg.service,
+        kind=cfg.kind,
+        failure_domain=cfg.failure_domain,
+        accelerators=cfg.accelerators,
+        memory_mib=cfg.memory_mib,
+        slots=cfg.slots,
+    )
+    orders = None
+    if cfg.kind == views.UpstreamKind.ENGINE:
+        orders = model_orders.Orders(
+            chart=launch.bind_chart("order", model_orders),
+            ledger=ledger.Ledger(cfg.accelerators, cfg.memory_mib),
+            fenced=cfg.fenced,
+        )
+    queue = admission.Queue(cfg.queue_limit)
+    return upstream_work.UpstreamState(upstream, view, queue, orders)
--- /dev/null
+++ b/bilberryramp/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings and tables in YAML, checked into slotted classes."""
+
+__all__ = ["reader", "reference", "schema"]
--- /dev/null
+++ b/bilberryramp/settings/reference.py
@@ -0,0 +1,81 @@
+"""The settings reference for the docs, made from the classes."""
+
+import dataclasses
+import inspect
+import re
+import typing
+from collections.abc import Iterator
+
+from bilberryramp.decisions import tables
+from bilberryramp.settings import schema
+
+__all__ = ["page"]
+
+_PARTS = (
+    (tables.Route, "`routes.yaml`: each of `routes`"),
+    (tables.Pool, "`pools.yaml`: each of `pools`"),
+    (schema.EntryProgramSettings, "`bilberry-entry`"),
+    (schema.UpstreamSettings, "`bilberry-upstream`"),
+    (schema.ControlSettings, "`bilberry-control`"),
+    (schema.CtlSettings, "`bilberryctl`"),
+    (schema.StandinSettings, "`bilberry-standin`"),
+    (schema.ControlReplica, "each of `controls` and `replicas`"),
+    (schema.TelemetrySettings, "`telemetry`"),
+)
+
+
+def page() -> str:
+    """Render the reference.
+
+    Returns
+    -------
+    str
+        Markdown; ``docs/SETTINGS.md`` holds exactly this.
+    """
+    head = (
+        "# Settings and tables\n\nAll files are YAML. Unknown and repeated "
+        "keys are errors; every error names the file, the path in it, the "
+        "value found and what was expected. A field without a default is "
+        "required.\n"
+    )
+    return head + "".join(_section(cls, title) for cls, title in _PARTS)
+
+
+def _section(cls: type, title: str) -> str:
+    doc = inspect.getdoc(cls)
+    return (
+        f"\n## {title}\n\n{doc.splitlines()[0]}\n\n"
+        "| field | form | default |\n| --- | --- | --- |\n"
+        f"{''.join(_rows(cls))}\n{_notes(doc)}"
+    )
+
+
+def _rows(cls: type) -> Iterator[str]:
+    hints = typing.get_type_hints(cls)
+    for field in dataclasses.fields(cls):
+        default = _default(field)
+        yield f"| `{field.name}` | {_form(hints[field.name])} | {default} |\n"
+
+
+def _default(field: dataclasses.Field) -> str:
+    if field.default is dataclasses.MISSING:
+        return "required"
+    if dataclasses.is_dataclass(field.default):
+        return "its defaults"
+    return f"`{field.default!s}`" if field.default != "" else "empty"
+
+
+def _form(hint) -> str:
+    if typing.get_origin(hint) is tuple:
+        return f"list of {_form(typing.get_args(hint)[0])}"
+    if hasattr(hint, "__members__"):
+        return ", ".join(f"`{member.value}`" for member in hint)
+    return hint.__name__
+
+
+def _notes(doc: str) -> str:
+    _, _, text = doc.partition("Attributes\n----------\n")
+    rows = re.findall(r"^(\S[^\n]*)\n((?:    [^\n]+\n?)+)", text, re.M)
+    return "".join(
+        f"- `{names}`: {' '.join(body.split())}\n" for names, body in rows
+    )
--- /dev/null
+++ b/bilberryramp/settings/tests/test_reader.py
@@ -0,0 +1,64 @@
+import pathlib
+import tempfile
+import unittest
+
+from returns import result
+
+from bilberryramp.decisions import tables
+from bilberryramp.settings import reader, reference, schema
+from bilberryramp.settings.tests import builders
+
+ROOT = pathlib.Path(__file__).parents[3]
+
+
+class ReaderTest(unittest.TestCase):
+    def problem(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = builders.write(folder, text)
+            found = reader.read(path, schema.RoutesFile)
+        self.assertIsInstance(found, result.Failure)
+        return found.failure()
+
+    def test_good_file(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = builders.write(folder, builders.GOOD_ROUTES)
+            read = reader.read_or_raise(path, schema.RoutesFile)
+        self.assertEqual(read.routes[0].priority, tables.Priority.NORMAL)
+
+    def test_each_fault_names_path_value_and_expectation(self):
+        good = builders.GOOD_ROUTES
+        cases = (
+            ("pool: p", "pool: 7", "routes[0].pool", "7", "str"),
+            ("pool: p", "pol: p", "routes[0].pol", "unknown key pol", "pool"),
+            ("    pool: p\n", "", "routes[0].pool", "nothing", "required"),
+            ("memory_mib: 10", "memory_mib: x", "routes[0].memory_mib",
+             "'x'", "int"),
+            ("pool: p", "pool: p\n    pool: q", "line 5", "twice", "YAML"),
+            ("name: a", "name: [a", "line", "expected", "YAML"),
+            ("model: m", "priority: big", "routes[0].priority", "big", "enum"),
+        )  # fmt: skip
+        for old, new, path, seen, expected in cases:
+            with self.subTest(new):
+                found = self.problem(good.replace(old, new))
+                self.assertIn(path, found.path)
+                self.assertIn(seen, found.seen)
+                self.assertIn(expected, found.expected)
+                self.assertIn("routes.yaml", str(found))
+
+    def test_missing_file(self):
+        found = reader.read("/nowhere/x.yaml", schema.RoutesFile).failure()
+        self.assertEqual(found.expected, "a readable file")
+
+    def test_examples_are_sound(self):
+        routes = reader.read_or_raise(
+            ROOT / "examples/routes.yaml", schema.RoutesFile
+        )
+        pools = reader.read_or_raise(
+            ROOT / "examples/pools.yaml", schema.PoolsFile
+        )
+        both = tables.Tables(routes.routes, pools.pools)
+        self.assertEqual(list(tables.check(both)), [])
+
+    def test_reference_page_matches_the_classes(self):
+        page = (ROOT / "docs" / "SETTINGS.md").read_text(encoding="utf-8")
+        self.assertEqual(page, reference.page())
--- /dev/null
+++ b/bilberryramp/standins/local_cluster.py
@@ -0,0 +1,403 @@
+"""Starts a whole system on loopback as separate processes.
+
+Used by ``make demo`` and by tests of real processes. The programs of the
+system itself never start processes.
+"""
+
+import dataclasses
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+from bilberryramp.decisions import errors, views
+from bilberryramp.programs import launch
+from bilberryramp.settings import schema
+
+__all__ = [
+    "Cluster",
+    "ClusterStartError",
+    "Process",
+    "add_entry",
+    "add_upstream",
+    "ctl",
+    "free_ports",
+    "kill",
+    "new_cluster",
+    "start_controls",
+    "start_program",
+    "stop",
+    "stop_all",
+    "wait_for_upstreams",
+    "wait_http",
+]
+
+START_WAIT_S = 20.0
+STOP_WAIT_S = 15.0
+POLL_S = 0.05
+
+
+class ClusterStartError(errors.BilberryError):
+    """A process did not come up in time."""
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """A started program and how to start it again."""
+
+    program: str
+    settings: pathlib.Path
+    child: subprocess.Popen
+
+
+@dataclasses.dataclass(slots=True)
+class Cluster:
+    """A system on loopback.
+
+    Attributes
+    ----------
+    folder
+        Holds settings, logs and data folders.
+    controls
+        Control replicas as all processes know them.
+    processes
+        Started programs by name.
+    """
+
+    folder: pathlib.Path
+    controls: tuple[schema.ControlReplica, ...]
+    traces: bool = False
+    processes: dict[str, Process] = dataclasses.field(default_factory=dict)
+
+
+def free_ports(count: int) -> list[int]:
+    """Find free TCP ports on loopback.
+
+    Parameters
+    ----------
+    count
+        How many.
+
+    Returns
+    -------
+    list of int
+        Distinct ports, free a moment ago.
+    """
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def new_cluster(
+    folder: pathlib.Path, control_count: int, traces: bool = False
+) -> Cluster:
+    """Plan a system; nothing is started yet.
+
+    Parameters
+    ----------
+    folder
+        Made if it does not exist.
+    control_count
+        How many control replicas.
+    traces
+        Whether programs write spans to files.
+
+    Returns
+    -------
+    Cluster
+        Without processes.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    ports = free_ports(2 * control_count)
+    controls = tuple(
+        schema.ControlReplica(
+            replica_id=f"control-{at + 1}",
+            address=f"tcp://127.0.0.1:{ports[2 * at]}",
+            operator_address=f"127.0.0.1:{ports[2 * at + 1]}",
+        )
+        for at in range(control_count)
+    )
+    launch.write_yaml(folder / "ctl.yaml", schema.CtlSettings(controls))
+    return Cluster(folder, controls, traces)
+
+
+def start_controls(cluster: Cluster) -> None:
+    """Format and start every control replica.
+
+    Parameters
+    ----------
+    cluster
+        Changed in place.
+    """
+    for control in cluster.controls:
+        name = control.replica_id
+        data = cluster.folder / f"data-{name}"
+        cfg = schema.ControlSettings(
+            replica_id=name,
+            replicas=cluster.controls,
+            data_folder=str(data),
+            telemetry=_telemetry(cluster, name),
+        )
+        settings = _write(cluster, name, cfg)
+        if not data.exists():
+            command = _command("control", settings, "--format")
+            subprocess.run(command, check=True)
+        start_program(cluster, name, "control", settings)
+
+
+def add_upstream(
+    cluster: Cluster,
+    standin: schema.StandinSettings,
+    service: str,
+    **changes,
+) -> None:
+    """Start a stand-in and the upstream process beside it.
+
+    Parameters
+    ----------
+    cluster
+        Changed in place.
+    standin
+        The stand-in's settings; its name is used for both.
+    service
+        The group it serves in.
+    **changes
+        Further fields of `schema.UpstreamSettings`.
+    """
+    port = standin.port or free_ports(1)[0]
+    standin = dataclasses.replace(
+        standin, port=port, telemetry=_telemetry(cluster, standin.name)
+    )
+    beside = f"upstream-{standin.name}"
+    engine = standin.kind == views.UpstreamKind.ENGINE
+    cfg = schema.UpstreamSettings(
+        name=standin.name,
+        controls=cluster.controls,
+        address="tcp://127.0.0.1:0",
+        service=service,
+        kind=standin.kind,
+        engine_url=f"http://127.0.0.1:{port}",
+        accelerators=standin.accelerators if engine else 0,
+        memory_mib=standin.memory_mib if engine else 0,
+        fenced=standin.fenced,
+        telemetry=_telemetry(cluster, beside),
+    )
+    cfg = dataclasses.replace(cfg, **changes)
+    name = f"standin-{standin.name}"
+    start_program(cluster, name, "standin", _write(cluster, name, standin))
+    start_program(cluster, beside, "upstream", _write(cluster, beside, cfg))
+
+
+def add_entry(cluster: Cluster, name: str, port: int = 0, **changes) -> int:
+    """Start an entry.
+
+    Parameters
+    ----------
+    cluster
+        Changed in place.
+    name, port
+        The entry's name and port; port 0 takes a free one.
+    **changes
+        Further fields of `schema.EntryProgramSettings`.
+
+    Returns
+    -------
+    int
+        The port.
+    """
+    port = port or free_ports(1)[0]
+    cfg = schema.EntryProgramSettings(
+        name=name,
+        controls=cluster.controls,
+        port=port,
+        telemetry=_telemetry(cluster, name),
+        **changes,
+    )
+    start_program(cluster, name, "entry", _write(cluster, name, cfg))
+    return port
+
+
+def start_program(
+    cluster: Cluster, name: str, program: str, settings: pathlib.Path
+) -> None:
+    """Start a program, or start it again.
+
+    Parameters
+    ----------
+    cluster
+        Changed in place.
+    name
+        The process's name in `Cluster.processes`.
+    program
+        A module of `bilberryramp.programs`.
+    settings
+        Its settings file.
+    """
+    with (cluster.folder / f"{name}.out").open("a") as out:
+        child = subprocess.Popen(
+            _command(program, settings), stdout=out, stderr=out
+        )
+    cluster.processes[name] = Process(program, settings, child)
+
+
+def stop(cluster: Cluster, name: str) -> int:
+    """Stop a process gracefully.
+
+    Parameters
+    ----------
+    cluster
+        The system.
+    name
+        The process.
+
+    Returns
+    -------
+    int
+        Its exit code.
+    """
+    child = cluster.processes[name].child
+    child.send_signal(signal.SIGTERM)
+    return child.wait(STOP_WAIT_S)
+
+
+def kill(cluster: Cluster, name: str) -> None:
+    """End a process at once.
+
+    Parameters
+    ----------
+    cluster
+        The system.
+    name
+        The process.
+    """
+    child = cluster.processes[name].child
+    child.kill()
+    child.wait()
+
+
+def stop_all(cluster: Cluster) -> None:
+    """End every process that still runs, callers' side first.
+
+    Parameters
+    ----------
+    cluster
+        The system.
+    """
+    children = [p.child for p in reversed(cluster.processes.values())]
+    for child in children:
+        if child.poll() is None:
+            child.send_signal(signal.SIGCONT)
+            child.terminate()
+    for child in children:
+        try:
+            child.wait(STOP_WAIT_S)
+        except subprocess.TimeoutExpired:
+            child.kill()
+            child.wait()
+
+
+def ctl(cluster: Cluster, *args: str) -> subprocess.CompletedProcess:
+    """Run `bilberryctl` against the system.
+
+    Parameters
+    ----------
+    cluster
+        The system.
+    *args
+        Command line.
+
+    Returns
+    -------
+    subprocess.CompletedProcess
+        With captured text output.
+    """
+    settings = cluster.folder / "ctl.yaml"
+    command = [
+        *_python("from bilberryramp.programs import ctl; ctl.run()"),
+        f"--ctl_settings={settings}",
+        *args,
+    ]
+    return subprocess.run(command, capture_output=True, text=True)
+
+
+def wait_for_upstreams(cluster: Cluster, count: int) -> None:
+    """Wait until control knows this many upstreams.
+
+    Parameters
+    ----------
+    cluster
+        The system.
+    count
+        How many.
+
+    Raises
+    ------
+    ClusterStartError
+        When they do not announce themselves in time.
+    """
+    deadline = time.monotonic() + START_WAIT_S
+    while time.monotonic() < deadline:
+        shown = ctl(cluster, "status")
+        lines = shown.stdout.splitlines()
+        if sum(line.startswith("upstream ") for line in lines) >= count:
+            return
+        time.sleep(POLL_S)
+    raise ClusterStartError(f"fewer than {count} upstreams announced")
+
+
+def wait_http(url: str, wait_s: float = START_WAIT_S) -> None:
+    """Wait until a URL answers with status 200.
+
+    Parameters
+    ----------
+    url
+        What to ask for.
+    wait_s
+        How long, in seconds.
+
+    Raises
+    ------
+    ClusterStartError
+        When it does not in time.
+    """
+    deadline = time.monotonic() + wait_s
+    while time.monotonic() < deadline:
+        try:
+            with urllib.request.urlopen(url, timeout=2) as answer:
+                if answer.status == 200:
+                    return
+        except (urllib.error.URLError, OSError):
+            pass
+        time.sleep(POLL_S)
+    raise ClusterStartError(f"{url} did not answer")
+
+
+def _telemetry(cluster: Cluster, name: str) -> schema.TelemetrySettings:
+    return schema.TelemetrySettings(
+        log_file=str(cluster.folder / f"{name}.log"),
+        trace_exporter="file" if cluster.traces else "none",
+        trace_file=str(cluster.folder / "spans.jsonl"),
+    )
+
+
+def _write(cluster: Cluster, name: str, cfg) -> pathlib.Path:
+    path = cluster.folder / f"{name}.yaml"
+    launch.write_yaml(path, cfg)
+    return path
+
+
+def _command(program: str, settings: pathlib.Path, *more: str) -> list[str]:
+    code = f"from bilberryramp.programs import {program}; {program}.run()"
+    return [*_python(code), f"--settings={settings}", *more]
+
+
+def _python(code: str) -> list[str]:
+    return [sys.executable, "-c", code]
--- /dev/null
+++ b/bilberryramp/standins/plain_service.py
@@ -0,0 +1,101 @@
+"""A stand-in plain service that counts how often each key was run."""
+
+import asyncio
+import collections
+import dataclasses
+import os
+import uuid
+
+import msgspec
+from aiohttp import web
+
+from bilberryramp.settings import schema
+from bilberryramp.tasks import upstream_engine
+from bilberryramp.telemetry import tracing
+
+__all__ = ["PlainService", "Receipt", "make_app", "new_service"]
+
+CRASH_EXIT_CODE = 70
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Receipt:
+    """Answer to a call: its key and how often that key has run."""
+
+    key: str
+    runs: int
+
+
+@dataclasses.dataclass(slots=True)
+class PlainService:
+    """State of the service; `runs` counts calls by idempotency key."""
+
+    cfg: schema.StandinSettings
+    boot_id: str
+    runs: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+def new_service(cfg: schema.StandinSettings) -> PlainService:
+    """Make a service that has run nothing.
+
+    Parameters
+    ----------
+    cfg
+        Its settings.
+
+    Returns
+    -------
+    PlainService
+        With a new boot id.
+    """
+    return PlainService(cfg, uuid.uuid4().hex)
+
+
+def make_app(service: PlainService) -> web.Application:
+    """Make the HTTP application.
+
+    Parameters
+    ----------
+    service
+        Its state.
+
+    Returns
+    -------
+    aiohttp.web.Application
+        Not yet listening.
+    """
+    app = web.Application()
+
+    async def state(_request: web.Request) -> web.Response:
+        return _json(upstream_engine.EngineState(service.boot_id))
+
+    async def counts(_request: web.Request) -> web.Response:
+        return _json(dict(service.runs))
+
+    async def call(request: web.Request) -> web.Response:
+        return await _call(service, request)
+
+    app.router.add_get("/engine/state", state)
+    app.router.add_get("/runs", counts)
+    app.router.add_route("*", "/services/{path:.*}", call)
+    return app
+
+
+async def _call(service: PlainService, request: web.Request) -> web.Response:
+    body = await request.read()
+    key = request.headers.get("Idempotency-Key", "")
+    with tracing.span("service.call", request.headers.get("traceparent", "")):
+        service.runs[key] += 1
+        told = service.cfg.crash_on.encode()
+        if told and told in body:
+            os._exit(CRASH_EXIT_CODE)
+        await asyncio.sleep(service.cfg.first_token_ms / 1000)
+        return _json(Receipt(key, service.runs[key]))
+
+
+def _json(body) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(body), content_type="application/json"
+    )
--- /dev/null
+++ b/bilberryramp/standins/tests/test_whole_path.py
@@ -0,0 +1,179 @@
+import concurrent.futures
+import json
+import pathlib
+import tempfile
+import time
+import unittest
+import urllib.error
+import urllib.request
+
+import openai
+
+from bilberryramp.decisions import views
+from bilberryramp.settings import schema
+from bilberryramp.standins import local_cluster
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+MODEL = "abay-passes-3b"
+
+
+def post(port, path, body, headers=None):
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{port}{path}",
+        data=body,
+        headers=headers or {},
+        method="POST",
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=20) as answer:
+            return answer.status, json.loads(answer.read())
+    except urllib.error.HTTPError as exc:
+        return exc.code, json.loads(exc.read())
+
+
+class WholePathTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.cluster = local_cluster.new_cluster(
+            pathlib.Path(cls.folder.name), 1, traces=True
+        )
+        cls.addClassCleanup(cls.folder.cleanup)
+        cls.addClassCleanup(local_cluster.stop_all, cls.cluster)
+        local_cluster.start_controls(cls.cluster)
+        for name, service in (
+            ("desk-1", "drafting-desk"),
+            ("desk-2", "drafting-desk"),
+            ("letters-1", "letter-llm"),
+        ):
+            engine = schema.StandinSettings(name, views.UpstreamKind.ENGINE)
+            local_cluster.add_upstream(cls.cluster, engine, service)
+        ledger = schema.StandinSettings("ledger-1", views.UpstreamKind.SERVICE)
+        local_cluster.add_upstream(cls.cluster, ledger, "corrections-ledger")
+        cls.port = local_cluster.add_entry(cls.cluster, "entry-1")
+        local_cluster.wait_for_upstreams(cls.cluster, 4)
+        submitted = local_cluster.ctl(
+            cls.cluster,
+            f"--routes={EXAMPLES / 'routes.yaml'}",
+            f"--pools={EXAMPLES / 'pools.yaml'}",
+            "submit",
+        )
+        assert submitted.returncode == 0, submitted.stderr
+        local_cluster.wait_http(f"http://127.0.0.1:{cls.port}/readyz")
+        cls.client = openai.OpenAI(
+            base_url=f"http://127.0.0.1:{cls.port}/v1", api_key="none"
+        )
+
+    def chat(self, words=4, **changes):
+        return self.client.chat.completions.create(
+            model=MODEL,
+            messages=[{"role": "user", "content": "hello"}],
+            max_tokens=words,
+            **changes,
+        )
+
+    def test_plain_and_streamed_answers_are_whole(self):
+        self.assertEqual(
+            self.chat().choices[0].message.content, "w0 w1 w2 w3 "
+        )
+        parts = [
+            chunk.choices[0].delta.content for chunk in self.chat(stream=True)
+        ]
+        self.assertEqual("".join(parts), "w0 w1 w2 w3 ")
+
+    def test_two_hundred_requests_from_sixteen_threads(self):
+        with concurrent.futures.ThreadPoolExecutor(16) as threads:
+            counts = [1 + n % 7 for n in range(200)]
+            answers = list(threads.map(self.chat, counts))
+        for count, answer in zip(counts, answers, strict=True):
+            words = answer.choices[0].message.content.split()
+            self.assertEqual(words, [f"w{n}" for n in range(count)])
+
+    def test_unknown_model_is_not_found(self):
+        with self.assertRaises(openai.NotFoundError) as caught:
+            self.client.completions.create(model="none", prompt="x")
+        self.assertEqual(caught.exception.code, "model_not_found")
+        self.assertEqual(caught.exception.body["outcome"], "not_run")
+
+    def test_models_are_listed(self):
+        self.assertIn(MODEL, [card.id for card in self.client.models.list()])
+
+    def test_bad_requests_get_one_typed_error(self):
+        big = b'{"model": "' + b"x" * (9 * 1024 * 1024) + b'"}'
+        cases = (
+            ("/v1/completions", b"{", {}, 400, "bad_request"),
+            ("/v1/completions", b"{}", {}, 400, "bad_request"),
+            ("/v1/completions", big, {}, 413, "body_too_large"),
+            ("/nowhere", b"", {}, 404, "route_not_found"),
+            ("/services/corrections", b"", {}, 400, "key_required"),
+            ("/v1/completions", b'{"model":"m"}',
+             {"Bilberry-Deadline-Ms": "soon"}, 400, "bad_request"),
+        )  # fmt: skip
+        for path, body, headers, status, code in cases:
+            seen, answer = post(self.port, path, body, headers)
+            self.assertEqual((seen, answer["error"]["code"]), (status, code))
+            self.assertEqual(answer["error"]["outcome"], "not_run")
+
+    def test_marked_request_runs_once_and_keeps_its_answer(self):
+        headers = {"Idempotency-Key": "k-7", "Bilberry-Repeat": "never"}
+        path = "/services/corrections"
+        first = post(self.port, path, b"notice", headers)
+        again = post(self.port, path, b"notice", headers)
+        self.assertEqual(first, (200, {"key": "k-7", "runs": 1}))
+        self.assertEqual(again, first)
+        status, answer = post(self.port, path, b"another", headers)
+        self.assertEqual((status, answer["error"]["code"]),
+                         (422, "key_mismatch"))  # fmt: skip
+
+    def test_submission_races_have_one_winner(self):
+        tables = (
+            f"--routes={EXAMPLES / 'routes.yaml'}",
+            f"--pools={EXAMPLES / 'pools.yaml'}",
+        )
+        status = json.loads(
+            local_cluster.ctl(self.cluster, "--json", "status").stdout
+        )
+        base = f"--base_version={status['version']}"
+        first = ("--submission_id=a", "--submitter=ann")
+        won = local_cluster.ctl(self.cluster, *tables, base, *first, "submit")
+        resent = local_cluster.ctl(
+            self.cluster, *tables, base, *first, "submit"
+        )
+        lost = local_cluster.ctl(
+            self.cluster, *tables, base, "--submission_id=b", "submit"
+        )
+        self.assertEqual((won.returncode, resent.returncode), (0, 0))
+        self.assertEqual(won.stdout, resent.stdout)
+        self.assertEqual(lost.returncode, 6)
+        self.assertIn("by ann", lost.stdout)
+
+    def test_one_trace_shows_every_hop(self):
+        trace_id = "0af7651916cd43dd8448eb211c80319c"
+        headers = {"traceparent": f"00-{trace_id}-b7ad6b7169203331-01"}
+        body = json.dumps({"model": MODEL, "max_tokens": 1}).encode()
+        status, _ = post(self.port, "/v1/completions", body, headers)
+        self.assertEqual(status, 200)
+        expected = {"entry.call", "upstream.run", "engine.generate"}
+        path = pathlib.Path(self.folder.name) / "spans.jsonl"
+
+        def names():
+            lines = path.read_text().splitlines() if path.exists() else []
+            spans = (json.loads(line) for line in lines)
+            return {
+                span["name"]
+                for span in spans
+                if span["context"]["trace_id"] == f"0x{trace_id}"
+            }
+
+        for _ in range(200):
+            if names() >= expected:
+                break
+            time.sleep(0.1)
+        self.assertGreaterEqual(names(), expected)
+
+    def test_metrics_show_latency(self):
+        self.chat()
+        url = f"http://127.0.0.1:{self.port}/metrics"
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            text = answer.read().decode()
+        self.assertIn('bilberry_call_seconds{quantile="0.99"}', text)
--- /dev/null
+++ b/bilberryramp/storage/journal.py
@@ -0,0 +1,372 @@
+"""Files of one control replica under its data folder.
+
+``identity`` names the cluster, the replica and the disk's incarnation.
+``hard-state`` holds term and vote. ``snapshot-N`` holds the state machine
+after entry N. ``log-N`` holds records from its creation on; each record is
+a length, a CRC-32 and a message. A write counts only once it is synced; an
+incomplete last record is cut off when the log is opened.
+"""
+
+import dataclasses
+import fcntl
+import os
+import pathlib
+import struct
+import uuid
+import zlib
+from collections.abc import Iterator
+
+from bilberryramp.decisions import control_state, errors, replication
+from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.wire import codec
+
+__all__ = [
+    "BadDataFolderError",
+    "CorruptFileError",
+    "DataFolderInUseError",
+    "Identity",
+    "Journal",
+    "Recovered",
+    "close",
+    "format_folder",
+    "open_folder",
+    "write",
+]
+
+_HEADER = struct.Struct("<II")
+_MAX_RECORD_BYTES = 256 * 1024 * 1024
+
+
+class BadDataFolderError(errors.BilberryError):
+    """The data folder cannot be used."""
+
+
+class DataFolderInUseError(BadDataFolderError):
+    """Another process has opened the data folder."""
+
+
+class CorruptFileError(BadDataFolderError):
+    """A file is damaged before its end, so entries may be missing."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Identity:
+    """Whose disk it is.
+
+    Attributes
+    ----------
+    replica_id
+        The control replica.
+    incarnation
+        `replication.GENESIS` if formatted when the cluster was created,
+        else made when an empty folder was first opened.
+    """
+
+    replica_id: str
+    incarnation: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Recovered:
+    """What the disk held when it was opened.
+
+    Attributes
+    ----------
+    cut_bytes
+        Size of the incomplete record that was cut off; usually 0.
+    """
+
+    identity: Identity
+    hard_state: msgs.HardState | None
+    snapshot: msgs.Snapshot | None
+    entries: tuple[control_state.Entry, ...]
+    cut_bytes: int
+
+
+@dataclasses.dataclass(slots=True)
+class Journal:
+    """An open data folder.
+
+    Attributes
+    ----------
+    log_fd
+        Descriptor of the log file in use.
+    tail
+        Entries in that file that count, for the next file.
+    """
+
+    folder: pathlib.Path
+    lock_fd: int
+    log_path: pathlib.Path
+    log_fd: int
+    tail: list[control_state.Entry]
+
+
+def format_folder(folder: pathlib.Path, replica_id: str) -> Identity:
+    """Prepare an empty data folder when a cluster is created.
+
+    Parameters
+    ----------
+    folder
+        Made if it does not exist.
+    replica_id
+        The control replica it is for.
+
+    Returns
+    -------
+    Identity
+        With the genesis incarnation.
+
+    Raises
+    ------
+    BadDataFolderError
+        When the folder cannot be written or is in use already.
+    """
+    _make_folder(folder)
+    if (folder / "identity").exists():
+        raise BadDataFolderError(f"{folder}: already formatted")
+    identity = Identity(replica_id, replication.GENESIS)
+    _write_identity(folder, identity)
+    return identity
+
+
+def open_folder(
+    folder: pathlib.Path, replica_id: str
+) -> tuple[Journal, Recovered]:
+    """Open a data folder and read what it holds.
+
+    Parameters
+    ----------
+    folder
+        An empty one gets a new incarnation, which must be readmitted.
+    replica_id
+        The control replica; the folder of another one is refused.
+
+    Returns
+    -------
+    tuple of (Journal, Recovered)
+        The open folder and its contents.
+
+    Raises
+    ------
+    BadDataFolderError
+        When it cannot be read, written or locked, or is another's.
+    """
+    _make_folder(folder)
+    lock_fd = _lock(folder)
+    identity = _read_identity(folder)
+    if identity is None:
+        identity = Identity(replica_id, uuid.uuid4().hex)
+        _write_identity(folder, identity)
+    if identity.replica_id != replica_id:
+        owner = identity.replica_id
+        raise BadDataFolderError(f"{folder}: belongs to replica {owner}")
+    snapshot = _read_snapshot(folder)
+    log_path, entries, cut_bytes = _read_log(folder, snapshot)
+    log_fd = os.open(log_path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o640)
+    _sync_folder(folder)
+    journal = Journal(folder, lock_fd, log_path, log_fd, list(entries))
+    hard_state = _read_message(folder / "hard-state")
+    recovered = Recovered(identity, hard_state, snapshot, entries, cut_bytes)
+    return journal, recovered
+
+
+def write(journal: Journal, effects: list) -> None:
+    """Perform ``Persist`` effects in order and sync them.
+
+    Parameters
+    ----------
+    journal
+        The open folder.
+    effects
+        `PersistEntries`, `PersistHardState` and `PersistSnapshot`; their
+        messages are encoded before this returns.
+    """
+    buffer = bytearray()
+    for effect in effects:
+        if isinstance(effect, msgs.PersistEntries):
+            _note_entries(journal, effect.entries)
+            buffer += _record(effect)
+        elif isinstance(effect, msgs.PersistHardState):
+            path = journal.folder / "hard-state"
+            _replace_file(path, codec.encode(effect.hard_state))
+        else:
+            _append_synced(journal, buffer)
+            buffer.clear()
+            _write_snapshot(journal, effect)
+    _append_synced(journal, buffer)
+
+
+def close(journal: Journal) -> None:
+    """Close the files and give up the lock.
+
+    Parameters
+    ----------
+    journal
+        Not usable afterwards.
+    """
+    os.close(journal.log_fd)
+    os.close(journal.lock_fd)
+
+
+def _make_folder(folder: pathlib.Path) -> None:
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        probe = folder / "write-probe"
+        probe.write_bytes(b"")
+        probe.unlink()
+    except OSError as exc:
+        raise BadDataFolderError(f"{folder}: {exc.strerror}") from exc
+
+
+def _lock(folder: pathlib.Path) -> int:
+    fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o640)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as exc:
+        os.close(fd)
+        raise DataFolderInUseError(f"{folder}: in use") from exc
+    return fd
+
+
+def _read_identity(folder: pathlib.Path) -> Identity | None:
+    path = folder / "identity"
+    if not path.exists():
+        return None
+    parts = path.read_text(encoding="utf-8").split()
+    if len(parts) != 2:
+        raise CorruptFileError(f"{path}: not an identity")
+    return Identity(*parts)
+
+
+def _write_identity(folder: pathlib.Path, identity: Identity) -> None:
+    text = f"{identity.replica_id} {identity.incarnation}\n"
+    _replace_file(folder / "identity", text.encode())
+
+
+def _replace_file(path: pathlib.Path, data: bytes) -> None:
+    new = path.with_name(path.name + ".new")
+    fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o640)
+    try:
+        _write_all(fd, data)
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+    os.rename(new, path)
+    _sync_folder(path.parent)
+
+
+def _write_all(fd: int, data: bytes) -> None:
+    left = memoryview(data)
+    while left:
+        left = left[os.write(fd, left) :]
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
+    fd = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def _read_message(path: pathlib.Path):
+    if not path.exists():
+        return None
+    try:
+        return codec.decode(path.read_bytes())
+    except codec.MalformedMessageError as exc:
+        raise CorruptFileError(f"{path}: {exc}") from exc
+
+
+def _numbered(folder: pathlib.Path, prefix: str) -> list[tuple]:
+    found = (
+        (path.name.removeprefix(prefix), path)
+        for path in folder.glob(f"{prefix}*")
+    )
+    return sorted((int(tail), path) for tail, path in found if tail.isdigit())
+
+
+def _read_snapshot(folder: pathlib.Path) -> msgs.Snapshot | None:
+    files = _numbered(folder, "snapshot-")
+    return _read_message(files[-1][1]) if files else None
+
+
+def _read_log(folder: pathlib.Path, snapshot) -> tuple:
+    files = _numbered(folder, "log-")
+    path = files[-1][1] if files else folder / "log-0"
+    entries: list[control_state.Entry] = []
+    cut_bytes = 0
+    if path.exists():
+        data = path.read_bytes()
+        used = 0
+        for effect, end in _records(path, data):
+            _merge(entries, effect.entries)
+            used = end
+        cut_bytes = len(data) - used
+        if cut_bytes:
+            os.truncate(path, used)
+    base = snapshot.index if snapshot else 0
+    if entries and entries[0].index > base + 1:
+        raise CorruptFileError(f"{path}: entries after {base} are missing")
+    return path, tuple(entries), cut_bytes
+
+
+def _records(path: pathlib.Path, data: bytes) -> Iterator[tuple]:
+    at = 0
+    while at + _HEADER.size <= len(data):
+        length, checksum = _HEADER.unpack_from(data, at)
+        start, end = at + _HEADER.size, at + _HEADER.size + length
+        body = data[start:end]
+        if end > len(data) or length > _MAX_RECORD_BYTES:
+            return
+        if zlib.crc32(body) != checksum:
+            if end < len(data):
+                raise CorruptFileError(f"{path}: bad checksum at {at}")
+            return
+        yield codec.decode(body), end
+        at = end
+
+
+def _merge(entries: list, more: tuple) -> None:
+    if entries and more:
+        del entries[max(more[0].index - entries[0].index, 0) :]
+    entries.extend(more)
+
+
+def _note_entries(journal: Journal, entries: tuple) -> None:
+    _merge(journal.tail, entries)
+
+
+def _record(effect: msgs.PersistEntries) -> bytes:
+    body = codec.encode(effect)
+    return _HEADER.pack(len(body), zlib.crc32(body)) + body
+
+
+def _append_synced(journal: Journal, buffer: bytearray) -> None:
+    if buffer:
+        _write_all(journal.log_fd, buffer)
+        os.fdatasync(journal.log_fd)
+
+
+def _write_snapshot(journal: Journal, effect: msgs.PersistSnapshot) -> None:
+    index = effect.snapshot.index
+    folder = journal.folder
+    kept = [e for e in journal.tail if e.index >= effect.first_kept]
+    path = folder / f"log-{index}"
+    record = _record(msgs.PersistEntries(tuple(kept)))
+    # Between the two writes the old log still goes with the new snapshot:
+    # the entries that the snapshot covers are skipped when it is read.
+    _replace_file(folder / f"snapshot-{index}", codec.encode(effect.snapshot))
+    _replace_file(path, record if kept else b"")
+    os.close(journal.log_fd)
+    journal.log_path, journal.tail = path, kept
+    journal.log_fd = os.open(path, os.O_RDWR | os.O_APPEND)
+    _drop_older(folder, index)
+
+
+def _drop_older(folder: pathlib.Path, index: int) -> None:
+    for prefix in ("log-", "snapshot-"):
+        for number, path in _numbered(folder, prefix):
+            if number < index:
+                path.unlink()
--- /dev/null
+++ b/bilberryramp/tasks/control_node.py
@@ -0,0 +1,377 @@
+"""The task of one control replica: log, feed and watch over upstreams."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Iterator
+
+import zmq
+import zmq.asyncio
+
+from bilberryramp.decisions import (
+    commands,
+    control_state,
+    effects,
+    feed,
+    feed_messages,
+    membership,
+    replication,
+)
+from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.settings import schema
+from bilberryramp.storage import journal
+from bilberryramp.tasks import clock, mailbox
+from bilberryramp.telemetry import events
+from bilberryramp.wire import codec
+
+__all__ = [
+    "ControlNode",
+    "OperatorAsk",
+    "StatusAsk",
+    "StopNode",
+    "new_node",
+    "run",
+]
+
+TICK_MS = 20
+DIGEST_MS = 500
+STOP_GRACE_MS = 300
+_PERSISTED = msgs.PersistEntries | msgs.PersistHardState | msgs.PersistSnapshot
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerMessage:
+    """A message from another process; `sender` is its socket identity."""
+
+    sender: str
+    message: object
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OperatorAsk:
+    """A command from an operator; the future gets its result."""
+
+    ask_id: str
+    command: object
+    reply: asyncio.Future
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StatusAsk:
+    """A question about the replica; the future gets the node itself."""
+
+    reply: asyncio.Future
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopNode:
+    """Begin the planned stop."""
+
+
+@dataclasses.dataclass(slots=True)
+class ControlNode:
+    """State of the task.
+
+    Attributes
+    ----------
+    members
+        The leader's watch; None on a follower.
+    operators
+        Operators' futures by ask id.
+    router
+        Receives from every process and answers followers of the view.
+    peers
+        Sockets to the other replicas.
+    digest_whole
+        Whether the leader needs every report again.
+    """
+
+    cfg: schema.ControlSettings
+    replica: replication.Replica
+    feed: feed.Feed
+    disk: journal.Journal
+    box: mailbox.Mailbox
+    router: zmq.asyncio.Socket
+    peers: dict[str, zmq.asyncio.Socket]
+    members: membership.Membership | None = None
+    operators: dict[str, asyncio.Future] = dataclasses.field(
+        default_factory=dict
+    )
+    digest_due_ms: int = 0
+    digest_whole: bool = True
+    stop_at_ms: int = 0
+
+
+def new_node(
+    cfg: schema.ControlSettings,
+    chart,
+    disk: journal.Journal,
+    recovered: journal.Recovered,
+    rng: random.Random,
+) -> ControlNode:
+    """Build the task's state and open its sockets.
+
+    Parameters
+    ----------
+    cfg, chart, rng
+        Settings, the bound replica chart and the source of jitter.
+    disk, recovered
+        The open data folder and what it held.
+
+    Returns
+    -------
+    ControlNode
+        Ready for `run`.
+    """
+    replica_cfg = replication.ReplicaSettings(
+        replica_id=cfg.replica_id,
+        replica_ids=tuple(peer.replica_id for peer in cfg.replicas),
+        heartbeat_ms=cfg.heartbeat_ms,
+        election_ms=cfg.election_ms,
+        lease_ms=cfg.lease_ms,
+        snapshot_entries=cfg.snapshot_entries,
+    )
+    replica = replication.new_replica(
+        replica_cfg,
+        chart,
+        rng,
+        recovered.identity.incarnation,
+        clock.now_ms(),
+        recovered.hard_state,
+        recovered.snapshot,
+        recovered.entries,
+    )
+    branch = feed.Feed(cfg.replica_id)
+    feed.note_restored(branch, replica.applied_index)
+    router, peers = _open_sockets(cfg)
+    box = mailbox.Mailbox(limit=8192)
+    return ControlNode(cfg, replica, branch, disk, box, router, peers)
+
+
+async def run(node: ControlNode) -> None:
+    """Serve until a planned stop has ended.
+
+    Parameters
+    ----------
+    node
+        From `new_node`.
+    """
+    async with asyncio.TaskGroup() as group:
+        helpers = (
+            group.create_task(_receive(node)),
+            group.create_task(_tick(node)),
+        )
+        while not _is_over(node):
+            batch = await mailbox.take_all(node.box)
+            await _perform(node, list(_handle_all(node, batch)))
+        for helper in helpers:
+            helper.cancel()
+    _close(node)
+
+
+def _is_over(node: ControlNode) -> bool:
+    return 0 < node.stop_at_ms <= clock.now_ms()
+
+
+def _handle_all(node: ControlNode, batch: list) -> Iterator:
+    now_ms = clock.now_ms()
+    for message in batch:
+        yield from _handle(node, now_ms, message)
+
+
+def _handle(node: ControlNode, now_ms: int, message) -> Iterator:
+    if isinstance(message, PeerMessage):
+        yield from _on_peer(node, now_ms, message)
+    elif isinstance(message, OperatorAsk):
+        node.operators[message.ask_id] = message.reply
+        ask = msgs.Propose("", message.ask_id, message.command)
+        yield from _step(node, now_ms, ask)
+    elif isinstance(message, StatusAsk):
+        if not message.reply.done():
+            message.reply.set_result(node)
+    elif isinstance(message, StopNode):
+        if not node.stop_at_ms:
+            node.stop_at_ms = now_ms + STOP_GRACE_MS
+            yield from _step(node, now_ms, msgs.StopReplica())
+    else:
+        yield from _on_tick(node, now_ms, message)
+
+
+def _on_peer(node: ControlNode, now_ms: int, peer: PeerMessage) -> Iterator:
+    message = peer.message
+    if isinstance(message, feed_messages.Beat):
+        probe = replication.next_probe(node.replica)
+        feed.on_beat(node.feed, now_ms, message, probe)
+    elif isinstance(message, feed_messages.Ask):
+        ask = msgs.Propose(message.sender, message.ask_id, message.command)
+        yield from _step(node, now_ms, ask)
+    elif isinstance(message, feed_messages.Digest):
+        if node.members is not None:
+            membership.on_digest(node.members, now_ms, message)
+    else:
+        yield from _step(node, now_ms, message)
+
+
+def _on_tick(node: ControlNode, now_ms: int, tick: msgs.Tick) -> Iterator:
+    yield from _step(node, now_ms, tick)
+    if node.members is not None:
+        wanted = membership.on_tick(
+            node.members, now_ms, node.replica.state.view
+        )
+        for command in list(wanted):
+            yield from _step(node, now_ms, msgs.Propose("", "", command))
+    yield from feed.on_tick(
+        node.feed,
+        now_ms,
+        node.replica.state.view,
+        lambda probe: replication.is_fresh(node.replica, probe, now_ms),
+    )
+    if now_ms >= node.digest_due_ms:
+        node.digest_due_ms = now_ms + DIGEST_MS
+        yield from _digest(node, now_ms)
+
+
+def _digest(node: ControlNode, now_ms: int) -> Iterator:
+    leader_id = node.replica.leader_id
+    if not leader_id:
+        node.digest_whole = True
+        return
+    digest = feed.take_digest(node.feed, node.digest_whole)
+    node.digest_whole = False
+    if node.members is not None:
+        membership.on_digest(node.members, now_ms, digest)
+    elif leader_id != node.cfg.replica_id:
+        yield effects.Send(leader_id, digest)
+
+
+def _step(node: ControlNode, now_ms: int, message) -> Iterator:
+    for effect in replication.step(node.replica, now_ms, message):
+        if isinstance(effect, msgs.Applied):
+            yield from feed.note_applied(
+                node.feed, effect.entry, effect.result
+            )
+            _log_applied(effect)
+        elif isinstance(effect, msgs.Restored):
+            feed.note_restored(node.feed, effect.index)
+        elif isinstance(effect, msgs.LeaderChanged):
+            _on_leader_changed(node, now_ms, effect)
+        else:
+            yield effect
+
+
+def _on_leader_changed(node: ControlNode, now_ms: int, change) -> None:
+    leads = change.phase == "leader"
+    view = node.replica.state.view
+    node.members = membership.start_term(view, now_ms) if leads else None
+    node.digest_whole = True
+    events.emit(
+        events.ROLE_CHANGED,
+        phase=change.phase,
+        term=change.term,
+        leader=change.leader_id,
+    )
+
+
+async def _perform(node: ControlNode, wanted: list) -> None:
+    persisted = [e for e in wanted if isinstance(e, _PERSISTED)]
+    if persisted:
+        await asyncio.to_thread(journal.write, node.disk, persisted)
+        _log_snapshots(persisted)
+    for effect in wanted:
+        if isinstance(effect, effects.Send):
+            await _send(node, effect)
+        elif isinstance(effect, msgs.Answer):
+            await _answer(node, effect)
+
+
+async def _send(node: ControlNode, effect: effects.Send) -> None:
+    data = codec.encode(effect.message)
+    peer = node.peers.get(effect.to)
+    try:
+        if peer is not None:
+            await peer.send(data, zmq.NOBLOCK)
+        else:
+            parts = [effect.to.encode(), data]
+            await node.router.send_multipart(parts, zmq.NOBLOCK)
+    except zmq.Again:
+        return
+
+
+async def _answer(node: ControlNode, answer: msgs.Answer) -> None:
+    if answer.origin:
+        reply = feed_messages.AskReply(answer.ask_id, answer.result)
+        await _send(node, effects.Send(answer.origin, reply))
+        return
+    fut = node.operators.pop(answer.ask_id, None)
+    if fut is not None and not fut.done():
+        fut.set_result(answer.result)
+
+
+async def _receive(node: ControlNode) -> None:
+    while True:
+        parts = await node.router.recv_multipart()
+        try:
+            message = codec.decode(parts[-1])
+        except codec.MalformedMessageError as exc:
+            events.emit(events.FRAME_DROPPED, reason=str(exc))
+            continue
+        peer = PeerMessage(parts[0].decode(errors="replace"), message)
+        await mailbox.post(node.box, peer)
+
+
+async def _tick(node: ControlNode) -> None:
+    while True:
+        await asyncio.sleep(TICK_MS / 1000)
+        mailbox.post_now(node.box, msgs.Tick())
+
+
+def _open_sockets(cfg: schema.ControlSettings):
+    ctx = zmq.asyncio.Context.instance()
+    router = ctx.socket(zmq.ROUTER)
+    router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    router.setsockopt(zmq.LINGER, 200)
+    peers = {}
+    for peer in cfg.replicas:
+        if peer.replica_id == cfg.replica_id:
+            router.bind(peer.address)
+            continue
+        sock = ctx.socket(zmq.DEALER)
+        sock.setsockopt(zmq.IDENTITY, f"peer/{cfg.replica_id}".encode())
+        sock.setsockopt(zmq.LINGER, 200)
+        sock.setsockopt(zmq.IMMEDIATE, 1)
+        sock.connect(peer.address)
+        peers[peer.replica_id] = sock
+    return router, peers
+
+
+def _close(node: ControlNode) -> None:
+    for sock in (node.router, *node.peers.values()):
+        sock.close()
+    journal.close(node.disk)
+
+
+def _log_snapshots(persisted: list) -> None:
+    for effect in persisted:
+        if isinstance(effect, msgs.PersistSnapshot):
+            events.emit(events.SNAPSHOT_TAKEN, index=effect.snapshot.index)
+
+
+def _log_applied(applied: msgs.Applied) -> None:
+    event = _APPLIED_EVENTS.get(type(applied.entry.command))
+    if event is None:
+        return
+    entry: control_state.Entry = applied.entry
+    if isinstance(entry.command, commands.SubmitTables):
+        accepted = isinstance(applied.result, commands.SubmitAccepted)
+        event = events.TABLES_ACCEPTED if accepted else events.TABLES_REFUSED
+    detail = getattr(entry.command, "upstream_id", "")
+    events.emit(event, index=entry.index, term=entry.term, detail=detail)
+
+
+_APPLIED_EVENTS = {
+    commands.SubmitTables: events.TABLES_ACCEPTED,
+    commands.JoinUpstream: events.UPSTREAM_JOINED,
+    commands.RemoveUpstream: events.UPSTREAM_REMOVED,
+    commands.PlaceReplicas: events.REPLICAS_PLACED,
+    commands.ReadmitReplica: events.REPLICA_READMITTED,
+}
--- /dev/null
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -0,0 +1,341 @@
+"""An entry's HTTP interface for callers, compatible with OpenAI clients."""
+
+import asyncio
+import dataclasses
+import hashlib
+import re
+import uuid
+
+import msgspec
+from aiohttp import web
+from returns import result
+
+from bilberryramp.decisions import entry_calls, errors, tables, views
+from bilberryramp.settings import schema
+from bilberryramp.tasks import clock, entry_router, mailbox
+from bilberryramp.telemetry import metrics, tracing
+
+__all__ = ["ErrorBody", "ErrorDetail", "ModelCard", "ModelList", "make_app"]
+
+PREFIX_BYTES = 256
+TOKEN_BYTES = 4
+DEFAULT_ANSWER_TOKENS = 128
+MAX_KEY_LENGTH = 200
+_KEY_FORM = re.compile(r"[\x21-\x7e]{1,200}")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ErrorDetail:
+    """What went wrong, in the form OpenAI clients expect."""
+
+    type: str
+    code: str
+    message: str
+    outcome: str
+    request_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ErrorBody:
+    """Body of every failed answer."""
+
+    error: ErrorDetail
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ModelCard:
+    """One model in the list of models."""
+
+    id: str
+    object: str = "model"
+    created: int = 0
+    owned_by: str = "bilberryramp"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ModelList:
+    """Body of ``GET /v1/models``."""
+
+    data: tuple[ModelCard, ...]
+    object: str = "list"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Prompt:
+    """The fields of a completion request that routing needs."""
+
+    model: str
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+_STATUS = {
+    errors.FailureCode.BAD_REQUEST: 400,
+    errors.FailureCode.KEY_REQUIRED: 400,
+    errors.FailureCode.BODY_TOO_LARGE: 413,
+    errors.FailureCode.MODEL_NOT_FOUND: 404,
+    errors.FailureCode.ROUTE_NOT_FOUND: 404,
+    errors.FailureCode.OVERLOADED: 429,
+    errors.FailureCode.QUARANTINED: 422,
+    errors.FailureCode.KEY_MISMATCH: 422,
+    errors.FailureCode.KEY_RUNNING: 409,
+    errors.FailureCode.KEY_UNKNOWN: 409,
+    errors.FailureCode.KEY_EXPIRED: 409,
+    errors.FailureCode.ANSWER_TOO_LARGE: 502,
+    errors.FailureCode.UPSTREAM_LOST: 502,
+    errors.FailureCode.ENGINE_CRASHED: 502,
+    errors.FailureCode.ENGINE_REFUSED: 502,
+    errors.FailureCode.DEADLINE_EXCEEDED: 504,
+    errors.FailureCode.INTERNAL: 500,
+}
+
+
+def make_app(
+    cfg: schema.EntryProgramSettings,
+    box: mailbox.Mailbox,
+    view: views.View,
+    known: metrics.Metrics,
+    is_ready,
+) -> web.Application:
+    """Make the HTTP application.
+
+    Parameters
+    ----------
+    cfg
+        The entry's settings.
+    box
+        The router task's mailbox.
+    view
+        Read for the list of models only.
+    known
+        Shown at ``/metrics``.
+    is_ready
+        Tells whether new requests are welcome.
+
+    Returns
+    -------
+    aiohttp.web.Application
+        Not yet listening.
+    """
+    app = web.Application(client_max_size=cfg.max_body_bytes)
+
+    async def call(request: web.Request) -> web.StreamResponse:
+        return await _call(cfg, box, request)
+
+    async def models(_request: web.Request) -> web.Response:
+        return _json(_model_list(view))
+
+    async def health(_request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def ready(_request: web.Request) -> web.Response:
+        status = 200 if is_ready() else 503
+        return web.Response(text=f"{status == 200}\n".lower(), status=status)
+
+    async def show_metrics(_request: web.Request) -> web.Response:
+        return web.Response(text=metrics.render(known))
+
+    app.router.add_get("/v1/models", models)
+    app.router.add_get("/healthz", health)
+    app.router.add_get("/readyz", ready)
+    app.router.add_get("/metrics", show_metrics)
+    app.router.add_post("/v1/chat/completions", call)
+    app.router.add_post("/v1/completions", call)
+    app.router.add_route("*", "/{path:.*}", call)
+    return app
+
+
+async def _call(cfg, box, request: web.Request) -> web.StreamResponse:
+    request_id = f"req-{uuid.uuid4().hex}"
+    with tracing.span(
+        "entry.call",
+        request.headers.get("traceparent", ""),
+        request_id=request_id,
+        path=request.path,
+    ) as onward:
+        read = await _read(cfg, request, request_id, onward)
+        if isinstance(read, result.Failure):
+            return _failure_response(request_id, read.failure())
+        reply_box = mailbox.Mailbox()
+        arrived = entry_calls.CallArrived(read.unwrap(), clock.wall_ms())
+        await mailbox.post(box, entry_router.NewCall(arrived, reply_box))
+        try:
+            return await _answer(cfg, box, request, request_id, reply_box)
+        except (ConnectionError, TimeoutError, asyncio.CancelledError):
+            mailbox.post_now(box, entry_calls.CallerLeft(request_id))
+            _abort(request)
+            raise
+
+
+async def _answer(cfg, box, request, request_id, reply_box):
+    response = None
+    while True:
+        for effect in await mailbox.take_all(reply_box):
+            if isinstance(effect, entry_calls.ReplyHead):
+                response = _start_response(effect, request_id)
+                await response.prepare(request)
+            elif isinstance(effect, entry_calls.ReplyChunk):
+                await _pass_on(cfg, box, response, effect)
+            elif isinstance(effect, entry_calls.ReplyEnd):
+                await response.write_eof()
+                return response
+            elif response is None:
+                return _failure_response(request_id, effect.failure)
+            else:
+                _abort(request)
+                return response
+
+
+async def _pass_on(cfg, box, response, chunk: entry_calls.ReplyChunk):
+    limit_s = cfg.slow_reader_ms / 1000
+    await asyncio.wait_for(response.write(chunk.data), limit_s)
+    taken = entry_router.ChunkTaken(chunk.upstream_id, chunk.attempt_id)
+    mailbox.post_now(box, taken)
+
+
+def _start_response(head: entry_calls.ReplyHead, request_id: str):
+    headers = {
+        "Content-Type": head.content_type,
+        "Bilberry-Request-Id": request_id,
+    }
+    return web.StreamResponse(status=head.status, headers=headers)
+
+
+def _abort(request: web.Request) -> None:
+    # Closing without the last chunk shows the caller a broken transfer.
+    if request.transport is not None:
+        request.transport.abort()
+
+
+# Reading the request.
+
+
+async def _read(cfg, request, request_id: str, traceparent: str):
+    outcome = await _read_body(request)
+    return outcome.bind(
+        lambda body: _parse(request, body, request_id, traceparent)
+    )
+
+
+async def _read_body(request: web.Request) -> result.Result:
+    try:
+        return result.Success(await request.read())
+    except web.HTTPRequestEntityTooLarge:
+        code = errors.FailureCode.BODY_TOO_LARGE
+        return _bad("the body is larger than this entry accepts", code)
+
+
+def _parse(request, body: bytes, request_id: str, traceparent: str):
+    prompt = _prompt_of(request.path, body)
+    return prompt.bind(
+        lambda found: _with_headers(
+            request, body, request_id, traceparent, found
+        )
+    )
+
+
+def _prompt_of(path: str, body: bytes) -> result.Result:
+    if not path.startswith("/v1/"):
+        return result.Success(_Prompt(model=""))
+    if path not in ("/v1/chat/completions", "/v1/completions"):
+        code = errors.FailureCode.ROUTE_NOT_FOUND
+        return _bad(f"no route leads to {path!r}", code)
+    try:
+        prompt = msgspec.json.decode(body, type=_Prompt)
+    except msgspec.DecodeError as exc:
+        return _bad(f"the body is not a completion request: {exc}")
+    if not prompt.model:
+        return _bad("the field `model` is empty")
+    return result.Success(prompt)
+
+
+def _with_headers(request, body, request_id, traceparent, prompt):
+    headers = request.headers
+    deadline = headers.get("Bilberry-Deadline-Ms", "0")
+    if not deadline.isdigit() or len(deadline) > 9:
+        return _bad("Bilberry-Deadline-Ms is not a number of milliseconds")
+    repeat = headers.get("Bilberry-Repeat", "")
+    if repeat not in ("", "never"):
+        return _bad("Bilberry-Repeat has a value other than never")
+    key = headers.get("Idempotency-Key", "")
+    if repeat and not key:
+        code = errors.FailureCode.KEY_REQUIRED
+        return _bad("Bilberry-Repeat: never needs an Idempotency-Key", code)
+    if key and not _KEY_FORM.fullmatch(key):
+        return _bad(
+            f"Idempotency-Key is not 1 to {MAX_KEY_LENGTH} visible "
+            "ASCII characters"
+        )
+    return result.Success(
+        entry_calls.CallerRequest(
+            request_id=request_id,
+            model=prompt.model,
+            method=request.method,
+            path=request.path_qs,
+            body=body,
+            once_key=key,
+            repeat_never=bool(repeat),
+            deadline_ms=int(deadline),
+            fingerprint=_digest(request.path_qs.encode() + b"\0" + body),
+            affinity_key=_affinity_key(prompt.model, body),
+            tokens=_tokens(prompt, body),
+            traceparent=traceparent,
+        )
+    )
+
+
+def _affinity_key(model: str, body: bytes) -> str:
+    return _digest(model.encode() + body[:PREFIX_BYTES]) if model else ""
+
+
+def _tokens(prompt: _Prompt, body: bytes) -> int:
+    answer = prompt.max_completion_tokens or prompt.max_tokens
+    return len(body) // TOKEN_BYTES + (answer or DEFAULT_ANSWER_TOKENS)
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=16).hexdigest()
+
+
+def _bad(message: str, code=errors.FailureCode.BAD_REQUEST) -> result.Result:
+    return result.Failure(errors.call_failure(code, message))
+
+
+# Answers made here.
+
+
+def _failure_response(
+    request_id: str, failure: errors.CallFailure
+) -> web.Response:
+    status = _STATUS.get(failure.code, 503)
+    kind = "invalid_request_error" if status < 429 else "server_error"
+    detail = ErrorDetail(
+        type=kind,
+        code=failure.code,
+        message=failure.message,
+        outcome=failure.outcome,
+        request_id=request_id,
+    )
+    response = _json(ErrorBody(detail), status)
+    response.headers["Bilberry-Request-Id"] = request_id
+    if failure.retry_after_ms:
+        seconds = -(-failure.retry_after_ms // 1000)
+        response.headers["Retry-After"] = str(seconds)
+    return response
+
+
+def _model_list(view: views.View) -> ModelList:
+    routed = (
+        route.model
+        for route in view.tables.routes
+        if route.kind == tables.RouteKind.MODEL
+    )
+    return ModelList(tuple(ModelCard(model) for model in sorted(routed)))
+
+
+def _json(body, status: int = 200) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(body),
+        status=status,
+        content_type="application/json",
+    )
--- /dev/null
+++ b/bilberryramp/tasks/entry_router.py
@@ -0,0 +1,463 @@
+"""The task of one entry: routes callers' requests and owns the links."""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+import zmq
+import zmq.asyncio
+import zmq.utils.monitor
+
+from bilberryramp.decisions import (
+    call_messages,
+    charting,
+    effects,
+    entry_calls,
+    feed_messages,
+    links,
+    shutdown,
+    subscription,
+)
+from bilberryramp.tasks import clock, control_link, mailbox
+from bilberryramp.telemetry import events, metrics
+from bilberryramp.wire import codec
+
+__all__ = ["ChunkTaken", "NewCall", "Router", "StopRouter", "run"]
+
+CREDIT_BATCH = 16
+UNUSED_MS = 60_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NewCall:
+    """A request from the front end, with the mailbox for its answer."""
+
+    arrived: entry_calls.CallArrived
+    reply_box: mailbox.Mailbox
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ChunkTaken:
+    """The caller took a chunk, so the upstream may send another."""
+
+    upstream_id: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopRouter:
+    """Begin the planned stop."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FromControl:
+    """A message from control."""
+
+    message: object
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BeatDue:
+    """It is time for a heartbeat."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkEvent:
+    """Something happened to a link's transport, or a frame arrived.
+
+    Attributes
+    ----------
+    number
+        Which link to this upstream; a later one has another number.
+    """
+
+    upstream_id: str
+    number: int
+    event: object
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkTimer:
+    """A timer of a link's chart came due."""
+
+    upstream_id: str
+    number: int
+    token: int
+
+
+@dataclasses.dataclass(slots=True)
+class OpenLink:
+    """A link with the task that owns its socket."""
+
+    number: int
+    link: links.Link
+    incarnation: str
+    outbox: mailbox.Mailbox
+    task: asyncio.Task
+    used_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Router:
+    """State of the task.
+
+    Attributes
+    ----------
+    reply_boxes
+        Mailboxes of the front end's tasks by request id.
+    open_links
+        Links by upstream id.
+    credits
+        Chunks taken by attempt since credit was last sent.
+    """
+
+    name: str
+    entry: entry_calls.Entry
+    sub: subscription.Subscription
+    stop: shutdown.Shutdown
+    link_chart: charting.Chart
+    box: mailbox.Mailbox
+    control: control_link.ControlLink
+    metrics: metrics.Metrics
+    group: asyncio.TaskGroup | None = None
+    reply_boxes: dict[str, mailbox.Mailbox] = dataclasses.field(
+        default_factory=dict
+    )
+    open_links: dict[str, OpenLink] = dataclasses.field(default_factory=dict)
+    credits: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    asks: int = 0
+    links_made: int = 0
+    stopped: bool = False
+
+
+async def run(router: Router) -> None:
+    """Serve until a planned stop has ended.
+
+    Parameters
+    ----------
+    router
+        The task's state.
+    """
+    async with asyncio.TaskGroup() as group:
+        router.group = group
+        helpers = (
+            group.create_task(_beat(router)),
+            group.create_task(
+                control_link.receive(router.control, router.box, FromControl)
+            ),
+        )
+        while not router.stopped:
+            batch = await mailbox.take_all(router.box)
+            for effect in list(_handle_all(router, batch)):
+                await _perform(router, effect)
+        for helper in helpers:
+            helper.cancel()
+        for opened in router.open_links.values():
+            opened.task.cancel()
+
+
+def _handle_all(router: Router, batch: list) -> Iterator:
+    now_ms = clock.now_ms()
+    for message in batch:
+        yield from _HANDLERS.get(type(message), _on_call_message)(
+            router, now_ms, message
+        )
+
+
+def _on_call_message(router: Router, now_ms: int, message) -> Iterator:
+    yield from entry_calls.step(router.entry, now_ms, message)
+
+
+def _on_new_call(router: Router, now_ms: int, call: NewCall) -> Iterator:
+    request_id = call.arrived.request.request_id
+    router.reply_boxes[request_id] = call.reply_box
+    yield from entry_calls.step(router.entry, now_ms, call.arrived)
+
+
+def _on_chunk_taken(router: Router, _now_ms: int, taken) -> Iterator:
+    router.credits[taken.attempt_id] += 1
+    if router.credits[taken.attempt_id] >= CREDIT_BATCH:
+        chunks = router.credits.pop(taken.attempt_id)
+        credit = call_messages.Credit(taken.attempt_id, chunks)
+        yield effects.Send(taken.upstream_id, credit)
+
+
+def _on_control(router: Router, now_ms: int, wrapped) -> Iterator:
+    message = wrapped.message
+    if isinstance(message, feed_messages.Delta):
+        yield from subscription.on_delta(router.sub, now_ms, message)
+    elif isinstance(message, feed_messages.WholeView):
+        yield from subscription.on_whole_view(router.sub, now_ms, message)
+    elif isinstance(message, feed_messages.AskReply):
+        answered = entry_calls.ControlAnswered(message.ask_id, message.result)
+        yield from entry_calls.step(router.entry, now_ms, answered)
+
+
+def _on_beat(router: Router, now_ms: int, _message) -> Iterator:
+    yield from subscription.on_beat_due(router.sub, now_ms)
+    for upstream_id, opened in list(router.open_links.items()):
+        if now_ms - opened.used_ms > UNUSED_MS:
+            yield from _on_link_event(
+                router,
+                now_ms,
+                LinkEvent(upstream_id, opened.number, links.LinkUnused()),
+            )
+
+
+def _on_timer(router: Router, now_ms: int, fired) -> Iterator:
+    if fired.key == router.sub.key:
+        yield from subscription.on_timer(router.sub, now_ms, fired.token)
+    else:
+        yield from entry_calls.step(router.entry, now_ms, fired)
+
+
+def _on_stop(router: Router, now_ms: int, _message) -> Iterator:
+    yield from shutdown.ask(router.stop, now_ms)
+
+
+# Links.
+
+
+def _on_link_event(router: Router, now_ms: int, message) -> Iterator:
+    opened = router.open_links.get(message.upstream_id)
+    if opened is None or opened.number != message.number:
+        return
+    event = message.event
+    if isinstance(
+        event, links.LinkOpened | links.LinkBroke | links.LinkUnused
+    ):
+        told = links.on_event(opened.link, now_ms, event)
+        yield from _on_link_effects(router, now_ms, opened, told)
+        return
+    told = links.on_frame(opened.link, now_ms, event)
+    yield from _on_link_effects(router, now_ms, opened, told)
+    index = getattr(event, "view_index", 0)
+    if subscription.note_peer_index(router.sub, index):
+        mailbox.post_now(router.box, BeatDue())
+    arrived = entry_calls.FrameArrived(message.upstream_id, event)
+    yield from entry_calls.step(router.entry, now_ms, arrived)
+
+
+def _on_link_timer(router: Router, now_ms: int, timer) -> Iterator:
+    opened = router.open_links.get(timer.upstream_id)
+    if opened is not None and opened.number == timer.number:
+        told = links.on_timer(opened.link, now_ms, timer.token)
+        yield from _on_link_effects(router, now_ms, opened, told)
+
+
+def _on_link_effects(router, now_ms: int, opened: OpenLink, told) -> Iterator:
+    for effect in list(told):
+        if isinstance(effect, links.Transmit):
+            mailbox.post_now(opened.outbox, effect.frame)
+        elif isinstance(effect, effects.SetTimer):
+            _arm_link_timer(router, opened, effect)
+        else:
+            _drop_link(router, opened)
+            events.emit(
+                events.LINK_LOST,
+                upstream_id=effect.upstream_id,
+                opened=isinstance(effect, entry_calls.LinkLost),
+            )
+            yield from entry_calls.step(router.entry, now_ms, effect)
+    if links.is_over(opened.link):
+        _drop_link(router, opened)
+
+
+def _arm_link_timer(router: Router, opened: OpenLink, timer) -> None:
+    def make_message(_key: str, token: int) -> LinkTimer:
+        return LinkTimer(opened.link.upstream_id, opened.number, token)
+
+    mailbox.arm(router.box, timer, make_message)
+
+
+def _drop_link(router: Router, opened: OpenLink) -> None:
+    opened.task.cancel()
+    upstream_id = opened.link.upstream_id
+    if router.open_links.get(upstream_id) is opened:
+        del router.open_links[upstream_id]
+
+
+def _link_to(router: Router, upstream_id: str, now_ms: int) -> OpenLink:
+    upstream = router.entry.view.upstreams[upstream_id]
+    opened = router.open_links.get(upstream_id)
+    if opened is not None and opened.incarnation == upstream.incarnation:
+        opened.used_ms = now_ms
+        return opened
+    router.links_made += 1
+    number = router.links_made
+    outbox = mailbox.Mailbox()
+    link = links.Link(upstream_id, router.link_chart)
+    task = router.group.create_task(
+        _own_socket(router, upstream.address, upstream_id, number, outbox)
+    )
+    opened = OpenLink(number, link, upstream.incarnation, outbox, task, now_ms)
+    router.open_links[upstream_id] = opened
+    for effect in links.start(link, now_ms):
+        _arm_link_timer(router, opened, effect)
+    return opened
+
+
+async def _own_socket(router, address, upstream_id, number, outbox) -> None:
+    ctx = zmq.asyncio.Context.instance()
+    sock = ctx.socket(zmq.DEALER)
+    sock.setsockopt(zmq.IDENTITY, f"{router.name}/{number}".encode())
+    sock.setsockopt(zmq.LINGER, 0)
+    # A new link is opened instead, so that nothing queued for one process
+    # ever reaches the next one at the same address.
+    sock.setsockopt(zmq.RECONNECT_IVL, -1)
+    monitor = sock.get_monitor_socket()
+    sock.connect(address)
+
+    def tell(event) -> None:
+        mailbox.post_now(router.box, LinkEvent(upstream_id, number, event))
+
+    try:
+        await asyncio.gather(
+            _watch_transport(monitor, tell),
+            _receive(sock, tell),
+            _transmit(sock, outbox),
+        )
+    finally:
+        sock.disable_monitor()
+        monitor.close()
+        sock.close()
+
+
+async def _watch_transport(monitor, tell) -> None:
+    broken = (
+        zmq.EVENT_DISCONNECTED
+        | zmq.EVENT_CLOSED
+        | zmq.EVENT_CONNECT_RETRIED
+        | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+    )
+    while True:
+        parts = await monitor.recv_multipart()
+        event = zmq.utils.monitor.parse_monitor_message(parts)["event"]
+        if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
+            tell(links.LinkOpened())
+        elif event & broken:
+            tell(links.LinkBroke())
+
+
+async def _receive(sock, tell) -> None:
+    while True:
+        data = await sock.recv()
+        try:
+            tell(codec.decode(data))
+        except codec.MalformedMessageError as exc:
+            events.emit(events.FRAME_DROPPED, reason=str(exc))
+
+
+async def _transmit(sock, outbox: mailbox.Mailbox) -> None:
+    while True:
+        for frame in await mailbox.take_all(outbox):
+            await sock.send(codec.encode(frame))
+
+
+# Effects.
+
+
+async def _perform(router: Router, effect) -> None:
+    if isinstance(effect, effects.Send):
+        await _send(router, effect)
+    elif isinstance(effect, effects.SetTimer):
+        mailbox.arm(router.box, effect, entry_calls.TimerFired)
+    elif isinstance(effect, entry_calls.AskControl):
+        await _ask(router, effect)
+    elif isinstance(effect, entry_calls.CallEnded):
+        _on_call_ended(router, effect)
+    elif isinstance(effect, subscription.FreshnessChanged):
+        events.emit(events.FRESHNESS, fresh=effect.fresh)
+        noted = entry_calls.FreshnessNoted(effect.fresh)
+        mailbox.post_now(router.box, noted)
+    elif isinstance(effect, shutdown.NewWorkRefused):
+        router.entry.stopping = True
+    elif isinstance(effect, shutdown.Stopped):
+        router.stopped = True
+    elif isinstance(effect, _REPLIES):
+        _reply(router, effect)
+
+
+_REPLIES = (
+    entry_calls.ReplyHead
+    | entry_calls.ReplyChunk
+    | entry_calls.ReplyEnd
+    | entry_calls.ReplyFailure
+)
+
+
+async def _send(router: Router, effect: effects.Send) -> None:
+    if isinstance(effect.message, feed_messages.Beat):
+        await control_link.send(router.control, effect.to, effect.message)
+        return
+    now_ms = clock.now_ms()
+    if isinstance(effect.message, call_messages.Dispatch):
+        opened = _link_to(router, effect.to, now_ms)
+    else:
+        opened = router.open_links.get(effect.to)
+    if opened is not None:
+        opened.link.view_index = router.entry.view.index
+        for sent in links.send(opened.link, effect.message):
+            mailbox.post_now(opened.outbox, sent.frame)
+
+
+async def _ask(router: Router, ask: entry_calls.AskControl) -> None:
+    # A question that was not answered goes to the next replica, which
+    # passes it on to the leader.
+    controls = router.sub.controls
+    replica_id = controls[(router.sub.at + router.asks) % len(controls)]
+    if ask.ask_id in router.entry.calls:
+        router.asks += 1
+    message = feed_messages.Ask(router.name, ask.ask_id, ask.command)
+    await control_link.send(router.control, replica_id, message)
+
+
+def _reply(router: Router, effect) -> None:
+    box = router.reply_boxes.get(effect.request_id)
+    if box is None:
+        return
+    mailbox.post_now(box, effect)
+    if isinstance(effect, entry_calls.ReplyEnd | entry_calls.ReplyFailure):
+        del router.reply_boxes[effect.request_id]
+
+
+def _on_call_ended(router: Router, ended: entry_calls.CallEnded) -> None:
+    router.reply_boxes.pop(ended.request_id, None)
+    code = ended.failure.code if ended.failure else "ok"
+    label = f'bilberry_calls{{route="{ended.route}",code="{code}"}}'
+    metrics.count(router.metrics, label)
+    metrics.record(router.metrics, "bilberry_call", ended.took_ms / 1000)
+    if ended.failure is not None:
+        events.emit(
+            events.CALL_ENDED,
+            request_id=ended.request_id,
+            route=ended.route,
+            code=ended.failure.code,
+            outcome=ended.failure.outcome,
+            attempts=ended.attempts,
+            took_ms=ended.took_ms,
+        )
+    for effect in shutdown.note_idle(router.stop, clock.now_ms()):
+        if isinstance(effect, shutdown.Stopped):
+            router.stopped = True
+
+
+async def _beat(router: Router) -> None:
+    while True:
+        mailbox.post_now(router.box, BeatDue())
+        await asyncio.sleep(subscription.BEAT_MS / 1000)
+
+
+_HANDLERS = {
+    NewCall: _on_new_call,
+    ChunkTaken: _on_chunk_taken,
+    FromControl: _on_control,
+    BeatDue: _on_beat,
+    LinkEvent: _on_link_event,
+    LinkTimer: _on_link_timer,
+    StopRouter: _on_stop,
+    entry_calls.TimerFired: _on_timer,
+}
--- /dev/null
+++ b/bilberryramp/tasks/mailbox.py
@@ -0,0 +1,100 @@
+"""Bounded mailboxes, the only way tasks talk to each other."""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable
+
+from bilberryramp.decisions import effects
+from bilberryramp.tasks import clock
+
+__all__ = ["Mailbox", "arm", "post", "post_now", "take_all"]
+
+
+@dataclasses.dataclass(slots=True)
+class Mailbox:
+    """Messages waiting for one task.
+
+    Attributes
+    ----------
+    limit
+        How many may wait before `post` makes the sender wait.
+    """
+
+    limit: int = 1024
+    items: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
+    filled: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    room: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+async def post(box: Mailbox, item) -> None:
+    """Leave a message, waiting while the mailbox is full.
+
+    Parameters
+    ----------
+    box
+        The receiver's mailbox.
+    item
+        The message.
+    """
+    while len(box.items) >= box.limit:
+        box.room.clear()
+        await box.room.wait()
+    post_now(box, item)
+
+
+def post_now(box: Mailbox, item) -> None:
+    """Leave a message past the limit.
+
+    For timers and ends of work, whose number is bounded by the work that
+    was admitted.
+
+    Parameters
+    ----------
+    box
+        The receiver's mailbox.
+    item
+        The message.
+    """
+    box.items.append(item)
+    box.filled.set()
+
+
+async def take_all(box: Mailbox) -> list:
+    """Wait for messages and take all that are there.
+
+    Parameters
+    ----------
+    box
+        The own mailbox.
+
+    Returns
+    -------
+    list
+        At least one message, oldest first.
+    """
+    await box.filled.wait()
+    items = list(box.items)
+    box.items.clear()
+    box.filled.clear()
+    box.room.set()
+    return items
+
+
+def arm(box: Mailbox, timer: effects.SetTimer, make_message: Callable) -> None:
+    """Post a message when a timer comes due.
+
+    Parameters
+    ----------
+    box
+        The own mailbox.
+    timer
+        The effect to perform.
+    make_message
+        Makes the message from the timer's key and token.
+    """
+    delay_s = max(timer.due_ms - clock.now_ms(), 0) / 1000
+    message = make_message(timer.key, timer.token)
+    asyncio.get_running_loop().call_later(delay_s, post_now, box, message)
