Prove the replicated log by fuzzing; mend a deadlock after a lost disk

Cause: a replica with a new disk that had been readmitted forgot so when it restarted, because the commit index is not on disk and the readmission was judged from applied entries.

Ruled out: letting a voter accept an uncommitted readmission found in the candidate's log. With five replicas a candidate of an older term could then win beside a leader that the lost disk had voted for.

Change: the readmission's log index is part of the hard state; replies say whether the replica is admitted, and only such replies count.

Proof: a hypothesis machine and random runs over kill, kill between write and send, freeze, cut, one-way cut, lost disk, drop, duplicate, reorder and planned stop. Eight deliberately broken versions are caught: lease longer than the election timeout, a lost disk that votes, quorum too small, vote without comparing logs, acknowledgement before sync, no compare-and-set, resend judged anew, key granted twice.

Conclusion: a disk counts as repaired once it knows of its readmission.

--- a/bilberryramp/decisions/replication.py
+++ b/bilberryramp/decisions/replication.py
@@ -7,7 +7,8 @@
 its write is synced, because the driver performs every ``Persist`` effect
 before any ``Send``. An entry commits once a majority of all configured
 replicas holds it. A replica whose disk is new neither votes nor counts
-until the majority without it has committed its readmission. A leader
+until it knows that a majority without it has committed its readmission. A
+leader
 accepts proposals only while a majority acknowledged it within the lease,
 which is shorter than the time for which followers refuse to vote.
 """
@@ -93,6 +94,7 @@
     next_index: int
     match_index: int = 0
     incarnation: str = ""
+    admitted: bool = False
     acked_ms: int = -1
     sent_ms: int = -1
     in_flight_to: int = 0
@@ -134,6 +136,7 @@
     snapshot_index: int = 0
     election_due_ms: int = 0
     leader_seen_ms: int = 0
+    admitted_index: int = -1
     votes: set[str] = dataclasses.field(default_factory=set)
     transfer: bool = False
     progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
@@ -178,8 +181,10 @@
     rep.phase = chart.spec.initial
     rep.state.admitted = dict.fromkeys(cfg.replica_ids, GENESIS)
     rep.leader_seen_ms = now_ms
+    rep.admitted_index = 0 if incarnation == GENESIS else -1
     if hard_state is not None:
         rep.term, rep.voted_for = hard_state.term, hard_state.voted_for
+        rep.admitted_index = hard_state.admitted_index
     if snapshot is not None:
         _adopt_snapshot(rep, snapshot)
     log_entries.replace_from(rep.tail, entries)
@@ -350,7 +355,6 @@
         ask.sender,
         msgs.VoteReply(
             sender=rep.cfg.replica_id,
-            incarnation=rep.incarnation,
             term=rep.term,
             asked_term=ask.term,
             pre=ask.pre,
@@ -376,10 +380,9 @@
         return
     asked = rep.term + 1 if reply.pre else rep.term
     expected = "pre_candidate" if reply.pre else "candidate"
-    admitted = rep.state.admitted.get(reply.sender) == reply.incarnation
     if rep.phase != expected or reply.asked_term != asked:
         return
-    if reply.granted and admitted:
+    if reply.granted:
         rep.votes.add(reply.sender)
         yield from _count_votes(rep, now_ms, reply.pre)
 
@@ -409,7 +412,7 @@
     ready = [
         (progress.match_index, peer)
         for peer, progress in rep.progress.items()
-        if rep.state.admitted.get(peer) == progress.incarnation
+        if progress.admitted
     ]
     rep.leader_id = ""
     yield _leader_changed(rep)
@@ -582,6 +585,7 @@
     reply = msgs.AppendReply(
         sender=rep.cfg.replica_id,
         incarnation=rep.incarnation,
+        admitted=rep.phase != "recovering",
         term=rep.term,
         matched=matched,
         match_index=index,
@@ -598,7 +602,7 @@
     if rep.phase != "leader" or reply.term < rep.term:
         return
     progress = rep.progress[reply.sender]
-    _note_incarnation(progress, reply.incarnation)
+    _note_disk(progress, reply)
     progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
     progress.probe = max(progress.probe, reply.probe)
     if not reply.matched:
@@ -613,19 +617,22 @@
         yield _append_for(rep, reply.sender, now_ms)
 
 
-def _note_incarnation(progress: Progress, incarnation: str) -> None:
-    if progress.incarnation not in ("", incarnation):
+def _note_disk(progress: Progress, reply: msgs.AppendReply) -> None:
+    if progress.incarnation not in ("", reply.incarnation):
         progress.match_index = 0
         progress.acked_ms = -1
         progress.probe = 0
-    progress.incarnation = incarnation
+    progress.incarnation = reply.incarnation
+    progress.admitted = reply.admitted
 
 
 def _readmit(rep: Replica, now_ms: int, peer: str) -> Iterator:
     progress = rep.progress[peer]
-    admitted = rep.state.admitted.get(peer) == progress.incarnation
+    known = rep.state.admitted.get(peer) == progress.incarnation
     caught_up = progress.match_index >= rep.commit_index
-    if admitted or not caught_up or progress.incarnation in rep.readmitting:
+    if progress.admitted or known or not caught_up:
+        return
+    if progress.incarnation in rep.readmitting:
         return
     rep.readmitting.add(progress.incarnation)
     command = commands.ReadmitReplica(peer, progress.incarnation)
@@ -702,8 +709,17 @@
 
 
 def _check_admission(rep: Replica, now_ms: int) -> Iterator:
-    admitted = rep.state.admitted.get(rep.cfg.replica_id)
-    event = "admitted" if admitted == rep.incarnation else "revoked"
+    admitted = rep.state.admitted.get(rep.cfg.replica_id) == rep.incarnation
+    if admitted and rep.admitted_index < 0:
+        rep.admitted_index = rep.applied_index
+        yield _hard_state(rep)
+    # After a restart the readmission may be in the log without being known
+    # to be committed; what the disk remembers of it counts.
+    remembered = rep.applied_index < rep.admitted_index
+    if not admitted and not remembered and rep.admitted_index >= 0:
+        rep.admitted_index = -1
+        yield _hard_state(rep)
+    event = "admitted" if rep.admitted_index >= 0 else "revoked"
     yield from _raise(rep, event, now_ms)
 
 
@@ -743,16 +759,13 @@
 
 
 def _counted(rep: Replica) -> Iterator[Progress]:
-    return (
-        progress
-        for peer, progress in rep.progress.items()
-        if progress.incarnation
-        and rep.state.admitted.get(peer) == progress.incarnation
-    )
+    return (p for p in rep.progress.values() if p.admitted)
 
 
 def _hard_state(rep: Replica):
-    return msgs.PersistHardState(msgs.HardState(rep.term, rep.voted_for))
+    return msgs.PersistHardState(
+        msgs.HardState(rep.term, rep.voted_for, rep.admitted_index)
+    )
 
 
 def _leader_changed(rep: Replica):
--- a/bilberryramp/decisions/replication_messages.py
+++ b/bilberryramp/decisions/replication_messages.py
@@ -98,7 +98,6 @@
     """The answer to `RequestVote`; `term` is the voter's."""
 
     sender: str
-    incarnation: str
     term: int
     asked_term: int
     pre: bool
@@ -137,10 +136,13 @@
         Whether the entries followed on from the follower's log.
     match_index
         The last matching index, or where to go back to.
+    incarnation, admitted
+        The follower's disk, and whether it may count for a quorum.
     """
 
     sender: str
     incarnation: str
+    admitted: bool
     term: int
     matched: bool
     match_index: int
@@ -177,10 +179,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class HardState:
-    """What must survive a restart besides the log."""
+    """What must survive a restart besides the log.
+
+    Attributes
+    ----------
+    term, voted_for
+        The newest term seen, and the vote given in it.
+    admitted_index
+        Log index from which this disk may vote and count for a quorum;
+        0 on a disk prepared when the cluster was created, -1 while its
+        readmission is not known to be committed.
+    """
 
     term: int
     voted_for: str
+    admitted_index: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/bilberryramp/decisions/tests/test_replication_fuzz.py
@@ -0,0 +1,220 @@
+import contextlib
+import dataclasses
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bilberryramp.decisions import (
+    commands,
+    control_state,
+    once_records,
+    replication,
+)
+from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.tests import control_driver
+
+NAMES = st.sampled_from(("c1", "c2", "c3"))
+AT = st.integers(0, 199)
+KEYS = st.sampled_from(("k1", "k2"))
+REQUESTS = st.sampled_from(("r1", "r2", "r3"))
+
+
+class ReplicationMachine(stateful.RuleBasedStateMachine):
+    bend = None
+
+    def __init__(self):
+        super().__init__()
+        self.driver = control_driver.ControlDriver(1, 3, self.bend)
+
+    @stateful.rule(ms=st.sampled_from((5, 20, 100, 400)))
+    def advance(self, ms):
+        self.driver.advance(ms)
+
+    @stateful.rule(at=AT, count=st.integers(1, 12))
+    def deliver(self, at, count):
+        for _ in range(count):
+            self.driver.deliver(at)
+
+    @stateful.rule(at=AT)
+    def duplicate(self, at):
+        self.driver.deliver(at, keep=True)
+
+    @stateful.rule(at=AT)
+    def drop(self, at):
+        self.driver.drop(at)
+
+    @stateful.rule(name=NAMES)
+    def kill(self, name):
+        self.driver.kill(name)
+
+    @stateful.rule(name=NAMES, written=st.integers(0, 2))
+    def kill_during(self, name, written):
+        self.driver.kill_during(name, 0, written)
+
+    @stateful.rule(name=NAMES)
+    def restart(self, name):
+        self.driver.restart(name)
+
+    @stateful.rule(name=NAMES)
+    def lose_disk(self, name):
+        self.driver.lose_disk(name)
+
+    @stateful.rule(sender=NAMES, to=NAMES, both=st.booleans())
+    def cut(self, sender, to, both):
+        self.driver.cut(sender, to)
+        if both:
+            self.driver.cut(to, sender)
+
+    @stateful.rule(name=NAMES)
+    def freeze(self, name):
+        self.driver.nodes[name].frozen = True
+
+    @stateful.rule()
+    def heal(self):
+        self.driver.heal()
+
+    @stateful.rule(name=NAMES, lag=st.integers(0, 1))
+    def submit(self, name, lag):
+        self.driver.submit(name, lag)
+
+    @stateful.rule(name=NAMES, at=AT)
+    def resend(self, name, at):
+        self.driver.resend(name, at)
+
+    @stateful.rule(name=NAMES, key=KEYS, request=REQUESTS)
+    def reserve(self, name, key, request):
+        self.driver.reserve(name, key, request)
+
+    @stateful.rule(name=NAMES, key=KEYS, request=REQUESTS)
+    def finish(self, name, key, request):
+        self.driver.finish(name, key, request)
+
+    def teardown(self):
+        self.driver.settle_down(8000)
+        self.driver.check_agreement()
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=40,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class ReplicationFuzzTest(unittest.TestCase):
+    def test_hypothesis_machine(self):
+        stateful.run_state_machine_as_test(
+            ReplicationMachine, settings=SETTINGS
+        )
+
+    def test_random_runs(self):
+        for size, seed in ((3, 1), (3, 2), (5, 3)):
+            with self.subTest(size=size, seed=seed):
+                run(seed, size, 6000)
+
+
+def run(seed, size, moves, bend=None):
+    driver = control_driver.ControlDriver(seed, size, bend)
+    for _ in range(moves):
+        driver.random_move()
+    driver.settle_down()
+    driver.check_agreement()
+    return driver
+
+
+def remember_nothing(replica):
+    """A new disk votes at once, as if it remembered."""
+    replica.admitted_index = 0
+    replica.state.admitted[replica.cfg.replica_id] = replica.incarnation
+    list(replication._check_admission(replica, 0))
+
+
+def long_lease(replica):
+    """A lease that outlasts the time in which followers refuse to vote."""
+    object.__setattr__(replica.cfg, "lease_ms", 4000)
+
+
+def vote_for_anyone(rep, ask):
+    """A vote that does not compare logs."""
+    if ask.pre:
+        return ask.term > rep.term
+    return ask.term == rep.term and rep.voted_for in ("", ask.sender)
+
+
+def accept_any_base(state, entry):
+    """Tables accepted whatever version they start from."""
+    wanted = dataclasses.replace(
+        entry.command, base_version=state.view.version
+    )
+    changed = dataclasses.replace(entry, command=wanted)
+    return ORIGINAL_SUBMIT(state, changed)
+
+
+def forget_submissions(state, entry):
+    """A resent submission that is judged anew."""
+    state.submissions.clear()
+    return ORIGINAL_SUBMIT(state, entry)
+
+
+def grant_always(_table, index, _command):
+    return commands.OnceGranted(index)
+
+
+def write_later(self, effect):
+    """Entries acknowledged before they are synced, then lost."""
+    if not isinstance(effect, msgs.PersistEntries):
+        ORIGINAL_WRITE(self, effect)
+
+
+ORIGINAL_SUBMIT = control_state._submit
+ORIGINAL_WRITE = control_driver.Disk.write
+CAUGHT = (AssertionError, replication.TermRegressedError, IndexError)
+
+
+class BrokenVersionsTest(unittest.TestCase):
+    """Each deliberately broken version must be caught."""
+
+    def assert_caught(self, bend=None, patches=()):
+        with contextlib.ExitStack() as stack:
+            for owner, name, value in patches:
+                stack.enter_context(mock.patch.object(owner, name, value))
+            for seed in range(60):
+                try:
+                    run(seed, 3, 4000, bend)
+                except CAUGHT:
+                    return
+        self.fail("the broken version was not caught")
+
+    def test_lease_longer_than_election_timeout(self):
+        self.assert_caught(long_lease)
+
+    def test_lost_disk_votes_as_if_it_remembered(self):
+        self.assert_caught(remember_nothing)
+
+    def test_quorum_too_small(self):
+        self.assert_caught(patches=[(replication, "_quorum", lambda _: 1)])
+
+    def test_vote_without_comparing_logs(self):
+        patch = (replication, "_may_vote", vote_for_anyone)
+        self.assert_caught(patches=[patch])
+
+    def test_acknowledged_before_synced(self):
+        patch = (control_driver.Disk, "write", write_later)
+        self.assert_caught(patches=[patch])
+
+    def test_no_compare_and_set(self):
+        patch = (control_state, "_submit", accept_any_base)
+        self.assert_caught(patches=[patch])
+
+    def test_resend_judged_anew(self):
+        patch = (control_state, "_submit", forget_submissions)
+        self.assert_caught(patches=[patch])
+
+    def test_key_granted_twice(self):
+        self.assert_caught(patches=[(once_records, "reserve", grant_always)])
