--- /dev/null
+++ b/bilberryramp/decisions/tests/test_control_state.py
@@ -0,0 +1,159 @@
+import unittest
+
+from bilberryramp.decisions import (
+    commands,
+    errors,
+    membership,
+    once_records,
+    placement,
+)
+from bilberryramp.decisions import feed_messages as msgs
+from bilberryramp.decisions.tests import builders
+
+CODE = errors.FailureCode
+
+
+def reserve(request_id="r1", at_ms=0, key="k", fingerprint="f"):
+    return commands.ReserveOnce(key, request_id, fingerprint, at_ms, 1000)
+
+
+class SubmissionTest(unittest.TestCase):
+    def test_race_has_one_winner_and_resend_gets_the_first_answer(self):
+        state = builders.state_after(
+            commands.JoinUpstream(builders.upstream())
+        )
+        first = builders.apply(state, builders.submit(0, "a", "ann"))
+        lost = builders.apply(state, builders.submit(0, "b", "bob"))
+        again = builders.apply(state, builders.submit(0, "a", "ann"))
+        self.assertEqual(first, again)
+        self.assertEqual(lost, commands.SubmitConflict(1, "ann"))
+
+    def test_model_without_a_place_is_refused_with_the_shortfall(self):
+        state = builders.state_after(
+            commands.JoinUpstream(builders.upstream(memory_mib=900))
+        )
+        refused = builders.apply(state, builders.submit())
+        self.assertIn("900 MiB free", refused.problems[0].expected)
+        self.assertEqual(state.view.version, 0)
+
+
+class OnceTest(unittest.TestCase):
+    def test_life_of_a_key(self):
+        state = builders.state_after()
+        granted = builders.apply(state, reserve())
+        self.assertIsInstance(granted, commands.OnceGranted)
+        repeat = builders.apply(state, reserve())
+        self.assertIsInstance(repeat, commands.OnceGranted)
+        other = builders.apply(state, reserve("r2", 10))
+        self.assertEqual(other.code, CODE.KEY_RUNNING)
+        answer = commands.KeptAnswer(200, "text/plain", b"x")
+        builders.apply(state, commands.FinishOnce("k", "r1", True, answer))
+        kept = builders.apply(state, reserve("r2", 10))
+        self.assertEqual(kept, commands.OnceKept(answer))
+        wrong = builders.apply(state, reserve("r2", 10, fingerprint="g"))
+        self.assertEqual(wrong.code, CODE.KEY_MISMATCH)
+
+    def test_lease_that_ran_out_leaves_it_unknown_for_good(self):
+        state = builders.state_after(reserve())
+        late = builders.apply(state, reserve("r2", 5000))
+        self.assertEqual(late.code, CODE.KEY_UNKNOWN)
+
+    def test_release_frees_only_for_its_own_request(self):
+        state = builders.state_after(reserve())
+        builders.apply(state, commands.ReleaseOnce("k", "r2"))
+        refused = builders.apply(state, reserve("r2", 10))
+        self.assertEqual(refused.code, CODE.KEY_RUNNING)
+        builders.apply(state, commands.ReleaseOnce("k", "r1"))
+        granted = builders.apply(state, reserve("r2", 10))
+        self.assertIsInstance(granted, commands.OnceGranted)
+
+    def test_key_beyond_retention_is_refused_never_run(self):
+        state = builders.state_after(reserve())
+        late = once_records.RETENTION_MS + 1
+        expired = builders.apply(state, reserve("r2", late))
+        self.assertEqual(expired.code, CODE.KEY_EXPIRED)
+        self.assertEqual(state.once.records, {})
+
+
+class PlacementTest(unittest.TestCase):
+    def view(self, *upstreams, **route_changes):
+        joins = [commands.JoinUpstream(u) for u in upstreams]
+        wanted = builders.both_tables(builders.route(**route_changes))
+        return builders.state_after(
+            *joins, builders.submit(wanted=wanted)
+        ).view
+
+    def follow(self, view, resident=None):
+        for change in list(placement.plan(view, resident or {})):
+            builders.apply_to(view, change)
+        return {
+            upstream_id: [p.model for p in placed.replicas]
+            for upstream_id, placed in view.placements.items()
+        }
+
+    def test_replicas_are_spread_over_failure_domains(self):
+        ups = [
+            builders.upstream("u1", failure_domain="a"),
+            builders.upstream("u2", failure_domain="a", memory_mib=9000),
+            builders.upstream("u3", failure_domain="b"),
+        ]
+        placed = self.follow(self.view(*ups, replicas=2))
+        self.assertEqual(placed, {"u2": ["m1"], "u3": ["m1"]})
+
+    def test_plan_is_stable(self):
+        view = self.view(builders.upstream("u1"), builders.upstream("u2"))
+        self.follow(view)
+        self.assertEqual(list(placement.plan(view, {})), [])
+
+    def test_make_before_break_on_a_leaving_upstream(self):
+        view = self.view(builders.upstream("u1"))
+        self.follow(view)
+        builders.apply_to(view, commands.JoinUpstream(builders.upstream("u2")))
+        builders.apply_to(view, commands.DrainUpstream("u1"))
+        both = self.follow(view)
+        self.assertEqual(both, {"u1": ["m1"], "u2": ["m1"]})
+        resident = {"u2": {"m1": builders.place()}}
+        moved = self.follow(view, resident)
+        self.assertEqual(moved, {"u1": [], "u2": ["m1"]})
+
+    def test_returning_upstream_keeps_what_it_holds(self):
+        ups = [builders.upstream("u1"), builders.upstream("u2")]
+        held = builders.place(accelerators=(1,))
+        placed = self.view(*ups)
+        self.follow(placed, {"u2": {"m1": held}})
+        self.assertEqual(placed.placements["u2"].replicas, (held,))
+
+
+class MembershipTest(unittest.TestCase):
+    def test_silent_upstream_is_removed_and_may_return(self):
+        view = builders.state_after().view
+        members = membership.start_term(view, 0)
+        report = msgs.UpstreamReport(builders.upstream())
+        digest = msgs.Digest("c2", ("u1",), (report,))
+        membership.on_digest(members, 1000, digest)
+        joined = list(membership.on_tick(members, 1000, view))
+        self.assertEqual(joined, [commands.JoinUpstream(report.upstream)])
+        builders.apply_to(view, joined[0])
+        silent = 1000 + membership.FORGET_MS + 1
+        gone = list(membership.on_tick(members, silent, view))
+        self.assertEqual(gone, [commands.RemoveUpstream("u1", "u1-a")])
+        builders.apply_to(view, gone[0])
+        membership.on_digest(members, silent + 500, digest)
+        back = list(membership.on_tick(members, silent + 500, view))
+        self.assertEqual(back, joined)
+
+    def test_new_leader_waits_before_it_forgets(self):
+        view = builders.view_with()
+        members = membership.start_term(view, 50_000)
+        early = 50_000 + membership.FORGET_MS
+        self.assertEqual(list(membership.on_tick(members, early, view)), [])
+
+    def test_operators_drain_holds_against_reports(self):
+        view = builders.view_with()
+        builders.apply_to(view, commands.DrainUpstream("u1"))
+        members = membership.start_term(view, 0)
+        report = msgs.UpstreamReport(builders.upstream())
+        membership.on_digest(members, 0, msgs.Digest("c", (), (report,)))
+        told = list(membership.on_tick(members, 1000, view))
+        joins = [c for c in told if isinstance(c, commands.JoinUpstream)]
+        self.assertEqual(joins, [])
--- /dev/null
+++ b/bilberryramp/standins/tests/test_failures.py
@@ -0,0 +1,291 @@
+import http.client
+import json
+import shutil
+import signal
+import threading
+import unittest
+
+from bilberryramp.standins import local_cluster
+from bilberryramp.standins.tests import builders
+
+SERVICE = "/services/corrections"
+
+
+class ControlFailureTest(unittest.TestCase):
+    """Three control replicas under SIGKILL, SIGSTOP and a lost disk."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = builders.cluster(cls, controls=3)
+        for name, service in (
+            ("desk-1", "drafting-desk"),
+            ("desk-2", "drafting-desk"),
+            ("letters-1", "letter-llm"),
+        ):
+            local_cluster.add_upstream(
+                cls.cluster, builders.standin(name), service
+            )
+        local_cluster.wait_for_upstreams(cls.cluster, 3)
+
+    def accepted(self):
+        reply = builders.submit(self.cluster)
+        self.assertEqual(reply.returncode, 0, reply.stdout + reply.stderr)
+        return builders.status(self.cluster)["version"]
+
+    def start_again(self, name):
+        known = self.cluster.processes[name]
+        local_cluster.start_program(
+            self.cluster, name, known.program, known.settings
+        )
+
+    def wait_in_service(self, name):
+        control = next(
+            c for c in self.cluster.controls if c.replica_id == name
+        )
+
+        def in_service():
+            seen = builders.replica_status(control)
+            return seen and seen["phase"] in ("follower", "leader")
+
+        builders.wait_for(in_service, f"{name} in service")
+
+    def test_killed_leader_loses_nothing(self):
+        before = self.accepted()
+        leader = builders.leader_of(self.cluster)
+        local_cluster.kill(self.cluster, leader)
+        self.assertGreater(self.accepted(), before)
+        self.start_again(leader)
+        self.wait_in_service(leader)
+
+    def test_frozen_leader_is_replaced_and_accepts_nothing(self):
+        before = self.accepted()
+        leader = builders.leader_of(self.cluster)
+        child = self.cluster.processes[leader].child
+        child.send_signal(signal.SIGSTOP)
+        try:
+            after = self.accepted()
+            self.assertGreater(after, before)
+        finally:
+            child.send_signal(signal.SIGCONT)
+        control = next(
+            c for c in self.cluster.controls if c.replica_id == leader
+        )
+        builders.wait_for(
+            lambda: (
+                (builders.replica_status(control) or {}).get("version")
+                == after
+            ),
+            "the thawed replica catches up",
+        )
+
+    def test_second_failure_right_after_a_lost_disk_was_repaired(self):
+        before = self.accepted()
+        leader = builders.leader_of(self.cluster)
+        names = [c.replica_id for c in self.cluster.controls]
+        first, second = [name for name in names if name != leader]
+        local_cluster.kill(self.cluster, first)
+        shutil.rmtree(self.cluster.folder / f"data-{first}")
+        self.start_again(first)
+        self.wait_in_service(first)
+        local_cluster.kill(self.cluster, second)
+        self.assertGreater(self.accepted(), before)
+        self.start_again(second)
+        self.wait_in_service(second)
+
+
+class PathFailureTest(unittest.TestCase):
+    """Entries, upstream processes and engines that end in mid-request."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = builders.cluster(cls)
+        slow = {"tokens_per_s": 40.0, "crash_on": "POISON"}
+        for name, service in (
+            ("desk-1", "drafting-desk"),
+            ("desk-2", "drafting-desk"),
+            ("desk-3", "drafting-desk"),
+            ("letters-1", "letter-llm"),
+        ):
+            local_cluster.add_upstream(
+                cls.cluster, builders.standin(name, **slow), service
+            )
+        plain = builders.standin(
+            "ledger-1", builders.SERVICE, crash_on="CRASH", first_token_ms=300
+        )
+        local_cluster.add_upstream(cls.cluster, plain, "corrections-ledger")
+        cls.port = local_cluster.add_entry(cls.cluster, "entry-1")
+        local_cluster.wait_for_upstreams(cls.cluster, 5)
+        submitted = builders.submit(cls.cluster)
+        assert submitted.returncode == 0, submitted.stderr
+        local_cluster.wait_http(f"http://127.0.0.1:{cls.port}/readyz")
+        status, _ = builders.post(
+            cls.port, "/v1/completions", builders.completion()
+        )
+        assert status == 200, status
+
+    def restart(self, *names):
+        for name in names:
+            known = self.cluster.processes[name]
+            if known.child.poll() is not None:
+                local_cluster.start_program(
+                    self.cluster, name, known.program, known.settings
+                )
+
+    def begin_stream(self, port, words):
+        """Starts a streamed answer and reads its first part."""
+        conn = http.client.HTTPConnection("127.0.0.1", port, timeout=30)
+        body = builders.completion(words, stream=True)
+        conn.request("POST", "/v1/completions", body)
+        answer = conn.getresponse()
+        return answer, answer.read(10)
+
+    def test_planned_stop_of_an_entry_cuts_nothing_off(self):
+        port = local_cluster.add_entry(self.cluster, "entry-2")
+        local_cluster.wait_http(f"http://127.0.0.1:{port}/readyz")
+        answer, first = self.begin_stream(port, 40)
+        stopping = threading.Thread(
+            target=local_cluster.stop, args=(self.cluster, "entry-2")
+        )
+        stopping.start()
+        rest = answer.read()
+        stopping.join()
+        self.assertTrue((first + rest).endswith(b"data: [DONE]\n\n"))
+        child = self.cluster.processes["entry-2"].child
+        self.assertEqual(child.returncode, 0)
+
+    def test_planned_stop_of_an_upstream_cuts_nothing_off(self):
+        answer, first = self.begin_stream(self.port, 40)
+        code = local_cluster.stop(self.cluster, "upstream-letters-1")
+        rest = answer.read()
+        self.restart("upstream-letters-1")
+        self.assertEqual(code, 0)
+        self.assertTrue((first + rest).endswith(b"data: [DONE]\n\n"))
+
+    def test_killed_upstream_shows_as_a_broken_transfer(self):
+        answer, _ = self.begin_stream(self.port, 400)
+        local_cluster.kill(self.cluster, "upstream-letters-1")
+        with self.assertRaises((http.client.HTTPException, OSError)):
+            answer.read()
+        self.restart("upstream-letters-1")
+        status, _ = builders.post(
+            self.port, "/v1/completions", builders.completion()
+        )
+        self.assertEqual(status, 200)
+
+    def test_crashed_service_leaves_the_outcome_unknown(self):
+        headers = builders.marked("crash-1")
+        status, answer = builders.post(self.port, SERVICE, b"CRASH", headers)
+        self.assertEqual(status, 502)
+        self.assertEqual(answer["error"]["outcome"], "unknown")
+        self.restart("standin-ledger-1")
+        status, answer = builders.post(self.port, SERVICE, b"CRASH", headers)
+        self.assertEqual(answer["error"]["code"], "key_unknown")
+
+    def test_resend_through_another_entry_while_it_runs(self):
+        port = local_cluster.add_entry(self.cluster, "entry-3")
+        local_cluster.wait_http(f"http://127.0.0.1:{port}/readyz")
+        headers = builders.marked("twice-1")
+        answers = []
+
+        def send(at):
+            answers.append(builders.post(at, SERVICE, b"n", headers))
+
+        threads = [
+            threading.Thread(target=send, args=(at,))
+            for at in (self.port, port)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        codes = sorted(status for status, _ in answers)
+        self.assertIn(codes, ([200, 200], [200, 409]))
+        kept = builders.post(port, SERVICE, b"n", headers)
+        self.assertEqual(kept, (200, {"key": "twice-1", "runs": 1}))
+
+    def test_poison_takes_down_at_most_two_engines(self):
+        body = builders.completion(
+            model="guild-clarify-8b", prompt="POISON", words=2
+        )
+        for _ in range(4):
+            _, answer = builders.post(self.port, "/v1/completions", body)
+        self.assertIn("error", answer)
+        desks = [f"standin-desk-{n}" for n in (1, 2, 3)]
+        dead = [
+            name
+            for name in desks
+            if self.cluster.processes[name].child.poll() is not None
+        ]
+        self.assertLessEqual(len(dead), 2)
+        self.restart(*dead)
+        good = builders.completion(model="guild-clarify-8b", words=2)
+        status, _ = builders.post(self.port, "/v1/completions", good)
+        self.assertEqual(status, 200)
+
+    def test_vanishing_caller_frees_its_slot(self):
+        answer, _ = self.begin_stream(self.port, 4000)
+        answer.close()
+        for _ in range(20):
+            status, _ = builders.post(
+                self.port, "/v1/completions", builders.completion()
+            )
+            self.assertEqual(status, 200)
+
+
+class BadStartTest(unittest.TestCase):
+    """Programs that cannot start say why, once, with their exit code."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = builders.cluster(cls)
+
+    def test_port_in_use(self):
+        control = self.cluster.controls[0]
+        port = int(control.operator_address.rpartition(":")[2])
+        local_cluster.add_entry(self.cluster, "entry-x", port)
+        child = self.cluster.processes["entry-x"].child
+        self.assertEqual(child.wait(20), 3)
+        said = (self.cluster.folder / "entry-x.out").read_text()
+        self.assertIn("error: OSError", said)
+        self.assertNotIn("Traceback", said)
+
+    def test_data_folder_that_cannot_be_used(self):
+        settings = self.cluster.folder / "control-1.yaml"
+        text = settings.read_text()
+        data = str(self.cluster.folder / "data-control-1")
+        blocked = self.cluster.folder / "blocked"
+        blocked.write_text("a file, not a folder")
+        for name, folder, error in (
+            ("taken", data, "DataFolderInUseError"),
+            ("blocked", str(blocked), "BadDataFolderError"),
+        ):
+            other = self.cluster.folder / f"{name}.yaml"
+            other.write_text(text.replace(data, folder))
+            local_cluster.start_program(self.cluster, name, "control", other)
+            self.assertEqual(self.cluster.processes[name].child.wait(20), 4)
+            said = (self.cluster.folder / f"{name}.out").read_text()
+            self.assertIn(error, said)
+
+    def test_broken_settings(self):
+        bad = self.cluster.folder / "bad.yaml"
+        bad.write_text("name: [")
+        local_cluster.start_program(self.cluster, "bad", "entry", bad)
+        self.assertEqual(self.cluster.processes["bad"].child.wait(20), 2)
+
+    def test_routes_without_pool_or_place_are_refused(self):
+        routes = self.cluster.folder / "routes.yaml"
+        pools = builders.EXAMPLES / "pools.yaml"
+        good = (builders.EXAMPLES / "routes.yaml").read_text()
+        args = (f"--routes={routes}", f"--pools={pools}")
+        routes.write_text(good.replace("pool: abay-letters", "pool: none"))
+        refused = local_cluster.ctl(self.cluster, *args, "validate")
+        self.assertEqual(refused.returncode, 5)
+        self.assertIn("routes[2].pool: found 'none'", refused.stderr)
+        routes.write_text(good)
+        refused = local_cluster.ctl(self.cluster, *args, "submit")
+        self.assertEqual(refused.returncode, 5)
+        self.assertIn("MiB free", refused.stderr)
+        shown = json.loads(
+            local_cluster.ctl(self.cluster, "--json", "status").stdout
+        )
+        self.assertEqual(shown["version"], 0)
--- a/bilberryramp/standins/tests/test_whole_path.py
+++ b/bilberryramp/standins/tests/test_whole_path.py
@@ -1,7 +1,5 @@
 import concurrent.futures
 import json
-import pathlib
-import tempfile
 import time
 import unittest
 import urllib.error
@@ -12,35 +10,15 @@
 from bilberryramp.decisions import views
 from bilberryramp.settings import schema
 from bilberryramp.standins import local_cluster
+from bilberryramp.standins.tests import builders
 
-EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
-MODEL = "abay-passes-3b"
-
-
-def post(port, path, body, headers=None):
-    request = urllib.request.Request(
-        f"http://127.0.0.1:{port}{path}",
-        data=body,
-        headers=headers or {},
-        method="POST",
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=20) as answer:
-            return answer.status, json.loads(answer.read())
-    except urllib.error.HTTPError as exc:
-        return exc.code, json.loads(exc.read())
+MODEL = builders.MODEL
 
 
 class WholePathTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.folder = tempfile.TemporaryDirectory()
-        cls.cluster = local_cluster.new_cluster(
-            pathlib.Path(cls.folder.name), 1, traces=True
-        )
-        cls.addClassCleanup(cls.folder.cleanup)
-        cls.addClassCleanup(local_cluster.stop_all, cls.cluster)
-        local_cluster.start_controls(cls.cluster)
+        cls.cluster = builders.cluster(cls, traces=True)
         for name, service in (
             ("desk-1", "drafting-desk"),
             ("desk-2", "drafting-desk"),
@@ -52,12 +30,7 @@
         local_cluster.add_upstream(cls.cluster, ledger, "corrections-ledger")
         cls.port = local_cluster.add_entry(cls.cluster, "entry-1")
         local_cluster.wait_for_upstreams(cls.cluster, 4)
-        submitted = local_cluster.ctl(
-            cls.cluster,
-            f"--routes={EXAMPLES / 'routes.yaml'}",
-            f"--pools={EXAMPLES / 'pools.yaml'}",
-            "submit",
-        )
+        submitted = builders.submit(cls.cluster)
         assert submitted.returncode == 0, submitted.stderr
         local_cluster.wait_http(f"http://127.0.0.1:{cls.port}/readyz")
         cls.client = openai.OpenAI(
@@ -110,38 +83,28 @@
              {"Bilberry-Deadline-Ms": "soon"}, 400, "bad_request"),
         )  # fmt: skip
         for path, body, headers, status, code in cases:
-            seen, answer = post(self.port, path, body, headers)
+            seen, answer = builders.post(self.port, path, body, headers)
             self.assertEqual((seen, answer["error"]["code"]), (status, code))
             self.assertEqual(answer["error"]["outcome"], "not_run")
 
     def test_marked_request_runs_once_and_keeps_its_answer(self):
         headers = {"Idempotency-Key": "k-7", "Bilberry-Repeat": "never"}
         path = "/services/corrections"
-        first = post(self.port, path, b"notice", headers)
-        again = post(self.port, path, b"notice", headers)
+        first = builders.post(self.port, path, b"notice", headers)
+        again = builders.post(self.port, path, b"notice", headers)
         self.assertEqual(first, (200, {"key": "k-7", "runs": 1}))
         self.assertEqual(again, first)
-        status, answer = post(self.port, path, b"another", headers)
+        status, answer = builders.post(self.port, path, b"another", headers)
         self.assertEqual((status, answer["error"]["code"]),
                          (422, "key_mismatch"))  # fmt: skip
 
     def test_submission_races_have_one_winner(self):
-        tables = (
-            f"--routes={EXAMPLES / 'routes.yaml'}",
-            f"--pools={EXAMPLES / 'pools.yaml'}",
-        )
-        status = json.loads(
-            local_cluster.ctl(self.cluster, "--json", "status").stdout
-        )
-        base = f"--base_version={status['version']}"
-        first = ("--submission_id=a", "--submitter=ann")
-        won = local_cluster.ctl(self.cluster, *tables, base, *first, "submit")
-        resent = local_cluster.ctl(
-            self.cluster, *tables, base, *first, "submit"
-        )
-        lost = local_cluster.ctl(
-            self.cluster, *tables, base, "--submission_id=b", "submit"
-        )
+        version = builders.status(self.cluster)["version"]
+        base = f"--base_version={version}"
+        first = (base, "--submission_id=a", "--submitter=ann")
+        won = builders.submit(self.cluster, *first)
+        resent = builders.submit(self.cluster, *first)
+        lost = builders.submit(self.cluster, base, "--submission_id=b")
         self.assertEqual((won.returncode, resent.returncode), (0, 0))
         self.assertEqual(won.stdout, resent.stdout)
         self.assertEqual(lost.returncode, 6)
@@ -151,10 +114,10 @@
         trace_id = "0af7651916cd43dd8448eb211c80319c"
         headers = {"traceparent": f"00-{trace_id}-b7ad6b7169203331-01"}
         body = json.dumps({"model": MODEL, "max_tokens": 1}).encode()
-        status, _ = post(self.port, "/v1/completions", body, headers)
+        status, _ = builders.post(self.port, "/v1/completions", body, headers)
         self.assertEqual(status, 200)
         expected = {"entry.call", "upstream.run", "engine.generate"}
-        path = pathlib.Path(self.folder.name) / "spans.jsonl"
+        path = self.cluster.folder / "spans.jsonl"
 
         def names():
             lines = path.read_text().splitlines() if path.exists() else []
--- /dev/null
+++ b/bilberryramp/storage/tests/builders.py
@@ -0,0 +1,43 @@
+"""Builders of log entries and data folders."""
+
+import pathlib
+import tempfile
+
+from bilberryramp.decisions import commands, control_state
+from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.storage import journal
+
+
+def folder(case) -> pathlib.Path:
+    made = tempfile.TemporaryDirectory()
+    case.addCleanup(made.cleanup)
+    return pathlib.Path(made.name) / "data"
+
+
+def entries(first, last, term=1):
+    return tuple(
+        control_state.Entry(term, index, commands.DrainUpstream(f"u{index}"))
+        for index in range(first, last + 1)
+    )
+
+
+def persist(first, last, term=1):
+    return msgs.PersistEntries(entries(first, last, term))
+
+
+def snapshot(index, first_kept):
+    state = control_state.ControlState()
+    state.view.index = index
+    return msgs.PersistSnapshot(msgs.Snapshot(index, 1, state), first_kept)
+
+
+def write_and_close(path, *wanted):
+    opened, _ = journal.open_folder(path, "c1")
+    journal.write(opened, list(wanted))
+    journal.close(opened)
+
+
+def read(path):
+    opened, recovered = journal.open_folder(path, "c1")
+    journal.close(opened)
+    return recovered
--- /dev/null
+++ b/bilberryramp/wire/tests/test_codec.py
@@ -0,0 +1,51 @@
+import random
+import unittest
+
+from bilberryramp.decisions import commands, control_state, feed_messages
+from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.tests import builders
+from bilberryramp.wire import codec
+
+
+def samples():
+    state = builders.state_after(
+        commands.JoinUpstream(builders.upstream()),
+        builders.submit(),
+        commands.PlaceReplicas("u1", (builders.place(),)),
+        commands.ReserveOnce("k", "r", "f", 5, 10),
+        commands.ReportStrike("f", "u1", "r.1", 5),
+    )
+    entry = control_state.Entry(1, 2, builders.submit())
+    return (
+        builders.dispatch(body=b"\x00\xff"),
+        builders.refused("r1.1"),
+        feed_messages.Delta("c1", 3, (entry,)),
+        feed_messages.WholeView("c1", state.view, 4),
+        msgs.InstallSnapshot("c1", 2, msgs.Snapshot(5, 1, state), 9),
+        msgs.Propose("o", "a", commands.Noop()),
+    )
+
+
+class CodecTest(unittest.TestCase):
+    def test_every_message_comes_back_equal(self):
+        for message in samples():
+            data = codec.encode(message)
+            self.assertEqual(codec.decode(data), message)
+
+    def test_damaged_bytes_raise_one_typed_error(self):
+        rng = random.Random(5)
+        for message in samples():
+            data = codec.encode(message)
+            for _ in range(300):
+                bad = bytearray(data)
+                for _ in range(rng.randrange(1, 4)):
+                    bad[rng.randrange(len(bad))] = rng.randrange(256)
+                cut = rng.randrange(1, len(bad) + 1)
+                try:
+                    codec.decode(bytes(bad[:cut]))
+                except codec.MalformedMessageError:
+                    pass
+
+    def test_unregistered_class_is_refused(self):
+        with self.assertRaises(codec.MalformedMessageError):
+            codec.encode(random.Random())
