Answer those whose proposal went to a dead leader

Cause: a follower that had passed a proposal on kept no note of it, so nobody answered when the leader died and the operator interface ran into its 5 s limit.

Ruled out: a shorter limit there (a slow but living leader would look dead).

Change: followers remember what they passed on and answer Unavailable when they follow another leader or stand for election; the asker tries again under the same submission id.

--- a/bilberryramp/decisions/replication.py
+++ b/bilberryramp/decisions/replication.py
@@ -141,6 +141,7 @@
     transfer: bool = False
     progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
     waiters: dict[int, _Waiter] = dataclasses.field(default_factory=dict)
+    forwarded: dict[str, str] = dataclasses.field(default_factory=dict)
     readmitting: set[str] = dataclasses.field(default_factory=set)
     probe_sent: int = 0
     probe_echoed: int = 0
@@ -308,6 +309,7 @@
 def _start_prevote(rep: Replica, now_ms: int, _payload) -> Iterator:
     _set_election_due(rep, now_ms)
     rep.leader_id = ""
+    yield from _give_up_forwarded(rep)
     yield from _canvass(rep, now_ms, rep.term + 1, pre=True)
 
 
@@ -438,8 +440,10 @@
     )
     if rep.phase == "leader" or not rep.leader_id:
         yield from _on_forward(rep, now_ms, forward)
-    else:
-        yield effects.Send(rep.leader_id, forward)
+        return
+    if len(rep.forwarded) < rep.cfg.max_pending:
+        rep.forwarded[ask.ask_id] = ask.origin
+    yield effects.Send(rep.leader_id, forward)
 
 
 def _on_forward(rep: Replica, now_ms: int, ask) -> Iterator:
@@ -453,6 +457,7 @@
 
 
 def _on_forward_reply(rep: Replica, _now_ms: int, reply) -> Iterator:
+    rep.forwarded.pop(reply.ask_id, None)
     yield msgs.Answer(reply.origin, reply.ask_id, reply.result)
 
 
@@ -468,6 +473,15 @@
     return None
 
 
+def _give_up_forwarded(rep: Replica) -> Iterator:
+    """Answer those whose leader may be gone; they ask again."""
+    reason = commands.UnavailableReason.NOT_LEADER
+    result = commands.Unavailable(reason, rep.leader_id)
+    for ask_id, origin in rep.forwarded.items():
+        yield msgs.Answer(origin, ask_id, result)
+    rep.forwarded.clear()
+
+
 def _propose(rep: Replica, now_ms: int, command, waiter) -> Iterator:
     index = log_entries.last_index(rep.tail) + 1
     entry = control_state.Entry(rep.term, index, command)
@@ -578,6 +592,7 @@
     rep.transfer = False
     yield from _raise(rep, "leader_seen", now_ms)
     if not known:
+        yield from _give_up_forwarded(rep)
         yield _leader_changed(rep)
 
 
--- a/bilberryramp/decisions/tests/test_feed.py
+++ b/bilberryramp/decisions/tests/test_feed.py
@@ -40,7 +40,7 @@
     def carry(self, told):
         for effect in told:
             if self.rng.random() >= self.loss:
-                delay = self.rng.choice((1, 5, 40, 300))
+                delay = self.rng.choice((1, 5, 40, 300, 2500))
                 message = copy.deepcopy(effect.message)
                 self.wire.append((self.now + delay, effect.to, message))
 
@@ -124,18 +124,28 @@
             tree.run(5000)
         self.assertTrue(tree.all_at(300))
 
-    def test_broken_version_that_ignores_the_index_is_caught(self):
-        def any_index(view, entry):
+    def test_broken_versions_are_caught(self):
+        def any_entry(view, entry):
             view.index = 0
-            return ORIGINAL(view, entry)
+            return APPLY(view, entry)
 
-        patched = mock.patch.object(control_state, "apply_to_view", any_index)
-        caught = self.assertRaisesRegex(AssertionError, "went back")
-        with patched, caught:
-            self.test_nothing_goes_back_over_loss_delay_and_restart()
+        def any_view(sub, now_ms, message):
+            sub.index = -1
+            yield from TAKE_VIEW(sub, now_ms, message)
 
+        for owner, name, broken in (
+            (control_state, "apply_to_view", any_entry),
+            (subscription, "on_whole_view", any_view),
+        ):
+            patched = mock.patch.object(owner, name, broken)
+            short = mock.patch.object(feed, "MAX_HISTORY", 1)
+            caught = self.assertRaisesRegex(AssertionError, "went back")
+            with self.subTest(name), patched, short, caught:
+                self.test_nothing_goes_back_over_loss_delay_and_restart()
 
-ORIGINAL = control_state.apply_to_view
+
+APPLY = control_state.apply_to_view
+TAKE_VIEW = subscription.on_whole_view
 
 
 class FreshnessTest(unittest.TestCase):
--- a/bilberryramp/decisions/tests/test_replication_fuzz.py
+++ b/bilberryramp/decisions/tests/test_replication_fuzz.py
@@ -220,3 +220,25 @@
 
     def test_key_granted_twice(self):
         self.assert_caught(patches=[(once_records, "reserve", grant_always)])
+
+
+class ForwardTest(unittest.TestCase):
+    def test_ask_passed_to_a_dead_leader_is_answered(self):
+        """Before, the asker waited for an answer that never came."""
+        driver = control_driver.ControlDriver(1)
+        driver.settle_down(3000)
+        leader = next(
+            name
+            for name, node in driver.nodes.items()
+            if node.replica.phase == "leader"
+        )
+        follower = next(n for n in driver.names if n != leader)
+        driver.kill(leader)
+        answers = []
+        with mock.patch.object(driver, "check_answer", answers.append):
+            driver.reserve(follower, "k", "r")
+            for _ in range(100):
+                driver.advance(20)
+                while driver.wire:
+                    driver.deliver(0)
+        self.assertIsInstance(answers[0].result, commands.Unavailable)
