Pass on only what changes of the tables, encoded once

Ruled out: compressing the whole tables (still grows with routes).

Change: the feed compares an accepted submission with the tables it passed on before and sends the difference; a message for many is encoded once.

Conclusion: a change costs what it changes.

--- a/bilberryramp/decisions/__init__.py
+++ b/bilberryramp/decisions/__init__.py
@@ -26,6 +26,7 @@
     "quarantine",
     "replication",
     "replication_messages",
+    "route_index",
     "routing",
     "shutdown",
     "subscription",
--- a/bilberryramp/decisions/commands.py
+++ b/bilberryramp/decisions/commands.py
@@ -6,6 +6,7 @@
 from bilberryramp.decisions import errors, tables, views
 
 __all__ = [
+    "ChangeTables",
     "Done",
     "DrainUpstream",
     "FinishOnce",
@@ -55,6 +56,14 @@
     tables: tables.Tables
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ChangeTables:
+    """An accepted submission as followers of the view receive it."""
+
+    submitter: str
+    change: tables.TablesChange
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class JoinUpstream:
     """Record an upstream that announced itself, or announced anew."""
--- a/bilberryramp/decisions/control_state.py
+++ b/bilberryramp/decisions/control_state.py
@@ -119,14 +119,15 @@
 
 
 def apply_to_view(view: views.View, entry: Entry) -> bool:
-    """Apply an entry for which `changes_view` holds to a follower's view.
+    """Apply an entry from the feed to a follower's view.
 
     Parameters
     ----------
     view
         Changed in place.
     entry
-        A committed entry.
+        A committed entry for which `changes_view` holds; an accepted
+        submission arrives as `ChangeTables`.
 
     Returns
     -------
@@ -135,8 +136,10 @@
     """
     if entry.index <= view.index:
         return False
-    if isinstance(entry.command, commands.SubmitTables):
-        _put_in_force(view, entry.command)
+    command = entry.command
+    if isinstance(command, commands.ChangeTables):
+        merged = tables.merge(view.tables, command.change)
+        _put_in_force(view, merged, command.submitter)
     else:
         _change_view(view, entry)
     view.term, view.index = entry.term, entry.index
@@ -154,7 +157,7 @@
     problems = _problems(view, command.tables)
     if problems:
         return commands.SubmitRefused(problems)
-    _put_in_force(view, command)
+    _put_in_force(view, command.tables, command.submitter)
     result = commands.SubmitAccepted(view.version, entry.term, entry.index)
     state.submissions[command.submission_id] = result
     if len(state.submissions) > MAX_SUBMISSIONS:
@@ -162,10 +165,10 @@
     return result
 
 
-def _put_in_force(view: views.View, command: commands.SubmitTables) -> None:
-    view.tables = command.tables
+def _put_in_force(view: views.View, wanted, submitter: str) -> None:
+    view.tables = wanted
     view.version += 1
-    view.submitted_by = command.submitter
+    view.submitted_by = submitter
 
 
 def _problems(view, wanted: tables.Tables) -> tuple[tables.Problem, ...]:
--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -16,6 +16,7 @@
     errors,
     once_records,
     quarantine,
+    route_index,
     routing,
     tables,
     views,
@@ -298,6 +299,8 @@
         Attempts in progress at each upstream.
     leaving
         Upstreams that said they are leaving, by incarnation.
+    index
+        Routes and upstreams of the view, arranged for lookups.
     retry_budget
         Retries after failures that are left.
     """
@@ -307,6 +310,7 @@
     rng: random.Random
     view: views.View
     policy: routing.Policy
+    index: route_index.RouteIndex
     fresh: bool = False
     stopping: bool = False
     calls: dict[str, Call] = dataclasses.field(default_factory=dict)
@@ -343,7 +347,7 @@
 
 def _on_call(entry: Entry, now_ms: int, message: CallArrived) -> Iterator:
     request = message.request
-    route = _find_route(entry.view, request)
+    route = _find_route(entry, request)
     failure = _early_failure(entry, request, route, message.wall_ms)
     if route is None:
         yield ReplyFailure(request.request_id, failure)
@@ -370,10 +374,10 @@
     yield from _fire(call, _first_event(call), now_ms)
 
 
-def _find_route(view: views.View, request: CallerRequest):
+def _find_route(entry: Entry, request: CallerRequest):
     if request.model:
-        return views.find_model_route(view, request.model)
-    return views.find_service_route(view, request.path)
+        return route_index.model_route(entry.index, request.model)
+    return route_index.service_route(entry.index, request.path)
 
 
 def _first_event(call: Call) -> str:
@@ -446,7 +450,7 @@
     leaving = call.entry.leaving
     return [
         upstream
-        for upstream in views.candidates(call.entry.view, call.route)
+        for upstream in route_index.candidates(call.entry.index, call.route)
         if leaving.get(upstream.upstream_id) != upstream.incarnation
     ]
 
--- a/bilberryramp/decisions/feed.py
+++ b/bilberryramp/decisions/feed.py
@@ -6,11 +6,19 @@
 holds all that was committed when the beat arrived.
 """
 
+from __future__ import annotations
+
 import collections
 import dataclasses
 from collections.abc import Callable, Iterator
 
-from bilberryramp.decisions import control_state, effects, views
+from bilberryramp.decisions import (
+    commands,
+    control_state,
+    effects,
+    tables,
+    views,
+)
 from bilberryramp.decisions import feed_messages as msgs
 
 __all__ = [
@@ -58,6 +66,8 @@
         Every change after this index is in `history`.
     last_change
         Index of the newest change.
+    tables
+        Tables as last passed on, for sending only what changes.
     waiting
         Followers whose beat is not answered yet, in order of arrival.
     pruned_ms
@@ -73,6 +83,7 @@
     )
     history_after: int = 0
     last_change: int = 0
+    tables: tables.Tables = tables.Tables()
     waiting: dict[str, None] = dataclasses.field(default_factory=dict)
     pruned_ms: int = 0
 
@@ -160,6 +171,7 @@
     """
     if not control_state.changes_view(result, entry.command):
         return
+    entry = _for_followers(feed, entry)
     after = feed.last_change
     feed.history.append(entry)
     feed.last_change = entry.index
@@ -172,19 +184,20 @@
             yield effects.Send(name, push)
 
 
-def note_restored(feed: Feed, index: int) -> None:
+def note_restored(feed: Feed, view: views.View) -> None:
     """Forget the history: the view was replaced as a whole.
 
     Parameters
     ----------
     feed
         Changed in place.
-    index
-        Log index of the new view.
+    view
+        The new view.
     """
     feed.history.clear()
-    feed.history_after = index
-    feed.last_change = index
+    feed.history_after = view.index
+    feed.last_change = view.index
+    feed.tables = view.tables
 
 
 def take_digest(feed: Feed, whole: bool) -> msgs.Digest:
@@ -221,6 +234,16 @@
     return msgs.Digest(feed.replica_id, alive, tuple(due))
 
 
+def _for_followers(feed: Feed, entry: control_state.Entry):
+    command = entry.command
+    if not isinstance(command, commands.SubmitTables):
+        return entry
+    change = tables.compare(feed.tables, command.tables)
+    feed.tables = command.tables
+    told = commands.ChangeTables(command.submitter, change)
+    return control_state.Entry(entry.term, entry.index, told)
+
+
 def _prune(feed: Feed, now_ms: int) -> None:
     feed.pruned_ms = now_ms
     for name, subscriber in list(feed.subscribers.items()):
--- a/bilberryramp/decisions/membership.py
+++ b/bilberryramp/decisions/membership.py
@@ -38,10 +38,16 @@
         By upstream id; times on the leader's clock in milliseconds.
     quiet_until_ms
         No commands before then, so that earlier ones can commit.
+    reports
+        Counts reports, to tell whether any is new.
+    planned_for
+        Change index and report count of the last plan without changes.
     """
 
     seen: dict[str, Seen] = dataclasses.field(default_factory=dict)
     quiet_until_ms: int = 0
+    reports: int = 0
+    planned_for: tuple[int, int] = (-1, -1)
 
 
 def start_term(view: views.View, now_ms: int) -> Membership:
@@ -82,9 +88,12 @@
     for report in digest.reports:
         upstream_id = report.upstream.upstream_id
         members.seen[upstream_id] = Seen(now_ms, report)
+        members.reports += 1
 
 
-def on_tick(members: Membership, now_ms: int, view: views.View) -> Iterator:
+def on_tick(
+    members: Membership, now_ms: int, view: views.View, change_index: int
+) -> Iterator:
     """Yield the commands that bring the log in line with what is seen.
 
     Parameters
@@ -95,6 +104,9 @@
         The leader's clock in milliseconds.
     view
         The view in force.
+    change_index
+        Log index of its newest change; the plan is made anew only when
+        this or a report changed.
 
     Yields
     ------
@@ -104,8 +116,11 @@
     if now_ms < members.quiet_until_ms:
         return
     wanted = list(_membership_changes(members, now_ms, view))
-    if not wanted:
+    state = (change_index, members.reports)
+    if not wanted and members.planned_for != state:
         wanted = list(placement.plan(view, resident_places(members)))
+        if not wanted:
+            members.planned_for = state
     if wanted:
         members.quiet_until_ms = now_ms + PROPOSAL_PAUSE_MS
     yield from wanted
--- a/bilberryramp/decisions/placement.py
+++ b/bilberryramp/decisions/placement.py
@@ -5,10 +5,11 @@
 old one, and never exceeds an accelerator's memory.
 """
 
+import bisect
 import dataclasses
 from collections.abc import Iterator, Mapping
 
-from bilberryramp.decisions import commands, ledger, tables, views
+from bilberryramp.decisions import commands, tables, views
 
 __all__ = ["Resident", "Shortfall", "plan", "shortfalls"]
 
@@ -37,11 +38,30 @@
 
 @dataclasses.dataclass(slots=True)
 class _Board:
-    """Replicas by upstream while a plan is being made."""
+    """Replicas by upstream while a plan is being made.
+
+    Attributes
+    ----------
+    places
+        Replicas by upstream id and model.
+    free
+        Unpromised MiB of each accelerator, by upstream id.
+    holders
+        Ids of the upstreams that hold a model.
+    emptiest
+        For each service its engines in service, as negated total of free
+        MiB and id, in ascending order: the emptiest come first.
+    resident_at
+        Ids of the upstreams where a model is resident already.
+    """
 
     upstreams: dict[str, views.Upstream]
-    places: dict[str, dict[str, views.ReplicaPlace]]
     resident: Resident
+    places: dict[str, dict[str, views.ReplicaPlace]]
+    free: dict[str, list[int]]
+    holders: dict[str, set[str]]
+    emptiest: dict[str, list[tuple[int, str]]]
+    resident_at: dict[str, list[str]]
 
 
 def plan(
@@ -96,16 +116,50 @@
 
 
 def _board_of(view: views.View, resident: Resident) -> _Board:
-    places = {
-        upstream_id: {
-            replica.model: replica
-            for replica in view.placements.get(
-                upstream_id, views.Placement(0)
-            ).replicas
-        }
-        for upstream_id in view.upstreams
-    }
-    return _Board(view.upstreams, places, resident)
+    board = _Board(view.upstreams, resident, {}, {}, {}, {}, {})
+    for upstream_id, upstream in sorted(view.upstreams.items()):
+        board.places[upstream_id] = {}
+        board.free[upstream_id] = [upstream.memory_mib] * (
+            upstream.accelerators
+        )
+        placed = view.placements.get(upstream_id, views.Placement(0))
+        for place in placed.replicas:
+            _put(board, upstream_id, place)
+        for model in resident.get(upstream_id, ()):
+            board.resident_at.setdefault(model, []).append(upstream_id)
+    for upstream_id, upstream in board.upstreams.items():
+        if upstream.kind == views.UpstreamKind.ENGINE and (
+            not upstream.leaving
+        ):
+            row = (-sum(board.free[upstream_id]), upstream_id)
+            board.emptiest.setdefault(upstream.service, []).append(row)
+    for rows in board.emptiest.values():
+        rows.sort()
+    return board
+
+
+def _put(board: _Board, upstream_id: str, place: views.ReplicaPlace) -> None:
+    board.places[upstream_id][place.model] = place
+    board.holders.setdefault(place.model, set()).add(upstream_id)
+    _change_free(board, upstream_id, place, -place.memory_mib)
+
+
+def _take(board: _Board, upstream_id: str, model: str) -> None:
+    place = board.places[upstream_id].pop(model)
+    board.holders[model].discard(upstream_id)
+    _change_free(board, upstream_id, place, place.memory_mib)
+
+
+def _change_free(board: _Board, upstream_id: str, place, mib: int) -> None:
+    free = board.free[upstream_id]
+    before = (-sum(free), upstream_id)
+    for number in place.accelerators:
+        free[number] += mib
+    rows = board.emptiest.get(board.upstreams[upstream_id].service, [])
+    at = bisect.bisect_left(rows, before)
+    if at < len(rows) and rows[at] == before:
+        del rows[at]
+        bisect.insort(rows, (-sum(free), upstream_id))
 
 
 def _drop_unrouted(board: _Board, wanted: tables.Tables) -> None:
@@ -118,7 +172,7 @@
         for place in list(places.values()):
             shape = (place.memory_mib, len(place.accelerators))
             if (service, place.model, *shape) not in routed:
-                del places[place.model]
+                _take(board, upstream_id, place.model)
 
 
 def _largest_first(wanted: tables.Tables) -> list[tables.Route]:
@@ -131,8 +185,9 @@
 def _holders(board: _Board, route: tables.Route) -> list[str]:
     return [
         upstream_id
-        for upstream_id, places in sorted(board.places.items())
-        if route.model in places and not board.upstreams[upstream_id].leaving
+        for upstream_id in sorted(board.holders.get(route.model, ()))
+        if not board.upstreams[upstream_id].leaving
+        and board.upstreams[upstream_id].service == route.service
     ]
 
 
@@ -142,59 +197,63 @@
         place = _best_place(board, route)
         if place is None:
             return
-        upstream_id, replica = place
-        board.places[upstream_id][route.model] = replica
+        _put(board, *place)
 
 
 def _best_place(board: _Board, route: tables.Route):
+    """Prefer a resident replica, then a new failure domain, then room."""
+    resident = (
+        (upstream_id, board.resident[upstream_id][route.model])
+        for upstream_id in board.resident_at.get(route.model, ())
+        if _is_open(board, upstream_id, route)
+    )
+    for upstream_id, held in resident:
+        if _still_fits(held, route, board.free[upstream_id]):
+            return upstream_id, held
     taken = {
         board.upstreams[upstream_id].failure_domain
         for upstream_id in _holders(board, route)
     }
-    options = [
-        option
-        for upstream_id in sorted(board.upstreams)
-        if (option := _room_on(board, upstream_id, route)) is not None
-    ]
-
-    def rank(option):
-        upstream_id, replica, free = option
-        domain = board.upstreams[upstream_id].failure_domain
-        moves = replica != board.resident.get(upstream_id, {}).get(route.model)
-        return (moves, domain in taken, -free, upstream_id)
-
-    if not options:
-        return None
-    upstream_id, replica, _ = min(options, key=rank)
-    return upstream_id, replica
+    fallback = None
+    for option in _rooms(board, route):
+        domain = board.upstreams[option[0]].failure_domain
+        if domain not in taken:
+            return option
+        fallback = fallback or option
+    return fallback
 
 
-def _room_on(board: _Board, upstream_id: str, route: tables.Route):
+def _is_open(board: _Board, upstream_id: str, route: tables.Route) -> bool:
     upstream = board.upstreams[upstream_id]
-    places = board.places[upstream_id]
-    usable = (
+    return (
         upstream.service == route.service
-        and upstream.kind == views.UpstreamKind.ENGINE
         and not upstream.leaving
-        and route.model not in places
+        and route.model not in board.places[upstream_id]
     )
-    if not usable:
+
+
+def _rooms(board: _Board, route: tables.Route) -> Iterator[tuple]:
+    needed = route.accelerators * route.memory_mib
+    for negated, upstream_id in board.emptiest.get(route.service, ()):
+        if -negated < needed:
+            return
+        numbers = _room_on(board, upstream_id, route)
+        if numbers is not None:
+            place = views.ReplicaPlace(route.model, numbers, route.memory_mib)
+            yield upstream_id, place
+
+
+def _room_on(board: _Board, upstream_id: str, route: tables.Route):
+    if route.model in board.places[upstream_id]:
         return None
-    free = ledger.free_mib(
-        upstream.accelerators, upstream.memory_mib, places.values()
-    )
-    held = board.resident.get(upstream_id, {}).get(route.model)
-    if held is not None and _still_fits(held, route, free):
-        return upstream_id, held, sum(free)
+    free = board.free[upstream_id]
     order = sorted(range(len(free)), key=lambda n: (-free[n], n))
     chosen = order[: route.accelerators]
     if len(chosen) < route.accelerators:
         return None
     if any(free[n] < route.memory_mib for n in chosen):
         return None
-    numbers = tuple(sorted(chosen))
-    replica = views.ReplicaPlace(route.model, numbers, route.memory_mib)
-    return upstream_id, replica, sum(free)
+    return tuple(sorted(chosen))
 
 
 def _still_fits(held: views.ReplicaPlace, route, free: list[int]) -> bool:
@@ -207,32 +266,27 @@
 def _retire_surplus(board: _Board, route) -> None:
     leaving = [
         upstream_id
-        for upstream_id, places in board.places.items()
-        if route.model in places and board.upstreams[upstream_id].leaving
+        for upstream_id in board.holders.get(route.model, ())
+        if board.upstreams[upstream_id].leaving
     ]
     staying = _holders(board, route)
     ready = [u for u in staying if route.model in board.resident.get(u, ())]
     if len(ready) >= route.replicas:
         for upstream_id in leaving:
-            del board.places[upstream_id][route.model]
+            _take(board, upstream_id, route.model)
     spare = len(staying) - route.replicas
     for upstream_id in reversed(ready[route.replicas :]):
         if spare > 0:
-            del board.places[upstream_id][route.model]
+            _take(board, upstream_id, route.model)
             spare -= 1
 
 
 def _shortfall(board: _Board, route: tables.Route) -> Shortfall:
-    free = [
+    free = (
         amount
-        for upstream_id, upstream in board.upstreams.items()
-        if upstream.service == route.service and not upstream.leaving
-        for amount in ledger.free_mib(
-            upstream.accelerators,
-            upstream.memory_mib,
-            board.places[upstream_id].values(),
-        )
-    ]
+        for _, upstream_id in board.emptiest.get(route.service, ())
+        for amount in board.free[upstream_id]
+    )
     most = max(free, default=0)
     return Shortfall(route, route.accelerators, route.memory_mib, most)
 
--- /dev/null
+++ b/bilberryramp/decisions/route_index.py
@@ -0,0 +1,131 @@
+"""An index over a view: routes by name and upstreams by what they carry.
+
+Looking through all routes and upstreams for each request would make its
+cost grow with the system. The index is built when it is first asked after
+the view changed.
+"""
+
+import collections
+import dataclasses
+
+from bilberryramp.decisions import tables, views
+
+__all__ = ["RouteIndex", "candidates", "model_route", "service_route"]
+
+
+@dataclasses.dataclass(slots=True)
+class RouteIndex:
+    """What the view says, arranged for lookups.
+
+    Attributes
+    ----------
+    index
+        Log index of the view that it was built from; -1 before that.
+    models
+        Model routes by model name.
+    services
+        Service routes, longest prefix first.
+    carriers
+        Upstreams in service, by service and model; the model is empty
+        for plain services. In order of their names.
+    """
+
+    view: views.View
+    index: int = -1
+    models: dict[str, tables.Route] = dataclasses.field(default_factory=dict)
+    services: tuple[tables.Route, ...] = ()
+    carriers: dict[tuple[str, str], list[views.Upstream]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def model_route(found: RouteIndex, model: str) -> tables.Route | None:
+    """Find the route that carries a model.
+
+    Parameters
+    ----------
+    found
+        The index; rebuilt if the view changed.
+    model
+        The model name a caller sent.
+
+    Returns
+    -------
+    Route or None
+        None when no route names the model.
+    """
+    _refresh(found)
+    return found.models.get(model)
+
+
+def service_route(found: RouteIndex, path: str) -> tables.Route | None:
+    """Find the service route with the longest prefix of a path.
+
+    Parameters
+    ----------
+    found
+        The index; rebuilt if the view changed.
+    path
+        The path of a caller's request.
+
+    Returns
+    -------
+    Route or None
+        None when no route matches.
+    """
+    _refresh(found)
+    matches = (r for r in found.services if path.startswith(r.path_prefix))
+    return next(matches, None)
+
+
+def candidates(found: RouteIndex, route: tables.Route) -> list[views.Upstream]:
+    """List the upstreams that may run a route's requests.
+
+    Parameters
+    ----------
+    found
+        The index; rebuilt if the view changed.
+    route
+        A route, possibly of an earlier view.
+
+    Returns
+    -------
+    list of Upstream
+        Those not leaving that are placed for it; not to be changed.
+    """
+    _refresh(found)
+    return found.carriers.get((route.service, route.model), [])
+
+
+def _refresh(found: RouteIndex) -> None:
+    view = found.view
+    if found.index == view.index:
+        return
+    found.index = view.index
+    routes = view.tables.routes
+    found.models = {
+        route.model: route
+        for route in routes
+        if route.kind == tables.RouteKind.MODEL
+    }
+    services = (r for r in routes if r.kind == tables.RouteKind.SERVICE)
+    found.services = tuple(sorted(services, key=lambda r: -len(r.path_prefix)))
+    found.carriers = _carriers(view)
+
+
+def _carriers(view: views.View) -> dict:
+    carriers = collections.defaultdict(list)
+    for upstream_id in sorted(view.upstreams):
+        upstream = view.upstreams[upstream_id]
+        if upstream.leaving:
+            continue
+        for model in _models_of(view, upstream):
+            carriers[upstream.service, model].append(upstream)
+    return dict(carriers)
+
+
+def _models_of(view: views.View, upstream: views.Upstream) -> list[str]:
+    if upstream.kind == views.UpstreamKind.SERVICE:
+        return [""]
+    placed = view.placements.get(upstream.upstream_id)
+    return [place.model for place in placed.replicas] if placed else []
--- a/bilberryramp/decisions/tables.py
+++ b/bilberryramp/decisions/tables.py
@@ -12,7 +12,10 @@
     "RouteKind",
     "StaleRule",
     "Tables",
+    "TablesChange",
     "check",
+    "compare",
+    "merge",
 ]
 
 
@@ -129,6 +132,67 @@
     expected: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TablesChange:
+    """What leads from one pair of tables to the next.
+
+    Attributes
+    ----------
+    removed
+        Names of routes that are gone.
+    routes
+        Routes that are new or have changed.
+    pools
+        All pools, since there are few.
+    """
+
+    removed: tuple[str, ...]
+    routes: tuple[Route, ...]
+    pools: tuple[Pool, ...]
+
+
+def compare(old: Tables, new: Tables) -> TablesChange:
+    """Find what changed between two pairs of tables.
+
+    Parameters
+    ----------
+    old, new
+        Sound tables.
+
+    Returns
+    -------
+    TablesChange
+        For `merge`.
+    """
+    before = {route.name: route for route in old.routes}
+    after = {route.name for route in new.routes}
+    changed = (r for r in new.routes if before.get(r.name) != r)
+    removed = tuple(name for name in before if name not in after)
+    return TablesChange(removed, tuple(changed), new.pools)
+
+
+def merge(old: Tables, change: TablesChange) -> Tables:
+    """Apply a change.
+
+    Parameters
+    ----------
+    old
+        The tables it was made against.
+    change
+        From `compare`.
+
+    Returns
+    -------
+    Tables
+        The new tables; the order of routes may differ.
+    """
+    routes = {route.name: route for route in old.routes}
+    for name in change.removed:
+        routes.pop(name, None)
+    routes.update((route.name, route) for route in change.routes)
+    return Tables(tuple(routes.values()), change.pools)
+
+
 def check(tables: Tables) -> Iterator[Problem]:
     """Find what is wrong with tables, without looking at upstreams.
 
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -13,6 +13,7 @@
     errors,
     ledger,
     model_orders,
+    route_index,
     routing,
     shutdown,
     subscription,
@@ -103,12 +104,14 @@
 
 
 def entry(view=None, policy="least_loaded", **changes) -> entry_calls.Entry:
+    view = view or view_with()
     return entry_calls.Entry(
         cfg=entry_calls.EntrySettings("e1", policy=policy, **changes),
         chart=bound("request", entry_calls),
         rng=random.Random(1),
-        view=view or view_with(),
+        view=view,
         policy=routing.make_policy(policy),
+        index=route_index.RouteIndex(view),
         fresh=True,
     )
 
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -330,7 +330,8 @@
                 result = self.commit(message.command)
                 reply = feed_messages.AskReply(message.ask_id, result)
                 self.to_process(name, node, reply)
-        wanted = membership.on_tick(self.members, self.now, self.view)
+        change = self.branch.last_change
+        wanted = membership.on_tick(self.members, self.now, self.view, change)
         for command in list(wanted):
             self.commit(command)
         told = feed.on_tick(self.branch, self.now, self.view, lambda _: True)
--- a/bilberryramp/decisions/tests/test_control_state.py
+++ b/bilberryramp/decisions/tests/test_control_state.py
@@ -131,22 +131,26 @@
         report = msgs.UpstreamReport(builders.upstream())
         digest = msgs.Digest("c2", ("u1",), (report,))
         membership.on_digest(members, 1000, digest)
-        joined = list(membership.on_tick(members, 1000, view))
+        joined = list(membership.on_tick(members, 1000, view, view.index))
         self.assertEqual(joined, [commands.JoinUpstream(report.upstream)])
         builders.apply_to(view, joined[0])
         silent = 1000 + membership.FORGET_MS + 1
-        gone = list(membership.on_tick(members, silent, view))
+        gone = list(membership.on_tick(members, silent, view, view.index))
         self.assertEqual(gone, [commands.RemoveUpstream("u1", "u1-a")])
         builders.apply_to(view, gone[0])
         membership.on_digest(members, silent + 500, digest)
-        back = list(membership.on_tick(members, silent + 500, view))
+        back = list(
+            membership.on_tick(members, silent + 500, view, view.index)
+        )
         self.assertEqual(back, joined)
 
     def test_new_leader_waits_before_it_forgets(self):
         view = builders.view_with()
         members = membership.start_term(view, 50_000)
         early = 50_000 + membership.FORGET_MS
-        self.assertEqual(list(membership.on_tick(members, early, view)), [])
+        self.assertEqual(
+            list(membership.on_tick(members, early, view, view.index)), []
+        )
 
     def test_operators_drain_holds_against_reports(self):
         view = builders.view_with()
@@ -154,6 +158,6 @@
         members = membership.start_term(view, 0)
         report = msgs.UpstreamReport(builders.upstream())
         membership.on_digest(members, 0, msgs.Digest("c", (), (report,)))
-        told = list(membership.on_tick(members, 1000, view))
+        told = list(membership.on_tick(members, 1000, view, view.index))
         joins = [c for c in told if isinstance(c, commands.JoinUpstream)]
         self.assertEqual(joins, [])
--- a/bilberryramp/decisions/views.py
+++ b/bilberryramp/decisions/views.py
@@ -20,9 +20,6 @@
     "Upstream",
     "UpstreamKind",
     "View",
-    "candidates",
-    "find_model_route",
-    "find_service_route",
 ]
 
 
@@ -156,82 +153,3 @@
     quarantine: dict[str, QuarantineRecord] = dataclasses.field(
         default_factory=dict
     )
-
-
-def find_model_route(view: View, model: str) -> tables.Route | None:
-    """Find the route that carries a model.
-
-    Parameters
-    ----------
-    view
-        The view in force.
-    model
-        The model name a caller sent.
-
-    Returns
-    -------
-    Route or None
-        None when no route names the model.
-    """
-    for route in view.tables.routes:
-        if route.kind == tables.RouteKind.MODEL and route.model == model:
-            return route
-    return None
-
-
-def find_service_route(view: View, path: str) -> tables.Route | None:
-    """Find the service route with the longest prefix of a path.
-
-    Parameters
-    ----------
-    view
-        The view in force.
-    path
-        The path of a caller's request.
-
-    Returns
-    -------
-    Route or None
-        None when no route matches.
-    """
-    matches = (
-        route
-        for route in view.tables.routes
-        if route.kind == tables.RouteKind.SERVICE
-        and path.startswith(route.path_prefix)
-    )
-    return max(matches, key=lambda r: len(r.path_prefix), default=None)
-
-
-def candidates(view: View, route: tables.Route) -> list[Upstream]:
-    """List the upstreams that may run a route's requests.
-
-    Parameters
-    ----------
-    view
-        The view in force.
-    route
-        A route of its tables.
-
-    Returns
-    -------
-    list of Upstream
-        Those not leaving that are placed for it, in order of their names.
-    """
-    found = [
-        upstream
-        for upstream in view.upstreams.values()
-        if upstream.service == route.service
-        and not upstream.leaving
-        and _carries(view, upstream, route)
-    ]
-    return sorted(found, key=lambda upstream: upstream.upstream_id)
-
-
-def _carries(view: View, upstream: Upstream, route: tables.Route) -> bool:
-    if route.kind == tables.RouteKind.SERVICE:
-        return upstream.kind == UpstreamKind.SERVICE
-    placed = view.placements.get(upstream.upstream_id)
-    if placed is None:
-        return False
-    return any(replica.model == route.model for replica in placed.replicas)
--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -7,6 +7,7 @@
 from bilberryramp.decisions import (
     entry_calls,
     links,
+    route_index,
     routing,
     shutdown,
     subscription,
@@ -72,6 +73,7 @@
         rng=random.Random(),
         view=sub.view,
         policy=routing.make_policy(cfg.policy),
+        index=route_index.RouteIndex(sub.view),
     )
     stop = shutdown.Shutdown(
         chart=launch.bind_chart("shutdown", shutdown),
--- a/bilberryramp/tasks/control_node.py
+++ b/bilberryramp/tasks/control_node.py
@@ -35,6 +35,7 @@
 
 TICK_MS = 20
 DIGEST_MS = 500
+MEMBERS_MS = 100
 STOP_GRACE_MS = 300
 _PERSISTED = msgs.PersistEntries | msgs.PersistHardState | msgs.PersistSnapshot
 
@@ -97,6 +98,7 @@
     operators: dict[str, asyncio.Future] = dataclasses.field(
         default_factory=dict
     )
+    members_due_ms: int = 0
     digest_due_ms: int = 0
     digest_whole: bool = True
     stop_at_ms: int = 0
@@ -142,7 +144,7 @@
         recovered.entries,
     )
     branch = feed.Feed(cfg.replica_id)
-    feed.note_restored(branch, replica.applied_index)
+    feed.note_restored(branch, replica.state.view)
     router, peers = _open_sockets(cfg)
     box = mailbox.Mailbox(limit=8192)
     return ControlNode(cfg, replica, branch, disk, box, router, peers)
@@ -214,9 +216,13 @@
 
 def _on_tick(node: ControlNode, now_ms: int, tick: msgs.Tick) -> Iterator:
     yield from _step(node, now_ms, tick)
-    if node.members is not None:
+    if node.members is not None and now_ms >= node.members_due_ms:
+        node.members_due_ms = now_ms + MEMBERS_MS
         wanted = membership.on_tick(
-            node.members, now_ms, node.replica.state.view
+            node.members,
+            now_ms,
+            node.replica.state.view,
+            node.feed.last_change,
         )
         for command in list(wanted):
             yield from _step(node, now_ms, msgs.Propose("", "", command))
@@ -252,7 +258,7 @@
             )
             _log_applied(effect)
         elif isinstance(effect, msgs.Restored):
-            feed.note_restored(node.feed, effect.index)
+            feed.note_restored(node.feed, node.replica.state.view)
         elif isinstance(effect, msgs.LeaderChanged):
             _on_leader_changed(node, now_ms, effect)
         else:
@@ -277,21 +283,26 @@
     if persisted:
         await asyncio.to_thread(journal.write, node.disk, persisted)
         _log_snapshots(persisted)
+    # A change goes to every follower: it is encoded once.
+    encoded: dict[int, bytes] = {}
     for effect in wanted:
         if isinstance(effect, effects.Send):
-            await _send(node, effect)
+            message = effect.message
+            data = encoded.get(id(message))
+            if data is None:
+                data = encoded[id(message)] = codec.encode(message)
+            await _send(node, effect.to, data)
         elif isinstance(effect, msgs.Answer):
             await _answer(node, effect)
 
 
-async def _send(node: ControlNode, effect: effects.Send) -> None:
-    data = codec.encode(effect.message)
-    peer = node.peers.get(effect.to)
+async def _send(node: ControlNode, to: str, data: bytes) -> None:
+    peer = node.peers.get(to)
     try:
         if peer is not None:
             await peer.send(data, zmq.NOBLOCK)
         else:
-            parts = [effect.to.encode(), data]
+            parts = [to.encode(), data]
             await node.router.send_multipart(parts, zmq.NOBLOCK)
     except zmq.Again:
         return
@@ -300,7 +311,7 @@
 async def _answer(node: ControlNode, answer: msgs.Answer) -> None:
     if answer.origin:
         reply = feed_messages.AskReply(answer.ask_id, answer.result)
-        await _send(node, effects.Send(answer.origin, reply))
+        await _send(node, answer.origin, codec.encode(reply))
         return
     fut = node.operators.pop(answer.ask_id, None)
     if fut is not None and not fut.done():
