Replicas follow demand; workloads in virtual time and over HTTP

Change: beats carry busy requests by model, replicas sum them on the way to the leader, and the plan gets targets with a margin and two waiting times; a new leader starts from what is placed. bilberry-load runs one workload file over HTTP (open loop, from the intended start) or against the decisions in virtual time; example tables of both deployments; changes that come together are pushed as one message.

--- a/bilberryramp/decisions/__init__.py
+++ b/bilberryramp/decisions/__init__.py
@@ -11,6 +11,7 @@
     "charting",
     "commands",
     "control_state",
+    "demand",
     "effects",
     "entry_calls",
     "errors",
--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -4,6 +4,7 @@
 each request follows ``charts/request.yaml``.
 """
 
+import collections
 import dataclasses
 import random
 from collections.abc import Iterator
@@ -44,6 +45,7 @@
     "actions",
     "guards",
     "step",
+    "waiting_by_model",
 ]
 
 DEADLINE_TOKEN = 0
@@ -342,6 +344,27 @@
     yield from _HANDLERS[type(message)](entry, now_ms, message)
 
 
+def waiting_by_model(entry: Entry) -> dict[str, int]:
+    """Count the requests of each model that no upstream has taken.
+
+    Parameters
+    ----------
+    entry
+        The entry.
+
+    Returns
+    -------
+    dict
+        Requests by model.
+    """
+    models = (
+        call.route.model
+        for call in entry.calls.values()
+        if not call.attempt_id
+    )
+    return dict(collections.Counter(model for model in models if model))
+
+
 # Arrival.
 
 
--- a/bilberryramp/decisions/feed.py
+++ b/bilberryramp/decisions/feed.py
@@ -30,6 +30,7 @@
     "note_restored",
     "on_beat",
     "on_tick",
+    "push",
     "take_digest",
 ]
 
@@ -48,6 +49,7 @@
     report: msgs.UpstreamReport | None = None
     report_passed_on: bool = False
     beaten: bool = False
+    busy: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,8 +66,8 @@
         Entries that changed the view, oldest first.
     history_after
         Every change after this index is in `history`.
-    last_change
-        Index of the newest change.
+    last_change, pushed
+        Index of the newest change, and of the newest one passed on.
     tables
         Tables as last passed on, for sending only what changes.
     waiting
@@ -83,6 +85,7 @@
     )
     history_after: int = 0
     last_change: int = 0
+    pushed: int = 0
     tables: tables.Tables = tables.Tables()
     waiting: dict[str, None] = dataclasses.field(default_factory=dict)
     pruned_ms: int = 0
@@ -110,6 +113,7 @@
     known.index = beat.index
     known.beat_sent_ms = beat.sent_ms
     known.beaten = True
+    known.busy = beat.busy
     feed.waiting[beat.sender] = None
     if known.probe < 0:
         known.probe = probe
@@ -152,10 +156,8 @@
             yield effects.Send(name, _catch_up(feed, subscriber, view))
 
 
-def note_applied(
-    feed: Feed, entry: control_state.Entry, result
-) -> Iterator[effects.Send]:
-    """Push an applied entry to every follower if it changed the view.
+def note_applied(feed: Feed, entry: control_state.Entry, result) -> None:
+    """Keep an applied entry for the followers if it changed the view.
 
     Parameters
     ----------
@@ -163,25 +165,47 @@
         Changed in place.
     entry, result
         The entry and the result of applying it.
-
-    Yields
-    ------
-    Send
-        A `Delta` for each follower.
     """
     if not control_state.changes_view(result, entry.command):
         return
     entry = _for_followers(feed, entry)
-    after = feed.last_change
     feed.history.append(entry)
     feed.last_change = entry.index
     if len(feed.history) > MAX_HISTORY:
         feed.history_after = feed.history.popleft().index
-    push = msgs.Delta(feed.replica_id, after, (entry,))
+
+
+def push(feed: Feed) -> Iterator[effects.Send]:
+    """Pass new changes on, all that came together in one message.
+
+    Parameters
+    ----------
+    feed
+        Changed in place.
+
+    Yields
+    ------
+    Send
+        A `Delta` for each follower that lacks a change; followers at the
+        same index share one message.
+    """
+    if feed.pushed == feed.last_change:
+        return
+    feed.pushed = feed.last_change
+    deltas: dict[int, msgs.Delta] = {}
     for name, subscriber in feed.subscribers.items():
-        if subscriber.index >= after:
-            subscriber.index = entry.index
-            yield effects.Send(name, push)
+        at = subscriber.index
+        if not feed.history_after <= at < feed.last_change:
+            continue
+        if at not in deltas:
+            entries = _entries_after(feed, at)
+            deltas[at] = msgs.Delta(feed.replica_id, at, entries)
+        subscriber.index = feed.last_change
+        yield effects.Send(name, deltas[at])
+
+
+def _entries_after(feed: Feed, index: int) -> tuple[control_state.Entry, ...]:
+    return tuple(entry for entry in feed.history if entry.index > index)
 
 
 def note_restored(feed: Feed, view: views.View) -> None:
@@ -196,7 +220,7 @@
     """
     feed.history.clear()
     feed.history_after = view.index
-    feed.last_change = view.index
+    feed.last_change = feed.pushed = view.index
     feed.tables = view.tables
 
 
@@ -231,7 +255,10 @@
     alive = tuple(
         subscriber.report.upstream.upstream_id for _, subscriber in with_report
     )
-    return msgs.Digest(feed.replica_id, alive, tuple(due))
+    busy: collections.Counter[str] = collections.Counter()
+    for subscriber in feed.subscribers.values():
+        busy.update(subscriber.busy)
+    return msgs.Digest(feed.replica_id, alive, tuple(due), dict(busy))
 
 
 def _for_followers(feed: Feed, entry: control_state.Entry):
@@ -257,7 +284,7 @@
     if subscriber.index < feed.history_after:
         subscriber.index = view.index
         return msgs.WholeView(feed.replica_id, view, sent_ms, want)
-    missing = tuple(e for e in feed.history if e.index > subscriber.index)
+    missing = _entries_after(feed, subscriber.index)
     after = subscriber.index
     subscriber.index = max(subscriber.index, feed.last_change)
     return msgs.Delta(feed.replica_id, after, missing, sent_ms, want)
--- a/bilberryramp/decisions/feed_messages.py
+++ b/bilberryramp/decisions/feed_messages.py
@@ -45,12 +45,15 @@
         Log index of the sender's view; -1 while it has none.
     report
         Sent when it changed or control asked for it; None else.
+    busy
+        Requests running or waiting here, by model; zeros left out.
     """
 
     sender: str
     sent_ms: int
     index: int
     report: UpstreamReport | None = None
+    busy: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -97,11 +100,14 @@
         Upstreams that sent a beat since the last digest.
     reports
         Reports that changed or are new to this leader.
+    busy
+        Sum of the followers' busy requests, by model.
     """
 
     sender: str
     alive: tuple[str, ...]
     reports: tuple[UpstreamReport, ...]
+    busy: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/membership.py
+++ b/bilberryramp/decisions/membership.py
@@ -1,12 +1,20 @@
 """The leader's watch over upstreams, and the commands it calls for."""
 
+import collections
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import commands, feed_messages, placement, views
+from bilberryramp.decisions import (
+    commands,
+    demand,
+    feed_messages,
+    placement,
+    views,
+)
 
 __all__ = [
     "FORGET_MS",
+    "OBSERVE_MS",
     "PROPOSAL_PAUSE_MS",
     "Membership",
     "Seen",
@@ -18,6 +26,7 @@
 
 FORGET_MS = 5000
 PROPOSAL_PAUSE_MS = 300
+OBSERVE_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,16 +50,33 @@
     reports
         Counts reports, to tell whether any is new.
     planned_for
-        Change index and report count of the last plan without changes.
+        Change index, report count and targets of the last plan that
+        changed nothing.
+    busy
+        Busy requests by model, as each control replica last told them.
+    watch
+        What demand calls for; None where replicas follow the routes only.
+    targets
+        Replicas by model that it called for last.
+    observe_due_ms
+        When demand is looked at next.
     """
 
     seen: dict[str, Seen] = dataclasses.field(default_factory=dict)
     quiet_until_ms: int = 0
     reports: int = 0
-    planned_for: tuple[int, int] = (-1, -1)
-
-
-def start_term(view: views.View, now_ms: int) -> Membership:
+    planned_for: tuple = ()
+    busy: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
+    watch: demand.Watch | None = None
+    targets: dict[str, int] = dataclasses.field(default_factory=dict)
+    observe_due_ms: int = 0
+
+
+def start_term(
+    view: views.View,
+    now_ms: int,
+    demand_cfg: demand.DemandSettings | None = None,
+) -> Membership:
     """Begin a leader's watch, counting each known upstream as just seen.
 
     Parameters
@@ -59,6 +85,8 @@
         The view in force.
     now_ms
         The leader's clock in milliseconds.
+    demand_cfg
+        How replicas follow demand; None if they do not.
 
     Returns
     -------
@@ -66,7 +94,14 @@
         Without reports yet.
     """
     seen = {upstream_id: Seen(now_ms) for upstream_id in view.upstreams}
-    return Membership(seen, now_ms + PROPOSAL_PAUSE_MS)
+    members = Membership(seen, now_ms + PROPOSAL_PAUSE_MS)
+    if demand_cfg is not None:
+        placed = _models_placed(view)
+        members.watch = demand.Watch(demand_cfg, placed)
+        members.targets = {m: d.replicas for m, d in placed.items()}
+    # Until the replicas have told what is busy, nothing is given up.
+    members.observe_due_ms = now_ms + FORGET_MS
+    return members
 
 
 def on_digest(
@@ -83,6 +118,7 @@
     digest
         The heartbeats.
     """
+    members.busy[digest.sender] = digest.busy
     for upstream_id in digest.alive:
         members.seen.setdefault(upstream_id, Seen(now_ms)).seen_ms = now_ms
     for report in digest.reports:
@@ -116,9 +152,11 @@
     if now_ms < members.quiet_until_ms:
         return
     wanted = list(_membership_changes(members, now_ms, view))
-    state = (change_index, members.reports)
+    _observe_demand(members, now_ms, view)
+    state = (change_index, members.reports, tuple(members.targets.values()))
     if not wanted and members.planned_for != state:
-        wanted = list(placement.plan(view, resident_places(members)))
+        resident = resident_places(members)
+        wanted = list(placement.plan(view, resident, members.targets))
         if not wanted:
             members.planned_for = state
     if wanted:
@@ -146,6 +184,30 @@
     }
 
 
+def _models_placed(view: views.View) -> dict[str, demand.ModelDemand]:
+    """Start from the replicas there are: a new leader moves nothing."""
+    counts = collections.Counter(
+        place.model
+        for placed in view.placements.values()
+        for place in placed.replicas
+    )
+    return {
+        model: demand.ModelDemand(count) for model, count in counts.items()
+    }
+
+
+def _observe_demand(members: Membership, now_ms: int, view) -> None:
+    if members.watch is None or now_ms < members.observe_due_ms:
+        return
+    members.observe_due_ms = now_ms + OBSERVE_MS
+    busy: collections.Counter[str] = collections.Counter()
+    for told in members.busy.values():
+        busy.update(told)
+    members.targets = demand.observe(
+        members.watch, now_ms, view.tables, busy, len(view.upstreams)
+    )
+
+
 def _membership_changes(members, now_ms, view) -> Iterator:
     for upstream_id, seen in list(members.seen.items()):
         known = view.upstreams.get(upstream_id)
--- a/bilberryramp/decisions/placement.py
+++ b/bilberryramp/decisions/placement.py
@@ -7,6 +7,7 @@
 
 import bisect
 import dataclasses
+import types
 from collections.abc import Iterator, Mapping
 
 from bilberryramp.decisions import commands, tables, views
@@ -67,8 +68,9 @@
 def plan(
     view: views.View,
     resident: Resident,
+    targets: Mapping[str, int] = types.MappingProxyType({}),
 ) -> Iterator[commands.PlaceReplicas]:
-    """Yield the placement changes that the tables call for.
+    """Yield the placement changes that tables and demand call for.
 
     Parameters
     ----------
@@ -78,6 +80,8 @@
         Replicas confirmed resident, by upstream id and model; a replica
         on an upstream that leaves is given up only once enough others are
         resident elsewhere.
+    targets
+        Replicas wanted by model, where that is more than the route's.
 
     Yields
     ------
@@ -86,9 +90,14 @@
     """
     board = _board_of(view, resident)
     _drop_unrouted(board, view.tables)
-    for route in _largest_first(view.tables):
-        _fill(board, route)
-        _retire_surplus(board, route)
+    routes = _largest_first(view.tables)
+    for route in routes:
+        _retire_surplus(board, route, targets.get(route.model, 0))
+    # Every model gets its least before demand gets more.
+    for route in routes:
+        _fill(board, route, route.replicas)
+    for route in routes:
+        _fill(board, route, targets.get(route.model, 0))
     yield from _changes(board, view)
 
 
@@ -110,7 +119,7 @@
     board = _board_of(view, {})
     _drop_unrouted(board, wanted)
     for route in _largest_first(wanted):
-        _fill(board, route, most=1)
+        _fill(board, route, 1)
         if not _holders(board, route):
             yield _shortfall(board, route)
 
@@ -191,8 +200,7 @@
     ]
 
 
-def _fill(board: _Board, route: tables.Route, most: int = 0) -> None:
-    target = most or route.replicas
+def _fill(board: _Board, route: tables.Route, target: int) -> None:
     while len(_holders(board, route)) < target:
         place = _best_place(board, route)
         if place is None:
@@ -263,7 +271,8 @@
     return all(free[n] >= held.memory_mib for n in held.accelerators)
 
 
-def _retire_surplus(board: _Board, route) -> None:
+def _retire_surplus(board: _Board, route, target: int) -> None:
+    target = max(target, route.replicas)
     leaving = [
         upstream_id
         for upstream_id in board.holders.get(route.model, ())
@@ -271,11 +280,11 @@
     ]
     staying = _holders(board, route)
     ready = [u for u in staying if route.model in board.resident.get(u, ())]
-    if len(ready) >= route.replicas:
+    if len(ready) >= target:
         for upstream_id in leaving:
             _take(board, upstream_id, route.model)
-    spare = len(staying) - route.replicas
-    for upstream_id in reversed(ready[route.replicas :]):
+    spare = len(staying) - target
+    for upstream_id in reversed(ready[target:]):
         if spare > 0:
             _take(board, upstream_id, route.model)
             spare -= 1
--- a/bilberryramp/decisions/subscription.py
+++ b/bilberryramp/decisions/subscription.py
@@ -58,6 +58,8 @@
         Position of the one in use.
     view
         The view followed.
+    busy
+        Requests here by model, set by the owner before each beat.
     answered_ms
         When the last answered beat was sent, on the own clock.
     """
@@ -76,6 +78,7 @@
     report: msgs.UpstreamReport | None = None
     report_due: bool = True
     behind: bool = False
+    busy: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def new_subscription(
@@ -124,7 +127,7 @@
         sub.report_due = True
     report = sub.report if sub.report_due else None
     sub.behind = False
-    beat = msgs.Beat(sub.name, now_ms, sub.index, report)
+    beat = msgs.Beat(sub.name, now_ms, sub.index, report, sub.busy)
     yield effects.Send(sub.controls[sub.at], beat)
 
 
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -351,7 +351,8 @@
     def commit(self, command):
         entry = control_state.Entry(1, self.view.index + 1, command)
         result = control_state.apply(self.control, entry)
-        self.push(feed.note_applied(self.branch, entry, result))
+        feed.note_applied(self.branch, entry, result)
+        self.push(feed.push(self.branch))
         return result
 
     def push(self, told):
--- a/bilberryramp/decisions/tests/test_control_state.py
+++ b/bilberryramp/decisions/tests/test_control_state.py
@@ -2,10 +2,12 @@
 
 from bilberryramp.decisions import (
     commands,
+    demand,
     errors,
     membership,
     once_records,
     placement,
+    tables,
 )
 from bilberryramp.decisions import feed_messages as msgs
 from bilberryramp.decisions.tests import builders
@@ -161,3 +163,65 @@
         told = list(membership.on_tick(members, 1000, view, view.index))
         joins = [c for c in told if isinstance(c, commands.JoinUpstream)]
         self.assertEqual(joins, [])
+
+
+class DemandTest(unittest.TestCase):
+    cfg = demand.DemandSettings(
+        busy_target=4.0, raise_after_ms=2000, lower_after_ms=60_000
+    )
+
+    def follow(self, watch, *samples):
+        wanted = builders.both_tables(builders.route())
+        told = {}
+        for now_ms, busy in samples:
+            told = demand.observe(watch, now_ms, wanted, {"m1": busy}, 8)
+        return told["m1"]
+
+    def test_a_peak_must_last_before_a_replica_is_added(self):
+        watch = demand.Watch(self.cfg)
+        self.assertEqual(self.follow(watch, (0, 20), (1000, 20)), 1)
+        self.assertEqual(self.follow(watch, (2000, 20)), 5)
+        short = demand.Watch(self.cfg)
+        peaks = ((0, 20), (1000, 1), (2000, 20), (3000, 20))
+        self.assertEqual(self.follow(short, *peaks), 1)
+
+    def test_replicas_are_given_up_only_after_long_quiet(self):
+        watch = demand.Watch(self.cfg, {"m1": demand.ModelDemand(5)})
+        self.assertEqual(self.follow(watch, (0, 1), (59_000, 1)), 5)
+        self.assertEqual(self.follow(watch, (60_000, 1)), 1)
+
+    def test_new_leader_moves_nothing_at_once(self):
+        view = builders.view_with(("u1", "u2"))
+        routes = builders.both_tables(builders.route())
+        builders.apply_to(
+            view,
+            commands.ChangeTables("ann", tables.compare(view.tables, routes)),
+        )
+        members = membership.start_term(view, 0, self.cfg)
+        held = (builders.place(),)
+        reports = tuple(
+            msgs.UpstreamReport(view.upstreams[u], held) for u in ("u1", "u2")
+        )
+        digest = msgs.Digest("c1", ("u1", "u2"), reports)
+        told = []
+        for now_ms in range(0, 30_000, 1000):
+            membership.on_digest(members, now_ms, digest)
+            told += membership.on_tick(members, now_ms, view, view.index)
+        self.assertEqual(told, [])
+
+    def test_busy_model_gets_another_replica(self):
+        view = builders.view_with(("u1",))
+        free = builders.upstream("u2")
+        builders.apply_to(view, commands.JoinUpstream(free))
+        members = membership.start_term(view, 0, self.cfg)
+        held = (builders.place(),)
+        reports = (
+            msgs.UpstreamReport(view.upstreams["u1"], held),
+            msgs.UpstreamReport(free),
+        )
+        digest = msgs.Digest("c1", ("u1", "u2"), reports, {"m1": 9})
+        told = []
+        for now_ms in range(0, 12_000, 1000):
+            membership.on_digest(members, now_ms, digest)
+            told += membership.on_tick(members, now_ms, view, view.index)
+        self.assertEqual(told[0].upstream_id, "u2")
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -5,6 +5,7 @@
 `model_orders`; the planned stop is in `shutdown`.
 """
 
+import collections
 import dataclasses
 from collections.abc import Iterator
 
@@ -37,6 +38,7 @@
     "UpstreamState",
     "ViewNoted",
     "Work",
+    "busy_by_model",
     "report_of",
     "step",
 ]
@@ -239,6 +241,23 @@
     return upstream, model_orders.resident_places(state.orders)
 
 
+def busy_by_model(state: UpstreamState) -> dict[str, int]:
+    """Count the requests of each model that run or wait.
+
+    Parameters
+    ----------
+    state
+        The upstream process.
+
+    Returns
+    -------
+    dict
+        Requests by model; a plain service has none.
+    """
+    models = (work.dispatch.model for work in state.works.values())
+    return dict(collections.Counter(model for model in models if model))
+
+
 # Frames.
 
 
--- /dev/null
+++ b/bilberryramp/loadgen/outcomes.py
@@ -0,0 +1,86 @@
+"""What became of a workload's requests."""
+
+import dataclasses
+
+from hdrh import histogram
+
+from bilberryramp.loadgen import workload
+
+__all__ = ["Outcomes", "add", "attained_share", "new_outcomes", "p95_ms"]
+
+_HIGHEST_US = 3_600_000_000
+
+
+@dataclasses.dataclass(slots=True)
+class Outcomes:
+    """Counts and latencies of one run.
+
+    Attributes
+    ----------
+    first_token, between_tokens
+        HdrHistograms in microseconds, from the intended start.
+    moves
+        Replicas placed after the first placement.
+    """
+
+    load: workload.Workload
+    first_token: histogram.HdrHistogram
+    between_tokens: histogram.HdrHistogram
+    offered: int = 0
+    attained: int = 0
+    refused: int = 0
+    failed: int = 0
+    moves: int = 0
+
+
+def new_outcomes(load: workload.Workload) -> Outcomes:
+    """Start counting.
+
+    Parameters
+    ----------
+    load
+        The workload, for its targets.
+
+    Returns
+    -------
+    Outcomes
+        All zero.
+    """
+    return Outcomes(
+        load,
+        histogram.HdrHistogram(1, _HIGHEST_US, 3),
+        histogram.HdrHistogram(1, _HIGHEST_US, 3),
+    )
+
+
+def add(
+    outcomes: Outcomes, first_token_ms: float, between_tokens_ms: float
+) -> None:
+    """Count a request that was answered.
+
+    Parameters
+    ----------
+    outcomes
+        Changed in place.
+    first_token_ms
+        From the intended start to the first token.
+    between_tokens_ms
+        Mean time between tokens.
+    """
+    load = outcomes.load
+    outcomes.first_token.record_value(max(int(first_token_ms * 1e3), 1))
+    outcomes.between_tokens.record_value(max(int(between_tokens_ms * 1e3), 1))
+    outcomes.attained += (
+        first_token_ms <= load.first_token_ms
+        and between_tokens_ms <= load.between_tokens_ms
+    )
+
+
+def attained_share(outcomes: Outcomes) -> float:
+    """Return the part of all requests offered that met both targets."""
+    return outcomes.attained / max(outcomes.offered, 1)
+
+
+def p95_ms(found: histogram.HdrHistogram) -> float:
+    """Return the 95th percentile in milliseconds."""
+    return found.get_value_at_percentile(95.0) / 1e3
--- /dev/null
+++ b/bilberryramp/loadgen/tests/test_loadgen.py
@@ -0,0 +1,106 @@
+import pathlib
+import tempfile
+import unittest
+
+from bilberryramp.loadgen import (
+    outcomes,
+    report,
+    scenarios,
+    virtual,
+    workload,
+)
+from bilberryramp.loadgen.tests import builders
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
+
+def run(policy=None, load=None, events=(), seed=1, **changes):
+    load = load or builders.load()
+    policy = policy or virtual.PolicySettings()
+    made = virtual.new_run(builders.plan(**changes), policy, load, seed)
+    return virtual.run(made, load, seed, events)
+
+
+class WorkloadTest(unittest.TestCase):
+    def count(self, stream, first_s, last_s):
+        load = builders.load(stream, duration_s=1000.0)
+        found = workload.arrivals(load, 1)
+        return sum(first_s <= a.at_s < last_s for a in found)
+
+    def test_same_seed_gives_the_same_requests(self):
+        load = builders.load()
+        first = list(workload.arrivals(load, 7))
+        self.assertEqual(first, list(workload.arrivals(load, 7)))
+        self.assertNotEqual(first, list(workload.arrivals(load, 8)))
+        starts = [arrival.at_s for arrival in first]
+        self.assertEqual(starts, sorted(starts))
+
+    def test_burst_and_shift_change_the_rate_tenfold(self):
+        burst = builders.stream(
+            shape=workload.Shape.BURST, start_s=500.0, length_s=100.0
+        )
+        inside = self.count(burst, 500, 600)
+        outside = self.count(burst, 300, 400)
+        self.assertAlmostEqual(inside / outside, 10, delta=2.5)
+        shift = builders.stream(
+            shape=workload.Shape.SHIFT, start_s=200.0, length_s=300.0
+        )
+        before = self.count(shift, 0, 200)
+        after = self.count(shift, 500, 700)
+        self.assertAlmostEqual(after / before, 10, delta=2.5)
+
+
+class VirtualTest(unittest.TestCase):
+    def test_quiet_load_is_attained_without_moves(self):
+        told = run()
+        self.assertGreater(told.offered, 80)
+        self.assertEqual(told.attained, told.offered)
+        self.assertEqual((told.moves, told.refused), (0, 0))
+
+    def test_same_seed_gives_the_same_outcome(self):
+        first, second = run(), run()
+        self.assertEqual(
+            (first.attained, outcomes.p95_ms(first.first_token)),
+            (second.attained, outcomes.p95_ms(second.first_token)),
+        )
+
+    def test_replicas_follow_demand(self):
+        heavy = builders.load(
+            builders.stream(requests_per_s=6.0, answer_tokens=200)
+        )
+        static = run(virtual.PolicySettings(follow_demand=False), heavy,
+                     models=("m1", "m2", "m3", "m4"))  # fmt: skip
+        ours = run(load=heavy, models=("m1", "m2"))
+        self.assertGreater(ours.attained, static.attained)
+        self.assertGreater(ours.moves, 0)
+
+    def test_lost_domain_fails_over(self):
+        events = (
+            virtual.Event(20, lambda r: virtual.lose_domain(r, "a")),
+            virtual.Event(40, lambda r: virtual.return_domain(r, "a")),
+        )
+        told = run(events=events)
+        self.assertGreater(told.moves, 0)
+        self.assertGreater(outcomes.attained_share(told), 0.6)
+        ended = told.first_token.get_total_count()
+        self.assertEqual(ended + told.refused + told.failed, told.offered)
+
+    def test_every_scenario_of_both_deployments_can_be_made(self):
+        for name in scenarios.DEPLOYMENTS:
+            plan = scenarios.read_deployment(name, EXAMPLES / name)
+            for scenario in scenarios.SCENARIOS:
+                made = scenarios.make(plan, scenario, 1)
+                self.assertTrue(made.load.streams)
+
+
+class ReportTest(unittest.TestCase):
+    def test_report_is_read_again_and_plotted(self):
+        made = report.make("a", run())
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "a.json"
+            report.write(made, path)
+            self.assertEqual(report.read(path), made)
+            picture = pathlib.Path(folder) / "a.png"
+            report.plot([made, made], picture)
+            self.assertGreater(picture.stat().st_size, 1000)
+        self.assertIn("| a |", report.compare([made]))
--- /dev/null
+++ b/bilberryramp/loadgen/virtual.py
@@ -0,0 +1,622 @@
+"""Runs a workload against the decisions in virtual time.
+
+Entries, upstream processes, control's state machine, demand and placement
+are the real decisions; engines are a small model of continuous batching.
+Frames and view changes take no time here; load reports lag, because an
+entry sees them only on frames it receives.
+"""
+
+import collections
+import dataclasses
+import heapq
+import random
+from collections.abc import Callable
+
+from bilberryramp.charts import loader
+from bilberryramp.decisions import (
+    admission,
+    call_messages,
+    charting,
+    commands,
+    control_state,
+    demand,
+    effects,
+    entry_calls,
+    errors,
+    placement,
+    route_index,
+    routing,
+    upstream_work,
+    views,
+)
+from bilberryramp.loadgen import deployment, outcomes, workload
+
+__all__ = [
+    "Event",
+    "PolicySettings",
+    "VirtualRun",
+    "lose_domain",
+    "new_run",
+    "return_domain",
+    "run",
+    "submit",
+]
+
+ENTRIES = 3
+DEMAND_INTERVAL_MS = 1000
+WALL_MS = 1_000_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PolicySettings:
+    """What is switched on in a run.
+
+    Attributes
+    ----------
+    routing
+        A key of `routing.POLICIES`.
+    follow_demand
+        Whether replicas follow demand, else the first placement stays and
+        spare memory is filled evenly with further replicas.
+    fair
+        Whether queues share between pools.
+    demand_cfg
+        In place of the deployment's settings, if not None.
+    boundless
+        Whether every engine holds every model: the bound.
+    """
+
+    routing: str = "affinity"
+    follow_demand: bool = True
+    fair: bool = True
+    demand_cfg: demand.DemandSettings | None = None
+    boundless: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Event:
+    """Something that happens to the deployment in mid-run."""
+
+    at_s: float
+    act: Callable[["VirtualRun"], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    """A request on an engine; work in seconds of an engine alone."""
+
+    arrival: workload.Arrival
+    start: upstream_work.StartRun
+    first_at: float
+    done_at: float
+    first_ms: float = -1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Engine:
+    """Continuous batching: all requests advance at one shared speed.
+
+    Attributes
+    ----------
+    work
+        Work done for each request present since the start, in seconds.
+    due
+        Requests by the work at which their next event is due.
+    turn
+        Outdates events that were planned before the crowd changed.
+    """
+
+    state: upstream_work.UpstreamState
+    up: bool = True
+    loading: set[str] = dataclasses.field(default_factory=set)
+    held: set[str] = dataclasses.field(default_factory=set)
+    prefixes: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    jobs: dict[str, _Job] = dataclasses.field(default_factory=dict)
+    due: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    work: float = 0.0
+    seen_ms: float = 0.0
+    turn: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class VirtualRun:
+    """State of a run; times in milliseconds from its start."""
+
+    plan: deployment.Deployment
+    policy: PolicySettings
+    control: control_state.ControlState
+    engines: dict[str, _Engine]
+    entries: list[entry_calls.Entry]
+    told: outcomes.Outcomes
+    watch: demand.Watch
+    rng: random.Random
+    now_ms: float = 0.0
+    serial: int = 0
+    loads: int = 0
+    queue: list[tuple] = dataclasses.field(default_factory=list)
+    arrivals: dict[str, workload.Arrival] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def new_run(
+    plan: deployment.Deployment,
+    policy: PolicySettings,
+    load: workload.Workload,
+    seed: int,
+) -> VirtualRun:
+    """Prepare a run with every model placed and loaded.
+
+    Parameters
+    ----------
+    plan, policy, load
+        Hardware, policy and workload.
+    seed
+        For arrivals and random choices.
+
+    Returns
+    -------
+    VirtualRun
+        For `run`.
+    """
+    state = control_state.ControlState()
+    rng = random.Random(seed)
+    chart = charting.bind(
+        loader.load("request"), entry_calls.guards, entry_calls.actions
+    )
+    entries = [
+        entry_calls.Entry(
+            cfg=entry_calls.EntrySettings(f"e{number}", policy.routing),
+            chart=chart,
+            rng=random.Random(f"{seed}/e{number}"),
+            view=state.view,
+            policy=routing.make_policy(policy.routing),
+            index=route_index.RouteIndex(state.view),
+            fresh=True,
+        )
+        for number in range(ENTRIES)
+    ]
+    watch = demand.Watch(policy.demand_cfg or plan.demand_cfg)
+    told = outcomes.new_outcomes(load)
+    run_ = VirtualRun(plan, policy, state, {}, entries, told, watch, rng)
+    for group in plan.groups:
+        _add_engines(run_, group)
+    submit(run_, plan.tables)
+    _place(run_, at_once=True)
+    if not (policy.follow_demand or policy.boundless):
+        _fill_evenly(run_)
+    run_.told.moves = 0
+    return run_
+
+
+def run(
+    run_: VirtualRun, load: workload.Workload, seed: int, events=()
+) -> outcomes.Outcomes:
+    """Run to the end of the workload and until all requests have ended.
+
+    Parameters
+    ----------
+    run_
+        From `new_run`.
+    load, seed
+        As for `new_run`.
+    events
+        Faults and changes in mid-run.
+
+    Returns
+    -------
+    Outcomes
+        What became of the requests.
+    """
+    for arrival in workload.arrivals(load, seed):
+        _at(run_, arrival.at_s * 1e3, _arrive, arrival)
+    for event in events:
+        _at(run_, event.at_s * 1e3, lambda r, e: e.act(r), event)
+    _at(run_, DEMAND_INTERVAL_MS, _watch_demand, load.duration_s * 1e3)
+    while run_.queue:
+        run_.now_ms, _, act, argument = heapq.heappop(run_.queue)
+        act(run_, argument)
+    return run_.told
+
+
+def submit(run_: VirtualRun, wanted) -> None:
+    """Put tables in force.
+
+    Parameters
+    ----------
+    run_
+        Changed in place.
+    wanted
+        The tables.
+    """
+    run_.serial += 1
+    command = commands.SubmitTables(
+        f"s{run_.serial}", "run", run_.control.view.version, wanted
+    )
+    result = _commit(run_, command)
+    if isinstance(result, commands.SubmitRefused):
+        raise errors.BilberryError(str(result.problems[0]))
+
+
+def lose_domain(run_: VirtualRun, domain: str) -> None:
+    """Crash every engine of a failure domain.
+
+    Parameters
+    ----------
+    run_
+        Changed in place.
+    domain
+        Its name.
+    """
+    for upstream_id, engine in run_.engines.items():
+        upstream = engine.state.upstream
+        if upstream.failure_domain != domain:
+            continue
+        _catch_up(run_, engine)
+        engine.up = engine.state.engine_up = False
+        engine.held.clear()
+        for attempt_id in list(engine.jobs):
+            _end_job(run_, engine, attempt_id, crashed=True)
+        command = commands.RemoveUpstream(upstream_id, upstream.incarnation)
+        _at(run_, run_.now_ms + 5000, _forget, command)
+
+
+def return_domain(run_: VirtualRun, domain: str) -> None:
+    """Bring the engines of a failure domain back, empty.
+
+    Parameters
+    ----------
+    run_
+        Changed in place.
+    domain
+        Its name.
+    """
+    for engine in run_.engines.values():
+        if engine.state.upstream.failure_domain == domain:
+            engine.up = engine.state.engine_up = True
+            _commit(run_, commands.JoinUpstream(engine.state.upstream))
+    _place(run_)
+
+
+def _forget(run_: VirtualRun, command) -> None:
+    _commit(run_, command)
+    _place(run_)
+
+
+def _at(run_: VirtualRun, at_ms: float, act: Callable, argument) -> None:
+    run_.serial += 1
+    heapq.heappush(run_.queue, (at_ms, run_.serial, act, argument))
+
+
+# Control.
+
+
+def _commit(run_: VirtualRun, command):
+    entry = control_state.Entry(1, run_.control.view.index + 1, command)
+    return control_state.apply(run_.control, entry)
+
+
+def _add_engines(run_: VirtualRun, group: deployment.EngineGroup) -> None:
+    memory = 10**9 if run_.policy.boundless else group.memory_mib
+    domains = group.failure_domains
+    for number in range(group.engines):
+        upstream = views.Upstream(
+            f"{group.service}-{number}",
+            "a",
+            "",
+            group.service,
+            views.UpstreamKind.ENGINE,
+            domains[number % len(domains)],
+            group.accelerators,
+            memory,
+            run_.plan.speed.slots,
+        )
+        queue = admission.Queue(run_.plan.queue_limit, run_.policy.fair)
+        state = upstream_work.UpstreamState(
+            upstream, run_.control.view, queue, None
+        )
+        state.fresh = state.engine_up = True
+        run_.engines[upstream.upstream_id] = _Engine(state)
+        _commit(run_, commands.JoinUpstream(upstream))
+
+
+def _place(run_: VirtualRun, at_once: bool = False) -> None:
+    view = run_.control.view
+    targets = {}
+    if run_.policy.boundless:
+        most = len(run_.engines)
+        targets = {r.model: most for r in view.tables.routes}
+    elif run_.policy.follow_demand:
+        targets = {m: d.replicas for m, d in run_.watch.models.items()}
+    for change in list(placement.plan(view, _resident(run_), targets)):
+        _commit(run_, change)
+        _load_placed(run_, change.upstream_id, at_once)
+
+
+def _fill_evenly(run_: VirtualRun) -> None:
+    """Give every model one more replica in turn, as long as any fits."""
+    routes = run_.control.view.tables.routes
+    for replicas in range(2, len(run_.engines) + 1):
+        targets = {route.model: replicas for route in routes}
+        view = run_.control.view
+        for change in list(placement.plan(view, _resident(run_), targets)):
+            _commit(run_, change)
+            _load_placed(run_, change.upstream_id, at_once=True)
+
+
+def _resident(run_: VirtualRun) -> dict:
+    return {
+        upstream_id: {
+            place.model: place
+            for place in _placed(run_, upstream_id)
+            if place.model in engine.held
+        }
+        for upstream_id, engine in run_.engines.items()
+    }
+
+
+def _placed(run_: VirtualRun, upstream_id: str):
+    placed = run_.control.view.placements.get(upstream_id)
+    return placed.replicas if placed else ()
+
+
+def _load_placed(run_: VirtualRun, upstream_id: str, at_once: bool) -> None:
+    engine = run_.engines[upstream_id]
+    wanted = {place.model for place in _placed(run_, upstream_id)}
+    engine.held &= wanted
+    for model in sorted(wanted - engine.held - engine.loading):
+        run_.told.moves += 1
+        if at_once:
+            engine.held.add(model)
+            continue
+        engine.loading.add(model)
+        run_.loads += 1
+        slow = max(run_.loads / run_.plan.loads_at_once, 1.0)
+        done_ms = run_.now_ms + run_.plan.load_s * slow * 1e3
+        _at(run_, done_ms, _loaded, (upstream_id, model))
+
+
+def _loaded(run_: VirtualRun, what: tuple[str, str]) -> None:
+    upstream_id, model = what
+    engine = run_.engines[upstream_id]
+    engine.loading.discard(model)
+    run_.loads -= 1
+    wanted = {place.model for place in _placed(run_, upstream_id)}
+    if engine.up and model in wanted:
+        engine.held.add(model)
+
+
+def _watch_demand(run_: VirtualRun, until_ms: float) -> None:
+    busy: collections.Counter = collections.Counter()
+    for engine in run_.engines.values():
+        for work in engine.state.works.values():
+            busy[work.dispatch.model] += 1
+    for entry in run_.entries:
+        for call in entry.calls.values():
+            if not call.attempt_id:
+                busy[call.route.model] += 1
+    demand.observe(
+        run_.watch,
+        int(run_.now_ms),
+        run_.control.view.tables,
+        busy,
+        len(run_.engines),
+    )
+    if run_.policy.follow_demand:
+        _place(run_)
+    if run_.now_ms < until_ms:
+        _at(run_, run_.now_ms + DEMAND_INTERVAL_MS, _watch_demand, until_ms)
+
+
+# Requests.
+
+
+def _arrive(run_: VirtualRun, arrival: workload.Arrival) -> None:
+    run_.serial += 1
+    request_id = f"r{run_.serial}"
+    run_.arrivals[request_id] = arrival
+    run_.told.offered += 1
+    request = entry_calls.CallerRequest(
+        request_id=request_id,
+        model=arrival.model,
+        method="POST",
+        path="/v1/completions",
+        body=b"",
+        once_key="",
+        repeat_never=False,
+        deadline_ms=60_000,
+        fingerprint=request_id,
+        affinity_key=f"{arrival.model}/{arrival.prefix}",
+        tokens=arrival.prompt_tokens + arrival.answer_tokens,
+        traceparent="",
+    )
+    entry = run_.rng.choice(run_.entries)
+    message = entry_calls.CallArrived(request, WALL_MS)
+    _entry_step(run_, entry, message)
+
+
+def _entry_step(run_: VirtualRun, entry, message) -> None:
+    told = entry_calls.step(entry, int(run_.now_ms), message)
+    for effect in list(told):
+        _perform_entry(run_, entry, effect)
+
+
+def _perform_entry(run_: VirtualRun, entry, effect) -> None:
+    if isinstance(effect, effects.Send):
+        _to_engine(run_, entry, effect)
+    elif isinstance(effect, effects.SetTimer):
+        fired = entry_calls.TimerFired(effect.key, effect.token)
+        _at(run_, effect.due_ms, _entry_timer, (entry, fired))
+    elif isinstance(effect, entry_calls.AskControl):
+        result = _commit(run_, effect.command)
+        answer = entry_calls.ControlAnswered(effect.ask_id, result)
+        _entry_step(run_, entry, answer)
+    elif isinstance(effect, entry_calls.CallEnded):
+        _count_end(run_, effect)
+
+
+def _entry_timer(run_: VirtualRun, what: tuple) -> None:
+    entry, fired = what
+    if fired.key in entry.calls:
+        _entry_step(run_, entry, fired)
+
+
+def _count_end(run_: VirtualRun, ended: entry_calls.CallEnded) -> None:
+    run_.arrivals.pop(ended.request_id, None)
+    if ended.failure is None:
+        return
+    if ended.failure.outcome == errors.Outcome.NOT_RUN:
+        run_.told.refused += 1
+    else:
+        run_.told.failed += 1
+
+
+def _to_engine(run_: VirtualRun, entry, send: effects.Send) -> None:
+    engine = run_.engines[send.to]
+    frame = send.message
+    if isinstance(frame, call_messages.Dispatch):
+        refusal = _engine_refusal(engine, frame)
+        if refusal is not None:
+            refused = call_messages.Refused(
+                frame.attempt_id, refusal, 0, _load(engine)
+            )
+            arrived = entry_calls.FrameArrived(send.to, refused)
+            _entry_step(run_, entry, arrived)
+            return
+    sender = entry.cfg.name
+    message = upstream_work.FrameArrived(sender, frame)
+    _engine_step(run_, engine, message)
+
+
+def _engine_refusal(engine: _Engine, frame) -> errors.CallFailure | None:
+    if engine.up and frame.model not in engine.held:
+        code = errors.FailureCode.NOT_RESIDENT
+        return errors.call_failure(code, "the model is not resident")
+    return None
+
+
+def _load(engine: _Engine) -> call_messages.Load:
+    state = engine.state
+    waiting = admission.length(state.queue)
+    return call_messages.Load(state.running, waiting, state.upstream.slots)
+
+
+def _engine_step(run_: VirtualRun, engine: _Engine, message) -> None:
+    told = upstream_work.step(engine.state, int(run_.now_ms), message)
+    for effect in list(told):
+        if isinstance(effect, effects.Send):
+            entry = run_.entries[int(effect.to[1:])]
+            upstream_id = engine.state.upstream.upstream_id
+            arrived = entry_calls.FrameArrived(upstream_id, effect.message)
+            _entry_step(run_, entry, arrived)
+        elif isinstance(effect, upstream_work.StartRun):
+            _start_job(run_, engine, effect)
+        elif isinstance(effect, upstream_work.CancelRun):
+            if effect.attempt_id in engine.jobs:
+                _catch_up(run_, engine)
+                _end_job(run_, engine, effect.attempt_id, cancelled=True)
+        elif isinstance(effect, effects.SetTimer):
+            fired = upstream_work.TimerFired(effect.key, effect.token)
+            _at(run_, effect.due_ms, _engine_timer, (engine, fired))
+
+
+def _engine_timer(run_: VirtualRun, what: tuple) -> None:
+    engine, fired = what
+    attempt_id = fired.key.removeprefix(upstream_work.QUEUE_WAIT_KEY)
+    if attempt_id in engine.state.works:
+        _engine_step(run_, engine, fired)
+
+
+# The engine.
+
+
+def _start_job(run_: VirtualRun, engine: _Engine, start) -> None:
+    _catch_up(run_, engine)
+    speed = run_.plan.speed
+    arrival = run_.arrivals[start.dispatch.request_id]
+    prefill_s = arrival.prompt_tokens / speed.prefill_tokens_per_s
+    if _prefix_hit(engine, speed, arrival):
+        prefill_s *= speed.cached_prefill
+    first_at = engine.work + prefill_s
+    answer_s = arrival.answer_tokens * speed.between_tokens_ms / 1e3
+    job = _Job(arrival, start, first_at, first_at + answer_s)
+    attempt_id = start.dispatch.attempt_id
+    engine.jobs[attempt_id] = job
+    heapq.heappush(engine.due, (job.first_at, attempt_id))
+    heapq.heappush(engine.due, (job.done_at, attempt_id))
+    _plan_next(run_, engine)
+
+
+def _prefix_hit(engine: _Engine, speed, arrival) -> bool:
+    key = (arrival.model, arrival.prefix)
+    hit = key in engine.prefixes
+    engine.prefixes[key] = None
+    engine.prefixes.move_to_end(key)
+    if len(engine.prefixes) > speed.cached_prefixes:
+        engine.prefixes.popitem(last=False)
+    return hit
+
+
+def _slowdown(run_: VirtualRun, engine: _Engine) -> float:
+    crowd = max(len(engine.jobs) - 1, 0)
+    return 1.0 + run_.plan.speed.crowding * crowd
+
+
+def _catch_up(run_: VirtualRun, engine: _Engine) -> None:
+    passed_s = (run_.now_ms - engine.seen_ms) / 1e3
+    if engine.jobs:
+        engine.work += passed_s / _slowdown(run_, engine)
+    engine.seen_ms = run_.now_ms
+
+
+def _plan_next(run_: VirtualRun, engine: _Engine) -> None:
+    engine.turn += 1
+    while engine.due and engine.due[0][1] not in engine.jobs:
+        heapq.heappop(engine.due)
+    if engine.due:
+        left_s = max(engine.due[0][0] - engine.work, 0.0)
+        at_ms = run_.now_ms + left_s * _slowdown(run_, engine) * 1e3
+        _at(run_, at_ms, _advance, (engine, engine.turn))
+
+
+def _advance(run_: VirtualRun, what: tuple) -> None:
+    engine, turn = what
+    if turn != engine.turn:
+        return
+    _catch_up(run_, engine)
+    due_work, attempt_id = heapq.heappop(engine.due)
+    engine.work = max(engine.work, due_work)
+    job = engine.jobs[attempt_id]
+    if job.first_ms < 0:
+        job.first_ms = run_.now_ms
+        _plan_next(run_, engine)
+        return
+    _count_whole(run_, job)
+    _end_job(run_, engine, attempt_id)
+
+
+def _count_whole(run_: VirtualRun, job: _Job) -> None:
+    first_ms = job.first_ms - job.arrival.at_s * 1e3
+    tokens = max(job.arrival.answer_tokens, 1)
+    outcomes.add(run_.told, first_ms, (run_.now_ms - job.first_ms) / tokens)
+
+
+def _end_job(run_, engine, attempt_id, crashed=False, cancelled=False):
+    job = engine.jobs.pop(attempt_id)
+    sender = job.start.sender
+    entry = run_.entries[int(sender[1:])]
+    failure = None
+    if crashed or cancelled:
+        code = errors.FailureCode.ENGINE_CRASHED
+        unknown = errors.Outcome.UNKNOWN
+        failure = errors.call_failure(code, "the engine went down", unknown)
+    else:
+        upstream_id = engine.state.upstream.upstream_id
+        head = call_messages.AnswerHead(attempt_id, 200, "text/plain")
+        arrived = entry_calls.FrameArrived(upstream_id, head)
+        _entry_step(run_, entry, arrived)
+    _plan_next(run_, engine)
+    ended = upstream_work.RunEnded(attempt_id, 0, failure, crashed)
+    _engine_step(run_, engine, ended)
--- a/bilberryramp/settings/reference.py
+++ b/bilberryramp/settings/reference.py
@@ -6,7 +6,7 @@
 import typing
 from collections.abc import Iterator
 
-from bilberryramp.decisions import tables
+from bilberryramp.decisions import demand, tables
 from bilberryramp.settings import schema
 
 __all__ = ["page"]
@@ -19,6 +19,7 @@
     (schema.ControlSettings, "`bilberry-control`"),
     (schema.CtlSettings, "`bilberryctl`"),
     (schema.StandinSettings, "`bilberry-standin`"),
+    (demand.DemandSettings, "`bilberry-control`: `demand`"),
     (schema.ControlReplica, "each of `controls` and `replicas`"),
     (schema.TelemetrySettings, "`telemetry`"),
 )
--- a/bilberryramp/settings/schema.py
+++ b/bilberryramp/settings/schema.py
@@ -1,8 +1,10 @@
 """The settings file of each program and the two tables' files."""
 
+from __future__ import annotations
+
 import dataclasses
 
-from bilberryramp.decisions import tables, views
+from bilberryramp.decisions import demand, tables, views
 
 __all__ = [
     "ControlReplica",
@@ -69,6 +71,9 @@
         As in `replication.ReplicaSettings`.
     snapshot_entries
         Log entries between snapshots.
+    demand
+        How eagerly replicas follow demand: fewer moves or more
+        attainment. Each control replica needs the same.
     """
 
     replica_id: str
@@ -79,6 +84,7 @@
     election_ms: int = 400
     lease_ms: int = 300
     snapshot_entries: int = 4000
+    demand: demand.DemandSettings = demand.DemandSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
 
 
--- a/bilberryramp/tasks/control_node.py
+++ b/bilberryramp/tasks/control_node.py
@@ -179,6 +179,7 @@
     now_ms = clock.now_ms()
     for message in batch:
         yield from _handle(node, now_ms, message)
+    yield from feed.push(node.feed)
 
 
 def _handle(node: ControlNode, now_ms: int, message) -> Iterator:
@@ -253,9 +254,7 @@
 def _step(node: ControlNode, now_ms: int, message) -> Iterator:
     for effect in replication.step(node.replica, now_ms, message):
         if isinstance(effect, msgs.Applied):
-            yield from feed.note_applied(
-                node.feed, effect.entry, effect.result
-            )
+            feed.note_applied(node.feed, effect.entry, effect.result)
             _log_applied(effect)
         elif isinstance(effect, msgs.Restored):
             feed.note_restored(node.feed, node.replica.state.view)
@@ -268,7 +267,9 @@
 def _on_leader_changed(node: ControlNode, now_ms: int, change) -> None:
     leads = change.phase == "leader"
     view = node.replica.state.view
-    node.members = membership.start_term(view, now_ms) if leads else None
+    node.members = None
+    if leads:
+        node.members = membership.start_term(view, now_ms, node.cfg.demand)
     node.digest_whole = True
     events.emit(
         events.ROLE_CHANGED,
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -197,6 +197,7 @@
 
 
 def _on_beat(router: Router, now_ms: int, _message) -> Iterator:
+    router.sub.busy = entry_calls.waiting_by_model(router.entry)
     yield from subscription.on_beat_due(router.sub, now_ms)
     for upstream_id, opened in list(router.open_links.items()):
         if now_ms - opened.used_ms > UNUSED_MS:
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -166,6 +166,7 @@
     if report != node.sub.report:
         node.sub.report = report
         node.sub.report_due = True
+    node.sub.busy = upstream_work.busy_by_model(node.state)
 
 
 async def _perform(node: UpstreamNode, effect) -> None:
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -139,8 +139,10 @@
     return time.perf_counter() - began
 
 
-async def steady(followers):
-    """Wait until placement has stopped changing."""
+async def steady(followers, least):
+    """Wait until the view is past an index and has stopped changing."""
+    while min(f.index for f in followers) < least:
+        await asyncio.sleep(0.2)
     last, since = None, time.monotonic()
     while time.monotonic() - since < 4:
         index = max(f.index for f in followers)
@@ -180,10 +182,10 @@
     }
     models = 2 * engines
     async with aiohttp.ClientSession() as session:
-        await steady(followers)
+        await steady(followers, engines)
         await submit(session, control, models, 0)
         await all_at(followers, 1)
-        await steady(followers)
+        await steady(followers, engines + 1)
         row = await reading(pids, followers)
         row["placed in force"] = min(f.index for f in followers)
         before = cpu_s(pids["control"]), cpu_s(pids["entry"])
