Keep a leader's own stall from looking like silence; keep ends of keys

Ruled out: a longer silence limit (a dead upstream would keep its models as long); a second message queue for beats.

Change: a pause of the watch itself does not count as silence; an entry repeats the end of a marked request until control has confirmed it, and a planned stop waits for that while control can be reached. Messages of entry and upstream process moved to modules of their own.

Conclusion: only time that was watched counts.

--- a/bilberryramp/decisions/__init__.py
+++ b/bilberryramp/decisions/__init__.py
@@ -14,6 +14,7 @@
     "demand",
     "effects",
     "entry_calls",
+    "entry_messages",
     "errors",
     "feed",
     "feed_messages",
@@ -32,6 +33,7 @@
     "shutdown",
     "subscription",
     "tables",
+    "upstream_messages",
     "upstream_work",
     "views",
 ]
--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -14,6 +14,7 @@
     charting,
     commands,
     effects,
+    entry_messages,
     errors,
     once_records,
     quarantine,
@@ -24,24 +25,9 @@
 )
 
 __all__ = [
-    "AskControl",
     "Call",
-    "CallArrived",
-    "CallEnded",
-    "CallerLeft",
-    "CallerRequest",
-    "ControlAnswered",
     "Entry",
     "EntrySettings",
-    "FrameArrived",
-    "FreshnessNoted",
-    "LinkFailed",
-    "LinkLost",
-    "ReplyChunk",
-    "ReplyEnd",
-    "ReplyFailure",
-    "ReplyHead",
-    "TimerFired",
     "actions",
     "guards",
     "step",
@@ -50,6 +36,7 @@
 
 DEADLINE_TOKEN = 0
 RECORD_MARGIN_MS = 5000
+MAX_UNCONFIRMED = 10_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -82,168 +69,6 @@
     credit_chunks: int = 64
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class CallerRequest:
-    """A caller's request, after its HTTP form was checked.
-
-    Attributes
-    ----------
-    request_id
-        Unique; shown to the caller.
-    model
-        The model asked for; empty for a service call.
-    method, path, body
-        As received.
-    once_key
-        The idempotency key, if the caller sent one.
-    repeat_never
-        Whether the caller forbids a second run; its route may, too.
-    deadline_ms
-        Time allowed in milliseconds; 0 for the route's own.
-    fingerprint
-        Digest of path and body.
-    affinity_key
-        Digest of the prompt's beginning; empty for none.
-    tokens
-        Estimated cost in tokens.
-    traceparent
-        W3C trace context of the entry's span.
-    """
-
-    request_id: str
-    model: str
-    method: str
-    path: str
-    body: bytes
-    once_key: str
-    repeat_never: bool
-    deadline_ms: int
-    fingerprint: str
-    affinity_key: str
-    tokens: int
-    traceparent: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class CallArrived:
-    """A caller sent a request; `wall_ms` is wall time in milliseconds."""
-
-    request: CallerRequest
-    wall_ms: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class CallerLeft:
-    """The caller closed its connection or reads too slowly."""
-
-    request_id: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ControlAnswered:
-    """Control answered an `AskControl`."""
-
-    ask_id: str
-    result: object
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class FrameArrived:
-    """A frame came from an upstream process."""
-
-    upstream_id: str
-    frame: object
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class LinkFailed:
-    """A link never opened: nothing queued on it was sent."""
-
-    upstream_id: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class LinkLost:
-    """A link broke: what was sent on it may or may not have arrived."""
-
-    upstream_id: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class TimerFired:
-    """A timer of `SetTimer` came due."""
-
-    key: str
-    token: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class FreshnessNoted:
-    """The view's freshness lease was gained or ran out."""
-
-    fresh: bool
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReplyHead:
-    """Start the answer to a caller."""
-
-    request_id: str
-    status: int
-    content_type: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReplyChunk:
-    """Pass a part of the answer on; `attempt_id` is to be credited."""
-
-    request_id: str
-    upstream_id: str
-    attempt_id: str
-    data: bytes
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReplyEnd:
-    """End the answer: it is whole."""
-
-    request_id: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReplyFailure:
-    """Tell the caller of a failure, or break off a begun answer."""
-
-    request_id: str
-    failure: errors.CallFailure
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class AskControl:
-    """Have control commit a command; the answer may get lost."""
-
-    ask_id: str
-    command: object
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class CallEnded:
-    """A request is over; for metrics and logs.
-
-    Attributes
-    ----------
-    took_ms
-        Time in the entry, in milliseconds.
-    """
-
-    request_id: str
-    route: str
-    phase: str
-    attempts: int
-    took_ms: int
-    failure: errors.CallFailure | None
-
-
 @dataclasses.dataclass(slots=True)
 class Call:
     """One request; `key`, `phase`, `timer` are its machine's.
@@ -267,7 +92,7 @@
     """
 
     entry: "Entry"
-    request: CallerRequest
+    request: entry_messages.CallerRequest
     route: tables.Route
     key: str
     began_ms: int
@@ -305,6 +130,8 @@
         Routes and upstreams of the view, arranged for lookups.
     retry_budget
         Retries after failures that are left.
+    unconfirmed
+        Ends of marked requests that control has not confirmed, by ask id.
     """
 
     cfg: EntrySettings
@@ -322,6 +149,7 @@
     own: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving: dict[str, str] = dataclasses.field(default_factory=dict)
     retry_budget: float = 0.0
+    unconfirmed: dict[str, object] = dataclasses.field(default_factory=dict)
 
 
 def step(entry: Entry, now_ms: int, message) -> Iterator:
@@ -368,12 +196,14 @@
 # Arrival.
 
 
-def _on_call(entry: Entry, now_ms: int, message: CallArrived) -> Iterator:
+def _on_call(
+    entry: Entry, now_ms: int, message: entry_messages.CallArrived
+) -> Iterator:
     request = message.request
     route = _find_route(entry, request)
     failure = _early_failure(entry, request, route, message.wall_ms)
     if route is None:
-        yield ReplyFailure(request.request_id, failure)
+        yield entry_messages.ReplyFailure(request.request_id, failure)
         return
     if not (request.repeat_never or route.repeat_never):
         request = dataclasses.replace(request, once_key="")
@@ -397,7 +227,7 @@
     yield from _fire(call, _first_event(call), now_ms)
 
 
-def _find_route(entry: Entry, request: CallerRequest):
+def _find_route(entry: Entry, request: entry_messages.CallerRequest):
     if request.model:
         return route_index.model_route(entry.index, request.model)
     return route_index.service_route(entry.index, request.path)
@@ -432,7 +262,7 @@
     return None
 
 
-def _no_route(request: CallerRequest) -> errors.CallFailure:
+def _no_route(request: entry_messages.CallerRequest) -> errors.CallFailure:
     if request.model:
         message = f"the model {request.model!r} does not exist"
         return errors.call_failure(errors.FailureCode.MODEL_NOT_FOUND, message)
@@ -570,7 +400,9 @@
 # Frames and links.
 
 
-def _on_frame(entry: Entry, now_ms: int, message: FrameArrived) -> Iterator:
+def _on_frame(
+    entry: Entry, now_ms: int, message: entry_messages.FrameArrived
+) -> Iterator:
     frame = message.frame
     _note_load(entry, message.upstream_id, frame)
     if isinstance(frame, call_messages.Pong):
@@ -631,14 +463,18 @@
     return errors.call_failure(code, message, errors.Outcome.UNKNOWN)
 
 
-def _on_link_lost(entry: Entry, now_ms: int, message: LinkLost) -> Iterator:
+def _on_link_lost(
+    entry: Entry, now_ms: int, message: entry_messages.LinkLost
+) -> Iterator:
     failure = _lost_failure("the connection to the upstream broke")
     for call in _calls_at(entry, message.upstream_id):
         _note_failure(call, failure)
         yield from _fire(call, "crashed", now_ms)
 
 
-def _on_link_failed(entry, now_ms: int, message: LinkFailed) -> Iterator:
+def _on_link_failed(
+    entry, now_ms: int, message: entry_messages.LinkFailed
+) -> Iterator:
     text = "the upstream cannot be reached"
     failure = errors.call_failure(errors.FailureCode.NO_UPSTREAM, text)
     for call in _calls_at(entry, message.upstream_id):
@@ -667,7 +503,7 @@
         at_ms=call.wall_ms,
         lease_ms=lease_ms,
     )
-    yield AskControl(call.key, command)
+    yield entry_messages.AskControl(call.key, command)
 
 
 def _record_key(call: Call) -> str:
@@ -677,7 +513,10 @@
 def _on_control_answer(entry, now_ms: int, message) -> Iterator:
     call = entry.calls.get(message.ask_id)
     result = message.result
-    if call is None or isinstance(result, commands.Unavailable):
+    if isinstance(result, commands.Unavailable):
+        return
+    entry.unconfirmed.pop(message.ask_id, None)
+    if call is None:
         return
     if isinstance(result, commands.OnceRefused):
         call.failure = _key_failure(result.code)
@@ -722,13 +561,13 @@
 def _release_record(call: Call, _now_ms: int, _payload) -> Iterator:
     if call.request.once_key:
         command = commands.ReleaseOnce(_record_key(call), call.key)
-        yield AskControl(f"{call.key}/release", command)
+        yield _tell_end(call, command)
 
 
 def _finish_unknown(call: Call, _now_ms: int, _payload) -> Iterator:
     if call.request.once_key:
         command = commands.FinishOnce(_record_key(call), call.key, False)
-        yield AskControl(f"{call.key}/finish", command)
+        yield _tell_end(call, command)
 
 
 def _finish_record(call: Call, _now_ms: int, _payload) -> Iterator:
@@ -740,7 +579,22 @@
             call.status, call.content_type, bytes(call.kept)
         )
     command = commands.FinishOnce(_record_key(call), call.key, True, answer)
-    yield AskControl(f"{call.key}/finish", command)
+    yield _tell_end(call, command)
+
+
+def _tell_end(call: Call, command) -> entry_messages.AskControl:
+    """Keep the command until control has confirmed it."""
+    ask_id = f"{call.key}/end"
+    waiting = call.entry.unconfirmed
+    waiting[ask_id] = command
+    if len(waiting) > MAX_UNCONFIRMED:
+        del waiting[next(iter(waiting))]
+    return entry_messages.AskControl(ask_id, command)
+
+
+def _on_remind(entry: Entry, _now_ms: int, _message) -> Iterator:
+    for ask_id, command in list(entry.unconfirmed.items()):
+        yield entry_messages.AskControl(ask_id, command)
 
 
 def _report_strike(call: Call, now_ms: int, _payload) -> Iterator:
@@ -748,7 +602,7 @@
     command = commands.ReportStrike(
         call.request.fingerprint, call.upstream_id, call.attempt_id, wall_ms
     )
-    yield AskControl(call.key, command)
+    yield entry_messages.AskControl(call.key, command)
 
 
 # Replies.
@@ -756,7 +610,7 @@
 
 def _reply_head(call: Call, _now_ms: int, frame) -> Iterator:
     call.status, call.content_type = frame.status, frame.content_type
-    yield ReplyHead(call.key, frame.status, frame.content_type)
+    yield entry_messages.ReplyHead(call.key, frame.status, frame.content_type)
 
 
 def _reply_chunk(call: Call, _now_ms: int, frame) -> Iterator:
@@ -764,18 +618,22 @@
     if call.request.once_key:
         room = once_records.MAX_ANSWER_BYTES + 1 - len(call.kept)
         call.kept += frame.data[: max(room, 0)]
-    yield ReplyChunk(call.key, call.upstream_id, call.attempt_id, frame.data)
+    yield entry_messages.ReplyChunk(
+        call.key, call.upstream_id, call.attempt_id, frame.data
+    )
 
 
 def _reply_end(call: Call, _now_ms: int, _frame) -> Iterator:
     call.failure = None
-    yield ReplyEnd(call.key)
+    yield entry_messages.ReplyEnd(call.key)
 
 
 def _reply_kept(call: Call, _now_ms: int, answer) -> Iterator:
-    yield ReplyHead(call.key, answer.status, answer.content_type)
-    yield ReplyChunk(call.key, "", "", answer.body)
-    yield ReplyEnd(call.key)
+    yield entry_messages.ReplyHead(
+        call.key, answer.status, answer.content_type
+    )
+    yield entry_messages.ReplyChunk(call.key, "", "", answer.body)
+    yield entry_messages.ReplyEnd(call.key)
 
 
 def _reply_failure(call: Call, _now_ms: int, _payload) -> Iterator:
@@ -783,7 +641,7 @@
     if call.may_have_run and failure.outcome == errors.Outcome.NOT_RUN:
         failure = dataclasses.replace(failure, outcome=errors.Outcome.UNKNOWN)
     call.failure = failure
-    yield ReplyFailure(call.key, failure)
+    yield entry_messages.ReplyFailure(call.key, failure)
 
 
 def _reply_deadline(call: Call, now_ms: int, payload) -> Iterator:
@@ -813,7 +671,9 @@
         yield from _fire(call, "caller_left", now_ms)
 
 
-def _on_timer(entry: Entry, now_ms: int, message: TimerFired) -> Iterator:
+def _on_timer(
+    entry: Entry, now_ms: int, message: entry_messages.TimerFired
+) -> Iterator:
     call = entry.calls.get(message.key)
     if call is None:
         return
@@ -841,7 +701,7 @@
     final = entry.chart.spec.states[call.phase].final
     if final and entry.calls.pop(call.key, None) is not None:
         yield from _end_attempt(call)
-        yield CallEnded(
+        yield entry_messages.CallEnded(
             call.key,
             call.route.name,
             call.phase,
@@ -885,12 +745,13 @@
 }
 
 _HANDLERS = {
-    CallArrived: _on_call,
-    CallerLeft: _on_caller_left,
-    ControlAnswered: _on_control_answer,
-    FrameArrived: _on_frame,
-    FreshnessNoted: _on_freshness,
-    LinkFailed: _on_link_failed,
-    LinkLost: _on_link_lost,
-    TimerFired: _on_timer,
+    entry_messages.CallArrived: _on_call,
+    entry_messages.CallerLeft: _on_caller_left,
+    entry_messages.ControlAnswered: _on_control_answer,
+    entry_messages.FrameArrived: _on_frame,
+    entry_messages.FreshnessNoted: _on_freshness,
+    entry_messages.LinkFailed: _on_link_failed,
+    entry_messages.LinkLost: _on_link_lost,
+    entry_messages.RemindControl: _on_remind,
+    entry_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/decisions/links.py
+++ b/bilberryramp/decisions/links.py
@@ -8,7 +8,11 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import call_messages, charting, entry_calls
+from bilberryramp.decisions import (
+    call_messages,
+    charting,
+    entry_messages,
+)
 
 __all__ = [
     "Link",
@@ -105,7 +109,7 @@
 
     Yields
     ------
-    Transmit, SetTimer, entry_calls.LinkLost, entry_calls.LinkFailed
+    Transmit, SetTimer, entry_messages.LinkLost, entry_messages.LinkFailed
         What follows from it.
     """
     event = _EVENTS[type(message)]
@@ -147,7 +151,7 @@
 
     Yields
     ------
-    Transmit, SetTimer, entry_calls.LinkLost, entry_calls.LinkFailed
+    Transmit, SetTimer, entry_messages.LinkLost, entry_messages.LinkFailed
         What follows from it.
     """
     yield from charting.fire_timer(link.chart, link, token, now_ms)
@@ -189,11 +193,11 @@
 
 
 def _tell_failed(link: Link, _now_ms: int, _payload) -> Iterator:
-    yield entry_calls.LinkFailed(link.upstream_id)
+    yield entry_messages.LinkFailed(link.upstream_id)
 
 
 def _tell_lost(link: Link, _now_ms: int, _payload) -> Iterator:
-    yield entry_calls.LinkLost(link.upstream_id)
+    yield entry_messages.LinkLost(link.upstream_id)
 
 
 guards: dict = {}
--- a/bilberryramp/decisions/membership.py
+++ b/bilberryramp/decisions/membership.py
@@ -16,6 +16,7 @@
     "FORGET_MS",
     "OBSERVE_MS",
     "PROPOSAL_PAUSE_MS",
+    "STALL_MS",
     "Membership",
     "Seen",
     "on_digest",
@@ -27,6 +28,7 @@
 FORGET_MS = 5000
 PROPOSAL_PAUSE_MS = 300
 OBSERVE_MS = 1000
+STALL_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +62,9 @@
         Replicas by model that it called for last.
     observe_due_ms
         When demand is looked at next.
+    ticked_ms
+        When the leader last looked; a pause longer than `STALL_MS` is its
+        own and not the upstreams' silence.
     """
 
     seen: dict[str, Seen] = dataclasses.field(default_factory=dict)
@@ -70,6 +75,7 @@
     watch: demand.Watch | None = None
     targets: dict[str, int] = dataclasses.field(default_factory=dict)
     observe_due_ms: int = 0
+    ticked_ms: int = 0
 
 
 def start_term(
@@ -95,6 +101,7 @@
     """
     seen = {upstream_id: Seen(now_ms) for upstream_id in view.upstreams}
     members = Membership(seen, now_ms + PROPOSAL_PAUSE_MS)
+    members.ticked_ms = now_ms
     if demand_cfg is not None:
         placed = _models_placed(view)
         members.watch = demand.Watch(demand_cfg, placed)
@@ -149,6 +156,7 @@
     command
         Joins and removals first; placements only when there are none.
     """
+    _forgive_stall(members, now_ms)
     if now_ms < members.quiet_until_ms:
         return
     wanted = list(_membership_changes(members, now_ms, view))
@@ -184,6 +192,14 @@
     }
 
 
+def _forgive_stall(members: Membership, now_ms: int) -> None:
+    pause_ms = now_ms - members.ticked_ms
+    if pause_ms > STALL_MS:
+        for seen in members.seen.values():
+            seen.seen_ms += pause_ms
+    members.ticked_ms = now_ms
+
+
 def _models_placed(view: views.View) -> dict[str, demand.ModelDemand]:
     """Start from the replicas there are: a new leader moves nothing."""
     counts = collections.Counter(
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -17,26 +17,13 @@
     model_orders,
     shutdown,
     tables,
+    upstream_messages,
     views,
 )
 
 __all__ = [
-    "CancelRun",
-    "EngineAnswered",
-    "EngineFound",
-    "EngineLost",
-    "FrameArrived",
-    "FreshnessNoted",
-    "GrantCredit",
     "QUEUE_WAIT_KEY",
-    "ReportDue",
-    "RunEnded",
-    "SenderLost",
-    "StartRun",
-    "StopAsked",
-    "TimerFired",
     "UpstreamState",
-    "ViewNoted",
     "Work",
     "busy_by_model",
     "report_of",
@@ -46,114 +33,6 @@
 QUEUE_WAIT_KEY = "queue/"
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class FrameArrived:
-    """A frame came from an entry."""
-
-    sender: str
-    frame: object
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class SenderLost:
-    """An entry has been silent too long; its attempts have no reader."""
-
-    sender: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class RunEnded:
-    """A run is over.
-
-    Attributes
-    ----------
-    chunks
-        How many chunks of the answer were sent.
-    failure
-        None when the answer is whole.
-    crashed
-        Whether the engine went down.
-    """
-
-    attempt_id: str
-    chunks: int
-    failure: errors.CallFailure | None
-    crashed: bool = False
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class EngineFound:
-    """The engine answered and told what it holds."""
-
-    report: model_orders.EngineReport
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class EngineLost:
-    """The engine does not answer."""
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class EngineAnswered:
-    """An order to the engine ended."""
-
-    order: model_orders.EngineOrder
-    outcome: model_orders.OrderOutcome
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ViewNoted:
-    """The view took in entries."""
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class FreshnessNoted:
-    """The view's freshness lease was gained or ran out."""
-
-    fresh: bool
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class StopAsked:
-    """A planned stop begins."""
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class TimerFired:
-    """A timer of `SetTimer` came due."""
-
-    key: str
-    token: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class StartRun:
-    """Run a request on the engine; `RunEnded` must follow."""
-
-    sender: str
-    dispatch: call_messages.Dispatch
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class CancelRun:
-    """Stop a run; `RunEnded` still follows."""
-
-    attempt_id: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class GrantCredit:
-    """Let a run send more chunks."""
-
-    attempt_id: str
-    chunks: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReportDue:
-    """Control should be told of a change at once."""
-
-
 @dataclasses.dataclass(slots=True)
 class Work:
     """An attempt that waits or runs.
@@ -268,7 +147,7 @@
     elif isinstance(frame, call_messages.Cancel):
         yield from _cancel(state, now_ms, frame.attempt_id)
     elif isinstance(frame, call_messages.Credit):
-        yield GrantCredit(frame.attempt_id, frame.chunks)
+        yield upstream_messages.GrantCredit(frame.attempt_id, frame.chunks)
     elif isinstance(frame, call_messages.Ping):
         yield effects.Send(message.sender, _pong(state))
 
@@ -394,7 +273,7 @@
         running[model] = running.get(model, 0) + 1
     work.running = True
     state.running += 1
-    yield StartRun(work.sender, work.dispatch)
+    yield upstream_messages.StartRun(work.sender, work.dispatch)
 
 
 def _on_run_ended(state: UpstreamState, now_ms: int, ended) -> Iterator:
@@ -421,7 +300,7 @@
     if work is None:
         return
     if work.running:
-        yield CancelRun(attempt_id)
+        yield upstream_messages.CancelRun(attempt_id)
         return
     admission.remove(state.queue, attempt_id)
     text = "cancelled before it ran"
@@ -451,7 +330,7 @@
     if work is None:
         return
     if work.running:
-        yield CancelRun(attempt_id)
+        yield upstream_messages.CancelRun(attempt_id)
         return
     admission.remove(state.queue, attempt_id)
     text = "the deadline passed in the queue"
@@ -470,14 +349,14 @@
         yield from model_orders.note_engine(state.orders, now_ms, found.report)
         yield from _follow_placement(state, now_ms)
     if came_back:
-        yield ReportDue()
+        yield upstream_messages.ReportDue()
     yield from _start_waiting(state)
 
 
 def _on_engine_lost(state: UpstreamState, _now_ms: int, _message) -> Iterator:
     if state.engine_up:
         state.engine_up = False
-        yield ReportDue()
+        yield upstream_messages.ReportDue()
 
 
 def _on_engine_answered(state, now_ms: int, message) -> Iterator:
@@ -507,7 +386,7 @@
 def _on_stop(state: UpstreamState, now_ms: int, _message) -> Iterator:
     yield from _refuse_all_waiting(state)
     yield from shutdown.ask(state.stop, now_ms)
-    yield ReportDue()
+    yield upstream_messages.ReportDue()
 
 
 def _refuse_all_waiting(state: UpstreamState) -> Iterator:
@@ -538,14 +417,14 @@
 
 
 _HANDLERS = {
-    FrameArrived: _on_frame,
-    SenderLost: _on_sender_lost,
-    RunEnded: _on_run_ended,
-    EngineFound: _on_engine_found,
-    EngineLost: _on_engine_lost,
-    EngineAnswered: _on_engine_answered,
-    ViewNoted: _on_view,
-    FreshnessNoted: _on_freshness,
-    StopAsked: _on_stop,
-    TimerFired: _on_timer,
+    upstream_messages.FrameArrived: _on_frame,
+    upstream_messages.SenderLost: _on_sender_lost,
+    upstream_messages.RunEnded: _on_run_ended,
+    upstream_messages.EngineFound: _on_engine_found,
+    upstream_messages.EngineLost: _on_engine_lost,
+    upstream_messages.EngineAnswered: _on_engine_answered,
+    upstream_messages.ViewNoted: _on_view,
+    upstream_messages.FreshnessNoted: _on_freshness,
+    upstream_messages.StopAsked: _on_stop,
+    upstream_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -22,10 +22,12 @@
     demand,
     effects,
     entry_calls,
+    entry_messages,
     errors,
     placement,
     route_index,
     routing,
+    upstream_messages,
     upstream_work,
     views,
 )
@@ -86,7 +88,7 @@
     """A request on an engine; work in seconds of an engine alone."""
 
     arrival: workload.Arrival
-    start: upstream_work.StartRun
+    start: upstream_messages.StartRun
     first_at: float
     done_at: float
     first_ms: float = -1.0
@@ -418,7 +420,7 @@
     request_id = f"r{run_.serial}"
     run_.arrivals[request_id] = arrival
     run_.told.offered += 1
-    request = entry_calls.CallerRequest(
+    request = entry_messages.CallerRequest(
         request_id=request_id,
         model=arrival.model,
         method="POST",
@@ -433,7 +435,7 @@
         traceparent="",
     )
     entry = run_.rng.choice(run_.entries)
-    message = entry_calls.CallArrived(request, WALL_MS)
+    message = entry_messages.CallArrived(request, WALL_MS)
     _entry_step(run_, entry, message)
 
 
@@ -447,13 +449,13 @@
     if isinstance(effect, effects.Send):
         _to_engine(run_, entry, effect)
     elif isinstance(effect, effects.SetTimer):
-        fired = entry_calls.TimerFired(effect.key, effect.token)
+        fired = entry_messages.TimerFired(effect.key, effect.token)
         _at(run_, effect.due_ms, _entry_timer, (entry, fired))
-    elif isinstance(effect, entry_calls.AskControl):
+    elif isinstance(effect, entry_messages.AskControl):
         result = _commit(run_, effect.command)
-        answer = entry_calls.ControlAnswered(effect.ask_id, result)
+        answer = entry_messages.ControlAnswered(effect.ask_id, result)
         _entry_step(run_, entry, answer)
-    elif isinstance(effect, entry_calls.CallEnded):
+    elif isinstance(effect, entry_messages.CallEnded):
         _count_end(run_, effect)
 
 
@@ -463,7 +465,7 @@
         _entry_step(run_, entry, fired)
 
 
-def _count_end(run_: VirtualRun, ended: entry_calls.CallEnded) -> None:
+def _count_end(run_: VirtualRun, ended: entry_messages.CallEnded) -> None:
     run_.arrivals.pop(ended.request_id, None)
     if ended.failure is None:
         return
@@ -482,11 +484,11 @@
             refused = call_messages.Refused(
                 frame.attempt_id, refusal, 0, _load(engine)
             )
-            arrived = entry_calls.FrameArrived(send.to, refused)
+            arrived = entry_messages.FrameArrived(send.to, refused)
             _entry_step(run_, entry, arrived)
             return
     sender = entry.cfg.name
-    message = upstream_work.FrameArrived(sender, frame)
+    message = upstream_messages.FrameArrived(sender, frame)
     _engine_step(run_, engine, message)
 
 
@@ -509,16 +511,16 @@
         if isinstance(effect, effects.Send):
             entry = run_.entries[int(effect.to[1:])]
             upstream_id = engine.state.upstream.upstream_id
-            arrived = entry_calls.FrameArrived(upstream_id, effect.message)
+            arrived = entry_messages.FrameArrived(upstream_id, effect.message)
             _entry_step(run_, entry, arrived)
-        elif isinstance(effect, upstream_work.StartRun):
+        elif isinstance(effect, upstream_messages.StartRun):
             _start_job(run_, engine, effect)
-        elif isinstance(effect, upstream_work.CancelRun):
+        elif isinstance(effect, upstream_messages.CancelRun):
             if effect.attempt_id in engine.jobs:
                 _catch_up(run_, engine)
                 _end_job(run_, engine, effect.attempt_id, cancelled=True)
         elif isinstance(effect, effects.SetTimer):
-            fired = upstream_work.TimerFired(effect.key, effect.token)
+            fired = upstream_messages.TimerFired(effect.key, effect.token)
             _at(run_, effect.due_ms, _engine_timer, (engine, fired))
 
 
@@ -615,8 +617,8 @@
     else:
         upstream_id = engine.state.upstream.upstream_id
         head = call_messages.AnswerHead(attempt_id, 200, "text/plain")
-        arrived = entry_calls.FrameArrived(upstream_id, head)
+        arrived = entry_messages.FrameArrived(upstream_id, head)
         _entry_step(run_, entry, arrived)
     _plan_next(run_, engine)
-    ended = upstream_work.RunEnded(attempt_id, 0, failure, crashed)
+    ended = upstream_messages.RunEnded(attempt_id, 0, failure, crashed)
     _engine_step(run_, engine, ended)
--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -77,7 +77,10 @@
     )
     stop = shutdown.Shutdown(
         chart=launch.bind_chart("shutdown", shutdown),
-        is_idle=lambda: not entry.calls,
+        # Ends not confirmed are waited for while control can be reached.
+        is_idle=lambda: (
+            not (entry.calls or (entry.fresh and entry.unconfirmed))
+        ),
     )
     return entry_router.Router(
         name=name,
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -14,6 +14,7 @@
     model_orders,
     shutdown,
     subscription,
+    upstream_messages,
     upstream_work,
     views,
 )
@@ -38,7 +39,7 @@
     door, address = _open_door(cfg.address)
     node = _new_node(cfg, door, address)
     launch.on_stop_signal(
-        lambda: mailbox.post_now(node.box, upstream_work.StopAsked())
+        lambda: mailbox.post_now(node.box, upstream_messages.StopAsked())
     )
     events.emit(events.STARTED, address=address)
     await upstream_node.run(node)
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -10,7 +10,12 @@
 from aiohttp import web
 from returns import result
 
-from bilberryramp.decisions import entry_calls, errors, tables, views
+from bilberryramp.decisions import (
+    entry_messages,
+    errors,
+    tables,
+    views,
+)
 from bilberryramp.settings import schema
 from bilberryramp.tasks import clock, entry_router, mailbox
 from bilberryramp.telemetry import metrics, tracing
@@ -157,12 +162,12 @@
         if isinstance(read, result.Failure):
             return _failure_response(request_id, read.failure())
         reply_box = mailbox.Mailbox()
-        arrived = entry_calls.CallArrived(read.unwrap(), clock.wall_ms())
+        arrived = entry_messages.CallArrived(read.unwrap(), clock.wall_ms())
         await mailbox.post(box, entry_router.NewCall(arrived, reply_box))
         try:
             return await _answer(cfg, box, request, request_id, reply_box)
         except (ConnectionError, TimeoutError, asyncio.CancelledError):
-            mailbox.post_now(box, entry_calls.CallerLeft(request_id))
+            mailbox.post_now(box, entry_messages.CallerLeft(request_id))
             _abort(request)
             raise
 
@@ -171,12 +176,12 @@
     response = None
     while True:
         for effect in await mailbox.take_all(reply_box):
-            if isinstance(effect, entry_calls.ReplyHead):
+            if isinstance(effect, entry_messages.ReplyHead):
                 response = _start_response(effect, request_id)
                 await response.prepare(request)
-            elif isinstance(effect, entry_calls.ReplyChunk):
+            elif isinstance(effect, entry_messages.ReplyChunk):
                 await _pass_on(cfg, box, response, effect)
-            elif isinstance(effect, entry_calls.ReplyEnd):
+            elif isinstance(effect, entry_messages.ReplyEnd):
                 await response.write_eof()
                 return response
             elif response is None:
@@ -186,14 +191,14 @@
                 return response
 
 
-async def _pass_on(cfg, box, response, chunk: entry_calls.ReplyChunk):
+async def _pass_on(cfg, box, response, chunk: entry_messages.ReplyChunk):
     limit_s = cfg.slow_reader_ms / 1000
     await asyncio.wait_for(response.write(chunk.data), limit_s)
     taken = entry_router.ChunkTaken(chunk.upstream_id, chunk.attempt_id)
     mailbox.post_now(box, taken)
 
 
-def _start_response(head: entry_calls.ReplyHead, request_id: str):
+def _start_response(head: entry_messages.ReplyHead, request_id: str):
     headers = {
         "Content-Type": head.content_type,
         "Bilberry-Request-Id": request_id,
@@ -267,7 +272,7 @@
             "ASCII characters"
         )
     return result.Success(
-        entry_calls.CallerRequest(
+        entry_messages.CallerRequest(
             request_id=request_id,
             model=prompt.model,
             method=request.method,
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -14,6 +14,7 @@
     charting,
     effects,
     entry_calls,
+    entry_messages,
     feed_messages,
     links,
     shutdown,
@@ -33,7 +34,7 @@
 class NewCall:
     """A request from the front end, with the mailbox for its answer."""
 
-    arrived: entry_calls.CallArrived
+    arrived: entry_messages.CallArrived
     reply_box: mailbox.Mailbox
 
 
@@ -192,13 +193,19 @@
     elif isinstance(message, feed_messages.WholeView):
         yield from subscription.on_whole_view(router.sub, now_ms, message)
     elif isinstance(message, feed_messages.AskReply):
-        answered = entry_calls.ControlAnswered(message.ask_id, message.result)
+        answered = entry_messages.ControlAnswered(
+            message.ask_id, message.result
+        )
         yield from entry_calls.step(router.entry, now_ms, answered)
+        yield from shutdown.note_idle(router.stop, now_ms)
 
 
 def _on_beat(router: Router, now_ms: int, _message) -> Iterator:
     router.sub.busy = entry_calls.waiting_by_model(router.entry)
     yield from subscription.on_beat_due(router.sub, now_ms)
+    remind = entry_messages.RemindControl()
+    yield from entry_calls.step(router.entry, now_ms, remind)
+    yield from shutdown.note_idle(router.stop, now_ms)
     for upstream_id, opened in list(router.open_links.items()):
         if now_ms - opened.used_ms > UNUSED_MS:
             yield from _on_link_event(
@@ -238,7 +245,7 @@
     index = getattr(event, "view_index", 0)
     if subscription.note_peer_index(router.sub, index):
         mailbox.post_now(router.box, BeatDue())
-    arrived = entry_calls.FrameArrived(message.upstream_id, event)
+    arrived = entry_messages.FrameArrived(message.upstream_id, event)
     yield from entry_calls.step(router.entry, now_ms, arrived)
 
 
@@ -260,7 +267,7 @@
             events.emit(
                 events.LINK_LOST,
                 upstream_id=effect.upstream_id,
-                opened=isinstance(effect, entry_calls.LinkLost),
+                opened=isinstance(effect, entry_messages.LinkLost),
             )
             yield from entry_calls.step(router.entry, now_ms, effect)
     if links.is_over(opened.link):
@@ -365,14 +372,14 @@
     if isinstance(effect, effects.Send):
         await _send(router, effect)
     elif isinstance(effect, effects.SetTimer):
-        mailbox.arm(router.box, effect, entry_calls.TimerFired)
-    elif isinstance(effect, entry_calls.AskControl):
+        mailbox.arm(router.box, effect, entry_messages.TimerFired)
+    elif isinstance(effect, entry_messages.AskControl):
         await _ask(router, effect)
-    elif isinstance(effect, entry_calls.CallEnded):
+    elif isinstance(effect, entry_messages.CallEnded):
         _on_call_ended(router, effect)
     elif isinstance(effect, subscription.FreshnessChanged):
         events.emit(events.FRESHNESS, fresh=effect.fresh)
-        noted = entry_calls.FreshnessNoted(effect.fresh)
+        noted = entry_messages.FreshnessNoted(effect.fresh)
         mailbox.post_now(router.box, noted)
     elif isinstance(effect, shutdown.NewWorkRefused):
         router.entry.stopping = True
@@ -383,10 +390,10 @@
 
 
 _REPLIES = (
-    entry_calls.ReplyHead
-    | entry_calls.ReplyChunk
-    | entry_calls.ReplyEnd
-    | entry_calls.ReplyFailure
+    entry_messages.ReplyHead
+    | entry_messages.ReplyChunk
+    | entry_messages.ReplyEnd
+    | entry_messages.ReplyFailure
 )
 
 
@@ -405,13 +412,12 @@
             mailbox.post_now(opened.outbox, sent.frame)
 
 
-async def _ask(router: Router, ask: entry_calls.AskControl) -> None:
+async def _ask(router: Router, ask: entry_messages.AskControl) -> None:
     # A question that was not answered goes to the next replica, which
     # passes it on to the leader.
     controls = router.sub.controls
     replica_id = controls[(router.sub.at + router.asks) % len(controls)]
-    if ask.ask_id in router.entry.calls:
-        router.asks += 1
+    router.asks += 1
     message = feed_messages.Ask(router.name, ask.ask_id, ask.command)
     await control_link.send(router.control, replica_id, message)
 
@@ -421,11 +427,13 @@
     if box is None:
         return
     mailbox.post_now(box, effect)
-    if isinstance(effect, entry_calls.ReplyEnd | entry_calls.ReplyFailure):
+    if isinstance(
+        effect, entry_messages.ReplyEnd | entry_messages.ReplyFailure
+    ):
         del router.reply_boxes[effect.request_id]
 
 
-def _on_call_ended(router: Router, ended: entry_calls.CallEnded) -> None:
+def _on_call_ended(router: Router, ended: entry_messages.CallEnded) -> None:
     router.reply_boxes.pop(ended.request_id, None)
     code = ended.failure.code if ended.failure else "ok"
     label = f'bilberry_calls{{route="{ended.route}",code="{code}"}}'
@@ -460,5 +468,5 @@
     LinkEvent: _on_link_event,
     LinkTimer: _on_link_timer,
     StopRouter: _on_stop,
-    entry_calls.TimerFired: _on_timer,
+    entry_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/tasks/upstream_engine.py
+++ b/bilberryramp/tasks/upstream_engine.py
@@ -11,7 +11,7 @@
     call_messages,
     errors,
     model_orders,
-    upstream_work,
+    upstream_messages,
     views,
 )
 from bilberryramp.tasks import clock, mailbox
@@ -59,7 +59,7 @@
         so a run that has not started is asked instead.
     """
 
-    start: upstream_work.StartRun
+    start: upstream_messages.StartRun
     credit: int
     credited: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     chunks: int = 0
@@ -93,9 +93,9 @@
             report = model_orders.EngineReport(
                 state.boot_id, state.models, asked_ms
             )
-            message = upstream_work.EngineFound(report)
+            message = upstream_messages.EngineFound(report)
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
-            message = upstream_work.EngineLost()
+            message = upstream_messages.EngineLost()
         await mailbox.post(box, message)
         await asyncio.sleep(WATCH_INTERVAL_S)
 
@@ -141,7 +141,7 @@
         outcome = model_orders.OrderOutcome.REFUSED
     except (aiohttp.ClientError, TimeoutError):
         pass
-    answered = upstream_work.EngineAnswered(wanted, outcome)
+    answered = upstream_messages.EngineAnswered(wanted, outcome)
     mailbox.post_now(box, answered)
 
 
@@ -194,7 +194,7 @@
         crashed = True
     except asyncio.CancelledError:
         failure = _unknown(errors.FailureCode.CALLER_LEFT, "cancelled")
-    ended = upstream_work.RunEnded(
+    ended = upstream_messages.RunEnded(
         dispatch.attempt_id, job.chunks, failure, crashed
     )
     mailbox.post_now(box, ended)
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -14,6 +14,7 @@
     model_orders,
     shutdown,
     subscription,
+    upstream_messages,
     upstream_work,
 )
 from bilberryramp.settings import schema
@@ -109,7 +110,7 @@
     elif isinstance(message, BeatDue):
         yield from _on_beat(node, now_ms)
     elif (
-        isinstance(message, upstream_work.TimerFired)
+        isinstance(message, upstream_messages.TimerFired)
         and message.key == node.sub.key
     ):
         yield from subscription.on_timer(node.sub, now_ms, message.token)
@@ -119,7 +120,7 @@
 
 
 def _note_engine(node: UpstreamNode, message) -> None:
-    if isinstance(message, upstream_work.EngineFound):
+    if isinstance(message, upstream_messages.EngineFound):
         if not node.state.engine_up:
             events.emit(events.ENGINE_FOUND, models=len(message.report.held))
     elif node.state.engine_up:
@@ -127,15 +128,15 @@
 
 
 def _note(node: UpstreamNode, now_ms: int, message) -> None:
-    if isinstance(message, upstream_work.FrameArrived):
+    if isinstance(message, upstream_messages.FrameArrived):
         node.heard_ms[message.sender] = now_ms
     elif isinstance(
-        message, upstream_work.EngineFound | upstream_work.EngineLost
+        message, upstream_messages.EngineFound | upstream_messages.EngineLost
     ):
         _note_engine(node, message)
-    elif isinstance(message, upstream_work.RunEnded):
+    elif isinstance(message, upstream_messages.RunEnded):
         node.runs.pop(message.attempt_id, None)
-    elif isinstance(message, upstream_work.EngineAnswered):
+    elif isinstance(message, upstream_messages.EngineAnswered):
         events.emit(
             events.ORDER_ENDED,
             kind=message.order.kind,
@@ -157,7 +158,7 @@
     for sender, heard_ms in list(node.heard_ms.items()):
         if now_ms - heard_ms > SENDER_SILENT_MS:
             del node.heard_ms[sender]
-            lost = upstream_work.SenderLost(sender)
+            lost = upstream_messages.SenderLost(sender)
             yield from upstream_work.step(node.state, now_ms, lost)
 
 
@@ -175,16 +176,16 @@
             await control_link.send(node.control, effect.to, effect.message)
         else:
             await _send_frame(node, effect.to, effect.message)
-    elif isinstance(effect, upstream_work.StartRun):
+    elif isinstance(effect, upstream_messages.StartRun):
         _start_run(node, effect)
-    elif isinstance(effect, upstream_work.CancelRun):
+    elif isinstance(effect, upstream_messages.CancelRun):
         _cancel_run(node, effect.attempt_id)
-    elif isinstance(effect, upstream_work.GrantCredit):
+    elif isinstance(effect, upstream_messages.GrantCredit):
         _grant_credit(node, effect)
     elif isinstance(effect, model_orders.EngineOrder):
         _send_order(node, effect)
     elif isinstance(effect, effects.SetTimer):
-        mailbox.arm(node.box, effect, upstream_work.TimerFired)
+        mailbox.arm(node.box, effect, upstream_messages.TimerFired)
     elif isinstance(effect, shutdown.Stopped):
         node.stopped = True
     else:
@@ -193,13 +194,13 @@
 
 def _pass_on(node: UpstreamNode, effect) -> None:
     if isinstance(effect, subscription.ViewChanged):
-        mailbox.post_now(node.box, upstream_work.ViewNoted())
+        mailbox.post_now(node.box, upstream_messages.ViewNoted())
     elif isinstance(effect, subscription.FreshnessChanged):
         events.emit(events.FRESHNESS, fresh=effect.fresh)
-        noted = upstream_work.FreshnessNoted(effect.fresh)
+        noted = upstream_messages.FreshnessNoted(effect.fresh)
         mailbox.post_now(node.box, noted)
     elif isinstance(
-        effect, upstream_work.ReportDue | model_orders.ResidencyChanged
+        effect, upstream_messages.ReportDue | model_orders.ResidencyChanged
     ):
         mailbox.post_now(node.box, BeatDue())
 
@@ -208,7 +209,7 @@
     await node.door.send_multipart([entry.encode(), codec.encode(frame)])
 
 
-def _start_run(node: UpstreamNode, start: upstream_work.StartRun) -> None:
+def _start_run(node: UpstreamNode, start: upstream_messages.StartRun) -> None:
     job = upstream_engine.Run(start, start.dispatch.credit)
     node.runs[start.dispatch.attempt_id] = job
 
@@ -266,7 +267,7 @@
             events.emit(events.FRAME_DROPPED, reason=str(exc))
             continue
         name = sender.decode(errors="replace")
-        arrived = upstream_work.FrameArrived(name, frame)
+        arrived = upstream_messages.FrameArrived(name, frame)
         await mailbox.post(node.box, arrived)
         index = getattr(frame, "view_index", 0)
         if subscription.note_peer_index(node.sub, index):
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import os
 import pathlib
 import random
@@ -81,11 +82,17 @@
         await asyncio.sleep(1)
 
 
+@functools.lru_cache(maxsize=64)
+def decoded(data):
+    """Decode once what many stand-ins of this process receive."""
+    return msgspec.msgpack.decode(data)
+
+
 async def listen(follower):
     while True:
         data = await follower.sock.recv()
         follower.got_bytes += len(data)
-        kind, *fields = msgspec.msgpack.decode(data)
+        kind, *fields = decoded(data)
         if kind == "WholeView":
             view = fields[1]
             follower.index, follower.version = view[2], view[3]
