Give each order its own fencing number; lend spare memory to replicas

Also, a refused repeat of an unanswered load was read as proof that nothing was loaded.

Ruled out: waiting 30 s after each unanswered order on fenced engines too (moves would stall for a fault that the fence can stop); the wall clock as fencing number (it can step back).

Change 1: numbers grow with each order under the placement's fence, and an announcement of a new process raises that fence; a refusal frees memory only when no earlier try may have been carried out.

Change 2: memory left over holds spare replicas, a few at a time; demand and new routes evict them only while enough others are resident. Surplus is no longer given up for its own sake, which also saves moves.

Conclusion: a fencing number must name one order.

--- a/bilberryramp/decisions/__init__.py
+++ b/bilberryramp/decisions/__init__.py
@@ -25,6 +25,7 @@
     "model_orders",
     "once_records",
     "placement",
+    "placement_board",
     "quarantine",
     "replication",
     "replication_messages",
--- a/bilberryramp/decisions/control_state.py
+++ b/bilberryramp/decisions/control_state.py
@@ -191,7 +191,7 @@
 def _change_view(view: views.View, entry: Entry) -> None:
     command = entry.command
     if isinstance(command, commands.JoinUpstream):
-        _join(view, command.upstream)
+        _join(view, entry.index, command.upstream)
     elif isinstance(command, commands.RemoveUpstream):
         _remove(view, command)
     elif isinstance(command, commands.DrainUpstream):
@@ -202,8 +202,14 @@
         quarantine.strike(view, command)
 
 
-def _join(view: views.View, upstream: views.Upstream) -> None:
-    view.upstreams[upstream.upstream_id] = upstream
+def _join(view: views.View, index: int, upstream: views.Upstream) -> None:
+    """Take in an upstream; a new process gets a fence of its own."""
+    upstream_id = upstream.upstream_id
+    view.upstreams[upstream_id] = upstream
+    placed = view.placements.get(upstream_id)
+    if placed is not None:
+        placed = views.Placement(index, placed.replicas)
+        view.placements[upstream_id] = placed
 
 
 def _remove(view: views.View, command: commands.RemoveUpstream) -> None:
--- a/bilberryramp/decisions/demand.py
+++ b/bilberryramp/decisions/demand.py
@@ -26,12 +26,15 @@
         Relative excess over the target before a replica is added.
     raise_after_ms, lower_after_ms
         How long demand must stay above or below, in milliseconds.
+    spares
+        Most spare replicas placed at a time into memory left over.
     """
 
     busy_target: float = 8.0
     raise_margin: float = 0.25
     raise_after_ms: int = 2000
     lower_after_ms: int = 120_000
+    spares: int = 8
 
 
 @dataclasses.dataclass(slots=True)
--- a/bilberryramp/decisions/membership.py
+++ b/bilberryramp/decisions/membership.py
@@ -9,6 +9,7 @@
     demand,
     feed_messages,
     placement,
+    placement_board,
     views,
 )
 
@@ -164,7 +165,8 @@
     state = (change_index, members.reports, tuple(members.targets.values()))
     if not wanted and members.planned_for != state:
         resident = resident_places(members)
-        wanted = list(placement.plan(view, resident, members.targets))
+        spares = members.watch.cfg.spares if members.watch else 0
+        wanted = list(placement.plan(view, resident, members.targets, spares))
         if not wanted:
             members.planned_for = state
     if wanted:
@@ -172,7 +174,7 @@
     yield from wanted
 
 
-def resident_places(members: Membership) -> placement.Resident:
+def resident_places(members: Membership) -> placement_board.Resident:
     """Map each upstream seen to the replicas it reported resident.
 
     Parameters
--- a/bilberryramp/decisions/model_orders.py
+++ b/bilberryramp/decisions/model_orders.py
@@ -17,6 +17,7 @@
     "BARRIER",
     "EngineReport",
     "ModelOrder",
+    "ORDERS_PER_FENCE",
     "OrderKind",
     "OrderOutcome",
     "Orders",
@@ -41,6 +42,9 @@
 BARRIER = views.ReplicaPlace("", (), 0)
 
 
+ORDERS_PER_FENCE = 1 << 20
+
+
 class OrderKind(enum.StrEnum):
     """What an engine is told to do with a model."""
 
@@ -63,7 +67,8 @@
     Attributes
     ----------
     fence
-        Fencing number: the log index of the placement followed.
+        Fencing number: grows with each order, and with each process,
+        since a process that announces itself raises its placement's fence.
     place
         The model with its accelerators and memory.
     """
@@ -141,6 +146,8 @@
         Changes when the engine restarts; empty while it is not known.
     placement
         The newest one followed; None until one is known.
+    sent
+        Orders sent under the placement's fence.
     running
         Requests running by model.
     """
@@ -151,6 +158,7 @@
     adoption: Adoption | None = None
     boot_id: str = ""
     placement: views.Placement | None = None
+    sent: int = 0
     models: dict[str, ModelOrder] = dataclasses.field(default_factory=dict)
     running: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -180,6 +188,8 @@
     """
     if placement is None or _is_outdated(orders, placement):
         return
+    if orders.placement is None or orders.placement.fence < placement.fence:
+        orders.sent = 0
     orders.placement = placement
     if not orders.boot_id:
         return
@@ -412,8 +422,13 @@
     yield from charting.fire(adoption.chart, adoption, event, now_ms, payload)
 
 
+def _next_fence(orders: Orders) -> int:
+    orders.sent += 1
+    return orders.placement.fence * ORDERS_PER_FENCE + orders.sent
+
+
 def _send_barrier(adoption: Adoption, _now_ms: int, _payload) -> Iterator:
-    fence = adoption.orders.placement.fence
+    fence = _next_fence(adoption.orders)
     yield EngineOrder(OrderKind.UNLOAD, fence, BARRIER)
 
 
@@ -440,7 +455,7 @@
 
 def _send(kind: OrderKind):
     def action(machine: ModelOrder, _now_ms: int, _payload) -> Iterator:
-        fence = machine.orders.placement.fence
+        fence = _next_fence(machine.orders)
         yield EngineOrder(kind, fence, machine.place)
 
     return action
@@ -472,6 +487,11 @@
     return machine.unanswered and not machine.orders.fenced
 
 
+def _may_be_loaded(machine: ModelOrder, _payload) -> bool:
+    """Tell whether an earlier try may have been carried out."""
+    return machine.unanswered
+
+
 def _is_placed(machine: ModelOrder, _payload) -> bool:
     placement = machine.orders.placement
     return placement is not None and machine.place in placement.replicas
@@ -490,6 +510,7 @@
 guards = {
     "late_order_possible": _late_order_possible,
     "is_placed": _is_placed,
+    "may_be_loaded": _may_be_loaded,
 }
 actions = {
     "send_load": _send(OrderKind.LOAD),
--- /dev/null
+++ b/bilberryramp/decisions/placement_board.py
@@ -0,0 +1,287 @@
+"""The state of a placement plan: who holds what, and where there is room.
+
+Engines are kept in the order of the room on their emptiest accelerator, so
+that a search ends as soon as no engine can have enough.
+"""
+
+import bisect
+import dataclasses
+from collections.abc import Iterator, Mapping
+
+from bilberryramp.decisions import tables, views
+
+__all__ = [
+    "Board",
+    "Resident",
+    "holders",
+    "make",
+    "most_free_mib",
+    "put",
+    "room_for",
+    "surplus_evictions",
+    "take",
+]
+
+Resident = Mapping[str, Mapping[str, views.ReplicaPlace]]
+
+
+@dataclasses.dataclass(slots=True)
+class Board:
+    """Replicas by upstream while a plan is being made.
+
+    Attributes
+    ----------
+    upstreams, resident
+        As the view and the upstreams' reports have them.
+    places
+        Replicas by upstream id and model.
+    free
+        Unpromised MiB of each accelerator, by upstream id.
+    held_by
+        Ids of the upstreams that hold a model, by model.
+    emptiest
+        For each service its engines in service, as negated free MiB of
+        the emptiest accelerator and id, in ascending order.
+    resident_at
+        Ids of the upstreams where a model is resident already.
+    """
+
+    upstreams: dict[str, views.Upstream]
+    resident: Resident
+    places: dict[str, dict[str, views.ReplicaPlace]]
+    free: dict[str, list[int]]
+    held_by: dict[str, set[str]]
+    emptiest: dict[str, list[tuple[int, str]]]
+    resident_at: dict[str, list[str]]
+
+
+def make(view: views.View, resident: Resident) -> Board:
+    """Start from what is placed.
+
+    Parameters
+    ----------
+    view
+        The view in force.
+    resident
+        Replicas confirmed resident, by upstream id and model.
+
+    Returns
+    -------
+    Board
+        To be changed by `put` and `take`.
+    """
+    board = Board(view.upstreams, resident, {}, {}, {}, {}, {})
+    for upstream_id, upstream in sorted(view.upstreams.items()):
+        board.places[upstream_id] = {}
+        board.free[upstream_id] = [upstream.memory_mib] * (
+            upstream.accelerators
+        )
+        placed = view.placements.get(upstream_id, views.Placement(0))
+        for place in placed.replicas:
+            put(board, upstream_id, place)
+        for model in resident.get(upstream_id, ()):
+            board.resident_at.setdefault(model, []).append(upstream_id)
+    for upstream_id, upstream in board.upstreams.items():
+        if upstream.kind == views.UpstreamKind.ENGINE and (
+            not upstream.leaving
+        ):
+            rows = board.emptiest.setdefault(upstream.service, [])
+            rows.append(_row(board, upstream_id))
+    for rows in board.emptiest.values():
+        rows.sort()
+    return board
+
+
+def put(board: Board, upstream_id: str, place: views.ReplicaPlace) -> None:
+    """Place a replica.
+
+    Parameters
+    ----------
+    board
+        Changed in place.
+    upstream_id, place
+        Where, and the replica; there must be room.
+    """
+    board.places[upstream_id][place.model] = place
+    board.held_by.setdefault(place.model, set()).add(upstream_id)
+    _change_free(board, upstream_id, place, -place.memory_mib)
+
+
+def take(board: Board, upstream_id: str, model: str) -> None:
+    """Give up a replica.
+
+    Parameters
+    ----------
+    board
+        Changed in place.
+    upstream_id, model
+        Where it is placed, and its model.
+    """
+    place = board.places[upstream_id].pop(model)
+    board.held_by[model].discard(upstream_id)
+    _change_free(board, upstream_id, place, place.memory_mib)
+
+
+def holders(board: Board, route: tables.Route) -> list[str]:
+    """List the upstreams in service that hold a route's model.
+
+    Parameters
+    ----------
+    board
+        The board.
+    route
+        A model route.
+
+    Returns
+    -------
+    list of str
+        Their ids, in alphabetical order.
+    """
+    return [
+        upstream_id
+        for upstream_id in sorted(board.held_by.get(route.model, ()))
+        if not board.upstreams[upstream_id].leaving
+        and board.upstreams[upstream_id].service == route.service
+    ]
+
+
+def room_for(board: Board, route: tables.Route):
+    """Find the best place for one more replica.
+
+    Where the model is resident already comes first, then a failure domain
+    without it, then the most room.
+
+    Parameters
+    ----------
+    board
+        The board.
+    route
+        A model route.
+
+    Returns
+    -------
+    tuple of (str, ReplicaPlace) or None
+        The upstream's id and the replica; None without room.
+    """
+    for upstream_id in board.resident_at.get(route.model, ()):
+        held = board.resident[upstream_id][route.model]
+        if _is_open(board, upstream_id, route) and _still_fits(
+            held, route, board.free[upstream_id]
+        ):
+            return upstream_id, held
+    taken = {
+        board.upstreams[upstream_id].failure_domain
+        for upstream_id in holders(board, route)
+    }
+    fallback = None
+    for option in _rooms(board, route):
+        if board.upstreams[option[0]].failure_domain not in taken:
+            return option
+        fallback = fallback or option
+    return fallback
+
+
+def surplus_evictions(
+    board: Board, route: tables.Route, spare: Mapping[str, int]
+) -> list[tuple[str, str]]:
+    """Find spare replicas whose memory would make room for a replica.
+
+    Parameters
+    ----------
+    board
+        The board.
+    route
+        The model route that lacks room.
+    spare
+        How many replicas each model can give up.
+
+    Returns
+    -------
+    list of (str, str)
+        Upstream id and model of each replica to give up, all on one
+        upstream and as few as possible; empty if none helps.
+    """
+    best: list[tuple[str, str]] = []
+    for _, upstream_id in board.emptiest.get(route.service, ()):
+        if route.model in board.places[upstream_id]:
+            continue
+        found = _evictions_on(board, upstream_id, route, spare)
+        if found and (not best or len(found) < len(best)):
+            best = found
+        if len(best) == 1:
+            break
+    return best
+
+
+def most_free_mib(board: Board, service: str) -> int:
+    """Return the most free MiB of any accelerator of a service."""
+    rows = board.emptiest.get(service, ())
+    return max(-rows[0][0], 0) if rows else 0
+
+
+def _row(board: Board, upstream_id: str) -> tuple[int, str]:
+    return -max(board.free[upstream_id], default=0), upstream_id
+
+
+def _change_free(board: Board, upstream_id: str, place, mib: int) -> None:
+    before = _row(board, upstream_id)
+    for number in place.accelerators:
+        board.free[upstream_id][number] += mib
+    rows = board.emptiest.get(board.upstreams[upstream_id].service, [])
+    at = bisect.bisect_left(rows, before)
+    if at < len(rows) and rows[at] == before:
+        del rows[at]
+        bisect.insort(rows, _row(board, upstream_id))
+
+
+def _is_open(board: Board, upstream_id: str, route: tables.Route) -> bool:
+    upstream = board.upstreams[upstream_id]
+    return (
+        upstream.service == route.service
+        and not upstream.leaving
+        and route.model not in board.places[upstream_id]
+    )
+
+
+def _still_fits(held: views.ReplicaPlace, route, free: list[int]) -> bool:
+    shape = (len(held.accelerators), held.memory_mib)
+    if shape != (route.accelerators, route.memory_mib):
+        return False
+    return all(free[n] >= held.memory_mib for n in held.accelerators)
+
+
+def _rooms(board: Board, route: tables.Route) -> Iterator[tuple]:
+    for negated, upstream_id in board.emptiest.get(route.service, ()):
+        if -negated < route.memory_mib:
+            return
+        if route.model in board.places[upstream_id]:
+            continue
+        numbers = _accelerators_for(board.free[upstream_id], route)
+        if numbers is not None:
+            place = views.ReplicaPlace(route.model, numbers, route.memory_mib)
+            yield upstream_id, place
+
+
+def _accelerators_for(free: list[int], route: tables.Route):
+    order = sorted(range(len(free)), key=lambda n: (-free[n], n))
+    chosen = order[: route.accelerators]
+    if len(chosen) < route.accelerators:
+        return None
+    if any(free[n] < route.memory_mib for n in chosen):
+        return None
+    return tuple(sorted(chosen))
+
+
+def _evictions_on(board, upstream_id, route, spare) -> list[tuple[str, str]]:
+    free = list(board.free[upstream_id])
+    found: list[tuple[str, str]] = []
+    places = board.places[upstream_id].values()
+    for place in sorted(places, key=lambda p: -p.memory_mib):
+        if spare.get(place.model, 0) < 1:
+            continue
+        for number in place.accelerators:
+            free[number] += place.memory_mib
+        found.append((upstream_id, place.model))
+        if _accelerators_for(free, route) is not None:
+            return found
+    return []
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -372,7 +372,12 @@
 
 
 def _follow_placement(state: UpstreamState, now_ms: int) -> Iterator:
-    if state.orders is None:
+    known = state.view.upstreams.get(state.upstream.upstream_id)
+    announced = known is not None and (
+        known.incarnation == state.upstream.incarnation
+    )
+    # Before that, the fence is the one of an earlier process.
+    if state.orders is None or not announced:
         return
     placed = state.view.placements.get(state.upstream.upstream_id)
     yield from model_orders.reconcile(state.orders, now_ms, placed)
--- a/bilberryramp/decisions/views.py
+++ b/bilberryramp/decisions/views.py
@@ -90,7 +90,8 @@
     Attributes
     ----------
     fence
-        Log index of the entry that set it: the fencing number of orders.
+        Log index of the entry that set it, or of the upstream's newest
+        announcement if that is later: orders count on from here.
     replicas
         What should be resident.
     """
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -187,7 +187,7 @@
         _add_engines(run_, group)
     submit(run_, plan.tables)
     _place(run_, at_once=True)
-    if not (policy.follow_demand or policy.boundless):
+    if not policy.boundless:
         _fill_evenly(run_)
     run_.told.moves = 0
     return run_
@@ -326,24 +326,29 @@
 
 def _place(run_: VirtualRun, at_once: bool = False) -> None:
     view = run_.control.view
-    targets = {}
+    targets, spares = {}, 0
     if run_.policy.boundless:
         most = len(run_.engines)
         targets = {r.model: most for r in view.tables.routes}
     elif run_.policy.follow_demand:
         targets = {m: d.replicas for m, d in run_.watch.models.items()}
-    for change in list(placement.plan(view, _resident(run_), targets)):
+        spares = 0 if at_once else run_.watch.cfg.spares
+    changes = placement.plan(view, _resident(run_), targets, spares)
+    for change in list(changes):
         _commit(run_, change)
         _load_placed(run_, change.upstream_id, at_once)
 
 
 def _fill_evenly(run_: VirtualRun) -> None:
-    """Give every model one more replica in turn, as long as any fits."""
-    routes = run_.control.view.tables.routes
-    for replicas in range(2, len(run_.engines) + 1):
-        targets = {route.model: replicas for route in routes}
-        view = run_.control.view
-        for change in list(placement.plan(view, _resident(run_), targets)):
+    """Give spare memory to further replicas, as long as any fits."""
+    view = run_.control.view
+    while True:
+        changes = list(
+            placement.plan(view, _resident(run_), spares=len(run_.engines))
+        )
+        if not changes:
+            return
+        for change in changes:
             _commit(run_, change)
             _load_placed(run_, change.upstream_id, at_once=True)
 
