Keep a few slots for pools below their share; never reuse an attempt id

The queue alone is fair too late.

Ruled out: stopping running requests of a pool over its share (planned stops aside, nothing in flight is cut off); a fixed part of the slots for each pool (idle shares could not be lent).

Change 1: while several pools are active, a twelfth of the slots (2 of 24) goes only to pools below their share.

Cause 2, found by reading: an entry that waited and tried again counted its attempts anew, so an upstream could drop the second dispatch as a repeat. Change 2: attempts number all dispatches; tries count since the last wait.

--- a/bilberryramp/decisions/admission.py
+++ b/bilberryramp/decisions/admission.py
@@ -4,6 +4,10 @@
 cost over weight, and the pool that is furthest behind goes next. A pool
 without work takes no part, so its share is lent to the others. Inside a
 pool the order is priority, then deadline.
+
+Long requests make a queue alone too slow a remedy: a pool that fills all
+slots while the others are idle would keep them for as long as its requests
+run. So the last few slots are kept for pools below their share.
 """
 
 import dataclasses
@@ -11,7 +15,22 @@
 
 from bilberryramp.decisions import tables
 
-__all__ = ["Item", "Queue", "length", "offer", "remove", "take"]
+__all__ = [
+    "ACTIVE_ARRIVALS",
+    "Item",
+    "Queue",
+    "finish",
+    "length",
+    "new_queue",
+    "offer",
+    "remove",
+    "take",
+    "take_any",
+]
+
+# A pool without a request among this many is not kept slots for.
+ACTIVE_ARRIVALS = 500
+KEPT_PART = 12
 
 _RANK = {
     tables.Priority.URGENT: 0,
@@ -46,11 +65,13 @@
 
 @dataclasses.dataclass(slots=True)
 class _Lane:
-    """One pool's waiting work and its virtual clock in tokens/weight."""
+    """One pool's work; its virtual clock counts tokens over weight."""
 
     clock: float = 0.0
     weight: int = 1
     heap: list[tuple] = dataclasses.field(default_factory=list)
+    running: int = 0
+    last_arrival: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,15 +84,37 @@
         Most items that wait.
     fair
         False for the baseline that ignores pools.
+    slots, kept_slots
+        Requests run at once, and how many of those are kept for pools
+        below their share while several pools are active.
     """
 
     limit: int
     fair: bool = True
+    slots: int = 1
+    kept_slots: int = 0
     lanes: dict[str, _Lane] = dataclasses.field(default_factory=dict)
     clock: float = 0.0
     arrivals: int = 0
 
 
+def new_queue(limit: int, slots: int, fair: bool = True) -> Queue:
+    """Make an empty queue.
+
+    Parameters
+    ----------
+    limit, slots, fair
+        As in `Queue`.
+
+    Returns
+    -------
+    Queue
+        With a twelfth of its slots kept, if it is fair.
+    """
+    kept = slots // KEPT_PART if fair else 0
+    return Queue(limit, fair, slots, kept)
+
+
 def length(queue: Queue) -> int:
     """Return how many items wait."""
     return sum(len(lane.heap) for lane in queue.lanes.values())
@@ -99,6 +142,7 @@
         lane.clock = max(lane.clock, queue.clock)
     lane.weight = max(item.weight, 1) if queue.fair else 1
     queue.arrivals += 1
+    lane.last_arrival = queue.arrivals
     rank = (_RANK[item.priority], item.deadline_ms, queue.arrivals)
     heapq.heappush(lane.heap, (*rank, item))
     if length(queue) <= queue.limit:
@@ -107,7 +151,7 @@
 
 
 def take(queue: Queue) -> Item | None:
-    """Remove the item that goes next.
+    """Remove the item that goes next and count it as running.
 
     Parameters
     ----------
@@ -117,9 +161,14 @@
     Returns
     -------
     Item or None
-        None when nothing waits.
+        None when nothing waits that may have a free slot.
     """
-    waiting = [(lane.clock, n) for n, lane in queue.lanes.items() if lane.heap]
+    free = queue.slots - sum(lane.running for lane in queue.lanes.values())
+    waiting = [
+        (lane.clock, name)
+        for name, lane in queue.lanes.items()
+        if lane.heap and _may_start(queue, lane, free)
+    ]
     if not waiting:
         return None
     clock, name = min(waiting)
@@ -127,9 +176,55 @@
     item = heapq.heappop(lane.heap)[-1]
     queue.clock = clock
     lane.clock = clock + item.tokens / lane.weight
+    lane.running += 1
     return item
 
 
+def take_any(queue: Queue) -> Item | None:
+    """Remove an item that will not run.
+
+    Parameters
+    ----------
+    queue
+        Changed in place.
+
+    Returns
+    -------
+    Item or None
+        None when nothing waits.
+    """
+    for lane in queue.lanes.values():
+        if lane.heap:
+            return heapq.heappop(lane.heap)[-1]
+    return None
+
+
+def finish(queue: Queue, pool: str) -> None:
+    """Count a running item as ended.
+
+    Parameters
+    ----------
+    queue
+        Changed in place.
+    pool
+        The item's pool.
+    """
+    queue.lanes[pool if queue.fair else ""].running -= 1
+
+
+def _may_start(queue: Queue, lane: _Lane, free: int) -> bool:
+    if free < 1:
+        return False
+    active = [
+        other
+        for other in queue.lanes.values()
+        if queue.arrivals - other.last_arrival < ACTIVE_ARRIVALS
+    ]
+    weights = sum(other.weight for other in active) or lane.weight
+    below_share = lane.running < queue.slots * lane.weight / weights
+    return below_share or free > queue.kept_slots
+
+
 def remove(queue: Queue, key: str) -> bool:
     """Remove an item by its key.
 
--- a/bilberryramp/decisions/demand.py
+++ b/bilberryramp/decisions/demand.py
@@ -26,15 +26,16 @@
         Relative excess over the target before a replica is added.
     raise_after_ms, lower_after_ms
         How long demand must stay above or below, in milliseconds.
-    spares
-        Most spare replicas placed at a time into memory left over.
+    loads_at_once
+        Loads that the weight store carries at full speed; spare replicas
+        are added only while fewer are under way.
     """
 
     busy_target: float = 8.0
     raise_margin: float = 0.25
     raise_after_ms: int = 2000
     lower_after_ms: int = 120_000
-    spares: int = 8
+    loads_at_once: int = 7
 
 
 @dataclasses.dataclass(slots=True)
--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -52,7 +52,7 @@
     max_calls
         Most requests in progress; more are refused.
     max_attempts
-        Most dispatches of one request.
+        Most dispatches of one request without a wait in between.
     retry_ratio, retry_burst
         Retries after failures earned by each request, and the most that
         can be saved up.
@@ -79,6 +79,8 @@
         On the entry's clock.
     wall_ms
         Wall time of its arrival.
+    attempts, tries
+        Dispatches in all, which number them, and since the last wait.
     attempt_id, upstream_id
         The attempt in progress.
     refused_by
@@ -101,6 +103,7 @@
     phase: str = "received"
     timer: int = DEADLINE_TOKEN
     attempts: int = 0
+    tries: int = 0
     attempt_id: str = ""
     upstream_id: str = ""
     refused_by: set[str] = dataclasses.field(default_factory=set)
@@ -316,8 +319,8 @@
         return _quarantined()
     if _would_risk_last(view, fingerprint, found, wall_ms):
         return call.failure or _quarantined()
-    if call.attempts >= call.entry.cfg.max_attempts:
-        message = f"gave up after {call.attempts} attempts"
+    if call.tries >= call.entry.cfg.max_attempts:
+        message = f"gave up after {call.tries} attempts"
         return call.failure or errors.call_failure(code.NO_UPSTREAM, message)
     tried_all = found and all(u.upstream_id in call.refused_by for u in found)
     overloaded = call.failure and call.failure.code == code.OVERLOADED
@@ -343,6 +346,7 @@
     entry, request, route = call.entry, call.request, call.route
     upstream = entry.view.upstreams[call.upstream_id]
     call.attempts += 1
+    call.tries += 1
     call.attempt_id = f"{call.key}.{call.attempts}"
     call.next_chunk = 0
     entry.own[call.upstream_id] = entry.own.get(call.upstream_id, 0) + 1
@@ -381,7 +385,7 @@
 
 def _forget_refusals(call: Call, _now_ms: int, _payload) -> Iterator:
     call.refused_by.clear()
-    call.attempts = 0
+    call.tries = 0
     yield from ()
 
 
--- a/bilberryramp/decisions/membership.py
+++ b/bilberryramp/decisions/membership.py
@@ -165,7 +165,7 @@
     state = (change_index, members.reports, tuple(members.targets.values()))
     if not wanted and members.planned_for != state:
         resident = resident_places(members)
-        spares = members.watch.cfg.spares if members.watch else 0
+        spares = _spares(members, view, resident)
         wanted = list(placement.plan(view, resident, members.targets, spares))
         if not wanted:
             members.planned_for = state
@@ -194,6 +194,18 @@
     }
 
 
+def _spares(members: Membership, view: views.View, resident) -> int:
+    """Count the loads that the weight store could carry besides."""
+    if members.watch is None:
+        return 0
+    under_way = sum(
+        place.model not in resident.get(upstream_id, ())
+        for upstream_id, placed in view.placements.items()
+        for place in placed.replicas
+    )
+    return max(members.watch.cfg.loads_at_once - under_way, 0)
+
+
 def _forgive_stall(members: Membership, now_ms: int) -> None:
     pause_ms = now_ms - members.ticked_ms
     if pause_ms > STALL_MS:
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -192,7 +192,7 @@
     state = upstream_work.UpstreamState(
         upstream=own,
         view=view or view_with(),
-        queue=admission.Queue(queue_limit, fair),
+        queue=admission.new_queue(queue_limit, slots, fair),
         orders=orders(2, 4000),
         fresh=True,
         engine_up=True,
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -127,7 +127,9 @@
         self.control = control_state.ControlState()
         self.branch = feed.Feed("control")
         self.members = membership.Membership()
-        self.members.watch = demand.Watch(demand.DemandSettings(spares=1))
+        self.members.watch = demand.Watch(
+            demand.DemandSettings(loads_at_once=2)
+        )
         self.inbox = []
         self.told = {}
         self.ran = collections.Counter()
@@ -188,7 +190,7 @@
                 CHARTS["order"], CHARTS["adoption"], granted, engine.fenced
             )
         state = builders.upstream_work.UpstreamState(
-            upstream, sub.view, builders.admission.Queue(4), orders
+            upstream, sub.view, builders.admission.new_queue(4, 2), orders
         )
         state.stop = shutdown.Shutdown(
             CHARTS["shutdown"], lambda: not state.works
--- a/bilberryramp/decisions/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/tests/test_entry_calls.py
@@ -121,6 +121,18 @@
         self.assertEqual(bench.failure().code, CODE.OVERLOADED)
         self.assertEqual(bench.failure().outcome, OUTCOME.UNKNOWN)
 
+    def test_attempt_ids_are_never_used_again(self):
+        """An upstream drops a dispatch whose id it has seen."""
+        bench = Bench(("u1",))
+        bench.call()
+        refusal = builders.refused("r1.1", CODE.NOT_RESIDENT)
+        bench.frame("u1", refusal)
+        timer = bench.of(effects.SetTimer)[-1]
+        bench.step(entry_messages.TimerFired(timer.key, timer.token))
+        ids = [attempt_id for _, attempt_id in bench.dispatches()]
+        self.assertEqual(len(ids), 2)
+        self.assertEqual(len(set(ids)), 2)
+
     def test_all_overloaded_is_shed_with_retry_after(self):
         bench = Bench(("u1", "u2"))
         bench.call()
--- a/bilberryramp/decisions/tests/test_upstream_work.py
+++ b/bilberryramp/decisions/tests/test_upstream_work.py
@@ -151,14 +151,14 @@
         ]
 
     def test_pools_share_by_weight(self):
-        queue = admission.Queue(100)
+        queue = admission.Queue(100, slots=100)
         self.fill(queue, "a", 30, weight=3)
         self.fill(queue, "b", 30, weight=1)
         taken = [admission.take(queue).pool for _ in range(20)]
         self.assertEqual(taken.count("a"), 15)
 
     def test_idle_share_is_lent_and_not_saved_up(self):
-        queue = admission.Queue(100)
+        queue = admission.Queue(100, slots=100)
         self.fill(queue, "a", 10)
         for _ in range(6):
             admission.take(queue)
@@ -167,14 +167,14 @@
         self.assertEqual(taken.count("b"), 4)
 
     def test_full_queue_displaces_from_the_largest_holder(self):
-        queue = admission.Queue(4)
+        queue = admission.Queue(4, slots=100)
         self.fill(queue, "a", 4)
         displaced = admission.offer(queue, self.item("b0", "b"))
         self.assertEqual(displaced.pool, "a")
         self.assertEqual(admission.length(queue), 4)
 
     def test_priority_then_deadline_inside_a_pool(self):
-        queue = admission.Queue(10)
+        queue = admission.Queue(10, slots=100)
         careful = tables.Priority.CAREFUL
         urgent = tables.Priority.URGENT
         admission.offer(queue, self.item("x", "a", priority=careful))
@@ -185,9 +185,27 @@
         self.assertEqual(taken, ["w", "z", "y", "x"])
 
     def test_removed_item_does_not_run(self):
-        queue = admission.Queue(10)
+        queue = admission.Queue(10, slots=100)
         self.fill(queue, "a", 2)
         self.assertTrue(admission.remove(queue, "a0"))
         self.assertFalse(admission.remove(queue, "a0"))
         self.assertEqual(admission.take(queue).key, "a1")
         self.assertIsNone(admission.take(queue))
+
+    def test_last_slots_are_kept_for_pools_below_their_share(self):
+        queue = admission.new_queue(100, slots=24)
+        self.fill(queue, "b", 1)
+        admission.take(queue)
+        admission.finish(queue, "b")
+        self.fill(queue, "a", 30)
+        for _ in range(22):
+            self.assertEqual(admission.take(queue).pool, "a")
+        self.assertIsNone(admission.take(queue))
+        admission.offer(queue, self.item("b9", "b"))
+        self.assertEqual(admission.take(queue).pool, "b")
+
+    def test_pool_alone_may_have_every_slot(self):
+        queue = admission.new_queue(100, slots=24)
+        self.fill(queue, "a", 30)
+        taken = [admission.take(queue) for _ in range(25)]
+        self.assertEqual(taken.count(None), 1)
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -253,21 +253,19 @@
 
 
 def _start_waiting(state: UpstreamState) -> Iterator:
-    while state.running < state.upstream.slots:
-        item = admission.take(state.queue)
-        if item is None:
-            return
-        yield from _start(state, item.key)
+    while (item := admission.take(state.queue)) is not None:
+        yield from _start(state, item)
 
 
-def _start(state: UpstreamState, attempt_id: str) -> Iterator:
-    work = state.works[attempt_id]
+def _start(state: UpstreamState, item: admission.Item) -> Iterator:
+    work = state.works[item.key]
     model = work.dispatch.model
     if state.orders is not None:
         if not model_orders.is_resident(state.orders, model):
+            admission.finish(state.queue, item.pool)
             text = "the model is not resident any more"
             failure = _failure(errors.FailureCode.NOT_RESIDENT, text)
-            yield from _refuse_waiting(state, attempt_id, failure)
+            yield from _refuse_waiting(state, item.key, failure)
             return
         running = state.orders.running
         running[model] = running.get(model, 0) + 1
@@ -279,6 +277,7 @@
 def _on_run_ended(state: UpstreamState, now_ms: int, ended) -> Iterator:
     work = _end(state, ended.attempt_id)
     state.running -= 1
+    admission.finish(state.queue, work.dispatch.pool)
     load = _load(state)
     if ended.failure is None:
         frame = call_messages.AnswerEnd(ended.attempt_id, ended.chunks, load)
@@ -396,7 +395,7 @@
 
 def _refuse_all_waiting(state: UpstreamState) -> Iterator:
     failure = _failure(errors.FailureCode.LEAVING, "the upstream is leaving")
-    while (item := admission.take(state.queue)) is not None:
+    while (item := admission.take_any(state.queue)) is not None:
         yield from _refuse_waiting(state, item.key, failure)
 
 
--- a/bilberryramp/loadgen/http_run.py
+++ b/bilberryramp/loadgen/http_run.py
@@ -64,7 +64,7 @@
                 wait_s = began + arrival.at_s - time.perf_counter()
                 if wait_s > 0:
                     await asyncio.sleep(wait_s)
-                told.offered += 1
+                outcomes.offer(told, arrival.model)
                 group.create_task(_send(session, url, arrival, began, told))
         progress.cancel()
     return told
@@ -110,4 +110,4 @@
     ended_s = time.perf_counter()
     first_ms = (first_s - began - arrival.at_s) * 1e3
     between_ms = (ended_s - first_s) * 1e3 / max(tokens, 1)
-    outcomes.add(told, first_ms, between_ms)
+    outcomes.add(told, arrival.model, first_ms, between_ms)
--- a/bilberryramp/loadgen/outcomes.py
+++ b/bilberryramp/loadgen/outcomes.py
@@ -1,12 +1,21 @@
 """What became of a workload's requests."""
 
+import collections
 import dataclasses
 
 from hdrh import histogram
 
 from bilberryramp.loadgen import workload
 
-__all__ = ["Outcomes", "add", "attained_share", "new_outcomes", "p95_ms"]
+__all__ = [
+    "Outcomes",
+    "add",
+    "attained_share",
+    "least_share",
+    "new_outcomes",
+    "offer",
+    "p95_ms",
+]
 
 _HIGHEST_US = 3_600_000_000
 
@@ -21,6 +30,8 @@
         HdrHistograms in microseconds, from the intended start.
     moves
         Replicas placed after the first placement.
+    offered_by, attained_by
+        Requests by group, which is the pool in virtual runs.
     """
 
     load: workload.Workload
@@ -31,6 +42,12 @@
     refused: int = 0
     failed: int = 0
     moves: int = 0
+    offered_by: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    attained_by: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 def new_outcomes(load: workload.Workload) -> Outcomes:
@@ -53,8 +70,48 @@
     )
 
 
+def offer(outcomes: Outcomes, group: str) -> None:
+    """Count a request that was sent.
+
+    Parameters
+    ----------
+    outcomes
+        Changed in place.
+    group
+        The group it belongs to.
+    """
+    outcomes.offered += 1
+    outcomes.offered_by[group] += 1
+
+
+def least_share(outcomes: Outcomes, apart_from: str = "") -> float:
+    """Return the attained part of the group that fared worst.
+
+    Parameters
+    ----------
+    outcomes
+        The outcomes.
+    apart_from
+        A group that is left out.
+
+    Returns
+    -------
+    float
+        From 0 to 1.
+    """
+    shares = (
+        outcomes.attained_by[group] / offered
+        for group, offered in outcomes.offered_by.items()
+        if group != apart_from
+    )
+    return min(shares, default=0.0)
+
+
 def add(
-    outcomes: Outcomes, first_token_ms: float, between_tokens_ms: float
+    outcomes: Outcomes,
+    group: str,
+    first_token_ms: float,
+    between_tokens_ms: float,
 ) -> None:
     """Count a request that was answered.
 
@@ -62,6 +119,8 @@
     ----------
     outcomes
         Changed in place.
+    group
+        The group it belongs to.
     first_token_ms
         From the intended start to the first token.
     between_tokens_ms
@@ -70,10 +129,12 @@
     load = outcomes.load
     outcomes.first_token.record_value(max(int(first_token_ms * 1e3), 1))
     outcomes.between_tokens.record_value(max(int(between_tokens_ms * 1e3), 1))
-    outcomes.attained += (
+    met = (
         first_token_ms <= load.first_token_ms
         and between_tokens_ms <= load.between_tokens_ms
     )
+    outcomes.attained += met
+    outcomes.attained_by[group] += met
 
 
 def attained_share(outcomes: Outcomes) -> float:
--- a/bilberryramp/loadgen/scenarios.py
+++ b/bilberryramp/loadgen/scenarios.py
@@ -9,13 +9,29 @@
 from bilberryramp.loadgen import deployment, virtual, workload
 from bilberryramp.settings import reader, schema
 
-__all__ = ["DEPLOYMENTS", "SCENARIOS", "Scenario", "make", "read_deployment"]
-
-SCENARIOS = ("calm", "burst", "shift", "domain_lost", "renegotiated")
+__all__ = [
+    "DEPLOYMENTS",
+    "FLOODED",
+    "SCENARIOS",
+    "Scenario",
+    "make",
+    "read_deployment",
+]
+
+SCENARIOS = (
+    "calm",
+    "burst",
+    "shift",
+    "domain_lost",
+    "renegotiated",
+    "flood",
+)
 DEPLOYMENTS = ("guild", "abay")
 DURATION_S = 600.0
 REQUESTS_PER_ENGINE_S = 1.1
 POPULARITY = 0.9
+# The pool whose callers ask far beyond its share.
+FLOODED = {"guild": "guild-night-desk", "abay": "abay-donors"}
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -118,6 +134,7 @@
 
 def _streams(plan, scenario: str, seed: int) -> Iterator[workload.Stream]:
     rng = random.Random(f"{seed}/{plan.name}")
+    pools = {route.model: route.pool for route in plan.tables.routes}
     for group in plan.groups:
         models = [
             r.model for r in plan.tables.routes if r.service == group.service
@@ -128,10 +145,15 @@
         rates = [total * weight / sum(weights) for weight in weights]
         for number, model in enumerate(models):
             rate = rates[number]
-            yield _shaped(scenario, number, model, rate, rates)
+            pool = pools[model]
+            yield _shaped(
+                plan.name, scenario, number, model, pool, rate, rates
+            )
 
 
-def _shaped(scenario, number, model, rate, rates) -> workload.Stream:
+def _shaped(
+    plan_name, scenario, number, model, pool, rate, rates
+) -> workload.Stream:
     steady = workload.Stream(model, rate)
     if scenario == "burst" and number == len(rates) // 2:
         return dataclasses.replace(
@@ -148,6 +170,14 @@
             start_s=150.0,
             length_s=300.0,
         )
+    if scenario == "flood" and pool == FLOODED[plan_name]:
+        return dataclasses.replace(
+            steady,
+            shape=workload.Shape.BURST,
+            factor=4.0,
+            start_s=150.0,
+            length_s=300.0,
+        )
     if scenario == "renegotiated":
         return workload.Stream(model, rate * 1.5)
     return steady
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -315,7 +315,9 @@
             memory,
             run_.plan.speed.slots,
         )
-        queue = admission.Queue(run_.plan.queue_limit, run_.policy.fair)
+        queue = admission.new_queue(
+            run_.plan.queue_limit, run_.plan.speed.slots, run_.policy.fair
+        )
         state = upstream_work.UpstreamState(
             upstream, run_.control.view, queue, None
         )
@@ -332,7 +334,8 @@
         targets = {r.model: most for r in view.tables.routes}
     elif run_.policy.follow_demand:
         targets = {m: d.replicas for m, d in run_.watch.models.items()}
-        spares = 0 if at_once else run_.watch.cfg.spares
+        left = run_.plan.loads_at_once - run_.loads
+        spares = 0 if at_once else max(left, 0)
     changes = placement.plan(view, _resident(run_), targets, spares)
     for change in list(changes):
         _commit(run_, change)
@@ -424,7 +427,7 @@
     run_.serial += 1
     request_id = f"r{run_.serial}"
     run_.arrivals[request_id] = arrival
-    run_.told.offered += 1
+    outcomes.offer(run_.told, _pool_of(run_, arrival.model))
     request = entry_messages.CallerRequest(
         request_id=request_id,
         model=arrival.model,
@@ -444,6 +447,11 @@
     _entry_step(run_, entry, message)
 
 
+def _pool_of(run_: VirtualRun, model: str) -> str:
+    route = route_index.model_route(run_.entries[0].index, model)
+    return route.pool if route else ""
+
+
 def _entry_step(run_: VirtualRun, entry, message) -> None:
     told = entry_calls.step(entry, int(run_.now_ms), message)
     for effect in list(told):
@@ -607,7 +615,9 @@
 def _count_whole(run_: VirtualRun, job: _Job) -> None:
     first_ms = job.first_ms - job.arrival.at_s * 1e3
     tokens = max(job.arrival.answer_tokens, 1)
-    outcomes.add(run_.told, first_ms, (run_.now_ms - job.first_ms) / tokens)
+    between_ms = (run_.now_ms - job.first_ms) / tokens
+    pool = _pool_of(run_, job.arrival.model)
+    outcomes.add(run_.told, pool, first_ms, between_ms)
 
 
 def _end_job(run_, engine, attempt_id, crashed=False, cancelled=False):
--- a/bilberryramp/programs/ctl.py
+++ b/bilberryramp/programs/ctl.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import getpass
 import sys
 import time
@@ -45,6 +46,27 @@
     "wait_s", 10.0, "How long to keep trying, in seconds."
 )
 
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NoAnswer:
+    """A control replica that gave no usable answer.
+
+    Attributes
+    ----------
+    url
+        What was asked; empty when no replica is named.
+    reason
+        What came instead of an answer.
+    """
+
+    url: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the failure as one line for a person."""
+        return f"{self.reason} from {self.url or 'no control replica'}"
+
+
 USAGE = "bilberryctl [flags] validate|submit|diff|status|watch|drain UPSTREAM"
 
 
@@ -226,7 +248,7 @@
 async def _try_all(method: str, path: str, body: bytes) -> result.Result:
     cfg = reader.read_or_raise(_SETTINGS.value, schema.CtlSettings)
     deadline = time.monotonic() + _WAIT_S.value
-    last: result.Result = result.Failure("no control replica is named")
+    last: result.Result = result.Failure(NoAnswer("", "no answer"))
     async with aiohttp.ClientSession() as session:
         while time.monotonic() < deadline:
             for control in cfg.controls:
@@ -246,9 +268,10 @@
         ) as resp:
             data = await resp.read()
     except (aiohttp.ClientError, TimeoutError) as exc:
-        return result.Failure(f"{type(exc).__name__} from {url}")
+        return result.Failure(NoAnswer(url, type(exc).__name__))
     if resp.status >= 500 or resp.status == 400:
-        return result.Failure(data.decode(errors="replace"))
+        text = data.decode(errors="replace")
+        return result.Failure(NoAnswer(url, text))
     return result.Success(data)
 
 
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -111,5 +111,5 @@
             ledger.Ledger(cfg.accelerators, cfg.memory_mib),
             cfg.fenced,
         )
-    queue = admission.Queue(cfg.queue_limit)
+    queue = admission.new_queue(cfg.queue_limit, cfg.slots)
     return upstream_work.UpstreamState(upstream, view, queue, orders)
--- a/tools/experiments.py
+++ b/tools/experiments.py
@@ -38,6 +38,7 @@
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reading:
     attained: float
+    least: float
     per_accelerator: float
     moves: int
     first_ms: float
@@ -51,9 +52,11 @@
     made = scenarios.make(plan, scenario, seed)
     run = virtual.new_run(plan, POLICIES[policy], made.load, seed)
     told = virtual.run(run, made.load, seed, made.events)
+    flooded = scenarios.FLOODED[name] if scenario == "flood" else ""
     accelerators = sum(g.engines * g.accelerators for g in plan.groups)
     return Reading(
         attained=outcomes.attained_share(told) * 100,
+        least=outcomes.least_share(told, flooded) * 100,
         per_accelerator=told.attained / accelerators / made.load.duration_s,
         moves=told.moves,
         first_ms=outcomes.p95_ms(told.first_token),
@@ -65,16 +68,26 @@
 def row(case, readings):
     name, scenario, policy = case
     shares = [r.attained for r in readings]
+    least = statistics.mean(r.least for r in readings)
     per = statistics.mean(r.per_accelerator for r in readings)
     moves = statistics.mean(r.moves for r in readings)
     first = statistics.mean(r.first_ms for r in readings)
     between = statistics.mean(r.between_ms for r in readings)
     refused = statistics.mean(r.refused for r in readings)
-    return (
-        f"| {name} | {scenario} | {policy} | {statistics.mean(shares):.1f} "
-        f"({min(shares):.1f}-{max(shares):.1f}) | {per:.3f} | {moves:.1f} | "
-        f"{first:.0f} | {between:.1f} | {refused:.2f} |"
+    spread = f"{min(shares):.1f}-{max(shares):.1f}"
+    cells = (
+        name,
+        scenario,
+        policy,
+        f"{statistics.mean(shares):.1f} ({spread})",
+        f"{least:.1f}",
+        f"{per:.3f}",
+        f"{moves:.1f}",
+        f"{first:.0f}",
+        f"{between:.1f}",
+        f"{refused:.2f}",
     )
+    return f"| {' | '.join(cells)} |"
 
 
 def main(_argv):
@@ -87,10 +100,11 @@
         readings = list(pool.map(run_one, jobs))
     print(
         "| deployment | scenario | policy | attained % (least-most) | "
+        "worst pool % | "
         "attained/s per accelerator | moves | p95 first token ms | "
         "p95 between tokens ms | refused % |"
     )
-    print("| --- " * 9 + "|")
+    print("| --- " * 10 + "|")
     count = _SEEDS.value
     for number, case in enumerate(cases):
         print(row(case, readings[number * count : (number + 1) * count]))
