Deliver what an upstream process sent before it exited

Cause: test_planned_stop_of_an_upstream_cuts_nothing_off failed once in a full run ("IncompleteRead") and passed alone three times. Two losses at the end of a process: the link's socket had reconnection turned off (-1), with which the library drops frames that arrived but were not read yet; and a program ended without waiting for frames not yet on the wire.

Change: reconnection is put off for longer than a link lives instead of off; a loss is told after the frames that came before it; programs end their sockets with up to 1 s for the last frames.

Conclusion: a planned stop needs both ends to flush.

--- a/bilberryramp/programs/launch.py
+++ b/bilberryramp/programs/launch.py
@@ -8,6 +8,8 @@
 
 import msgspec
 import yaml
+import zmq
+import zmq.asyncio
 from absl import app, flags
 from aiohttp import web
 
@@ -30,6 +32,7 @@
     "write_yaml",
 ]
 
+LAST_FRAMES_MS = 1000
 EXIT_DEFECT = 1
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_LISTEN = 3
@@ -147,7 +150,11 @@
 
 async def _guarded(main: Callable[[], Awaitable[int]]) -> int:
     try:
-        return await main()
+        code = await main()
+        # Without this, frames not yet on the wire are lost with the process.
+        ctx = zmq.asyncio.Context.instance()
+        await asyncio.to_thread(ctx.destroy, LAST_FRAMES_MS)
+        return code
     except reader.SettingsError as exc:
         return _complain(exc, EXIT_BAD_SETTINGS)
     except OSError as exc:
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -28,6 +28,7 @@
 
 CREDIT_BATCH = 16
 UNUSED_MS = 60_000
+RECONNECT_NEVER_MS = 3_600_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -314,8 +315,10 @@
     sock.setsockopt(zmq.IDENTITY, f"{router.name}/{number}".encode())
     sock.setsockopt(zmq.LINGER, 0)
     # A new link is opened instead, so that nothing queued for one process
-    # ever reaches the next one at the same address.
-    sock.setsockopt(zmq.RECONNECT_IVL, -1)
+    # ever reaches the next one at the same address. Turning reconnection
+    # off would drop frames that arrived but were not read yet, so it only
+    # comes later than the link is given up.
+    sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_NEVER_MS)
     monitor = sock.get_monitor_socket()
     sock.connect(address)
 
@@ -324,7 +327,7 @@
 
     try:
         await asyncio.gather(
-            _watch_transport(monitor, tell),
+            _watch_transport(monitor, sock, tell),
             _receive(sock, tell),
             _transmit(sock, outbox),
         )
@@ -334,7 +337,7 @@
         sock.close()
 
 
-async def _watch_transport(monitor, tell) -> None:
+async def _watch_transport(monitor, sock, tell) -> None:
     broken = (
         zmq.EVENT_DISCONNECTED
         | zmq.EVENT_CLOSED
@@ -347,6 +350,9 @@
         if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
             tell(links.LinkOpened())
         elif event & broken:
+            # What arrived before the loss is passed on before it.
+            while await sock.poll(0):
+                await asyncio.sleep(0)
             tell(links.LinkBroke())
 
 
--- /dev/null
+++ b/bilberryramp/tasks/tests/builders.py
@@ -0,0 +1,7 @@
+"""Builders of frames."""
+
+from bilberryramp.decisions import call_messages
+
+
+def chunk(number: int) -> call_messages.AnswerChunk:
+    return call_messages.AnswerChunk("r1.1", number, b"x" * 200)
