--- a/bilberryramp/decisions/feed.py
+++ b/bilberryramp/decisions/feed.py
@@ -148,12 +148,13 @@
     """
     if now_ms - feed.pruned_ms > SUBSCRIBER_TTL_MS // 4:
         _prune(feed, now_ms)
-    for name in list(feed.waiting):
-        subscriber = feed.subscribers[name]
-        if is_fresh(subscriber.probe):
-            del feed.waiting[name]
-            subscriber.probe = -1
-            yield effects.Send(name, _catch_up(feed, subscriber, view))
+    ready = [
+        name for name in feed.waiting if is_fresh(feed.subscribers[name].probe)
+    ]
+    whole = msgs.WholeView(feed.replica_id, view)
+    for name in ready:
+        del feed.waiting[name]
+        yield from _catch_up(feed, name, whole)
 
 
 def note_applied(feed: Feed, entry: control_state.Entry, result) -> None:
@@ -279,12 +280,19 @@
             feed.waiting.pop(name, None)
 
 
-def _catch_up(feed: Feed, subscriber: Subscriber, view: views.View):
-    sent_ms, want = subscriber.beat_sent_ms, subscriber.report is None
+def _catch_up(feed: Feed, name: str, whole: msgs.WholeView) -> Iterator:
+    subscriber = feed.subscribers[name]
+    subscriber.probe = -1
     if subscriber.index < feed.history_after:
-        subscriber.index = view.index
-        return msgs.WholeView(feed.replica_id, view, sent_ms, want)
-    missing = _entries_after(feed, subscriber.index)
+        subscriber.index = whole.view.index
+        yield effects.Send(name, whole)
     after = subscriber.index
-    subscriber.index = max(subscriber.index, feed.last_change)
-    return msgs.Delta(feed.replica_id, after, missing, sent_ms, want)
+    subscriber.index = max(after, feed.last_change)
+    delta = msgs.Delta(
+        feed.replica_id,
+        after,
+        _entries_after(feed, after),
+        subscriber.beat_sent_ms,
+        subscriber.report is None,
+    )
+    yield effects.Send(name, delta)
--- a/bilberryramp/decisions/feed_messages.py
+++ b/bilberryramp/decisions/feed_messages.py
@@ -82,12 +82,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class WholeView:
-    """The view itself, for a follower too far behind for a delta."""
+    """The view itself, for followers too far behind for a delta.
+
+    It says nothing of any one follower, so that one encoding serves all; a
+    `Delta` that answers the follower's beat comes after it.
+    """
 
     sender: str
     view: views.View
-    beat_sent_ms: int
-    want_report: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/subscription.py
+++ b/bilberryramp/decisions/subscription.py
@@ -162,24 +162,20 @@
         yield from _confirm(sub, now_ms, delta)
 
 
-def on_whole_view(
-    sub: Subscription, now_ms: int, message: msgs.WholeView
-) -> Iterator:
+def on_whole_view(sub: Subscription, message: msgs.WholeView) -> Iterator:
     """Take over a whole view, unless the own one is newer.
 
     Parameters
     ----------
     sub
         Changed in place; its `view` object stays the same one.
-    now_ms
-        The process's clock in milliseconds.
     message
         The view.
 
     Yields
     ------
-    ViewChanged, FreshnessChanged, SetTimer
-        What follows from it.
+    ViewChanged
+        When it was taken over.
     """
     if message.view.index < sub.index:
         return
@@ -187,7 +183,6 @@
         setattr(sub.view, field.name, getattr(message.view, field.name))
     sub.index = sub.view.index
     yield ViewChanged(sub.view.index)
-    yield from _confirm(sub, now_ms, message)
 
 
 def on_timer(sub: Subscription, now_ms: int, token: int) -> Iterator:
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -312,7 +312,7 @@
         if isinstance(message, feed_messages.Delta):
             told = subscription.on_delta(node.sub, self.now, message)
         elif isinstance(message, feed_messages.WholeView):
-            told = subscription.on_whole_view(node.sub, self.now, message)
+            told = subscription.on_whole_view(node.sub, message)
         else:
             answered = entry_messages.ControlAnswered(
                 message.ask_id, message.result
--- a/bilberryramp/decisions/tests/test_feed.py
+++ b/bilberryramp/decisions/tests/test_feed.py
@@ -73,7 +73,7 @@
         if isinstance(message, feed_messages.Delta):
             told = subscription.on_delta(sub, self.now, message)
         else:
-            told = subscription.on_whole_view(sub, self.now, message)
+            told = subscription.on_whole_view(sub, message)
         list(told)
         if sub.view.version < before:
             raise AssertionError(f"{to} went back")
@@ -125,14 +125,29 @@
             tree.run(5000)
         self.assertTrue(tree.all_at(300))
 
+    def test_whole_view_is_one_message_for_all(self):
+        """Else a region that starts anew is encoded for each process."""
+        branch = feed.Feed("c1", history_after=5)
+        for name in ("n1", "n2"):
+            feed.on_beat(branch, 0, feed_messages.Beat(name, 0, -1), 1)
+        view = builders.view_with()
+        told = list(feed.on_tick(branch, 0, view, lambda _: True))
+        whole = [
+            send.message
+            for send in told
+            if isinstance(send.message, feed_messages.WholeView)
+        ]
+        self.assertEqual(len(whole), 2)
+        self.assertIs(whole[0], whole[1])
+
     def test_broken_versions_are_caught(self):
         def any_entry(view, entry):
             view.index = 0
             return APPLY(view, entry)
 
-        def any_view(sub, now_ms, message):
+        def any_view(sub, message):
             sub.index = -1
-            yield from TAKE_VIEW(sub, now_ms, message)
+            yield from TAKE_VIEW(sub, message)
 
         for owner, name, broken in (
             (control_state, "apply_to_view", any_entry),
@@ -153,8 +168,11 @@
     def test_lease_runs_from_the_sending_of_the_beat(self):
         sub = builders.subscriber()
         view = builders.view_with()
-        whole = feed_messages.WholeView("c1", view, 1000)
-        told = list(subscription.on_whole_view(sub, 3000, whole))
+        whole = feed_messages.WholeView("c1", view)
+        told = list(subscription.on_whole_view(sub, whole))
+        self.assertEqual(sub.phase, "unsynced")
+        answer = feed_messages.Delta("c1", view.index, (), 1000)
+        told = list(subscription.on_delta(sub, 3000, answer))
         self.assertIn(subscription.FreshnessChanged(True), told)
         timer = told[-1]
         self.assertEqual(timer.due_ms, 6000)
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -192,7 +192,7 @@
     if isinstance(message, feed_messages.Delta):
         yield from subscription.on_delta(router.sub, now_ms, message)
     elif isinstance(message, feed_messages.WholeView):
-        yield from subscription.on_whole_view(router.sub, now_ms, message)
+        yield from subscription.on_whole_view(router.sub, message)
     elif isinstance(message, feed_messages.AskReply):
         answered = entry_messages.ControlAnswered(
             message.ask_id, message.result
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -149,7 +149,7 @@
     if isinstance(message, feed_messages.Delta):
         yield from subscription.on_delta(node.sub, now_ms, message)
     elif isinstance(message, feed_messages.WholeView):
-        yield from subscription.on_whole_view(node.sub, now_ms, message)
+        yield from subscription.on_whole_view(node.sub, message)
 
 
 def _on_beat(node: UpstreamNode, now_ms: int) -> Iterator:
--- a/bilberryramp/wire/tests/test_codec.py
+++ b/bilberryramp/wire/tests/test_codec.py
@@ -20,7 +20,7 @@
         builders.dispatch(body=b"\x00\xff"),
         builders.refused("r1.1"),
         feed_messages.Delta("c1", 3, (entry,)),
-        feed_messages.WholeView("c1", state.view, 4),
+        feed_messages.WholeView("c1", state.view),
         msgs.InstallSnapshot("c1", 2, msgs.Snapshot(5, 1, state), 9),
         msgs.Propose("o", "a", commands.Noop()),
     )
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -96,7 +96,6 @@
         if kind == "WholeView":
             view = fields[1]
             follower.index, follower.version = view[2], view[3]
-            follower.want_report = fields[3]
         elif kind == "Delta" and fields[1] <= follower.index:
             for entry in fields[2]:
                 if entry[2] > follower.index:
