Take an engine's restart by what it says, not by what was believed

Ruled out: a boot id in each order (the engines' interface has none).

Change: models that the new boot reports stay as they are; a report asked for before the last answer is not trusted; after a restart a refusal frees no memory until an order was confirmed.

Conclusion: the engine's own report decides, if it is newer than our orders.

--- a/bilberryramp/decisions/model_orders.py
+++ b/bilberryramp/decisions/model_orders.py
@@ -148,6 +148,8 @@
         The newest one followed; None until one is known.
     sent
         Orders sent under the placement's fence.
+    answered_ms
+        When an order was last answered, on the process's clock.
     running
         Requests running by model.
     """
@@ -159,6 +161,7 @@
     boot_id: str = ""
     placement: views.Placement | None = None
     sent: int = 0
+    answered_ms: int = -1
     models: dict[str, ModelOrder] = dataclasses.field(default_factory=dict)
     running: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -259,8 +262,11 @@
         orders.boot_id = report.boot_id
         yield from _adopt(orders, report.held)
     elif report.boot_id != orders.boot_id:
+        if report.asked_ms < orders.answered_ms:
+            # An order was carried out since; the next report shows it.
+            return
         orders.boot_id = report.boot_id
-        yield from _forget_boot(orders, now_ms)
+        yield from _forget_boot(orders, now_ms, report)
     yield from _fire_adoption(orders, "found", now_ms, report)
     yield from reconcile(orders, now_ms, orders.placement)
 
@@ -284,6 +290,7 @@
     EngineOrder, ResidencyChanged, SetTimer
         What follows from it.
     """
+    orders.answered_ms = now_ms
     if order.place == BARRIER:
         event = "confirmed" if outcome == OrderOutcome.CONFIRMED else "failed"
         yield from _fire_adoption(orders, event, now_ms, None)
@@ -377,10 +384,16 @@
     return None
 
 
-def _forget_boot(orders: Orders, now_ms: int) -> Iterator:
+def _forget_boot(orders: Orders, now_ms: int, report) -> Iterator:
+    """Load anew what the new boot lacks.
+
+    Orders sent before the restart was noticed may have reached the new
+    boot or may still, so no refusal is taken as proof for now.
+    """
     for machine in list(orders.models.values()):
-        machine.unanswered = False
-        yield from _fire(machine, "engine_restarted", now_ms)
+        machine.unanswered = True
+        if machine.place not in report.held:
+            yield from _fire(machine, "engine_restarted", now_ms)
     yield from _fire_adoption(orders, "rebooted", now_ms, None)
 
 
--- a/bilberryramp/decisions/tests/test_model_orders.py
+++ b/bilberryramp/decisions/tests/test_model_orders.py
@@ -158,6 +158,29 @@
         numbers = [order.fence for order in bench.sent]
         self.assertEqual(numbers, sorted(set(numbers)))
 
+    def test_load_carried_out_before_the_restart_was_noticed(self):
+        """An order may reach the new boot while the old one is believed."""
+        bench = Bench(fenced=True)
+        bench.place(5, "m1")
+        bench.settle()
+        bench.answer()
+        bench.see("boot-2", (builders.place("m1"),))
+        self.assertEqual(bench.phase("m1"), "resident")
+        bench.see("boot-3")
+        self.assertEqual(bench.phase("m1"), "loading")
+        bench.answer(OUTCOME.REFUSED)
+        self.assertEqual(bench.promised(), ["m1"])
+
+    def test_report_older_than_an_answer_is_not_trusted(self):
+        bench = Bench(fenced=True)
+        bench.place(5, "m1")
+        bench.settle()
+        bench.now = 1000
+        bench.answer()
+        report = model_orders.EngineReport("boot-2", (), 900)
+        bench.take(model_orders.note_engine(bench.orders, 1100, report))
+        self.assertEqual(bench.phase("m1"), "resident")
+
     def test_refusal_of_a_repeat_proves_nothing(self):
         """The first try may have been carried out."""
         bench = Bench(fenced=True)
