Split the largest modules, one copy of shared messages

Change: state and queries of a replica in replica_state.py, shared messages in role_messages.py, one _give_up in upstream_work.py; plots name their percentiles. Behaviour is unchanged.

--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -18,6 +18,7 @@
     errors,
     once_records,
     quarantine,
+    role_messages,
     route_index,
     routing,
     tables,
@@ -676,7 +677,7 @@
 
 
 def _on_timer(
-    entry: Entry, now_ms: int, message: entry_messages.TimerFired
+    entry: Entry, now_ms: int, message: role_messages.TimerFired
 ) -> Iterator:
     call = entry.calls.get(message.key)
     if call is None:
@@ -753,9 +754,9 @@
     entry_messages.CallerLeft: _on_caller_left,
     entry_messages.ControlAnswered: _on_control_answer,
     entry_messages.FrameArrived: _on_frame,
-    entry_messages.FreshnessNoted: _on_freshness,
+    role_messages.FreshnessNoted: _on_freshness,
     entry_messages.LinkFailed: _on_link_failed,
     entry_messages.LinkLost: _on_link_lost,
     entry_messages.RemindControl: _on_remind,
-    entry_messages.TimerFired: _on_timer,
+    role_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/decisions/entry_messages.py
+++ b/bilberryramp/decisions/entry_messages.py
@@ -12,7 +12,6 @@
     "CallerRequest",
     "ControlAnswered",
     "FrameArrived",
-    "FreshnessNoted",
     "LinkFailed",
     "LinkLost",
     "RemindControl",
@@ -20,7 +19,6 @@
     "ReplyEnd",
     "ReplyFailure",
     "ReplyHead",
-    "TimerFired",
 ]
 
 
@@ -123,13 +121,6 @@
     frame: object
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class FreshnessNoted:
-    """The view's freshness lease was gained or ran out."""
-
-    fresh: bool
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class LinkFailed:
     """A link never opened: nothing queued on it was sent."""
@@ -181,11 +172,3 @@
     request_id: str
     status: int
     content_type: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class TimerFired:
-    """A timer of `SetTimer` came due."""
-
-    key: str
-    token: int
--- a/bilberryramp/decisions/feed.py
+++ b/bilberryramp/decisions/feed.py
@@ -103,7 +103,7 @@
     beat
         The heartbeat.
     probe
-        From `replication.next_probe`.
+        From `replica_state.next_probe`.
     """
     known = feed.subscribers.get(beat.sender)
     if known is None:
--- a/bilberryramp/decisions/replication.py
+++ b/bilberryramp/decisions/replication.py
@@ -8,12 +8,10 @@
 before any ``Send``. An entry commits once a majority of all configured
 replicas holds it. A replica whose disk is new neither votes nor counts
 until it knows that a majority without it has committed its readmission. A
-leader
-accepts proposals only while a majority acknowledged it within the lease,
-which is shorter than the time for which followers refuse to vote.
+leader accepts proposals only while a majority acknowledged it within the
+lease, which is shorter than the time for which followers refuse to vote.
 """
 
-import dataclasses
 import random
 from collections.abc import Iterator
 
@@ -24,25 +22,18 @@
     effects,
     errors,
     log_entries,
+    replica_state,
 )
 from bilberryramp.decisions import replication_messages as msgs
 
 __all__ = [
-    "GENESIS",
-    "Progress",
-    "Replica",
-    "ReplicaSettings",
     "TermRegressedError",
     "actions",
     "guards",
-    "is_fresh",
-    "lease_is_valid",
     "new_replica",
-    "next_probe",
     "step",
 ]
 
-GENESIS = "genesis"
 _KEEP_NONE = 2**62
 
 
@@ -50,106 +41,8 @@
     """A committed entry would change; a defect, never load."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReplicaSettings:
-    """Settings of one replica; durations in milliseconds.
-
-    Attributes
-    ----------
-    replica_id, replica_ids
-        This replica, and every replica of the cluster.
-    heartbeat_ms
-        Time between a leader's heartbeats.
-    election_ms
-        Least time without a leader before an election; up to twice that.
-    lease_ms
-        How long a leader may rely on a majority's acknowledgement. Less
-        than `election_ms` by more than clocks drift in that time.
-    batch_entries
-        Most entries in one `Append`.
-    snapshot_entries, kept_entries
-        Entries between snapshots, and entries kept behind one.
-    snapshot_pause_ms
-        Time given to a follower to take in a snapshot.
-    max_pending
-        Most proposals waiting for their commit.
-    """
-
-    replica_id: str
-    replica_ids: tuple[str, ...]
-    heartbeat_ms: int = 50
-    election_ms: int = 400
-    lease_ms: int = 300
-    batch_entries: int = 256
-    snapshot_entries: int = 4000
-    kept_entries: int = 1000
-    snapshot_pause_ms: int = 2000
-    max_pending: int = 4096
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What a leader knows of one follower; times in milliseconds."""
-
-    next_index: int
-    match_index: int = 0
-    incarnation: str = ""
-    admitted: bool = False
-    acked_ms: int = -1
-    sent_ms: int = -1
-    in_flight_to: int = 0
-    probe: int = 0
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Waiter:
-    """Whoever waits for the entry at an index to commit."""
-
-    term: int
-    sender: str
-    origin: str
-    ask_id: str
-
-
-@dataclasses.dataclass(slots=True)
-class Replica:
-    """State of one replica; `key`, `phase` and `timer` are its machine's."""
-
-    cfg: ReplicaSettings
-    chart: charting.Chart
-    rng: random.Random
-    incarnation: str
-    key: str = "replica"
-    phase: str = "recovering"
-    timer: int = 0
-    term: int = 0
-    voted_for: str = ""
-    leader_id: str = ""
-    tail: log_entries.LogTail = dataclasses.field(
-        default_factory=log_entries.LogTail
-    )
-    state: control_state.ControlState = dataclasses.field(
-        default_factory=control_state.ControlState
-    )
-    commit_index: int = 0
-    applied_index: int = 0
-    snapshot_index: int = 0
-    election_due_ms: int = 0
-    leader_seen_ms: int = 0
-    admitted_index: int = -1
-    votes: set[str] = dataclasses.field(default_factory=set)
-    transfer: bool = False
-    progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
-    waiters: dict[int, _Waiter] = dataclasses.field(default_factory=dict)
-    forwarded: dict[str, str] = dataclasses.field(default_factory=dict)
-    readmitting: set[str] = dataclasses.field(default_factory=set)
-    probe_sent: int = 0
-    probe_echoed: int = 0
-    probe_commit: int = 0
-
-
 def new_replica(
-    cfg: ReplicaSettings,
+    cfg: replica_state.ReplicaSettings,
     chart: charting.Chart,
     rng: random.Random,
     incarnation: str,
@@ -157,7 +50,7 @@
     hard_state: msgs.HardState | None = None,
     snapshot: msgs.Snapshot | None = None,
     entries: tuple[control_state.Entry, ...] = (),
-) -> Replica:
+) -> replica_state.Replica:
     """Build a replica from what its disk holds.
 
     Parameters
@@ -175,14 +68,14 @@
 
     Returns
     -------
-    Replica
+    replica_state.Replica
         A follower, or recovering when its incarnation is not admitted.
     """
-    rep = Replica(cfg, chart, rng, incarnation)
+    rep = replica_state.Replica(cfg, chart, rng, incarnation)
     rep.phase = chart.spec.initial
-    rep.state.admitted = dict.fromkeys(cfg.replica_ids, GENESIS)
+    rep.state.admitted = dict.fromkeys(cfg.replica_ids, replica_state.GENESIS)
     rep.leader_seen_ms = now_ms
-    rep.admitted_index = 0 if incarnation == GENESIS else -1
+    rep.admitted_index = 0 if incarnation == replica_state.GENESIS else -1
     if hard_state is not None:
         rep.term, rep.voted_for = hard_state.term, hard_state.voted_for
         rep.admitted_index = hard_state.admitted_index
@@ -195,7 +88,7 @@
     return rep
 
 
-def step(rep: Replica, now_ms: int, message) -> Iterator:
+def step(rep: replica_state.Replica, now_ms: int, message) -> Iterator:
     """Handle one message.
 
     Parameters
@@ -215,105 +108,43 @@
     yield from _HANDLERS[type(message)](rep, now_ms, message)
 
 
-def lease_is_valid(rep: Replica, now_ms: int) -> bool:
-    """Tell whether this replica leads and a majority knew it lately.
-
-    Parameters
-    ----------
-    rep
-        The replica asked.
-    now_ms
-        Its clock in milliseconds.
-
-    Returns
-    -------
-    bool
-        True only for a leader within its lease.
-    """
-    if rep.phase != "leader":
-        return False
-    acked = [p.acked_ms for p in _counted(rep)]
-    acked.append(now_ms)
-    acked.sort(reverse=True)
-    needed = _quorum(rep)
-    if len(acked) < needed:
-        return False
-    return now_ms - acked[needed - 1] < rep.cfg.lease_ms
-
-
-def next_probe(rep: Replica) -> int:
-    """Start a freshness probe.
-
-    Parameters
-    ----------
-    rep
-        The replica that will answer a reader.
-
-    Returns
-    -------
-    int
-        To be passed to `is_fresh`.
-    """
-    rep.probe_sent += 1
-    return rep.probe_sent
-
-
-def is_fresh(rep: Replica, probe: int, now_ms: int) -> bool:
-    """Tell whether the state holds all that was committed at a probe.
-
-    Parameters
-    ----------
-    rep
-        The replica asked.
-    probe
-        From `next_probe`.
-    now_ms
-        Its clock in milliseconds.
-
-    Returns
-    -------
-    bool
-        On a leader: its lease is valid and its term has committed. On a
-        follower: the leader echoed the probe with a commit index that is
-        applied here.
-    """
-    if rep.phase == "leader":
-        own_term = log_entries.term_at(rep.tail, rep.commit_index) == rep.term
-        return own_term and lease_is_valid(rep, now_ms)
-    return rep.probe_echoed >= probe and rep.applied_index >= rep.probe_commit
-
-
 # Elections.
 
 
-def _on_tick(rep: Replica, now_ms: int, _message) -> Iterator:
+def _on_tick(rep: replica_state.Replica, now_ms: int, _message) -> Iterator:
     if rep.phase == "leader":
         yield from _tick_leader(rep, now_ms)
     elif now_ms >= rep.election_due_ms:
         yield from _raise(rep, "election_timeout", now_ms)
 
 
-def _tick_leader(rep: Replica, now_ms: int) -> Iterator:
-    if not lease_is_valid(rep, now_ms) and _lease_has_run(rep, now_ms):
+def _tick_leader(rep: replica_state.Replica, now_ms: int) -> Iterator:
+    if not replica_state.lease_is_valid(rep, now_ms) and _lease_has_run(
+        rep, now_ms
+    ):
         yield from _raise(rep, "lease_expired", now_ms)
         return
-    for peer in _peers(rep):
+    for peer in replica_state.peers(rep):
         if now_ms - rep.progress[peer].sent_ms >= rep.cfg.heartbeat_ms:
             yield _append_for(rep, peer, now_ms, resend=True)
 
 
-def _lease_has_run(rep: Replica, now_ms: int) -> bool:
+def _lease_has_run(rep: replica_state.Replica, now_ms: int) -> bool:
     return now_ms - rep.leader_seen_ms >= rep.cfg.lease_ms
 
 
-def _start_prevote(rep: Replica, now_ms: int, _payload) -> Iterator:
+def _start_prevote(
+    rep: replica_state.Replica, now_ms: int, _payload
+) -> Iterator:
     _set_election_due(rep, now_ms)
     rep.leader_id = ""
     yield from _give_up_forwarded(rep)
     yield from _canvass(rep, now_ms, rep.term + 1, pre=True)
 
 
-def _start_election(rep: Replica, now_ms: int, _payload) -> Iterator:
+def _start_election(
+    rep: replica_state.Replica, now_ms: int, _payload
+) -> Iterator:
     _set_election_due(rep, now_ms)
     rep.term += 1
     rep.voted_for = rep.cfg.replica_id
@@ -322,7 +153,9 @@
     yield from _canvass(rep, now_ms, rep.term, pre=False)
 
 
-def _canvass(rep: Replica, now_ms: int, term: int, pre: bool) -> Iterator:
+def _canvass(
+    rep: replica_state.Replica, now_ms: int, term: int, pre: bool
+) -> Iterator:
     rep.votes = {rep.cfg.replica_id}
     request = msgs.RequestVote(
         sender=rep.cfg.replica_id,
@@ -332,18 +165,20 @@
         pre=pre,
         transfer=rep.transfer,
     )
-    for peer in _peers(rep):
+    for peer in replica_state.peers(rep):
         yield effects.Send(peer, request)
     yield from _count_votes(rep, now_ms, pre)
 
 
-def _count_votes(rep: Replica, now_ms: int, pre: bool) -> Iterator:
-    if len(rep.votes) >= _quorum(rep):
+def _count_votes(
+    rep: replica_state.Replica, now_ms: int, pre: bool
+) -> Iterator:
+    if len(rep.votes) >= replica_state.quorum(rep):
         event = "prevote_quorum" if pre else "vote_quorum"
         yield from _raise(rep, event, now_ms)
 
 
-def _on_request_vote(rep: Replica, now_ms: int, ask) -> Iterator:
+def _on_request_vote(rep: replica_state.Replica, now_ms: int, ask) -> Iterator:
     promised = now_ms - rep.leader_seen_ms < rep.cfg.election_ms
     shielded = (promised or rep.phase == "leader") and not ask.transfer
     if not ask.pre and ask.term > rep.term and not shielded:
@@ -365,7 +200,7 @@
     )
 
 
-def _may_vote(rep: Replica, ask) -> bool:
+def _may_vote(rep: replica_state.Replica, ask) -> bool:
     if rep.phase == "recovering":
         return False
     own = (log_entries.last_term(rep.tail), log_entries.last_index(rep.tail))
@@ -376,7 +211,7 @@
     return ask.term == rep.term and rep.voted_for in ("", ask.sender)
 
 
-def _on_vote_reply(rep: Replica, now_ms: int, reply) -> Iterator:
+def _on_vote_reply(rep: replica_state.Replica, now_ms: int, reply) -> Iterator:
     if reply.term > rep.term:
         yield from _adopt_term(rep, now_ms, reply.term)
         return
@@ -389,28 +224,35 @@
         yield from _count_votes(rep, now_ms, reply.pre)
 
 
-def _become_leader(rep: Replica, now_ms: int, _payload) -> Iterator:
+def _become_leader(
+    rep: replica_state.Replica, now_ms: int, _payload
+) -> Iterator:
     rep.leader_id = rep.cfg.replica_id
     rep.leader_seen_ms = now_ms
     rep.transfer = False
     rep.readmitting.clear()
     following = log_entries.last_index(rep.tail) + 1
-    rep.progress = {peer: Progress(following) for peer in _peers(rep)}
+    rep.progress = {
+        peer: replica_state.Progress(following)
+        for peer in replica_state.peers(rep)
+    }
     yield _leader_changed(rep)
     yield from _propose(rep, now_ms, commands.Noop(), None)
 
 
-def _on_timeout_now(rep: Replica, now_ms: int, message) -> Iterator:
+def _on_timeout_now(
+    rep: replica_state.Replica, now_ms: int, message
+) -> Iterator:
     if message.term == rep.term:
         rep.transfer = True
         yield from _raise(rep, "transfer_asked", now_ms)
 
 
-def _on_stop(rep: Replica, now_ms: int, _message) -> Iterator:
+def _on_stop(rep: replica_state.Replica, now_ms: int, _message) -> Iterator:
     yield from _raise(rep, "stop_asked", now_ms)
 
 
-def _hand_over(rep: Replica, now_ms: int, _payload) -> Iterator:
+def _hand_over(rep: replica_state.Replica, now_ms: int, _payload) -> Iterator:
     ready = [
         (progress.match_index, peer)
         for peer, progress in rep.progress.items()
@@ -423,7 +265,9 @@
         yield effects.Send(max(ready)[1], message)
 
 
-def _adopt_term(rep: Replica, now_ms: int, term: int) -> Iterator:
+def _adopt_term(
+    rep: replica_state.Replica, now_ms: int, term: int
+) -> Iterator:
     rep.term = term
     rep.voted_for = ""
     rep.leader_id = ""
@@ -434,7 +278,7 @@
 # Proposals.
 
 
-def _on_propose(rep: Replica, now_ms: int, ask) -> Iterator:
+def _on_propose(rep: replica_state.Replica, now_ms: int, ask) -> Iterator:
     forward = msgs.Forward(
         rep.cfg.replica_id, ask.origin, ask.ask_id, ask.command
     )
@@ -446,8 +290,8 @@
     yield effects.Send(rep.leader_id, forward)
 
 
-def _on_forward(rep: Replica, now_ms: int, ask) -> Iterator:
-    waiter = _Waiter(rep.term, ask.sender, ask.origin, ask.ask_id)
+def _on_forward(rep: replica_state.Replica, now_ms: int, ask) -> Iterator:
+    waiter = replica_state.Waiter(rep.term, ask.sender, ask.origin, ask.ask_id)
     reason = _refusal(rep, now_ms)
     if reason is not None:
         result = commands.Unavailable(reason, rep.leader_id)
@@ -456,24 +300,28 @@
     yield from _propose(rep, now_ms, ask.command, waiter)
 
 
-def _on_forward_reply(rep: Replica, _now_ms: int, reply) -> Iterator:
+def _on_forward_reply(
+    rep: replica_state.Replica, _now_ms: int, reply
+) -> Iterator:
     rep.forwarded.pop(reply.ask_id, None)
     yield msgs.Answer(reply.origin, reply.ask_id, reply.result)
 
 
-def _refusal(rep: Replica, now_ms: int) -> commands.UnavailableReason | None:
+def _refusal(
+    rep: replica_state.Replica, now_ms: int
+) -> commands.UnavailableReason | None:
     if rep.phase == "stopping":
         return commands.UnavailableReason.STOPPING
     if rep.phase != "leader":
         return commands.UnavailableReason.NOT_LEADER
-    if not lease_is_valid(rep, now_ms):
+    if not replica_state.lease_is_valid(rep, now_ms):
         return commands.UnavailableReason.LEASE_EXPIRED
     if len(rep.waiters) >= rep.cfg.max_pending:
         return commands.UnavailableReason.TOO_MANY_PENDING
     return None
 
 
-def _give_up_forwarded(rep: Replica) -> Iterator:
+def _give_up_forwarded(rep: replica_state.Replica) -> Iterator:
     """Answer those whose leader may be gone; they ask again."""
     reason = commands.UnavailableReason.NOT_LEADER
     result = commands.Unavailable(reason, rep.leader_id)
@@ -482,20 +330,22 @@
     rep.forwarded.clear()
 
 
-def _propose(rep: Replica, now_ms: int, command, waiter) -> Iterator:
+def _propose(
+    rep: replica_state.Replica, now_ms: int, command, waiter
+) -> Iterator:
     index = log_entries.last_index(rep.tail) + 1
     entry = control_state.Entry(rep.term, index, command)
     log_entries.append(rep.tail, entry)
     if waiter is not None:
         rep.waiters[index] = waiter
     yield msgs.PersistEntries((entry,))
-    for peer in _peers(rep):
+    for peer in replica_state.peers(rep):
         if rep.progress[peer].in_flight_to <= rep.progress[peer].match_index:
             yield _append_for(rep, peer, now_ms)
     yield from _advance_commit(rep, now_ms)
 
 
-def _answer(rep: Replica, waiter: _Waiter, result):
+def _answer(rep: replica_state.Replica, waiter: replica_state.Waiter, result):
     if waiter.sender == rep.cfg.replica_id:
         return msgs.Answer(waiter.origin, waiter.ask_id, result)
     reply = msgs.ForwardReply(
@@ -504,7 +354,9 @@
     return effects.Send(waiter.sender, reply)
 
 
-def _fail_pending(rep: Replica, _now_ms: int, _payload) -> Iterator:
+def _fail_pending(
+    rep: replica_state.Replica, _now_ms: int, _payload
+) -> Iterator:
     if rep.leader_id == rep.cfg.replica_id:
         rep.leader_id = ""
     reason = commands.UnavailableReason.NOT_LEADER
@@ -518,7 +370,9 @@
 # Replication.
 
 
-def _append_for(rep: Replica, peer: str, now_ms: int, resend: bool = False):
+def _append_for(
+    rep: replica_state.Replica, peer: str, now_ms: int, resend: bool = False
+):
     progress = rep.progress[peer]
     progress.sent_ms = now_ms
     if resend:
@@ -546,7 +400,7 @@
     )
 
 
-def _snapshot_for(rep: Replica, peer: str, now_ms: int):
+def _snapshot_for(rep: replica_state.Replica, peer: str, now_ms: int):
     # The next append waits, or each heartbeat would carry a whole snapshot.
     rep.progress[peer].sent_ms = now_ms + rep.cfg.snapshot_pause_ms
     snapshot = _take_snapshot(rep)
@@ -556,12 +410,12 @@
     return effects.Send(peer, message)
 
 
-def _take_snapshot(rep: Replica) -> msgs.Snapshot:
+def _take_snapshot(rep: replica_state.Replica) -> msgs.Snapshot:
     term = log_entries.term_at(rep.tail, rep.applied_index)
     return msgs.Snapshot(rep.applied_index, term, rep.state)
 
 
-def _on_append(rep: Replica, now_ms: int, append) -> Iterator:
+def _on_append(rep: replica_state.Replica, now_ms: int, append) -> Iterator:
     if append.term < rep.term:
         yield _append_reply(rep, append, False, 0)
         return
@@ -583,7 +437,7 @@
     yield from _commit_to(rep, now_ms, min(append.commit_index, matched))
 
 
-def _follow(rep: Replica, now_ms: int, message) -> Iterator:
+def _follow(rep: replica_state.Replica, now_ms: int, message) -> Iterator:
     if message.term > rep.term:
         yield from _adopt_term(rep, now_ms, message.term)
     rep.leader_seen_ms = now_ms
@@ -596,7 +450,9 @@
         yield _leader_changed(rep)
 
 
-def _append_reply(rep: Replica, message, matched: bool, index: int):
+def _append_reply(
+    rep: replica_state.Replica, message, matched: bool, index: int
+):
     reply = msgs.AppendReply(
         sender=rep.cfg.replica_id,
         incarnation=rep.incarnation,
@@ -610,7 +466,9 @@
     return effects.Send(message.sender, reply)
 
 
-def _on_append_reply(rep: Replica, now_ms: int, reply) -> Iterator:
+def _on_append_reply(
+    rep: replica_state.Replica, now_ms: int, reply
+) -> Iterator:
     if reply.term > rep.term:
         yield from _adopt_term(rep, now_ms, reply.term)
         return
@@ -632,7 +490,9 @@
         yield _append_for(rep, reply.sender, now_ms)
 
 
-def _note_disk(progress: Progress, reply: msgs.AppendReply) -> None:
+def _note_disk(
+    progress: replica_state.Progress, reply: msgs.AppendReply
+) -> None:
     if progress.incarnation not in ("", reply.incarnation):
         progress.match_index = 0
         progress.acked_ms = -1
@@ -641,7 +501,7 @@
     progress.admitted = reply.admitted
 
 
-def _readmit(rep: Replica, now_ms: int, peer: str) -> Iterator:
+def _readmit(rep: replica_state.Replica, now_ms: int, peer: str) -> Iterator:
     progress = rep.progress[peer]
     known = rep.state.admitted.get(peer) == progress.incarnation
     caught_up = progress.match_index >= rep.commit_index
@@ -654,7 +514,7 @@
     yield from _propose(rep, now_ms, command, None)
 
 
-def _on_install(rep: Replica, now_ms: int, message) -> Iterator:
+def _on_install(rep: replica_state.Replica, now_ms: int, message) -> Iterator:
     if message.term < rep.term:
         yield _append_reply(rep, message, False, 0)
         return
@@ -670,7 +530,9 @@
     yield _append_reply(rep, message, True, snapshot.index)
 
 
-def _adopt_snapshot(rep: Replica, snapshot: msgs.Snapshot) -> None:
+def _adopt_snapshot(
+    rep: replica_state.Replica, snapshot: msgs.Snapshot
+) -> None:
     if log_entries.term_at(rep.tail, snapshot.index) == snapshot.term:
         log_entries.compact(rep.tail, snapshot.index)
     else:
@@ -681,11 +543,11 @@
     rep.snapshot_index = snapshot.index
 
 
-def _advance_commit(rep: Replica, now_ms: int) -> Iterator:
-    matches = [progress.match_index for progress in _counted(rep)]
+def _advance_commit(rep: replica_state.Replica, now_ms: int) -> Iterator:
+    matches = [progress.match_index for progress in replica_state.counted(rep)]
     matches.append(log_entries.last_index(rep.tail))
     matches.sort(reverse=True)
-    needed = _quorum(rep)
+    needed = replica_state.quorum(rep)
     if len(matches) < needed:
         return
     index = matches[needed - 1]
@@ -693,7 +555,9 @@
         yield from _commit_to(rep, now_ms, index)
 
 
-def _commit_to(rep: Replica, now_ms: int, index: int) -> Iterator:
+def _commit_to(
+    rep: replica_state.Replica, now_ms: int, index: int
+) -> Iterator:
     rep.commit_index = max(rep.commit_index, index)
     while rep.applied_index < rep.commit_index:
         yield from _apply_next(rep)
@@ -703,7 +567,7 @@
         yield _compact(rep)
 
 
-def _apply_next(rep: Replica) -> Iterator:
+def _apply_next(rep: replica_state.Replica) -> Iterator:
     index = rep.applied_index + 1
     entry = rep.tail.entries[index - rep.tail.base_index - 1]
     result = control_state.apply(rep.state, entry)
@@ -714,7 +578,7 @@
         yield _answer(rep, waiter, result)
 
 
-def _compact(rep: Replica):
+def _compact(rep: replica_state.Replica):
     snapshot = _take_snapshot(rep)
     rep.snapshot_index = rep.applied_index
     oldest = rep.tail.base_index
@@ -723,7 +587,7 @@
     return msgs.PersistSnapshot(snapshot, first_kept + 1)
 
 
-def _check_admission(rep: Replica, now_ms: int) -> Iterator:
+def _check_admission(rep: replica_state.Replica, now_ms: int) -> Iterator:
     admitted = rep.state.admitted.get(rep.cfg.replica_id) == rep.incarnation
     if admitted and rep.admitted_index < 0:
         rep.admitted_index = rep.applied_index
@@ -738,7 +602,7 @@
     yield from _raise(rep, event, now_ms)
 
 
-def _assert_committed_stay(rep: Replica, entries) -> None:
+def _assert_committed_stay(rep: replica_state.Replica, entries) -> None:
     for entry in entries:
         held = log_entries.term_at(rep.tail, entry.index)
         if entry.index <= rep.commit_index and held not in (None, entry.term):
@@ -750,40 +614,29 @@
 # Shared by all.
 
 
-def _raise(rep: Replica, event: str, now_ms: int) -> Iterator:
+def _raise(rep: replica_state.Replica, event: str, now_ms: int) -> Iterator:
     yield from charting.fire(rep.chart, rep, event, now_ms, None)
 
 
-def _reset_election(rep: Replica, now_ms: int, _payload) -> Iterator:
+def _reset_election(
+    rep: replica_state.Replica, now_ms: int, _payload
+) -> Iterator:
     _set_election_due(rep, now_ms)
     yield from ()
 
 
-def _set_election_due(rep: Replica, now_ms: int) -> None:
+def _set_election_due(rep: replica_state.Replica, now_ms: int) -> None:
     jitter_ms = rep.rng.randrange(rep.cfg.election_ms)
     rep.election_due_ms = now_ms + rep.cfg.election_ms + jitter_ms
 
 
-def _quorum(rep: Replica) -> int:
-    return len(rep.cfg.replica_ids) // 2 + 1
-
-
-def _peers(rep: Replica) -> Iterator[str]:
-    own = rep.cfg.replica_id
-    return (peer for peer in rep.cfg.replica_ids if peer != own)
-
-
-def _counted(rep: Replica) -> Iterator[Progress]:
-    return (p for p in rep.progress.values() if p.admitted)
-
-
-def _hard_state(rep: Replica):
+def _hard_state(rep: replica_state.Replica):
     return msgs.PersistHardState(
         msgs.HardState(rep.term, rep.voted_for, rep.admitted_index)
     )
 
 
-def _leader_changed(rep: Replica):
+def _leader_changed(rep: replica_state.Replica):
     return msgs.LeaderChanged(rep.phase, rep.term, rep.leader_id)
 
 
--- a/bilberryramp/decisions/tests/control_driver.py
+++ b/bilberryramp/decisions/tests/control_driver.py
@@ -10,7 +10,13 @@
 import dataclasses
 import random
 
-from bilberryramp.decisions import commands, effects, replication, views
+from bilberryramp.decisions import (
+    commands,
+    effects,
+    replica_state,
+    replication,
+    views,
+)
 from bilberryramp.decisions import replication_messages as msgs
 from bilberryramp.decisions.tests import builders
 
@@ -32,7 +38,7 @@
 
     def is_admitted(self):
         if self.hard_state is None:
-            return self.incarnation == replication.GENESIS
+            return self.incarnation == replica_state.GENESIS
         return self.hard_state.admitted_index >= 0
 
     def write(self, effect):
@@ -52,7 +58,7 @@
 class Node:
     disk: Disk
     rate: float
-    replica: replication.Replica | None = None
+    replica: replica_state.Replica | None = None
     frozen: bool = False
 
 
@@ -64,7 +70,9 @@
         self.bend = bend or (lambda _replica: None)
         self.names = tuple(f"c{n}" for n in range(1, size + 1))
         self.nodes = {
-            name: Node(Disk(replication.GENESIS), self.rng.uniform(0.98, 1.02))
+            name: Node(
+                Disk(replica_state.GENESIS), self.rng.uniform(0.98, 1.02)
+            )
             for name in self.names
         }
         self.wire = []
@@ -92,7 +100,7 @@
 
     def start(self, name):
         node = self.nodes[name]
-        cfg = replication.ReplicaSettings(name, self.names, **LIMITS)
+        cfg = replica_state.ReplicaSettings(name, self.names, **LIMITS)
         disk = node.disk
         node.frozen = False
         node.replica = replication.new_replica(
@@ -283,7 +291,7 @@
             name
             for name, node in self.nodes.items()
             if node.replica is not None
-            and replication.lease_is_valid(node.replica, self.clock(name))
+            and replica_state.lease_is_valid(node.replica, self.clock(name))
         ]
         if len(leading) > 1:
             raise ViolationError(f"two valid leases: {leading}")
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -25,6 +25,7 @@
     links,
     membership,
     model_orders,
+    role_messages,
     shutdown,
     subscription,
     tables,
@@ -424,9 +425,9 @@
                 handler(self, name, node, effect)
 
     def do_timer(self, name, node, timer):
-        make = entry_messages.TimerFired
+        make = role_messages.TimerFired
         if name in self.upstreams:
-            make = upstream_messages.TimerFired
+            make = role_messages.TimerFired
         action = ("timer", name, node, make, timer.key, timer.token)
         self.at(timer.due_ms, action)
 
@@ -448,10 +449,10 @@
 
     def do_fresh(self, name, node, change):
         if name in self.entries:
-            noted = entry_messages.FreshnessNoted(change.fresh)
+            noted = role_messages.FreshnessNoted(change.fresh)
             self.entry_step(name, noted)
         else:
-            noted = upstream_messages.FreshnessNoted(change.fresh)
+            noted = role_messages.FreshnessNoted(change.fresh)
             self.upstream_step(name, noted)
 
     def do_view(self, name, _node, _change):
--- a/bilberryramp/decisions/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/tests/test_entry_calls.py
@@ -9,6 +9,7 @@
     entry_calls,
     entry_messages,
     errors,
+    role_messages,
     tables,
 )
 from bilberryramp.decisions.tests import builders
@@ -128,7 +129,7 @@
         refusal = builders.refused("r1.1", CODE.NOT_RESIDENT)
         bench.frame("u1", refusal)
         timer = bench.of(effects.SetTimer)[-1]
-        bench.step(entry_messages.TimerFired(timer.key, timer.token))
+        bench.step(role_messages.TimerFired(timer.key, timer.token))
         ids = [attempt_id for _, attempt_id in bench.dispatches()]
         self.assertEqual(len(ids), 2)
         self.assertEqual(len(set(ids)), 2)
@@ -159,7 +160,7 @@
         self.assertEqual(bench.of(entry_messages.ReplyEnd), [])
 
     def test_deadline_tells_whether_it_may_have_run(self):
-        fired = entry_messages.TimerFired("r1", 0)
+        fired = role_messages.TimerFired("r1", 0)
         running = Bench()
         running.call()
         running.step(fired)
@@ -190,7 +191,7 @@
         for rule, count in ((tables.StaleRule.REFUSE, 0),
                             (tables.StaleRule.SERVE, 1)):  # fmt: skip
             bench = Bench(when_stale=rule)
-            bench.step(entry_messages.FreshnessNoted(False))
+            bench.step(role_messages.FreshnessNoted(False))
             bench.call()
             self.assertEqual(len(bench.dispatches()), count)
 
--- a/bilberryramp/decisions/tests/test_replication_fuzz.py
+++ b/bilberryramp/decisions/tests/test_replication_fuzz.py
@@ -11,6 +11,7 @@
     commands,
     control_state,
     once_records,
+    replica_state,
     replication,
 )
 from bilberryramp.decisions import replication_messages as msgs
@@ -200,7 +201,7 @@
         self.assert_caught(remember_nothing)
 
     def test_quorum_too_small(self):
-        self.assert_caught(patches=[(replication, "_quorum", lambda _: 1)])
+        self.assert_caught(patches=[(replica_state, "quorum", lambda _: 1)])
 
     def test_vote_without_comparing_logs(self):
         patch = (replication, "_may_vote", vote_for_anyone)
--- a/bilberryramp/decisions/tests/test_upstream_work.py
+++ b/bilberryramp/decisions/tests/test_upstream_work.py
@@ -6,6 +6,7 @@
     commands,
     effects,
     errors,
+    role_messages,
     shutdown,
     tables,
     upstream_messages,
@@ -77,7 +78,7 @@
             self.assertEqual(bench.refused(), {"r1.1": code})
         for message, code in (
             (
-                upstream_messages.FreshnessNoted(False),
+                role_messages.FreshnessNoted(False),
                 CODE.STALE_CONFIGURATION,
             ),
             (upstream_messages.EngineLost(), CODE.NO_UPSTREAM),
@@ -123,7 +124,7 @@
         bench.dispatch("r1.1")
         bench.dispatch("r2.1", budget_ms=50)
         key = upstream_work.QUEUE_WAIT_KEY + "r2.1"
-        bench.step(upstream_messages.TimerFired(key, 0), 50)
+        bench.step(role_messages.TimerFired(key, 0), 50)
         self.assertEqual(bench.refused(), {"r2.1": CODE.DEADLINE_EXCEEDED})
 
     def test_lost_entry_cancels_only_what_may_be_repeated(self):
--- a/bilberryramp/decisions/upstream_messages.py
+++ b/bilberryramp/decisions/upstream_messages.py
@@ -10,14 +10,12 @@
     "EngineFound",
     "EngineLost",
     "FrameArrived",
-    "FreshnessNoted",
     "GrantCredit",
     "ReportDue",
     "RunEnded",
     "SenderLost",
     "StartRun",
     "StopAsked",
-    "TimerFired",
     "ViewNoted",
 ]
 
@@ -57,13 +55,6 @@
     frame: object
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class FreshnessNoted:
-    """The view's freshness lease was gained or ran out."""
-
-    fresh: bool
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class GrantCredit:
     """Let a run send more chunks."""
@@ -117,14 +108,6 @@
     """A planned stop begins."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class TimerFired:
-    """A timer of `SetTimer` came due."""
-
-    key: str
-    token: int
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class ViewNoted:
     """The view took in entries."""
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -15,6 +15,7 @@
     effects,
     errors,
     model_orders,
+    role_messages,
     shutdown,
     tables,
     upstream_messages,
@@ -295,6 +296,13 @@
 
 
 def _cancel(state: UpstreamState, now_ms: int, attempt_id: str) -> Iterator:
+    text = "cancelled before it ran"
+    failure = _failure(errors.FailureCode.CALLER_LEFT, text)
+    yield from _give_up(state, now_ms, attempt_id, failure)
+
+
+def _give_up(state, now_ms: int, attempt_id: str, failure) -> Iterator:
+    """Stop an attempt that runs; refuse one that waits."""
     work = state.works.get(attempt_id)
     if work is None:
         return
@@ -302,8 +310,6 @@
         yield upstream_messages.CancelRun(attempt_id)
         return
     admission.remove(state.queue, attempt_id)
-    text = "cancelled before it ran"
-    failure = _failure(errors.FailureCode.CALLER_LEFT, text)
     yield from _refuse_waiting(state, attempt_id, failure)
     yield from _check_stop(state, now_ms)
 
@@ -325,17 +331,9 @@
         )
         return
     attempt_id = message.key.removeprefix(QUEUE_WAIT_KEY)
-    work = state.works.get(attempt_id)
-    if work is None:
-        return
-    if work.running:
-        yield upstream_messages.CancelRun(attempt_id)
-        return
-    admission.remove(state.queue, attempt_id)
     text = "the deadline passed in the queue"
     failure = _failure(errors.FailureCode.DEADLINE_EXCEEDED, text)
-    yield from _refuse_waiting(state, attempt_id, failure)
-    yield from _check_stop(state, now_ms)
+    yield from _give_up(state, now_ms, attempt_id, failure)
 
 
 # Engine, view and stop.
@@ -428,7 +426,7 @@
     upstream_messages.EngineLost: _on_engine_lost,
     upstream_messages.EngineAnswered: _on_engine_answered,
     upstream_messages.ViewNoted: _on_view,
-    upstream_messages.FreshnessNoted: _on_freshness,
+    role_messages.FreshnessNoted: _on_freshness,
     upstream_messages.StopAsked: _on_stop,
-    upstream_messages.TimerFired: _on_timer,
+    role_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/loadgen/report.py
+++ b/bilberryramp/loadgen/report.py
@@ -137,12 +137,10 @@
     for panel, name, title in zip(panels, names, titles, strict=True):
         for report in reports:
             values = getattr(report, name)
-            panel.plot(
-                [f"{p:g}" for p in PERCENTILES],
-                values,
-                marker="o",
-                label=report.name,
-            )
+            places = range(len(PERCENTILES))
+            panel.plot(places, values, marker="o", label=report.name)
+        panel.set_xticks(range(len(PERCENTILES)))
+        panel.set_xticklabels([f"{p:g}" for p in PERCENTILES])
         panel.set_title(title)
         panel.set_xlabel("percentile")
         panel.set_ylabel("ms")
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -25,6 +25,7 @@
     entry_messages,
     errors,
     placement,
+    role_messages,
     route_index,
     routing,
     upstream_messages,
@@ -462,7 +463,7 @@
     if isinstance(effect, effects.Send):
         _to_engine(run_, entry, effect)
     elif isinstance(effect, effects.SetTimer):
-        fired = entry_messages.TimerFired(effect.key, effect.token)
+        fired = role_messages.TimerFired(effect.key, effect.token)
         _at(run_, effect.due_ms, _entry_timer, (entry, fired))
     elif isinstance(effect, entry_messages.AskControl):
         result = _commit(run_, effect.command)
@@ -533,7 +534,7 @@
                 _catch_up(run_, engine)
                 _end_job(run_, engine, effect.attempt_id, cancelled=True)
         elif isinstance(effect, effects.SetTimer):
-            fired = upstream_messages.TimerFired(effect.key, effect.token)
+            fired = role_messages.TimerFired(effect.key, effect.token)
             _at(run_, effect.due_ms, _engine_timer, (engine, fired))
 
 
--- a/bilberryramp/programs/control.py
+++ b/bilberryramp/programs/control.py
@@ -6,7 +6,10 @@
 
 from absl import flags
 
-from bilberryramp.decisions import replication
+from bilberryramp.decisions import (
+    replica_state,
+    replication,
+)
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
 from bilberryramp.storage import journal
@@ -58,7 +61,7 @@
 def _log_recovery(recovered: journal.Recovered) -> None:
     if recovered.cut_bytes:
         events.emit(events.TAIL_CUT, size_bytes=recovered.cut_bytes)
-    if recovered.identity.incarnation != replication.GENESIS:
+    if recovered.identity.incarnation != replica_state.GENESIS:
         events.emit(
             events.RECOVERING, incarnation=recovered.identity.incarnation
         )
--- a/bilberryramp/settings/schema.py
+++ b/bilberryramp/settings/schema.py
@@ -4,7 +4,11 @@
 
 import dataclasses
 
-from bilberryramp.decisions import demand, tables, views
+from bilberryramp.decisions import (
+    demand,
+    tables,
+    views,
+)
 
 __all__ = [
     "ControlReplica",
@@ -68,7 +72,7 @@
     data_folder
         Its only folder on disk.
     heartbeat_ms, election_ms, lease_ms
-        As in `replication.ReplicaSettings`.
+        As in `replica_state.ReplicaSettings`.
     snapshot_entries
         Log entries between snapshots.
     demand
--- a/bilberryramp/storage/journal.py
+++ b/bilberryramp/storage/journal.py
@@ -16,7 +16,11 @@
 import zlib
 from collections.abc import Iterator
 
-from bilberryramp.decisions import control_state, errors, replication
+from bilberryramp.decisions import (
+    control_state,
+    errors,
+    replica_state,
+)
 from bilberryramp.decisions import replication_messages as msgs
 from bilberryramp.wire import codec
 
@@ -58,7 +62,7 @@
     replica_id
         The control replica.
     incarnation
-        `replication.GENESIS` if formatted when the cluster was created,
+        `replica_state.GENESIS` if formatted when the cluster was created,
         else made when an empty folder was first opened.
     """
 
@@ -125,7 +129,7 @@
     _make_folder(folder)
     if (folder / "identity").exists():
         raise BadDataFolderError(f"{folder}: already formatted")
-    identity = Identity(replica_id, replication.GENESIS)
+    identity = Identity(replica_id, replica_state.GENESIS)
     _write_identity(folder, identity)
     return identity
 
--- a/bilberryramp/storage/tests/test_journal.py
+++ b/bilberryramp/storage/tests/test_journal.py
@@ -1,6 +1,8 @@
 import unittest
 
-from bilberryramp.decisions import replication
+from bilberryramp.decisions import (
+    replica_state,
+)
 from bilberryramp.decisions import replication_messages as msgs
 from bilberryramp.storage import journal
 from bilberryramp.storage.tests import builders
@@ -24,14 +26,14 @@
     def test_new_folder_is_not_genesis_and_formatted_one_is(self):
         path = builders.folder(self)
         self.assertNotEqual(
-            builders.read(path).identity.incarnation, replication.GENESIS
+            builders.read(path).identity.incarnation, replica_state.GENESIS
         )
         with self.assertRaises(journal.BadDataFolderError):
             journal.format_folder(path, "c1")
         other = builders.folder(self)
         journal.format_folder(other, "c1")
         self.assertEqual(
-            builders.read(other).identity.incarnation, replication.GENESIS
+            builders.read(other).identity.incarnation, replica_state.GENESIS
         )
 
     def test_torn_tail_is_cut_off_at_every_length(self):
--- a/bilberryramp/tasks/control_node.py
+++ b/bilberryramp/tasks/control_node.py
@@ -15,6 +15,7 @@
     feed,
     feed_messages,
     membership,
+    replica_state,
     replication,
 )
 from bilberryramp.decisions import replication_messages as msgs
@@ -88,7 +89,7 @@
     """
 
     cfg: schema.ControlSettings
-    replica: replication.Replica
+    replica: replica_state.Replica
     feed: feed.Feed
     disk: journal.Journal
     box: mailbox.Mailbox
@@ -125,7 +126,7 @@
     ControlNode
         Ready for `run`.
     """
-    replica_cfg = replication.ReplicaSettings(
+    replica_cfg = replica_state.ReplicaSettings(
         replica_id=cfg.replica_id,
         replica_ids=tuple(peer.replica_id for peer in cfg.replicas),
         heartbeat_ms=cfg.heartbeat_ms,
@@ -203,7 +204,7 @@
 def _on_peer(node: ControlNode, now_ms: int, peer: PeerMessage) -> Iterator:
     message = peer.message
     if isinstance(message, feed_messages.Beat):
-        probe = replication.next_probe(node.replica)
+        probe = replica_state.next_probe(node.replica)
         feed.on_beat(node.feed, now_ms, message, probe)
     elif isinstance(message, feed_messages.Ask):
         ask = msgs.Propose(message.sender, message.ask_id, message.command)
@@ -231,7 +232,7 @@
         node.feed,
         now_ms,
         node.replica.state.view,
-        lambda probe: replication.is_fresh(node.replica, probe, now_ms),
+        lambda probe: replica_state.is_fresh(node.replica, probe, now_ms),
     )
     if now_ms >= node.digest_due_ms:
         node.digest_due_ms = now_ms + DIGEST_MS
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -17,6 +17,7 @@
     entry_messages,
     feed_messages,
     links,
+    role_messages,
     shutdown,
     subscription,
 )
@@ -378,14 +379,14 @@
     if isinstance(effect, effects.Send):
         await _send(router, effect)
     elif isinstance(effect, effects.SetTimer):
-        mailbox.arm(router.box, effect, entry_messages.TimerFired)
+        mailbox.arm(router.box, effect, role_messages.TimerFired)
     elif isinstance(effect, entry_messages.AskControl):
         await _ask(router, effect)
     elif isinstance(effect, entry_messages.CallEnded):
         _on_call_ended(router, effect)
     elif isinstance(effect, subscription.FreshnessChanged):
         events.emit(events.FRESHNESS, fresh=effect.fresh)
-        noted = entry_messages.FreshnessNoted(effect.fresh)
+        noted = role_messages.FreshnessNoted(effect.fresh)
         mailbox.post_now(router.box, noted)
     elif isinstance(effect, shutdown.NewWorkRefused):
         router.entry.stopping = True
@@ -474,5 +475,5 @@
     LinkEvent: _on_link_event,
     LinkTimer: _on_link_timer,
     StopRouter: _on_stop,
-    entry_messages.TimerFired: _on_timer,
+    role_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -12,6 +12,7 @@
     effects,
     feed_messages,
     model_orders,
+    role_messages,
     shutdown,
     subscription,
     upstream_messages,
@@ -110,7 +111,7 @@
     elif isinstance(message, BeatDue):
         yield from _on_beat(node, now_ms)
     elif (
-        isinstance(message, upstream_messages.TimerFired)
+        isinstance(message, role_messages.TimerFired)
         and message.key == node.sub.key
     ):
         yield from subscription.on_timer(node.sub, now_ms, message.token)
@@ -185,7 +186,7 @@
     elif isinstance(effect, model_orders.EngineOrder):
         _send_order(node, effect)
     elif isinstance(effect, effects.SetTimer):
-        mailbox.arm(node.box, effect, upstream_messages.TimerFired)
+        mailbox.arm(node.box, effect, role_messages.TimerFired)
     elif isinstance(effect, shutdown.Stopped):
         node.stopped = True
     else:
@@ -197,7 +198,7 @@
         mailbox.post_now(node.box, upstream_messages.ViewNoted())
     elif isinstance(effect, subscription.FreshnessChanged):
         events.emit(events.FRESHNESS, fresh=effect.fresh)
-        noted = upstream_messages.FreshnessNoted(effect.fresh)
+        noted = role_messages.FreshnessNoted(effect.fresh)
         mailbox.post_now(node.box, noted)
     elif isinstance(
         effect, upstream_messages.ReportDue | model_orders.ResidencyChanged
--- a/tools/measure_recovery.py
+++ b/tools/measure_recovery.py
@@ -14,6 +14,7 @@
     charting,
     commands,
     control_state,
+    replica_state,
     replication,
 )
 from bilberryramp.decisions import replication_messages as msgs
@@ -84,8 +85,8 @@
         loader.load("replica"), replication.guards, replication.actions
     )
     rep = replication.new_replica(
-        replication.ReplicaSettings("c1", ("c1",)), chart, random.Random(1),
-        replication.GENESIS, 0, None, None, read.entries,
+        replica_state.ReplicaSettings("c1", ("c1",)), chart, random.Random(1),
+        replica_state.GENESIS, 0, None, None, read.entries,
     )  # fmt: skip
     list(replication.step(rep, 10_000, msgs.Tick()))
     took = time.perf_counter() - began
