--- a/bilberryramp/decisions/errors.py
+++ b/bilberryramp/decisions/errors.py
@@ -46,9 +46,7 @@
     QUARANTINED = "quarantined"
     UPSTREAM_LOST = "upstream_lost"
     ENGINE_CRASHED = "engine_crashed"
-    ENGINE_REFUSED = "engine_refused"
     ANSWER_TOO_LARGE = "answer_too_large"
-    SLOW_READER = "slow_reader"
     CALLER_LEFT = "caller_left"
     CONTROL_UNAVAILABLE = "control_unavailable"
     KEY_RUNNING = "key_running"
@@ -56,7 +54,6 @@
     KEY_EXPIRED = "key_expired"
     KEY_MISMATCH = "key_mismatch"
     KEY_REQUIRED = "key_required"
-    INTERNAL = "internal"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/standins/tests/builders.py
+++ b/bilberryramp/standins/tests/builders.py
@@ -98,6 +98,12 @@
         return exc.code, json.loads(exc.read())
 
 
+def metrics(port) -> str:
+    url = f"http://127.0.0.1:{port}/metrics"
+    with urllib.request.urlopen(url, timeout=5) as answer:
+        return answer.read().decode()
+
+
 def marked(key):
     return {"Idempotency-Key": key, "Bilberry-Repeat": "never"}
 
--- a/bilberryramp/standins/tests/test_failures.py
+++ b/bilberryramp/standins/tests/test_failures.py
@@ -2,6 +2,7 @@
 import json
 import shutil
 import signal
+import socket
 import threading
 import unittest
 
@@ -232,6 +233,43 @@
             self.assertEqual(status, 200)
 
 
+class SlowReaderTest(unittest.TestCase):
+    """A caller that does not read loses its answer, nobody else does."""
+
+    def test_slow_reader_is_cut_off(self):
+        cluster = builders.cluster(type(self))
+        for name, service in (
+            ("desk-1", "drafting-desk"),
+            ("desk-2", "drafting-desk"),
+            ("letters-1", "letter-llm"),
+        ):
+            fast = builders.standin(name, tokens_per_s=1e6, first_token_ms=0)
+            local_cluster.add_upstream(cluster, fast, service)
+        port = local_cluster.add_entry(cluster, "entry-1", slow_reader_ms=300)
+        local_cluster.wait_for_upstreams(cluster, 3)
+        builders.submit(cluster)
+        local_cluster.wait_http(f"http://127.0.0.1:{port}/readyz")
+        self.open_and_never_read(port)
+        lost = 'code="caller_left"'
+        builders.wait_for(lambda: lost in builders.metrics(port), lost)
+        status, _ = builders.post(
+            port, "/v1/completions", builders.completion()
+        )
+        self.assertEqual(status, 200)
+
+    def open_and_never_read(self, port):
+        body = builders.completion(100_000, stream=True)
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(("127.0.0.1", port))
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        sock.sendall(head.encode() + body)
+
+
 class BadStartTest(unittest.TestCase):
     """Programs that cannot start say why, once, with their exit code."""
 
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -89,9 +89,7 @@
     errors.FailureCode.ANSWER_TOO_LARGE: 502,
     errors.FailureCode.UPSTREAM_LOST: 502,
     errors.FailureCode.ENGINE_CRASHED: 502,
-    errors.FailureCode.ENGINE_REFUSED: 502,
     errors.FailureCode.DEADLINE_EXCEEDED: 504,
-    errors.FailureCode.INTERNAL: 500,
 }
 
 
