--- a/bilberryramp/decisions/__init__.py
+++ b/bilberryramp/decisions/__init__.py
@@ -23,7 +23,7 @@
     "log_entries",
     "membership",
     "model_orders",
-    "once_records",
+    "idempotency",
     "placement",
     "placement_board",
     "quarantine",
--- a/bilberryramp/decisions/call_messages.py
+++ b/bilberryramp/decisions/call_messages.py
@@ -52,7 +52,7 @@
         Empty for a plain service.
     method, path, body
         The HTTP request for the engine or service.
-    once_key
+    idempotency_key
         The idempotency key, empty if the request may be repeated.
     suspect
         Whether an upstream was lost while running this request before.
@@ -78,7 +78,7 @@
     method: str
     path: str
     body: bytes
-    once_key: str
+    idempotency_key: str
     suspect: bool
     budget_ms: int
     tokens: int
--- a/bilberryramp/decisions/commands.py
+++ b/bilberryramp/decisions/commands.py
@@ -9,19 +9,19 @@
     "ChangeTables",
     "Done",
     "DrainUpstream",
-    "FinishOnce",
+    "FinishKey",
     "JoinUpstream",
     "KeptAnswer",
     "Noop",
-    "OnceGranted",
-    "OnceKept",
-    "OnceRefused",
+    "KeyGranted",
+    "KeyKept",
+    "KeyRefused",
     "PlaceReplicas",
     "ReadmitReplica",
-    "ReleaseOnce",
+    "ReleaseKey",
     "RemoveUpstream",
     "ReportStrike",
-    "ReserveOnce",
+    "ReserveKey",
     "SubmitAccepted",
     "SubmitConflict",
     "SubmitRefused",
@@ -95,7 +95,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class ReserveOnce:
+class ReserveKey:
     """Claim an idempotency key before its request is dispatched.
 
     Attributes
@@ -137,7 +137,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class FinishOnce:
+class FinishKey:
     """Record how a claimed request ended.
 
     Attributes
@@ -155,7 +155,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class ReleaseOnce:
+class ReleaseKey:
     """Give a key back after evidence that its request did not run."""
 
     key: str
@@ -222,21 +222,21 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class OnceGranted:
+class KeyGranted:
     """The request may be dispatched."""
 
     index: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class OnceKept:
+class KeyKept:
     """The request already ran and this was its answer."""
 
     answer: KeptAnswer
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class OnceRefused:
+class KeyRefused:
     """The request may not be dispatched.
 
     Attributes
--- a/bilberryramp/decisions/control_state.py
+++ b/bilberryramp/decisions/control_state.py
@@ -4,7 +4,7 @@
 
 from bilberryramp.decisions import (
     commands,
-    once_records,
+    idempotency,
     placement,
     quarantine,
     tables,
@@ -40,7 +40,7 @@
     ----------
     view
         The part that every process follows.
-    once
+    keys
         Records of requests not to be repeated.
     submissions
         Accepted submissions by id, oldest first, for resends.
@@ -49,8 +49,8 @@
     """
 
     view: views.View = dataclasses.field(default_factory=views.View)
-    once: once_records.OnceTable = dataclasses.field(
-        default_factory=once_records.OnceTable
+    keys: idempotency.KeyTable = dataclasses.field(
+        default_factory=idempotency.KeyTable
     )
     submissions: dict[str, commands.SubmitAccepted] = dataclasses.field(
         default_factory=dict
@@ -77,12 +77,12 @@
     result = commands.Done(entry.index)
     if isinstance(command, commands.SubmitTables):
         result = _submit(state, entry)
-    elif isinstance(command, commands.ReserveOnce):
-        result = once_records.reserve(state.once, entry.index, command)
-    elif isinstance(command, commands.FinishOnce):
-        once_records.finish(state.once, command)
-    elif isinstance(command, commands.ReleaseOnce):
-        once_records.release(state.once, command)
+    elif isinstance(command, commands.ReserveKey):
+        result = idempotency.reserve(state.keys, entry.index, command)
+    elif isinstance(command, commands.FinishKey):
+        idempotency.finish(state.keys, command)
+    elif isinstance(command, commands.ReleaseKey):
+        idempotency.release(state.keys, command)
     elif isinstance(command, commands.ReadmitReplica):
         state.admitted[command.replica_id] = command.incarnation
     else:
@@ -104,7 +104,7 @@
     Returns
     -------
     bool
-        False for once-records and refused submissions.
+        False for idempotency records and refused submissions.
     """
     if isinstance(command, commands.SubmitTables):
         return isinstance(result, commands.SubmitAccepted)
--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -16,7 +16,7 @@
     effects,
     entry_messages,
     errors,
-    once_records,
+    idempotency,
     quarantine,
     role_messages,
     route_index,
@@ -210,7 +210,7 @@
         yield entry_messages.ReplyFailure(request.request_id, failure)
         return
     if not (request.repeat_never or route.repeat_never):
-        request = dataclasses.replace(request, once_key="")
+        request = dataclasses.replace(request, idempotency_key="")
     allowed_ms = min(request.deadline_ms or route.deadline_ms, 3_600_000)
     call = Call(
         entry=entry,
@@ -240,7 +240,7 @@
 def _first_event(call: Call) -> str:
     if call.failure is not None:
         return "refused_early"
-    return "marked" if call.request.once_key else "unmarked"
+    return "marked" if call.request.idempotency_key else "unmarked"
 
 
 def _early_failure(entry, request, route, wall_ms):
@@ -255,7 +255,7 @@
     if not entry.fresh and route.when_stale == tables.StaleRule.REFUSE:
         message = "configuration may be out of date"
         return errors.call_failure(code.STALE_CONFIGURATION, message)
-    if route.repeat_never and not request.once_key:
+    if route.repeat_never and not request.idempotency_key:
         message = f"route {route.name} needs an Idempotency-Key"
         return errors.call_failure(code.KEY_REQUIRED, message)
     if len(entry.calls) >= entry.cfg.max_calls:
@@ -369,7 +369,7 @@
         method=request.method,
         path=request.path,
         body=request.body,
-        once_key=request.once_key,
+        idempotency_key=request.idempotency_key,
         suspect=request.fingerprint in entry.view.quarantine,
         budget_ms=max(call.deadline_ms - now_ms, 0),
         tokens=request.tokens,
@@ -501,7 +501,7 @@
 
 def _ask_record(call: Call, _now_ms: int, _payload) -> Iterator:
     lease_ms = call.deadline_ms - call.began_ms + RECORD_MARGIN_MS
-    command = commands.ReserveOnce(
+    command = commands.ReserveKey(
         key=_record_key(call),
         request_id=call.key,
         fingerprint=call.request.fingerprint,
@@ -512,7 +512,7 @@
 
 
 def _record_key(call: Call) -> str:
-    return f"{call.route.name}/{call.request.once_key}"
+    return f"{call.route.name}/{call.request.idempotency_key}"
 
 
 def _on_control_answer(entry, now_ms: int, message) -> Iterator:
@@ -523,12 +523,12 @@
     entry.unconfirmed.pop(message.ask_id, None)
     if call is None:
         return
-    if isinstance(result, commands.OnceRefused):
+    if isinstance(result, commands.KeyRefused):
         call.failure = _key_failure(result.code)
         yield from _fire(call, "key_refused", now_ms)
-    elif isinstance(result, commands.OnceKept):
+    elif isinstance(result, commands.KeyKept):
         yield from _fire(call, "kept", now_ms, result.answer)
-    elif isinstance(result, commands.OnceGranted):
+    elif isinstance(result, commands.KeyGranted):
         yield from _fire(call, "granted", now_ms)
     else:
         yield from _fire(call, "strike_noted", now_ms)
@@ -564,26 +564,26 @@
 
 
 def _release_record(call: Call, _now_ms: int, _payload) -> Iterator:
-    if call.request.once_key:
-        command = commands.ReleaseOnce(_record_key(call), call.key)
+    if call.request.idempotency_key:
+        command = commands.ReleaseKey(_record_key(call), call.key)
         yield _tell_end(call, command)
 
 
 def _finish_unknown(call: Call, _now_ms: int, _payload) -> Iterator:
-    if call.request.once_key:
-        command = commands.FinishOnce(_record_key(call), call.key, False)
+    if call.request.idempotency_key:
+        command = commands.FinishKey(_record_key(call), call.key, False)
         yield _tell_end(call, command)
 
 
 def _finish_record(call: Call, _now_ms: int, _payload) -> Iterator:
-    if not call.request.once_key:
+    if not call.request.idempotency_key:
         return
     answer = None
-    if len(call.kept) <= once_records.MAX_ANSWER_BYTES:
+    if len(call.kept) <= idempotency.MAX_ANSWER_BYTES:
         answer = commands.KeptAnswer(
             call.status, call.content_type, bytes(call.kept)
         )
-    command = commands.FinishOnce(_record_key(call), call.key, True, answer)
+    command = commands.FinishKey(_record_key(call), call.key, True, answer)
     yield _tell_end(call, command)
 
 
@@ -620,8 +620,8 @@
 
 def _reply_chunk(call: Call, _now_ms: int, frame) -> Iterator:
     call.next_chunk += 1
-    if call.request.once_key:
-        room = once_records.MAX_ANSWER_BYTES + 1 - len(call.kept)
+    if call.request.idempotency_key:
+        room = idempotency.MAX_ANSWER_BYTES + 1 - len(call.kept)
         call.kept += frame.data[: max(room, 0)]
     yield entry_messages.ReplyChunk(
         call.key, call.upstream_id, call.attempt_id, frame.data
@@ -717,7 +717,7 @@
 
 
 def _may_not_repeat(call: Call, _payload) -> bool:
-    return bool(call.request.once_key)
+    return bool(call.request.idempotency_key)
 
 
 def _has_budget(call: Call, _payload) -> bool:
--- a/bilberryramp/decisions/entry_messages.py
+++ b/bilberryramp/decisions/entry_messages.py
@@ -34,7 +34,7 @@
         The model asked for; empty for a service call.
     method, path, body
         As received.
-    once_key
+    idempotency_key
         The idempotency key, if the caller sent one.
     repeat_never
         Whether the caller forbids a second run; its route may, too.
@@ -55,7 +55,7 @@
     method: str
     path: str
     body: bytes
-    once_key: str
+    idempotency_key: str
     repeat_never: bool
     deadline_ms: int
     fingerprint: str
--- a/bilberryramp/decisions/feed.py
+++ b/bilberryramp/decisions/feed.py
@@ -28,7 +28,7 @@
     "Subscriber",
     "note_applied",
     "note_restored",
-    "on_beat",
+    "on_heartbeat",
     "on_tick",
     "push",
     "take_digest",
@@ -45,7 +45,7 @@
     seen_ms: int
     index: int
     probe: int = -1
-    beat_sent_ms: int = -1
+    heartbeat_sent_ms: int = -1
     report: msgs.UpstreamReport | None = None
     report_passed_on: bool = False
     beaten: bool = False
@@ -91,7 +91,9 @@
     pruned_ms: int = 0
 
 
-def on_beat(feed: Feed, now_ms: int, beat: msgs.Beat, probe: int) -> None:
+def on_heartbeat(
+    feed: Feed, now_ms: int, beat: msgs.Heartbeat, probe: int
+) -> None:
     """Take in a heartbeat; `on_tick` answers it.
 
     Parameters
@@ -111,7 +113,7 @@
         feed.subscribers[beat.sender] = known
     known.seen_ms = now_ms
     known.index = beat.index
-    known.beat_sent_ms = beat.sent_ms
+    known.heartbeat_sent_ms = beat.sent_ms
     known.beaten = True
     known.busy = beat.busy
     feed.waiting[beat.sender] = None
@@ -268,8 +270,8 @@
         return entry
     change = tables.compare(feed.tables, command.tables)
     feed.tables = command.tables
-    told = commands.ChangeTables(command.submitter, change)
-    return control_state.Entry(entry.term, entry.index, told)
+    passed_on = commands.ChangeTables(command.submitter, change)
+    return control_state.Entry(entry.term, entry.index, passed_on)
 
 
 def _prune(feed: Feed, now_ms: int) -> None:
@@ -292,7 +294,7 @@
         feed.replica_id,
         after,
         _entries_after(feed, after),
-        subscriber.beat_sent_ms,
+        subscriber.heartbeat_sent_ms,
         subscriber.report is None,
     )
     yield effects.Send(name, delta)
--- a/bilberryramp/decisions/feed_messages.py
+++ b/bilberryramp/decisions/feed_messages.py
@@ -7,7 +7,7 @@
 __all__ = [
     "Ask",
     "AskReply",
-    "Beat",
+    "Heartbeat",
     "Delta",
     "Digest",
     "UpstreamReport",
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Beat:
+class Heartbeat:
     """A heartbeat of an entry or upstream process.
 
     Attributes
@@ -66,7 +66,7 @@
         The view must be at this index or later for the entries to apply.
     entries
         In order; possibly none.
-    beat_sent_ms
+    heartbeat_sent_ms
         Echo of the beat that is answered; -1 on a push. An answered beat
         means that nothing committed before it is missing.
     want_report
@@ -76,7 +76,7 @@
     sender: str
     after_index: int
     entries: tuple[control_state.Entry, ...]
-    beat_sent_ms: int = -1
+    heartbeat_sent_ms: int = -1
     want_report: bool = False
 
 
--- a/bilberryramp/decisions/once_records.py
+++ b/bilberryramp/decisions/idempotency.py
@@ -15,9 +15,9 @@
     "MAX_RECORDS",
     "MAX_TOMBSTONES",
     "RETENTION_MS",
-    "OnceRecord",
-    "OnceState",
-    "OnceTable",
+    "KeyRecord",
+    "KeyState",
+    "KeyTable",
     "finish",
     "release",
     "reserve",
@@ -29,7 +29,7 @@
 MAX_ANSWER_BYTES = 64 * 1024
 
 
-class OnceState(enum.StrEnum):
+class KeyState(enum.StrEnum):
     """What is known of a claimed request."""
 
     RESERVED = "reserved"
@@ -38,26 +38,26 @@
 
 
 @dataclasses.dataclass(slots=True)
-class OnceRecord:
+class KeyRecord:
     """One claimed key; times are wall time in milliseconds."""
 
     request_id: str
     fingerprint: str
-    state: OnceState
+    state: KeyState
     reserved_at_ms: int
     lease_until_ms: int
     answer: commands.KeptAnswer | None = None
 
 
 @dataclasses.dataclass(slots=True)
-class OnceTable:
+class KeyTable:
     """Records and tombstones, both in the order of their claims."""
 
-    records: dict[str, OnceRecord] = dataclasses.field(default_factory=dict)
+    records: dict[str, KeyRecord] = dataclasses.field(default_factory=dict)
     tombstones: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
-def reserve(table: OnceTable, index: int, command: commands.ReserveOnce):
+def reserve(table: KeyTable, index: int, command: commands.ReserveKey):
     """Claim a key, or tell what became of the request that holds it.
 
     Parameters
@@ -71,26 +71,26 @@
 
     Returns
     -------
-    OnceGranted, OnceKept or OnceRefused
+    KeyGranted, KeyKept or KeyRefused
         The answer for the entry.
     """
     _expire(table, command.at_ms)
     if command.key in table.tombstones:
-        return commands.OnceRefused(errors.FailureCode.KEY_EXPIRED)
+        return commands.KeyRefused(errors.FailureCode.KEY_EXPIRED)
     record = table.records.get(command.key)
     if record is not None:
         return _answer_repeat(record, index, command)
-    table.records[command.key] = OnceRecord(
+    table.records[command.key] = KeyRecord(
         request_id=command.request_id,
         fingerprint=command.fingerprint,
-        state=OnceState.RESERVED,
+        state=KeyState.RESERVED,
         reserved_at_ms=command.at_ms,
         lease_until_ms=command.at_ms + command.lease_ms,
     )
-    return commands.OnceGranted(index)
+    return commands.KeyGranted(index)
 
 
-def finish(table: OnceTable, command: commands.FinishOnce) -> None:
+def finish(table: KeyTable, command: commands.FinishKey) -> None:
     """Record the end of a claimed request; a later claim keeps its own.
 
     Parameters
@@ -103,13 +103,13 @@
     record = table.records.get(command.key)
     if record is None or record.request_id != command.request_id:
         return
-    if record.state == OnceState.FINISHED:
+    if record.state == KeyState.FINISHED:
         return
-    record.state = OnceState.FINISHED if command.ran else OnceState.UNKNOWN
+    record.state = KeyState.FINISHED if command.ran else KeyState.UNKNOWN
     record.answer = command.answer
 
 
-def release(table: OnceTable, command: commands.ReleaseOnce) -> None:
+def release(table: KeyTable, command: commands.ReleaseKey) -> None:
     """Give a key back, unless its request is known to have ended.
 
     Parameters
@@ -122,31 +122,31 @@
     record = table.records.get(command.key)
     if record is None or record.request_id != command.request_id:
         return
-    if record.state == OnceState.RESERVED:
+    if record.state == KeyState.RESERVED:
         del table.records[command.key]
 
 
-def _answer_repeat(record: OnceRecord, index: int, command):
+def _answer_repeat(record: KeyRecord, index: int, command):
     if record.fingerprint != command.fingerprint:
-        return commands.OnceRefused(errors.FailureCode.KEY_MISMATCH)
-    if record.state == OnceState.FINISHED:
+        return commands.KeyRefused(errors.FailureCode.KEY_MISMATCH)
+    if record.state == KeyState.FINISHED:
         return _kept(record)
     same_request = record.request_id == command.request_id
-    if same_request and record.state == OnceState.RESERVED:
-        return commands.OnceGranted(index)
+    if same_request and record.state == KeyState.RESERVED:
+        return commands.KeyGranted(index)
     leased = command.at_ms < record.lease_until_ms
-    if record.state == OnceState.RESERVED and leased:
-        return commands.OnceRefused(errors.FailureCode.KEY_RUNNING)
-    return commands.OnceRefused(errors.FailureCode.KEY_UNKNOWN)
+    if record.state == KeyState.RESERVED and leased:
+        return commands.KeyRefused(errors.FailureCode.KEY_RUNNING)
+    return commands.KeyRefused(errors.FailureCode.KEY_UNKNOWN)
 
 
-def _kept(record: OnceRecord):
+def _kept(record: KeyRecord):
     if record.answer is None:
-        return commands.OnceRefused(errors.FailureCode.ANSWER_TOO_LARGE)
-    return commands.OnceKept(record.answer)
+        return commands.KeyRefused(errors.FailureCode.ANSWER_TOO_LARGE)
+    return commands.KeyKept(record.answer)
 
 
-def _expire(table: OnceTable, now_ms: int) -> None:
+def _expire(table: KeyTable, now_ms: int) -> None:
     for key in list(_expired_keys(table, now_ms)):
         record = table.records.pop(key)
         table.tombstones[key] = record.reserved_at_ms
@@ -154,7 +154,7 @@
         del table.tombstones[next(iter(table.tombstones))]
 
 
-def _expired_keys(table: OnceTable, now_ms: int) -> Iterator[str]:
+def _expired_keys(table: KeyTable, now_ms: int) -> Iterator[str]:
     surplus = len(table.records) - MAX_RECORDS
     for at, (key, record) in enumerate(table.records.items()):
         too_old = now_ms - record.reserved_at_ms > RETENTION_MS
--- a/bilberryramp/decisions/membership.py
+++ b/bilberryramp/decisions/membership.py
@@ -231,8 +231,8 @@
         return
     members.observe_due_ms = now_ms + OBSERVE_MS
     busy: collections.Counter[str] = collections.Counter()
-    for told in members.busy.values():
-        busy.update(told)
+    for counts in members.busy.values():
+        busy.update(counts)
     members.targets = demand.observe(
         members.watch, now_ms, view.tables, busy, len(view.upstreams)
     )
--- a/bilberryramp/decisions/subscription.py
+++ b/bilberryramp/decisions/subscription.py
@@ -12,7 +12,7 @@
 
 __all__ = [
     "ANSWER_WAIT_MS",
-    "BEAT_MS",
+    "HEARTBEAT_MS",
     "FreshnessChanged",
     "Subscription",
     "ViewChanged",
@@ -20,13 +20,13 @@
     "guards",
     "new_subscription",
     "note_peer_index",
-    "on_beat_due",
+    "on_heartbeat_due",
     "on_delta",
     "on_timer",
     "on_whole_view",
 ]
 
-BEAT_MS = 1000
+HEARTBEAT_MS = 1000
 ANSWER_WAIT_MS = 1500
 
 
@@ -105,7 +105,7 @@
     return sub
 
 
-def on_beat_due(sub: Subscription, now_ms: int) -> Iterator:
+def on_heartbeat_due(sub: Subscription, now_ms: int) -> Iterator:
     """Send a heartbeat, to the next replica if this one is silent.
 
     Parameters
@@ -118,7 +118,7 @@
     Yields
     ------
     Send
-        One `Beat`.
+        One `Heartbeat`.
     """
     last_ms = max(sub.answered_ms, sub.switched_ms)
     if now_ms - last_ms > ANSWER_WAIT_MS:
@@ -127,7 +127,7 @@
         sub.report_due = True
     report = sub.report if sub.report_due else None
     sub.behind = False
-    beat = msgs.Beat(sub.name, now_ms, sub.index, report, sub.busy)
+    beat = msgs.Heartbeat(sub.name, now_ms, sub.index, report, sub.busy)
     yield effects.Send(sub.controls[sub.at], beat)
 
 
@@ -158,7 +158,7 @@
     sub.index = max(sub.index, sub.view.index)
     if news:
         yield ViewChanged(sub.view.index)
-    if delta.beat_sent_ms >= 0:
+    if delta.heartbeat_sent_ms >= 0:
         yield from _confirm(sub, now_ms, delta)
 
 
@@ -227,10 +227,10 @@
 
 
 def _confirm(sub: Subscription, now_ms: int, message) -> Iterator:
-    sub.answered_ms = max(sub.answered_ms, message.beat_sent_ms)
+    sub.answered_ms = max(sub.answered_ms, message.heartbeat_sent_ms)
     sub.report_due = message.want_report
     yield from charting.fire(
-        sub.chart, sub, "confirmed", message.beat_sent_ms, None
+        sub.chart, sub, "confirmed", message.heartbeat_sent_ms, None
     )
 
 
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -124,7 +124,7 @@
         "method": "POST",
         "path": "/v1/completions",
         "body": b"{}",
-        "once_key": "",
+        "idempotency_key": "",
         "repeat_never": False,
         "deadline_ms": 10_000,
         "fingerprint": "f1",
@@ -136,7 +136,7 @@
 
 
 def marked_request(request_id="r1", **changes) -> entry_messages.CallerRequest:
-    fields = {"once_key": "k1", "repeat_never": True} | changes
+    fields = {"idempotency_key": "k1", "repeat_never": True} | changes
     return caller_request(request_id, **fields)
 
 
@@ -217,7 +217,7 @@
         "method": "POST",
         "path": "/v1/completions",
         "body": b"{}",
-        "once_key": "",
+        "idempotency_key": "",
         "suspect": False,
         "budget_ms": 10_000,
         "tokens": 10,
--- a/bilberryramp/decisions/tests/control_driver.py
+++ b/bilberryramp/decisions/tests/control_driver.py
@@ -234,17 +234,17 @@
             self.propose(name, self.submissions[at % len(self.submissions)])
 
     def reserve(self, name, key, request_id):
-        command = commands.ReserveOnce(key, request_id, "f", 1000, 10_000)
+        command = commands.ReserveKey(key, request_id, "f", 1000, 10_000)
         self.propose(name, command)
 
     def finish(self, name, key, request_id):
         answer = commands.KeptAnswer(200, "text/plain", request_id.encode())
-        command = commands.FinishOnce(key, request_id, True, answer)
+        command = commands.FinishKey(key, request_id, True, answer)
         self.propose(name, command)
 
     def release(self, name, key, request_id):
         """An entry gives back only what it never dispatched."""
-        self.propose(name, commands.ReleaseOnce(key, request_id))
+        self.propose(name, commands.ReleaseKey(key, request_id))
 
     # The oracle.
 
@@ -254,7 +254,7 @@
         if known != entry:
             raise ViolationError(f"index {entry.index}: {known} then {entry}")
         command = entry.command
-        if isinstance(command, commands.ReleaseOnce):
+        if isinstance(command, commands.ReleaseKey):
             self.released[command.key].add(command.request_id)
         if isinstance(applied.result, commands.SubmitAccepted):
             version = applied.result.version
@@ -276,7 +276,7 @@
                 raise ViolationError(
                     f"version {result.version}: never applied"
                 )
-        elif isinstance(result, commands.OnceGranted):
+        elif isinstance(result, commands.KeyGranted):
             self.check_granted(command)
 
     def check_granted(self, command):
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -168,7 +168,7 @@
         entry.fresh = False
         entry.rng = random.Random(self.rng.random())
         self.entries[name] = EntryNode(entry, sub)
-        self.at(self.now, ("beat", name))
+        self.at(self.now, ("heartbeat", name))
 
     def start_upstream(self, name):
         engine = self.engines[name]
@@ -197,7 +197,7 @@
             CHARTS["shutdown"], lambda: not state.works
         )
         self.upstreams[name] = UpstreamNode(state, sub)
-        self.at(self.now, ("beat", name))
+        self.at(self.now, ("heartbeat", name))
         self.at(self.now, ("watch", name))
 
     def at(self, due, action):
@@ -229,7 +229,7 @@
         self.control_tick()
         self.check_memory()
 
-    def on_beat(self, name):
+    def on_heartbeat(self, name):
         node = self.entries.get(name) or self.upstreams.get(name)
         if node is None:
             return
@@ -240,9 +240,9 @@
             node.sub.report_due = True
         else:
             self.entry_step(name, entry_messages.RemindControl())
-        for effect in subscription.on_beat_due(node.sub, self.now):
+        for effect in subscription.on_heartbeat_due(node.sub, self.now):
             self.to_control(name, node, effect.message)
-        self.at(self.now + 1000, ("beat", name))
+        self.at(self.now + 1000, ("heartbeat", name))
 
     def on_watch(self, name):
         node, engine = self.upstreams.get(name), self.engines[name]
@@ -334,8 +334,8 @@
     def control_tick(self):
         inbox, self.inbox = self.inbox, []
         for name, node, message in inbox:
-            if isinstance(message, feed_messages.Beat):
-                self.on_control_beat(name, node, message)
+            if isinstance(message, feed_messages.Heartbeat):
+                self.on_control_heartbeat(name, node, message)
             else:
                 result = self.commit(message.command)
                 reply = feed_messages.AskReply(message.ask_id, result)
@@ -347,8 +347,8 @@
         told = feed.on_tick(self.branch, self.now, self.view, lambda _: True)
         self.push(told)
 
-    def on_control_beat(self, name, node, beat):
-        feed.on_beat(self.branch, self.now, beat, 1)
+    def on_control_heartbeat(self, name, node, beat):
+        feed.on_heartbeat(self.branch, self.now, beat, 1)
         if beat.report is not None:
             upstream_id = beat.report.upstream.upstream_id
             digest = feed_messages.Digest("c", (upstream_id,), (beat.report,))
@@ -398,9 +398,9 @@
         fields = {"model": model, "deadline_ms": deadline_ms}
         fields["fingerprint"] = f"f/{model}/{key or request_id}"
         if not model:
-            fields |= {"path": "/services/corrections", "once_key": key}
+            fields |= {"path": "/services/corrections", "idempotency_key": key}
         elif key:
-            fields |= {"once_key": key, "repeat_never": True}
+            fields |= {"idempotency_key": key, "repeat_never": True}
         if poison:
             fields["fingerprint"] = "f/poison"
             self.poison.add(request_id)
@@ -578,8 +578,8 @@
         resident = not engine.capacity or dispatch.model in engine.held
         if engine.up and resident:
             self.ran[dispatch.request_id] += 1
-            if dispatch.once_key:
-                key = (dispatch.route, dispatch.once_key)
+            if dispatch.idempotency_key:
+                key = (dispatch.route, dispatch.idempotency_key)
                 self.ran_keys[key].append(dispatch.request_id)
             if dispatch.request_id in self.poison:
                 self.crash_engine(name)
@@ -718,11 +718,11 @@
     def check_one(self, request_id, told):
         if told.whole:
             owner = request_id
-            if told.request.once_key:
+            if told.request.idempotency_key:
                 owner = told.body.decode().split(":")[0]
                 twin = self.told.get(owner)
-                key = told.request.once_key
-                if twin is None or twin.request.once_key != key:
+                key = told.request.idempotency_key
+                if twin is None or twin.request.idempotency_key != key:
                     raise ViolationError(f"{request_id} got {owner}'s")
             expected = b"".join(part_of(owner, n) for n in range(CHUNKS))
             if told.body != expected:
@@ -738,13 +738,13 @@
         """An answer that was given whole is kept for resends."""
         alive = [id(node) for node in self.entries.values()]
         for request_id, told in self.told.items():
-            key = told.request.once_key
+            key = told.request.idempotency_key
             if not (key and told.whole and id(told.asked) in alive):
                 continue
             route = "corrections"
             if told.request.model:
                 route = f"route-{told.request.model}"
-            record = self.control.once.records[f"{route}/{key}"]
+            record = self.control.keys.records[f"{route}/{key}"]
             if record.state != "finished":
                 raise ViolationError(f"{request_id}: {record.state}")
 
--- a/bilberryramp/decisions/tests/test_control_state.py
+++ b/bilberryramp/decisions/tests/test_control_state.py
@@ -4,8 +4,8 @@
     commands,
     demand,
     errors,
+    idempotency,
     membership,
-    once_records,
     placement,
     tables,
 )
@@ -16,7 +16,7 @@
 
 
 def reserve(request_id="r1", at_ms=0, key="k", fingerprint="f"):
-    return commands.ReserveOnce(key, request_id, fingerprint, at_ms, 1000)
+    return commands.ReserveKey(key, request_id, fingerprint, at_ms, 1000)
 
 
 class SubmissionTest(unittest.TestCase):
@@ -39,19 +39,19 @@
         self.assertEqual(state.view.version, 0)
 
 
-class OnceTest(unittest.TestCase):
+class IdempotencyTest(unittest.TestCase):
     def test_life_of_a_key(self):
         state = builders.state_after()
         granted = builders.apply(state, reserve())
-        self.assertIsInstance(granted, commands.OnceGranted)
+        self.assertIsInstance(granted, commands.KeyGranted)
         repeat = builders.apply(state, reserve())
-        self.assertIsInstance(repeat, commands.OnceGranted)
+        self.assertIsInstance(repeat, commands.KeyGranted)
         other = builders.apply(state, reserve("r2", 10))
         self.assertEqual(other.code, CODE.KEY_RUNNING)
         answer = commands.KeptAnswer(200, "text/plain", b"x")
-        builders.apply(state, commands.FinishOnce("k", "r1", True, answer))
+        builders.apply(state, commands.FinishKey("k", "r1", True, answer))
         kept = builders.apply(state, reserve("r2", 10))
-        self.assertEqual(kept, commands.OnceKept(answer))
+        self.assertEqual(kept, commands.KeyKept(answer))
         wrong = builders.apply(state, reserve("r2", 10, fingerprint="g"))
         self.assertEqual(wrong.code, CODE.KEY_MISMATCH)
 
@@ -62,19 +62,19 @@
 
     def test_release_frees_only_for_its_own_request(self):
         state = builders.state_after(reserve())
-        builders.apply(state, commands.ReleaseOnce("k", "r2"))
+        builders.apply(state, commands.ReleaseKey("k", "r2"))
         refused = builders.apply(state, reserve("r2", 10))
         self.assertEqual(refused.code, CODE.KEY_RUNNING)
-        builders.apply(state, commands.ReleaseOnce("k", "r1"))
+        builders.apply(state, commands.ReleaseKey("k", "r1"))
         granted = builders.apply(state, reserve("r2", 10))
-        self.assertIsInstance(granted, commands.OnceGranted)
+        self.assertIsInstance(granted, commands.KeyGranted)
 
     def test_key_beyond_retention_is_refused_never_run(self):
         state = builders.state_after(reserve())
-        late = once_records.RETENTION_MS + 1
+        late = idempotency.RETENTION_MS + 1
         expired = builders.apply(state, reserve("r2", late))
         self.assertEqual(expired.code, CODE.KEY_EXPIRED)
-        self.assertEqual(state.once.records, {})
+        self.assertEqual(state.keys.records, {})
 
 
 class PlacementTest(unittest.TestCase):
--- a/bilberryramp/decisions/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/tests/test_entry_calls.py
@@ -201,14 +201,14 @@
         bench = Bench(upstream_ids)
         bench.call(builders.marked_request())
         self.assertEqual(bench.dispatches(), [])
-        bench.control(commands.OnceGranted(9))
+        bench.control(commands.KeyGranted(9))
         return bench
 
     def test_record_comes_before_dispatch_and_keeps_the_answer(self):
         bench = self.granted()
         self.assertEqual(bench.dispatches(), [("u1", "r1.1")])
         bench.answer("u1", "r1.1")
-        finish = bench.asked(commands.FinishOnce)[0]
+        finish = bench.asked(commands.FinishKey)[0]
         self.assertEqual((finish.ran, finish.answer.body), (True, b"abcd"))
 
     def runs_after_loss(self):
@@ -222,7 +222,7 @@
         bench = self.granted()
         bench.step(entry_messages.LinkLost("u1"))
         self.assertEqual(bench.failure().outcome, OUTCOME.UNKNOWN)
-        self.assertFalse(bench.asked(commands.FinishOnce)[0].ran)
+        self.assertFalse(bench.asked(commands.FinishKey)[0].ran)
 
     def test_broken_version_that_retries_is_caught(self):
         spec = builders.bound("request", entry_calls).spec
@@ -240,14 +240,14 @@
         bench = self.granted(("u1",))
         bench.frame("u1", builders.refused("r1.1"))
         self.assertEqual(bench.failure().outcome, OUTCOME.NOT_RUN)
-        released = bench.asked(commands.ReleaseOnce)[0]
+        released = bench.asked(commands.ReleaseKey)[0]
         self.assertEqual(released.request_id, "r1")
 
     def test_resend_gets_the_kept_answer_or_what_is_known(self):
         bench = Bench()
         bench.call(builders.marked_request())
         answer = commands.KeptAnswer(201, "text/plain", b"kept")
-        bench.control(commands.OnceKept(answer))
+        bench.control(commands.KeyKept(answer))
         self.assertEqual(bench.body(), b"kept")
         cases = (
             (CODE.KEY_RUNNING, OUTCOME.UNKNOWN),
@@ -259,7 +259,7 @@
         for code, outcome in cases:
             bench = Bench()
             bench.call(builders.marked_request())
-            bench.control(commands.OnceRefused(code))
+            bench.control(commands.KeyRefused(code))
             self.assertEqual(bench.failure().outcome, outcome)
             self.assertEqual(bench.dispatches(), [])
 
@@ -267,7 +267,7 @@
         bench = self.granted()
         bench.step(entry_messages.CallerLeft("r1"))
         bench.answer("u1", "r1.1")
-        self.assertTrue(bench.asked(commands.FinishOnce)[0].ran)
+        self.assertTrue(bench.asked(commands.FinishKey)[0].ran)
 
     def test_route_that_must_not_repeat_needs_a_key(self):
         bench = Bench(repeat_never=True)
--- a/bilberryramp/decisions/tests/test_feed.py
+++ b/bilberryramp/decisions/tests/test_feed.py
@@ -58,13 +58,13 @@
             self.deliver(to, message)
         for number, (_name, sub) in enumerate(self.subs.items()):
             if self.now % 1000 == number % 20 * 50:
-                self.carry(subscription.on_beat_due(sub, self.now))
+                self.carry(subscription.on_heartbeat_due(sub, self.now))
         view = self.control.view
         self.carry(feed.on_tick(self.branch, self.now, view, lambda _: True))
 
     def deliver(self, to, message):
         if to == "c1":
-            feed.on_beat(self.branch, self.now, message, 1)
+            feed.on_heartbeat(self.branch, self.now, message, 1)
             return
         sub = self.subs.get(to)
         if sub is None:
@@ -104,7 +104,7 @@
         rng = random.Random(9)
         for version in range(60):
             tree.commit(change(version))
-            tree.commit(commands.ReserveOnce(f"k{version}", "r", "f", 0, 1))
+            tree.commit(commands.ReserveKey(f"k{version}", "r", "f", 0, 1))
             tree.run(rng.choice((50, 200, 1500)))
             if rng.random() < 0.2:
                 tree.restart(f"n{rng.randrange(6)}")
@@ -129,7 +129,9 @@
         """Else a region that starts anew is encoded for each process."""
         branch = feed.Feed("c1", history_after=5)
         for name in ("n1", "n2"):
-            feed.on_beat(branch, 0, feed_messages.Beat(name, 0, -1), 1)
+            feed.on_heartbeat(
+                branch, 0, feed_messages.Heartbeat(name, 0, -1), 1
+            )
         view = builders.view_with()
         told = list(feed.on_tick(branch, 0, view, lambda _: True))
         whole = [
@@ -182,7 +184,7 @@
     def test_silent_replica_is_left_for_the_next(self):
         sub = builders.subscriber(controls=("c1", "c2"))
         asked = [
-            list(subscription.on_beat_due(sub, now))[0].to
+            list(subscription.on_heartbeat_due(sub, now))[0].to
             for now in (0, 1000, 2000)
         ]
         self.assertEqual(asked[0], asked[1])
--- a/bilberryramp/decisions/tests/test_replication_fuzz.py
+++ b/bilberryramp/decisions/tests/test_replication_fuzz.py
@@ -10,7 +10,7 @@
 from bilberryramp.decisions import (
     commands,
     control_state,
-    once_records,
+    idempotency,
     replica_state,
     replication,
 )
@@ -166,7 +166,7 @@
 
 
 def grant_always(_table, index, _command):
-    return commands.OnceGranted(index)
+    return commands.KeyGranted(index)
 
 
 def write_later(self, effect):
@@ -220,7 +220,7 @@
         self.assert_caught(patches=[patch])
 
     def test_key_granted_twice(self):
-        self.assert_caught(patches=[(once_records, "reserve", grant_always)])
+        self.assert_caught(patches=[(idempotency, "reserve", grant_always)])
 
 
 class ForwardTest(unittest.TestCase):
--- a/bilberryramp/decisions/tests/test_upstream_work.py
+++ b/bilberryramp/decisions/tests/test_upstream_work.py
@@ -49,7 +49,7 @@
         }
 
 
-class DoorTest(unittest.TestCase):
+class AdmissionOrderTest(unittest.TestCase):
     def test_slots_then_queue_then_shedding(self):
         bench = Bench(slots=2, queue_limit=1)
         for number in range(4):
@@ -130,7 +130,7 @@
     def test_lost_entry_cancels_only_what_may_be_repeated(self):
         bench = Bench()
         bench.dispatch("r1.1")
-        bench.dispatch("r2.1", once_key="k")
+        bench.dispatch("r2.1", idempotency_key="k")
         bench.step(upstream_messages.SenderLost("e1"))
         cancelled = [
             e.attempt_id
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -1,4 +1,4 @@
-"""An upstream process's decisions: the only door to its engine.
+"""An upstream process's decisions: all traffic to its engine passes here.
 
 The role is a function from (upstream, now, message) to effects. Requests
 wait in a bounded queue shared between pools; memory and models are in
@@ -318,7 +318,7 @@
     orphans = [
         attempt_id
         for attempt_id, work in state.works.items()
-        if work.sender == message.sender and not work.dispatch.once_key
+        if work.sender == message.sender and not work.dispatch.idempotency_key
     ]
     for attempt_id in orphans:
         yield from _cancel(state, now_ms, attempt_id)
--- a/bilberryramp/loadgen/http_run.py
+++ b/bilberryramp/loadgen/http_run.py
@@ -54,34 +54,34 @@
     Outcomes
         What became of the requests.
     """
-    told = outcomes.new_outcomes(load)
+    tally = outcomes.new_outcomes(load)
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
-        progress = asyncio.create_task(_progress(told, show))
+        progress = asyncio.create_task(_progress(tally, show))
         began = time.perf_counter()
         async with asyncio.TaskGroup() as group:
             for arrival in workload.arrivals(load, seed):
                 wait_s = began + arrival.at_s - time.perf_counter()
                 if wait_s > 0:
                     await asyncio.sleep(wait_s)
-                outcomes.offer(told, arrival.model)
-                group.create_task(_send(session, url, arrival, began, told))
+                outcomes.offer(tally, arrival.model)
+                group.create_task(_send(session, url, arrival, began, tally))
         progress.cancel()
-    return told
+    return tally
 
 
-async def _progress(told: outcomes.Outcomes, show) -> None:
+async def _progress(tally: outcomes.Outcomes, show) -> None:
     began = time.perf_counter()
     while True:
         await asyncio.sleep(PROGRESS_S)
         elapsed_s = time.perf_counter() - began
         show(
-            f"{elapsed_s:.0f} s: {told.offered} sent, {told.attained} "
-            f"attained, {told.refused} refused, {told.failed} failed"
+            f"{elapsed_s:.0f} s: {tally.offered} sent, {tally.attained} "
+            f"attained, {tally.refused} refused, {tally.failed} failed"
         )
 
 
-async def _send(session, url, arrival, began, told) -> None:
+async def _send(session, url, arrival, began, tally) -> None:
     words = max(arrival.prompt_tokens * TOKEN_CHARS // len(WORD), 1)
     body = _Body(
         arrival.model,
@@ -92,14 +92,14 @@
     try:
         async with session.post(f"{url}/v1/completions", data=data) as resp:
             if resp.status != 200:
-                told.refused += 1
+                tally.refused += 1
                 return
-            await _read(resp, arrival, began, told)
+            await _read(resp, arrival, began, tally)
     except (aiohttp.ClientError, TimeoutError):
-        told.failed += 1
+        tally.failed += 1
 
 
-async def _read(resp, arrival, began, told) -> None:
+async def _read(resp, arrival, began, tally) -> None:
     first_s = 0.0
     tokens = 0
     async for line in resp.content:
@@ -110,4 +110,4 @@
     ended_s = time.perf_counter()
     first_ms = (first_s - began - arrival.at_s) * 1e3
     between_ms = (ended_s - first_s) * 1e3 / max(tokens, 1)
-    outcomes.add(told, arrival.model, first_ms, between_ms)
+    outcomes.add(tally, arrival.model, first_ms, between_ms)
--- a/bilberryramp/loadgen/report.py
+++ b/bilberryramp/loadgen/report.py
@@ -33,14 +33,14 @@
     between_tokens_ms: tuple[float, ...]
 
 
-def make(name: str, told: outcomes.Outcomes) -> Report:
+def make(name: str, tally: outcomes.Outcomes) -> Report:
     """Summarise a run.
 
     Parameters
     ----------
     name
         Shown in comparisons.
-    told
+    tally
         What became of its requests.
 
     Returns
@@ -50,12 +50,12 @@
     """
     return Report(
         name,
-        told.offered,
-        told.attained,
-        told.refused,
-        told.failed,
-        _at_percentiles(told.first_token),
-        _at_percentiles(told.between_tokens),
+        tally.offered,
+        tally.attained,
+        tally.refused,
+        tally.failed,
+        _at_percentiles(tally.first_token),
+        _at_percentiles(tally.between_tokens),
     )
 
 
--- a/bilberryramp/loadgen/tests/test_loadgen.py
+++ b/bilberryramp/loadgen/tests/test_loadgen.py
@@ -52,10 +52,10 @@
 
 class VirtualTest(unittest.TestCase):
     def test_quiet_load_is_attained_without_moves(self):
-        told = run()
-        self.assertGreater(told.offered, 80)
-        self.assertEqual(told.attained, told.offered)
-        self.assertEqual((told.moves, told.refused), (0, 0))
+        tally = run()
+        self.assertGreater(tally.offered, 80)
+        self.assertEqual(tally.attained, tally.offered)
+        self.assertEqual((tally.moves, tally.refused), (0, 0))
 
     def test_same_seed_gives_the_same_outcome(self):
         first, second = run(), run()
@@ -82,11 +82,11 @@
             virtual.Event(20, lambda r: virtual.lose_domain(r, "a")),
             virtual.Event(40, lambda r: virtual.return_domain(r, "a")),
         )
-        told = run(events=events)
-        self.assertGreater(told.moves, 0)
-        self.assertGreater(outcomes.attained_share(told), 0.6)
-        ended = told.first_token.get_total_count()
-        self.assertEqual(ended + told.refused + told.failed, told.offered)
+        tally = run(events=events)
+        self.assertGreater(tally.moves, 0)
+        self.assertGreater(outcomes.attained_share(tally), 0.6)
+        ended = tally.first_token.get_total_count()
+        self.assertEqual(ended + tally.refused + tally.failed, tally.offered)
 
     def test_every_scenario_of_both_deployments_can_be_made(self):
         for name in scenarios.DEPLOYMENTS:
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -132,7 +132,7 @@
     control: control_state.ControlState
     engines: dict[str, _Engine]
     entries: list[entry_calls.Entry]
-    told: outcomes.Outcomes
+    tally: outcomes.Outcomes
     watch: demand.Watch
     rng: random.Random
     now_ms: float = 0.0
@@ -182,15 +182,15 @@
         for number in range(ENTRIES)
     ]
     watch = demand.Watch(policy.demand_cfg or plan.demand_cfg)
-    told = outcomes.new_outcomes(load)
-    run_ = VirtualRun(plan, policy, state, {}, entries, told, watch, rng)
+    tally = outcomes.new_outcomes(load)
+    run_ = VirtualRun(plan, policy, state, {}, entries, tally, watch, rng)
     for group in plan.groups:
         _add_engines(run_, group)
     submit(run_, plan.tables)
     _place(run_, at_once=True)
     if not policy.boundless:
         _fill_evenly(run_)
-    run_.told.moves = 0
+    run_.tally.moves = 0
     return run_
 
 
@@ -221,7 +221,7 @@
     while run_.queue:
         run_.now_ms, _, act, argument = heapq.heappop(run_.queue)
         act(run_, argument)
-    return run_.told
+    return run_.tally
 
 
 def submit(run_: VirtualRun, wanted) -> None:
@@ -378,7 +378,7 @@
     wanted = {place.model for place in _placed(run_, upstream_id)}
     engine.held &= wanted
     for model in sorted(wanted - engine.held - engine.loading):
-        run_.told.moves += 1
+        run_.tally.moves += 1
         if at_once:
             engine.held.add(model)
             continue
@@ -428,14 +428,14 @@
     run_.serial += 1
     request_id = f"r{run_.serial}"
     run_.arrivals[request_id] = arrival
-    outcomes.offer(run_.told, _pool_of(run_, arrival.model))
+    outcomes.offer(run_.tally, _pool_of(run_, arrival.model))
     request = entry_messages.CallerRequest(
         request_id=request_id,
         model=arrival.model,
         method="POST",
         path="/v1/completions",
         body=b"",
-        once_key="",
+        idempotency_key="",
         repeat_never=False,
         deadline_ms=60_000,
         fingerprint=request_id,
@@ -454,8 +454,8 @@
 
 
 def _entry_step(run_: VirtualRun, entry, message) -> None:
-    told = entry_calls.step(entry, int(run_.now_ms), message)
-    for effect in list(told):
+    tally = entry_calls.step(entry, int(run_.now_ms), message)
+    for effect in list(tally):
         _perform_entry(run_, entry, effect)
 
 
@@ -484,9 +484,9 @@
     if ended.failure is None:
         return
     if ended.failure.outcome == errors.Outcome.NOT_RUN:
-        run_.told.refused += 1
+        run_.tally.refused += 1
     else:
-        run_.told.failed += 1
+        run_.tally.failed += 1
 
 
 def _to_engine(run_: VirtualRun, entry, send: effects.Send) -> None:
@@ -520,8 +520,8 @@
 
 
 def _engine_step(run_: VirtualRun, engine: _Engine, message) -> None:
-    told = upstream_work.step(engine.state, int(run_.now_ms), message)
-    for effect in list(told):
+    tally = upstream_work.step(engine.state, int(run_.now_ms), message)
+    for effect in list(tally):
         if isinstance(effect, effects.Send):
             entry = run_.entries[int(effect.to[1:])]
             upstream_id = engine.state.upstream.upstream_id
@@ -618,7 +618,7 @@
     tokens = max(job.arrival.answer_tokens, 1)
     between_ms = (run_.now_ms - job.first_ms) / tokens
     pool = _pool_of(run_, job.arrival.model)
-    outcomes.add(run_.told, pool, first_ms, between_ms)
+    outcomes.add(run_.tally, pool, first_ms, between_ms)
 
 
 def _end_job(run_, engine, attempt_id, crashed=False, cancelled=False):
--- a/bilberryramp/programs/ctl.py
+++ b/bilberryramp/programs/ctl.py
@@ -175,7 +175,8 @@
     by = f" by {status.submitted_by}" if status.submitted_by else ""
     yield (
         f"version {status.version}{by}: {len(status.routes)} routes, "
-        f"{len(status.pools)} pools, {status.once_records} once-records"
+        f"{len(status.pools)} pools, "
+        f"{status.idempotency_records} idempotency records"
     )
     free = {row.upstream_id: row.free_mib for row in status.memory}
     for upstream in status.upstreams:
--- a/bilberryramp/programs/load.py
+++ b/bilberryramp/programs/load.py
@@ -62,8 +62,8 @@
 
 def _http(_args: list[str]) -> None:
     load = reader.read_or_raise(_WORKLOAD.value, workload.Workload)
-    told = asyncio.run(http_run.run(_URL.value, load, _SEED.value, _show))
-    _finish(report.make(_NAME.value or load.name, told))
+    tally = asyncio.run(http_run.run(_URL.value, load, _SEED.value, _show))
+    _finish(report.make(_NAME.value or load.name, tally))
 
 
 def _virtual(_args: list[str]) -> None:
@@ -72,9 +72,9 @@
     plan = scenarios.read_deployment(_DEPLOYMENT.value, folder)
     policy = virtual.PolicySettings(_POLICY.value)
     made = virtual.new_run(plan, policy, load, _SEED.value)
-    told = virtual.run(made, load, _SEED.value)
-    print(f"{told.moves} moves")
-    _finish(report.make(_NAME.value or load.name, told))
+    tally = virtual.run(made, load, _SEED.value)
+    print(f"{tally.moves} moves")
+    _finish(report.make(_NAME.value or load.name, tally))
 
 
 def _compare(args: list[str]) -> None:
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -36,8 +36,8 @@
         launch.SETTINGS_FLAG.value, schema.UpstreamSettings
     )
     launch.start_telemetry("bilberry-upstream", cfg.name, cfg.telemetry)
-    door, address = _open_door(cfg.address)
-    node = _new_node(cfg, door, address)
+    listener, address = _open_listener(cfg.address)
+    node = _new_node(cfg, listener, address)
     launch.on_stop_signal(
         lambda: mailbox.post_now(node.box, upstream_messages.StopAsked())
     )
@@ -47,20 +47,20 @@
     return 0
 
 
-def _open_door(address: str) -> tuple[zmq.asyncio.Socket, str]:
-    door = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
-    door.setsockopt(zmq.ROUTER_HANDOVER, 1)
-    door.setsockopt(zmq.LINGER, 1000)
+def _open_listener(address: str) -> tuple[zmq.asyncio.Socket, str]:
+    listener = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
+    listener.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    listener.setsockopt(zmq.LINGER, 1000)
     host, _, port = address.rpartition(":")
     if port == "0":
-        door.bind(f"{host}:*")
+        listener.bind(f"{host}:*")
     else:
-        door.bind(address)
-    return door, door.getsockopt_string(zmq.LAST_ENDPOINT)
+        listener.bind(address)
+    return listener, listener.getsockopt_string(zmq.LAST_ENDPOINT)
 
 
 def _new_node(
-    cfg: schema.UpstreamSettings, door: zmq.asyncio.Socket, address: str
+    cfg: schema.UpstreamSettings, listener: zmq.asyncio.Socket, address: str
 ) -> upstream_node.UpstreamNode:
     chart = launch.bind_chart("config", subscription)
     name = f"upstream/{cfg.name}"
@@ -76,7 +76,7 @@
         state=state,
         sub=sub,
         box=mailbox.Mailbox(limit=8192),
-        door=door,
+        listener=listener,
         control=control_link.open_link(name, cfg.controls),
         session=aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
--- a/bilberryramp/tasks/control_node.py
+++ b/bilberryramp/tasks/control_node.py
@@ -203,9 +203,9 @@
 
 def _on_peer(node: ControlNode, now_ms: int, peer: PeerMessage) -> Iterator:
     message = peer.message
-    if isinstance(message, feed_messages.Beat):
+    if isinstance(message, feed_messages.Heartbeat):
         probe = replica_state.next_probe(node.replica)
-        feed.on_beat(node.feed, now_ms, message, probe)
+        feed.on_heartbeat(node.feed, now_ms, message, probe)
     elif isinstance(message, feed_messages.Ask):
         ask = msgs.Propose(message.sender, message.ask_id, message.command)
         yield from _step(node, now_ms, ask)
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -276,7 +276,7 @@
             method=request.method,
             path=request.path_qs,
             body=body,
-            once_key=key,
+            idempotency_key=key,
             repeat_never=bool(repeat),
             deadline_ms=int(deadline),
             fingerprint=_digest(request.path_qs.encode() + b"\0" + body),
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -61,7 +61,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class BeatDue:
+class HeartbeatDue:
     """It is time for a heartbeat."""
 
 
@@ -147,7 +147,7 @@
     async with asyncio.TaskGroup() as group:
         router.group = group
         helpers = (
-            group.create_task(_beat(router)),
+            group.create_task(_send_heartbeats(router)),
             group.create_task(
                 control_link.receive(router.control, router.box, FromControl)
             ),
@@ -202,9 +202,9 @@
         yield from shutdown.note_idle(router.stop, now_ms)
 
 
-def _on_beat(router: Router, now_ms: int, _message) -> Iterator:
+def _on_heartbeat(router: Router, now_ms: int, _message) -> Iterator:
     router.sub.busy = entry_calls.waiting_by_model(router.entry)
-    yield from subscription.on_beat_due(router.sub, now_ms)
+    yield from subscription.on_heartbeat_due(router.sub, now_ms)
     remind = entry_messages.RemindControl()
     yield from entry_calls.step(router.entry, now_ms, remind)
     yield from shutdown.note_idle(router.stop, now_ms)
@@ -239,14 +239,14 @@
     if isinstance(
         event, links.LinkOpened | links.LinkBroke | links.LinkUnused
     ):
-        told = links.on_event(opened.link, now_ms, event)
-        yield from _on_link_effects(router, now_ms, opened, told)
+        produced = links.on_event(opened.link, now_ms, event)
+        yield from _on_link_effects(router, now_ms, opened, produced)
         return
-    told = links.on_frame(opened.link, now_ms, event)
-    yield from _on_link_effects(router, now_ms, opened, told)
+    produced = links.on_frame(opened.link, now_ms, event)
+    yield from _on_link_effects(router, now_ms, opened, produced)
     index = getattr(event, "view_index", 0)
     if subscription.note_peer_index(router.sub, index):
-        mailbox.post_now(router.box, BeatDue())
+        mailbox.post_now(router.box, HeartbeatDue())
     arrived = entry_messages.FrameArrived(message.upstream_id, event)
     yield from entry_calls.step(router.entry, now_ms, arrived)
 
@@ -254,12 +254,14 @@
 def _on_link_timer(router: Router, now_ms: int, timer) -> Iterator:
     opened = router.open_links.get(timer.upstream_id)
     if opened is not None and opened.number == timer.number:
-        told = links.on_timer(opened.link, now_ms, timer.token)
-        yield from _on_link_effects(router, now_ms, opened, told)
+        produced = links.on_timer(opened.link, now_ms, timer.token)
+        yield from _on_link_effects(router, now_ms, opened, produced)
 
 
-def _on_link_effects(router, now_ms: int, opened: OpenLink, told) -> Iterator:
-    for effect in list(told):
+def _on_link_effects(
+    router, now_ms: int, opened: OpenLink, produced
+) -> Iterator:
+    for effect in list(produced):
         if isinstance(effect, links.Transmit):
             mailbox.post_now(opened.outbox, effect.frame)
         elif isinstance(effect, effects.SetTimer):
@@ -405,7 +407,7 @@
 
 
 async def _send(router: Router, effect: effects.Send) -> None:
-    if isinstance(effect.message, feed_messages.Beat):
+    if isinstance(effect.message, feed_messages.Heartbeat):
         await control_link.send(router.control, effect.to, effect.message)
         return
     now_ms = clock.now_ms()
@@ -461,17 +463,17 @@
             router.stopped = True
 
 
-async def _beat(router: Router) -> None:
+async def _send_heartbeats(router: Router) -> None:
     while True:
-        mailbox.post_now(router.box, BeatDue())
-        await asyncio.sleep(subscription.BEAT_MS / 1000)
+        mailbox.post_now(router.box, HeartbeatDue())
+        await asyncio.sleep(subscription.HEARTBEAT_MS / 1000)
 
 
 _HANDLERS = {
     NewCall: _on_new_call,
     ChunkTaken: _on_chunk_taken,
     FromControl: _on_control,
-    BeatDue: _on_beat,
+    HeartbeatDue: _on_heartbeat,
     LinkEvent: _on_link_event,
     LinkTimer: _on_link_timer,
     StopRouter: _on_stop,
--- a/bilberryramp/tasks/operator_api.py
+++ b/bilberryramp/tasks/operator_api.py
@@ -103,7 +103,7 @@
     index: int
     version: int
     submitted_by: str
-    once_records: int
+    idempotency_records: int
     upstreams: tuple[views.Upstream, ...]
     placements: dict[str, views.Placement]
     quarantine: dict[str, views.QuarantineRecord]
@@ -203,7 +203,7 @@
         index=replica.applied_index,
         version=view.version,
         submitted_by=view.submitted_by,
-        once_records=len(replica.state.once.records),
+        idempotency_records=len(replica.state.keys.records),
         upstreams=tuple(view.upstreams.values()),
         placements=view.placements,
         quarantine=view.quarantine,
--- a/bilberryramp/tasks/tests/test_entry_router.py
+++ b/bilberryramp/tasks/tests/test_entry_router.py
@@ -26,8 +26,8 @@
 
     async def exchange(self):
         ctx = zmq.asyncio.Context()
-        door = ctx.socket(zmq.ROUTER)
-        port = door.bind_to_random_port("tcp://127.0.0.1")
+        listener = ctx.socket(zmq.ROUTER)
+        port = listener.bind_to_random_port("tcp://127.0.0.1")
         outbox, box = mailbox.Mailbox(), mailbox.Mailbox(limit=100_000)
         router = types.SimpleNamespace(name="e1", box=box)
         address = f"tcp://127.0.0.1:{port}"
@@ -35,10 +35,10 @@
             entry_router._own_socket(router, address, "u1", 1, outbox)
         )
         mailbox.post_now(outbox, call_messages.Ping(1))
-        sender, _ = await door.recv_multipart()
+        sender, _ = await listener.recv_multipart()
         for number in range(FRAMES):
             frame = codec.encode(builders.chunk(number))
-            await door.send_multipart([sender, frame])
+            await listener.send_multipart([sender, frame])
         await asyncio.to_thread(ctx.destroy, 1000)
         events = []
         while not any(isinstance(e, links.LinkBroke) for e in events):
--- a/bilberryramp/tasks/upstream_engine.py
+++ b/bilberryramp/tasks/upstream_engine.py
@@ -242,8 +242,8 @@
     }
     if traceparent:
         headers["traceparent"] = traceparent
-    if dispatch.once_key:
-        headers["Idempotency-Key"] = dispatch.once_key
+    if dispatch.idempotency_key:
+        headers["Idempotency-Key"] = dispatch.idempotency_key
     return headers
 
 
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -1,4 +1,4 @@
-"""The task of one upstream process: the door to its engine."""
+"""The task of one upstream process: all traffic to its engine passes here."""
 
 import asyncio
 import dataclasses
@@ -37,7 +37,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class BeatDue:
+class HeartbeatDue:
     """It is time for a heartbeat."""
 
 
@@ -47,7 +47,7 @@
 
     Attributes
     ----------
-    door
+    listener
         Receives from entries and answers them.
     runs
         Requests on the engine by attempt id.
@@ -59,7 +59,7 @@
     state: upstream_work.UpstreamState
     sub: subscription.Subscription
     box: mailbox.Mailbox
-    door: zmq.asyncio.Socket
+    listener: zmq.asyncio.Socket
     control: control_link.ControlLink
     session: aiohttp.ClientSession
     group: asyncio.TaskGroup | None = None
@@ -82,7 +82,7 @@
         node.group = group
         helpers = (
             group.create_task(_receive(node)),
-            group.create_task(_beat(node)),
+            group.create_task(_send_heartbeats(node)),
             group.create_task(
                 control_link.receive(node.control, node.box, FromControl)
             ),
@@ -95,7 +95,7 @@
         await _say_goodbye(node)
         for helper in helpers:
             helper.cancel()
-    node.door.close()
+    node.listener.close()
     await node.session.close()
 
 
@@ -108,8 +108,8 @@
 def _handle(node: UpstreamNode, now_ms: int, message) -> Iterator:
     if isinstance(message, FromControl):
         yield from _on_control(node, now_ms, message.message)
-    elif isinstance(message, BeatDue):
-        yield from _on_beat(node, now_ms)
+    elif isinstance(message, HeartbeatDue):
+        yield from _on_heartbeat(node, now_ms)
     elif (
         isinstance(message, role_messages.TimerFired)
         and message.key == node.sub.key
@@ -153,9 +153,9 @@
         yield from subscription.on_whole_view(node.sub, message)
 
 
-def _on_beat(node: UpstreamNode, now_ms: int) -> Iterator:
+def _on_heartbeat(node: UpstreamNode, now_ms: int) -> Iterator:
     _refresh_report(node)
-    yield from subscription.on_beat_due(node.sub, now_ms)
+    yield from subscription.on_heartbeat_due(node.sub, now_ms)
     for sender, heard_ms in list(node.heard_ms.items()):
         if now_ms - heard_ms > SENDER_SILENT_MS:
             del node.heard_ms[sender]
@@ -173,7 +173,7 @@
 
 async def _perform(node: UpstreamNode, effect) -> None:
     if isinstance(effect, effects.Send):
-        if isinstance(effect.message, feed_messages.Beat):
+        if isinstance(effect.message, feed_messages.Heartbeat):
             await control_link.send(node.control, effect.to, effect.message)
         else:
             await _send_frame(node, effect.to, effect.message)
@@ -203,11 +203,11 @@
     elif isinstance(
         effect, upstream_messages.ReportDue | model_orders.ResidencyChanged
     ):
-        mailbox.post_now(node.box, BeatDue())
+        mailbox.post_now(node.box, HeartbeatDue())
 
 
 async def _send_frame(node: UpstreamNode, entry: str, frame) -> None:
-    await node.door.send_multipart([entry.encode(), codec.encode(frame)])
+    await node.listener.send_multipart([entry.encode(), codec.encode(frame)])
 
 
 def _start_run(node: UpstreamNode, start: upstream_messages.StartRun) -> None:
@@ -261,7 +261,7 @@
 
 async def _receive(node: UpstreamNode) -> None:
     while True:
-        sender, data = await node.door.recv_multipart()
+        sender, data = await node.listener.recv_multipart()
         try:
             frame = codec.decode(data)
         except codec.MalformedMessageError as exc:
@@ -272,13 +272,13 @@
         await mailbox.post(node.box, arrived)
         index = getattr(frame, "view_index", 0)
         if subscription.note_peer_index(node.sub, index):
-            await mailbox.post(node.box, BeatDue())
+            await mailbox.post(node.box, HeartbeatDue())
 
 
-async def _beat(node: UpstreamNode) -> None:
+async def _send_heartbeats(node: UpstreamNode) -> None:
     while True:
-        mailbox.post_now(node.box, BeatDue())
-        await asyncio.sleep(subscription.BEAT_MS / 1000)
+        mailbox.post_now(node.box, HeartbeatDue())
+        await asyncio.sleep(subscription.HEARTBEAT_MS / 1000)
 
 
 async def _watch(node: UpstreamNode) -> None:
@@ -288,5 +288,5 @@
 async def _say_goodbye(node: UpstreamNode) -> None:
     _refresh_report(node)
     node.sub.report_due = True
-    for effect in subscription.on_beat_due(node.sub, clock.now_ms()):
+    for effect in subscription.on_heartbeat_due(node.sub, clock.now_ms()):
         await control_link.send(node.control, effect.to, effect.message)
--- a/bilberryramp/wire/tests/test_codec.py
+++ b/bilberryramp/wire/tests/test_codec.py
@@ -12,7 +12,7 @@
         commands.JoinUpstream(builders.upstream()),
         builders.submit(),
         commands.PlaceReplicas("u1", (builders.place(),)),
-        commands.ReserveOnce("k", "r", "f", 5, 10),
+        commands.ReserveKey("k", "r", "f", 5, 10),
         commands.ReportStrike("f", "u1", "r.1", 5),
     )
     entry = control_state.Entry(1, 2, builders.submit())
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -73,7 +73,7 @@
         if follower.upstream is not None and follower.want_report:
             report = feed_messages.UpstreamReport(follower.upstream)
         now_ms = time.monotonic_ns() // 1_000_000
-        message = feed_messages.Beat(
+        message = feed_messages.Heartbeat(
             follower.name, now_ms, follower.index, report
         )
         data = codec.encode(message)
--- a/tools/experiments.py
+++ b/tools/experiments.py
@@ -51,17 +51,17 @@
     plan = scenarios.read_deployment(name, EXAMPLES / name)
     made = scenarios.make(plan, scenario, seed)
     run = virtual.new_run(plan, POLICIES[policy], made.load, seed)
-    told = virtual.run(run, made.load, seed, made.events)
+    tally = virtual.run(run, made.load, seed, made.events)
     flooded = scenarios.FLOODED[name] if scenario == "flood" else ""
     accelerators = sum(g.engines * g.accelerators for g in plan.groups)
     return Reading(
-        attained=outcomes.attained_share(told) * 100,
-        least=outcomes.least_share(told, flooded) * 100,
-        per_accelerator=told.attained / accelerators / made.load.duration_s,
-        moves=told.moves,
-        first_ms=outcomes.p95_ms(told.first_token),
-        between_ms=outcomes.p95_ms(told.between_tokens),
-        refused=(told.refused + told.failed) / told.offered * 100,
+        attained=outcomes.attained_share(tally) * 100,
+        least=outcomes.least_share(tally, flooded) * 100,
+        per_accelerator=tally.attained / accelerators / made.load.duration_s,
+        moves=tally.moves,
+        first_ms=outcomes.p95_ms(tally.first_token),
+        between_ms=outcomes.p95_ms(tally.between_tokens),
+        refused=(tally.refused + tally.failed) / tally.offered * 100,
     )
 
 
--- a/tools/measure_recovery.py
+++ b/tools/measure_recovery.py
@@ -1,4 +1,4 @@
-"""Measures recovery: a killed leader, a long log, many once-records."""
+"""Measures recovery: a killed leader, a long log, many idempotency records."""
 
 import pathlib
 import random
@@ -66,7 +66,7 @@
 
 
 def once_entry(index):
-    command = commands.ReserveOnce(
+    command = commands.ReserveKey(
         f"corrections/key-{index}", f"req-{index:032x}", "f" * 32, 0, 65_000
     )
     return control_state.Entry(1, index, command)
@@ -101,7 +101,7 @@
     for index in range(1, ENTRIES + 1):
         control_state.apply(state, once_entry(index))
         answer = commands.KeptAnswer(200, "application/json", b"x" * 200)
-        finish = commands.FinishOnce(
+        finish = commands.FinishKey(
             f"corrections/key-{index}", f"req-{index:032x}", True, answer
         )
         control_state.apply(state, control_state.Entry(1, index, finish))
@@ -119,7 +119,9 @@
     print(f"the same with a living leader (median): {overhead:.2f} s")
     seconds, size = restart_s(folder / "restart")
     print(f"restart with {ENTRIES} entries: {seconds:.2f} s, log {size} B")
-    print(f"{ENTRIES} once-records with 200 B answers: {record_bytes()} B")
+    print(
+        f"{ENTRIES} idempotency records with 200 B answers: {record_bytes()} B"
+    )
 
 
 if __name__ == "__main__":
