--- a/bilberryramp/decisions/tests/test_upstream_work.py
+++ b/bilberryramp/decisions/tests/test_upstream_work.py
@@ -49,7 +49,7 @@
         }
 
 
-class AdmissionOrderTest(unittest.TestCase):
+class UpstreamWorkTest(unittest.TestCase):
     def test_slots_then_queue_then_shedding(self):
         bench = Bench(slots=2, queue_limit=1)
         for number in range(4):
