Derive the running count, share load_of, compare targets when they change

The upstream process counted its running requests beside the queue, which counts them by pool; virtual runs built the load report a second time; the leader made a tuple of all targets on each 100 ms tick to see whether any had changed.

Change: admission.running is the one count; upstream_work.load_of serves both; a changed observation clears planned_for. Behaviour is unchanged, and the tests keep their assertions.

--- a/bilberryramp/decisions/admission.py
+++ b/bilberryramp/decisions/admission.py
@@ -24,6 +24,7 @@
     "new_queue",
     "offer",
     "remove",
+    "running",
     "take",
     "take_any",
 ]
@@ -120,6 +121,11 @@
     return sum(len(lane.heap) for lane in queue.lanes.values())
 
 
+def running(queue: Queue) -> int:
+    """Return how many items have started and not finished."""
+    return sum(lane.running for lane in queue.lanes.values())
+
+
 def offer(queue: Queue, item: Item) -> Item | None:
     """Add an item, displacing another when the queue is full.
 
@@ -163,7 +169,7 @@
     Item or None
         None when nothing waits that may have a free slot.
     """
-    free = queue.slots - sum(lane.running for lane in queue.lanes.values())
+    free = queue.slots - running(queue)
     waiting = [
         (lane.clock, name)
         for name, lane in queue.lanes.items()
--- a/bilberryramp/decisions/membership.py
+++ b/bilberryramp/decisions/membership.py
@@ -53,8 +53,8 @@
     reports
         Counts reports, to tell whether any is new.
     planned_for
-        Change index, report count and targets of the last plan that
-        changed nothing.
+        Change index and report count of the last plan that changed
+        nothing; empty once the targets are others.
     busy
         Busy requests by model, as each control replica last told them.
     watch
@@ -162,7 +162,7 @@
         return
     wanted = list(_membership_changes(members, now_ms, view))
     _observe_demand(members, now_ms, view)
-    state = (change_index, members.reports, tuple(members.targets.values()))
+    state = (change_index, members.reports)
     if not wanted and members.planned_for != state:
         resident = resident_places(members)
         spares = _spares(members, view, resident)
@@ -233,9 +233,11 @@
     busy: collections.Counter[str] = collections.Counter()
     for counts in members.busy.values():
         busy.update(counts)
-    members.targets = demand.observe(
+    targets = demand.observe(
         members.watch, now_ms, view.tables, busy, len(view.upstreams)
     )
+    if targets != members.targets:
+        members.targets, members.planned_for = targets, ()
 
 
 def _membership_changes(members, now_ms, view) -> Iterator:
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -27,6 +27,7 @@
     "UpstreamState",
     "Work",
     "busy_by_model",
+    "load_of",
     "report_of",
     "step",
 ]
@@ -73,7 +74,6 @@
     stop: shutdown.Shutdown | None = None
     fresh: bool = False
     engine_up: bool = False
-    running: int = 0
     works: dict[str, Work] = dataclasses.field(default_factory=dict)
     ended: dict[str, None] = dataclasses.field(default_factory=dict)
 
@@ -121,6 +121,26 @@
     return upstream, model_orders.resident_places(state.orders)
 
 
+def load_of(state: UpstreamState) -> call_messages.Load:
+    """Build what is shown to entries of the load here.
+
+    Parameters
+    ----------
+    state
+        The upstream process.
+
+    Returns
+    -------
+    Load
+        Requests running and waiting, and the slots.
+    """
+    return call_messages.Load(
+        admission.running(state.queue),
+        admission.length(state.queue),
+        state.upstream.slots,
+    )
+
+
 def busy_by_model(state: UpstreamState) -> dict[str, int]:
     """Count the requests of each model that run or wait.
 
@@ -227,7 +247,7 @@
 
 def _refuse(state, sender: str, attempt_id: str, failure) -> effects.Send:
     frame = call_messages.Refused(
-        attempt_id, failure, state.view.index, _load(state)
+        attempt_id, failure, state.view.index, load_of(state)
     )
     return effects.Send(sender, frame)
 
@@ -271,15 +291,13 @@
         running = state.orders.running
         running[model] = running.get(model, 0) + 1
     work.running = True
-    state.running += 1
     yield upstream_messages.StartRun(work.sender, work.dispatch)
 
 
 def _on_run_ended(state: UpstreamState, now_ms: int, ended) -> Iterator:
     work = _end(state, ended.attempt_id)
-    state.running -= 1
     admission.finish(state.queue, work.dispatch.pool)
-    load = _load(state)
+    load = load_of(state)
     if ended.failure is None:
         frame = call_messages.AnswerEnd(ended.attempt_id, ended.chunks, load)
     else:
@@ -402,18 +420,12 @@
         yield from shutdown.note_idle(state.stop, now_ms)
 
 
-def _load(state: UpstreamState) -> call_messages.Load:
-    return call_messages.Load(
-        state.running, admission.length(state.queue), state.upstream.slots
-    )
-
-
 def _pong(state: UpstreamState) -> call_messages.Pong:
     leaving = state.stop is not None and shutdown.is_draining(state.stop)
     return call_messages.Pong(
         state.upstream.incarnation,
         state.view.index,
-        _load(state),
+        load_of(state),
         leaving or _is_marked_leaving(state),
     )
 
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -496,7 +496,10 @@
         refusal = _engine_refusal(engine, frame)
         if refusal is not None:
             refused = call_messages.Refused(
-                frame.attempt_id, refusal, 0, _load(engine)
+                frame.attempt_id,
+                refusal,
+                0,
+                upstream_work.load_of(engine.state),
             )
             arrived = entry_messages.FrameArrived(send.to, refused)
             _entry_step(run_, entry, arrived)
@@ -513,12 +516,6 @@
     return None
 
 
-def _load(engine: _Engine) -> call_messages.Load:
-    state = engine.state
-    waiting = admission.length(state.queue)
-    return call_messages.Load(state.running, waiting, state.upstream.slots)
-
-
 def _engine_step(run_: VirtualRun, engine: _Engine, message) -> None:
     tally = upstream_work.step(engine.state, int(run_.now_ms), message)
     for effect in list(tally):
