Have the upstream process record a marked answer whose entry died

Cause: only the entry told control how a marked request ended. If it died between the engine's answer and control's commit, the key stayed reserved and then unknown, although the answer had been whole in the upstream process; the caller's resend got key_unknown. If only the link broke, the entry recorded "unknown" and nobody corrected it.

Ruled out: telling control of each marked end from both sides (twice the log entries and kept bytes for every marked request); waiting for the entry's silence only (the answer may be sent into a link already dead).

A run whose entry fell silent gets unlimited credit, so that it ends. A planned stop waits for both. The entry settles only a whole answer: an unknown end is left to the upstream process, which may know more. `unconfirmed` is now one module for both roles, and asking control is one function of `control_link`.

--- a/bilberryramp/decisions/call_messages.py
+++ b/bilberryramp/decisions/call_messages.py
@@ -16,6 +16,7 @@
     "Ping",
     "Pong",
     "Refused",
+    "Settled",
 ]
 
 
@@ -101,6 +102,13 @@
     chunks: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Settled:
+    """Control has recorded the end of a marked request's attempt."""
+
+    attempt_id: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ping:
     """Asks whether the upstream process is alive."""
--- a/bilberryramp/decisions/commands.py
+++ b/bilberryramp/decisions/commands.py
@@ -28,6 +28,7 @@
     "SubmitTables",
     "Unavailable",
     "UnavailableReason",
+    "record_key",
 ]
 
 
@@ -94,6 +95,11 @@
     replicas: tuple[views.ReplicaPlace, ...]
 
 
+def record_key(route: str, idempotency_key: str) -> str:
+    """Name the record of a caller's key; routes do not share keys."""
+    return f"{route}/{idempotency_key}"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReserveKey:
     """Claim an idempotency key before its request is dispatched.
--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -22,6 +22,7 @@
     route_index,
     routing,
     tables,
+    unconfirmed,
     views,
 )
 
@@ -31,13 +32,13 @@
     "EntrySettings",
     "actions",
     "guards",
+    "is_idle",
     "step",
     "waiting_by_model",
 ]
 
 DEADLINE_TOKEN = 0
 RECORD_MARGIN_MS = 5000
-MAX_UNCONFIRMED = 10_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -134,8 +135,8 @@
         Routes and upstreams of the view, arranged for lookups.
     retry_budget
         Retries after failures that are left.
-    unconfirmed
-        Ends of marked requests that control has not confirmed, by ask id.
+    ends
+        Ends of marked requests that control has not confirmed.
     """
 
     cfg: EntrySettings
@@ -153,7 +154,9 @@
     own: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving: dict[str, str] = dataclasses.field(default_factory=dict)
     retry_budget: float = 0.0
-    unconfirmed: dict[str, object] = dataclasses.field(default_factory=dict)
+    ends: unconfirmed.Unconfirmed = dataclasses.field(
+        default_factory=unconfirmed.Unconfirmed
+    )
 
 
 def step(entry: Entry, now_ms: int, message) -> Iterator:
@@ -197,6 +200,24 @@
     return dict(collections.Counter(model for model in models if model))
 
 
+def is_idle(entry: Entry) -> bool:
+    """Tell whether a planned stop may end.
+
+    Parameters
+    ----------
+    entry
+        The entry.
+
+    Returns
+    -------
+    bool
+        False while a request is in progress, or while control can be
+        reached and has not confirmed the end of a marked one.
+    """
+    confirmed = unconfirmed.is_empty(entry.ends) or not entry.fresh
+    return confirmed and not entry.calls
+
+
 # Arrival.
 
 
@@ -508,20 +529,18 @@
         at_ms=call.wall_ms,
         lease_ms=lease_ms,
     )
-    yield entry_messages.AskControl(call.key, command)
+    yield role_messages.AskControl(call.key, command)
 
 
 def _record_key(call: Call) -> str:
-    return f"{call.route.name}/{call.request.idempotency_key}"
+    return commands.record_key(call.route.name, call.request.idempotency_key)
 
 
 def _on_control_answer(entry, now_ms: int, message) -> Iterator:
+    yield from unconfirmed.confirm(entry.ends, message)
     call = entry.calls.get(message.ask_id)
     result = message.result
-    if isinstance(result, commands.Unavailable):
-        return
-    entry.unconfirmed.pop(message.ask_id, None)
-    if call is None:
+    if call is None or isinstance(result, commands.Unavailable):
         return
     if isinstance(result, commands.KeyRefused):
         call.failure = _key_failure(result.code)
@@ -584,22 +603,21 @@
             call.status, call.content_type, bytes(call.kept)
         )
     command = commands.FinishKey(_record_key(call), call.key, True, answer)
-    yield _tell_end(call, command)
+    # Any other end leaves it to the upstream process to tell more.
+    settled = call_messages.Settled(call.attempt_id)
+    yield _tell_end(call, command, effects.Send(call.upstream_id, settled))
 
 
-def _tell_end(call: Call, command) -> entry_messages.AskControl:
+def _tell_end(
+    call: Call, command, settled: effects.Send | None = None
+) -> role_messages.AskControl:
     """Keep the command until control has confirmed it."""
     ask_id = f"{call.key}/end"
-    waiting = call.entry.unconfirmed
-    waiting[ask_id] = command
-    if len(waiting) > MAX_UNCONFIRMED:
-        del waiting[next(iter(waiting))]
-    return entry_messages.AskControl(ask_id, command)
+    return unconfirmed.tell(call.entry.ends, ask_id, command, settled)
 
 
 def _on_remind(entry: Entry, _now_ms: int, _message) -> Iterator:
-    for ask_id, command in list(entry.unconfirmed.items()):
-        yield entry_messages.AskControl(ask_id, command)
+    yield from unconfirmed.remind(entry.ends)
 
 
 def _report_strike(call: Call, now_ms: int, _payload) -> Iterator:
@@ -607,7 +625,7 @@
     command = commands.ReportStrike(
         call.request.fingerprint, call.upstream_id, call.attempt_id, wall_ms
     )
-    yield entry_messages.AskControl(call.key, command)
+    yield role_messages.AskControl(call.key, command)
 
 
 # Replies.
@@ -752,11 +770,11 @@
 _HANDLERS = {
     entry_messages.CallArrived: _on_call,
     entry_messages.CallerLeft: _on_caller_left,
-    entry_messages.ControlAnswered: _on_control_answer,
+    role_messages.ControlAnswered: _on_control_answer,
     entry_messages.FrameArrived: _on_frame,
     role_messages.FreshnessNoted: _on_freshness,
     entry_messages.LinkFailed: _on_link_failed,
     entry_messages.LinkLost: _on_link_lost,
-    entry_messages.RemindControl: _on_remind,
+    role_messages.RemindControl: _on_remind,
     role_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/decisions/entry_messages.py
+++ b/bilberryramp/decisions/entry_messages.py
@@ -5,16 +5,13 @@
 from bilberryramp.decisions import errors
 
 __all__ = [
-    "AskControl",
     "CallArrived",
     "CallEnded",
     "CallerLeft",
     "CallerRequest",
-    "ControlAnswered",
     "FrameArrived",
     "LinkFailed",
     "LinkLost",
-    "RemindControl",
     "ReplyChunk",
     "ReplyEnd",
     "ReplyFailure",
@@ -64,14 +61,6 @@
     traceparent: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AskControl:
-    """Have control commit a command; the answer may get lost."""
-
-    ask_id: str
-    command: object
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallArrived:
     """A caller sent a request; `wall_ms` is wall time in milliseconds."""
@@ -105,14 +94,6 @@
     request_id: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ControlAnswered:
-    """Control answered an `AskControl`."""
-
-    ask_id: str
-    result: object
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class FrameArrived:
     """A frame came from an upstream process."""
@@ -135,11 +116,6 @@
     upstream_id: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RemindControl:
-    """Ask again what control has not answered; sent each second."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReplyChunk:
     """Pass a part of the answer on; `attempt_id` is to be credited."""
--- a/bilberryramp/decisions/role_messages.py
+++ b/bilberryramp/decisions/role_messages.py
@@ -2,7 +2,29 @@
 
 import dataclasses
 
-__all__ = ["FreshnessNoted", "TimerFired"]
+__all__ = [
+    "AskControl",
+    "ControlAnswered",
+    "FreshnessNoted",
+    "RemindControl",
+    "TimerFired",
+]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AskControl:
+    """Have control commit a command; the answer may get lost."""
+
+    ask_id: str
+    command: object
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ControlAnswered:
+    """Control answered an `AskControl`."""
+
+    ask_id: str
+    result: object
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -12,6 +34,11 @@
     fresh: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RemindControl:
+    """Ask again what control has not confirmed; sent each second."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TimerFired:
     """A timer of `SetTimer` came due."""
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -198,7 +198,8 @@
         engine_up=True,
     )
     state.stop = shutdown.Shutdown(
-        bound("shutdown", shutdown), lambda: not state.works
+        bound("shutdown", shutdown),
+        lambda: upstream_work.is_idle(state),
     )
     list(upstream_work.step(state, 0, found(held=(place(),))))
     return state
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -13,6 +13,7 @@
 
 from bilberryramp.decisions import (
     call_messages,
+    commands,
     control_state,
     demand,
     effects,
@@ -135,6 +136,7 @@
         self.told = {}
         self.ran = collections.Counter()
         self.ran_keys = collections.defaultdict(list)
+        self.ended_marked = []
         self.poison = set()
         self.engines = {}
         self.upstreams = {}
@@ -194,7 +196,7 @@
             upstream, sub.view, builders.admission.new_queue(4, 2), orders
         )
         state.stop = shutdown.Shutdown(
-            CHARTS["shutdown"], lambda: not state.works
+            CHARTS["shutdown"], lambda: upstream_work.is_idle(state)
         )
         self.upstreams[name] = UpstreamNode(state, sub)
         self.at(self.now, ("heartbeat", name))
@@ -238,8 +240,7 @@
                 *upstream_work.report_of(node.state)
             )
             node.sub.report_due = True
-        else:
-            self.entry_step(name, entry_messages.RemindControl())
+        self.process_step(name, role_messages.RemindControl())
         for effect in subscription.on_heartbeat_due(node.sub, self.now):
             self.to_control(name, node, effect.message)
         self.at(self.now + 1000, ("heartbeat", name))
@@ -264,10 +265,8 @@
         if key == owner.sub.key:
             told = subscription.on_timer(owner.sub, self.now, token)
             self.perform(name, owner, told)
-        elif name in self.entries:
-            self.entry_step(name, make(key, token))
         else:
-            self.upstream_step(name, make(key, token))
+            self.process_step(name, make(key, token))
 
     def on_late_frame(self, name, owner, upstream, frame):
         if owner is not None and self.entries.get(name) is owner:
@@ -315,10 +314,10 @@
         elif isinstance(message, feed_messages.WholeView):
             told = subscription.on_whole_view(node.sub, message)
         else:
-            answered = entry_messages.ControlAnswered(
+            answered = role_messages.ControlAnswered(
                 message.ask_id, message.result
             )
-            self.entry_step(name, answered)
+            self.process_step(name, answered)
             return
         before = node.sub.view.version
         self.perform(name, node, told)
@@ -418,6 +417,12 @@
             told = entry_calls.step(node.entry, self.now, message)
             self.perform(name, node, told)
 
+    def process_step(self, name, message):
+        if name in self.entries:
+            self.entry_step(name, message)
+        else:
+            self.upstream_step(name, message)
+
     def perform(self, name, node, told):
         for effect in list(told):
             handler = HANDLERS.get(type(effect))
@@ -426,8 +431,6 @@
 
     def do_timer(self, name, node, timer):
         make = role_messages.TimerFired
-        if name in self.upstreams:
-            make = role_messages.TimerFired
         action = ("timer", name, node, make, timer.key, timer.token)
         self.at(timer.due_ms, action)
 
@@ -448,12 +451,8 @@
             self.to_control(name, node, message)
 
     def do_fresh(self, name, node, change):
-        if name in self.entries:
-            noted = role_messages.FreshnessNoted(change.fresh)
-            self.entry_step(name, noted)
-        else:
-            noted = role_messages.FreshnessNoted(change.fresh)
-            self.upstream_step(name, noted)
+        noted = role_messages.FreshnessNoted(change.fresh)
+        self.process_step(name, noted)
 
     def do_view(self, name, _node, _change):
         if name in self.upstreams:
@@ -606,15 +605,18 @@
 
     def end_run(self, name, attempt_id, chunks, crashed=False, left=False):
         node = self.upstreams[name]
-        node.runs.pop(attempt_id)
-        failure = None
+        start, _ = node.runs.pop(attempt_id)
+        failure = answer = None
         if crashed or left:
             code = errors.FailureCode.ENGINE_CRASHED
             if left:
                 code = errors.FailureCode.CALLER_LEFT
             failure = errors.call_failure(code, "x", errors.Outcome.UNKNOWN)
+        elif start.dispatch.idempotency_key:
+            answer = answer_to(start.dispatch.request_id)
+            self.ended_marked.append((name, node, start.dispatch))
         ended = upstream_messages.RunEnded(
-            attempt_id, chunks, failure, crashed
+            attempt_id, chunks, failure, crashed, answer
         )
         self.upstream_step(name, ended)
 
@@ -724,8 +726,7 @@
                 key = told.request.idempotency_key
                 if twin is None or twin.request.idempotency_key != key:
                     raise ViolationError(f"{request_id} got {owner}'s")
-            expected = b"".join(part_of(owner, n) for n in range(CHUNKS))
-            if told.body != expected:
+            if told.body != answer_to(owner).body:
                 raise ViolationError(f"{request_id} got {told.body}")
         failure = told.failure
         told_not_run = failure and failure.outcome == errors.Outcome.NOT_RUN
@@ -748,6 +749,18 @@
             if record.state != "finished":
                 raise ViolationError(f"{request_id}: {record.state}")
 
+    def check_recorded(self):
+        """A marked run that ended is recorded while either side lives."""
+        for name, node, dispatch in self.ended_marked:
+            key = f"{dispatch.route}/{dispatch.idempotency_key}"
+            record = self.control.keys.records.get(key)
+            if self.upstreams.get(name) is not node:
+                continue
+            if record is None or record.request_id != dispatch.request_id:
+                raise ViolationError(f"{key} lost its run")
+            if record.state != "finished":
+                raise ViolationError(f"{key} ended and is {record.state}")
+
     def settle_down(self):
         self.restart_all()
         self.run_for(45_000)
@@ -755,6 +768,7 @@
         self.run_for(8_000)
         self.check_told()
         self.check_kept()
+        self.check_recorded()
 
     def check_reachable(self):
         waiting = [
@@ -840,6 +854,11 @@
                 return
 
 
+def answer_to(request_id):
+    body = b"".join(part_of(request_id, n) for n in range(CHUNKS))
+    return commands.KeptAnswer(200, "text/plain", body)
+
+
 def part_of(request_id, number):
     return f"{request_id}:{number};".encode()
 
@@ -847,7 +866,7 @@
 HANDLERS = {
     effects.SetTimer: PathDriver.do_timer,
     effects.Send: PathDriver.do_send,
-    entry_messages.AskControl: PathDriver.do_ask,
+    role_messages.AskControl: PathDriver.do_ask,
     entry_messages.ReplyHead: PathDriver.do_head,
     entry_messages.ReplyChunk: PathDriver.do_chunk,
     entry_messages.ReplyEnd: PathDriver.do_end,
--- a/bilberryramp/decisions/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/tests/test_entry_calls.py
@@ -40,7 +40,7 @@
         self.step(entry_messages.FrameArrived(upstream_id, frame))
 
     def control(self, result, ask_id="r1"):
-        self.step(entry_messages.ControlAnswered(ask_id, result))
+        self.step(role_messages.ControlAnswered(ask_id, result))
 
     def of(self, cls):
         return [e for e in self.effects if isinstance(e, cls)]
@@ -57,7 +57,7 @@
         return self.of(entry_messages.ReplyFailure)[-1].failure
 
     def asked(self, cls):
-        asks = self.of(entry_messages.AskControl)
+        asks = self.of(role_messages.AskControl)
         return [a.command for a in asks if isinstance(a.command, cls)]
 
     def answer(self, upstream_id, attempt_id, parts=(b"ab", b"cd")):
--- a/bilberryramp/decisions/tests/test_path_fuzz.py
+++ b/bilberryramp/decisions/tests/test_path_fuzz.py
@@ -13,6 +13,7 @@
     entry_messages,
     errors,
     ledger,
+    run_records,
     upstream_messages,
     upstream_work,
 )
@@ -151,6 +152,11 @@
     return ORIGINAL_EVENT_OF(call, frame)
 
 
+def leave_it_to_the_entry(_records, _now_ms, _dispatch, _ended):
+    """Keeps nothing of a marked run's end."""
+    yield from ()
+
+
 ORIGINAL_RUN_ENDED = upstream_work._on_run_ended
 ORIGINAL_EVENT_OF = entry_calls._event_of
 
@@ -185,6 +191,11 @@
             mock.patch.object(entry_calls, "_event_of", trust_the_end),
         )
 
+    def test_marked_run_forgotten_with_its_entry(self):
+        self.assert_caught(
+            mock.patch.object(run_records, "note_end", leave_it_to_the_entry)
+        )
+
     def test_new_work_while_leaving(self):
         self.assert_caught(
             mock.patch.object(
--- a/bilberryramp/decisions/upstream_messages.py
+++ b/bilberryramp/decisions/upstream_messages.py
@@ -2,7 +2,12 @@
 
 import dataclasses
 
-from bilberryramp.decisions import call_messages, errors, model_orders
+from bilberryramp.decisions import (
+    call_messages,
+    commands,
+    errors,
+    model_orders,
+)
 
 __all__ = [
     "CancelRun",
@@ -80,12 +85,15 @@
         None when the answer is whole.
     crashed
         Whether the engine went down.
+    answer
+        The whole answer of a marked request, unless it is too large.
     """
 
     attempt_id: str
     chunks: int
     failure: errors.CallFailure | None
     crashed: bool = False
+    answer: commands.KeptAnswer | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -16,8 +16,10 @@
     errors,
     model_orders,
     role_messages,
+    run_records,
     shutdown,
     tables,
+    unconfirmed,
     upstream_messages,
     views,
 )
@@ -27,12 +29,16 @@
     "UpstreamState",
     "Work",
     "busy_by_model",
+    "is_idle",
     "load_of",
     "report_of",
     "step",
 ]
 
 QUEUE_WAIT_KEY = "queue/"
+MAX_ENDED = 4096
+# For a run whose entry is gone; nobody waits for its chunks.
+UNLIMITED_CHUNKS = 1_000_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +69,8 @@
         Attempts by id.
     ended
         Ids of recent attempts, so that a repeated dispatch is not run.
+    records
+        Ends of marked runs that control may not know of.
     orders
         None beside a plain service.
     """
@@ -76,9 +84,9 @@
     engine_up: bool = False
     works: dict[str, Work] = dataclasses.field(default_factory=dict)
     ended: dict[str, None] = dataclasses.field(default_factory=dict)
-
-
-MAX_ENDED = 4096
+    records: run_records.RunRecords = dataclasses.field(
+        default_factory=run_records.RunRecords
+    )
 
 
 def step(state: UpstreamState, now_ms: int, message) -> Iterator:
@@ -158,6 +166,24 @@
     return dict(collections.Counter(model for model in models if model))
 
 
+def is_idle(state: UpstreamState) -> bool:
+    """Tell whether a planned stop may end.
+
+    Parameters
+    ----------
+    state
+        The upstream process.
+
+    Returns
+    -------
+    bool
+        False while an attempt waits or runs, or while control can be
+        reached and does not know of a marked run that ended.
+    """
+    settled = run_records.are_settled(state.records) or not state.fresh
+    return settled and not state.works
+
+
 # Frames.
 
 
@@ -169,6 +195,9 @@
         yield from _cancel(state, now_ms, frame.attempt_id)
     elif isinstance(frame, call_messages.Credit):
         yield upstream_messages.GrantCredit(frame.attempt_id, frame.chunks)
+    elif isinstance(frame, call_messages.Settled):
+        run_records.note_settled(state.records, frame.attempt_id)
+        yield from _check_stop(state, now_ms)
     elif isinstance(frame, call_messages.Ping):
         yield effects.Send(message.sender, _pong(state))
 
@@ -305,6 +334,9 @@
             ended.attempt_id, ended.failure, ended.crashed, load
         )
     yield effects.Send(work.sender, frame)
+    yield from run_records.note_end(
+        state.records, now_ms, work.dispatch, ended
+    )
     if state.orders is not None:
         model = work.dispatch.model
         state.orders.running[model] -= 1
@@ -333,16 +365,32 @@
 
 
 def _on_sender_lost(state: UpstreamState, now_ms: int, message) -> Iterator:
+    """Cancel what may be repeated; let marked requests run to their end."""
     orphans = [
-        attempt_id
-        for attempt_id, work in state.works.items()
-        if work.sender == message.sender and not work.dispatch.idempotency_key
+        work for work in state.works.values() if work.sender == message.sender
     ]
-    for attempt_id in orphans:
-        yield from _cancel(state, now_ms, attempt_id)
+    for work in orphans:
+        attempt_id = work.dispatch.attempt_id
+        if work.dispatch.idempotency_key:
+            yield upstream_messages.GrantCredit(attempt_id, UNLIMITED_CHUNKS)
+        else:
+            yield from _cancel(state, now_ms, attempt_id)
+
+
+def _on_control_answer(state: UpstreamState, now_ms: int, message) -> Iterator:
+    yield from unconfirmed.confirm(state.records.told, message)
+    yield from _check_stop(state, now_ms)
+
+
+def _on_remind(state: UpstreamState, now_ms: int, _message) -> Iterator:
+    yield from unconfirmed.remind(state.records.told)
+    yield from _check_stop(state, now_ms)
 
 
 def _on_timer(state: UpstreamState, now_ms: int, message) -> Iterator:
+    if message.key.startswith(run_records.SETTLE_KEY):
+        yield from run_records.note_timer(state.records, message.key)
+        return
     if not message.key.startswith(QUEUE_WAIT_KEY):
         yield from model_orders.note_timer(
             state.orders, now_ms, message.key, message.token
@@ -438,7 +486,9 @@
     upstream_messages.EngineLost: _on_engine_lost,
     upstream_messages.EngineAnswered: _on_engine_answered,
     upstream_messages.ViewNoted: _on_view,
+    role_messages.ControlAnswered: _on_control_answer,
     role_messages.FreshnessNoted: _on_freshness,
+    role_messages.RemindControl: _on_remind,
     upstream_messages.StopAsked: _on_stop,
     role_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -77,10 +77,7 @@
     )
     stop = shutdown.Shutdown(
         chart=launch.bind_chart("shutdown", shutdown),
-        # Ends not confirmed are waited for while control can be reached.
-        is_idle=lambda: (
-            not (entry.calls or (entry.fresh and entry.unconfirmed))
-        ),
+        is_idle=lambda: entry_calls.is_idle(entry),
     )
     return entry_router.Router(
         name=name,
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -69,7 +69,7 @@
     state = _new_state(cfg, address, sub.view)
     state.stop = shutdown.Shutdown(
         chart=launch.bind_chart("shutdown", shutdown),
-        is_idle=lambda: not state.works,
+        is_idle=lambda: upstream_work.is_idle(state),
     )
     return upstream_node.UpstreamNode(
         cfg=cfg,
--- a/bilberryramp/tasks/control_link.py
+++ b/bilberryramp/tasks/control_link.py
@@ -7,21 +7,38 @@
 import zmq
 import zmq.asyncio
 
+from bilberryramp.decisions import (
+    feed_messages,
+    role_messages,
+    subscription,
+)
 from bilberryramp.settings import schema
 from bilberryramp.tasks import mailbox
 from bilberryramp.telemetry import events
 from bilberryramp.wire import codec
 
-__all__ = ["ControlLink", "open_link", "receive", "send"]
+__all__ = ["ControlLink", "ask", "open_link", "receive", "send"]
 
 _SEND_LIMIT = 1000
 
 
 @dataclasses.dataclass(slots=True)
 class ControlLink:
-    """One socket for each control replica, by its name."""
+    """The sockets to control.
 
+    Attributes
+    ----------
+    name
+        The process's name, which control answers to.
+    sockets
+        One for each control replica, by its name.
+    asks
+        How many questions were sent.
+    """
+
+    name: str
     sockets: dict[str, zmq.asyncio.Socket]
+    asks: int = 0
 
 
 def open_link(
@@ -53,7 +70,7 @@
         sock.setsockopt(zmq.IMMEDIATE, 1)
         sock.connect(control.address)
         sockets[control.replica_id] = sock
-    return ControlLink(sockets)
+    return ControlLink(name, sockets)
 
 
 async def send(link: ControlLink, replica_id: str, message) -> None:
@@ -75,6 +92,30 @@
         return
 
 
+async def ask(
+    link: ControlLink,
+    sub: subscription.Subscription,
+    wanted: role_messages.AskControl,
+) -> None:
+    """Send a question; one repeated goes to the next replica.
+
+    Any replica passes it on to the leader.
+
+    Parameters
+    ----------
+    link
+        The sockets.
+    sub
+        Tells which replica answers heartbeats.
+    wanted
+        The question.
+    """
+    replica_id = sub.controls[(sub.at + link.asks) % len(sub.controls)]
+    link.asks += 1
+    message = feed_messages.Ask(link.name, wanted.ask_id, wanted.command)
+    await send(link, replica_id, message)
+
+
 async def receive(
     link: ControlLink, box: mailbox.Mailbox, wrap: Callable
 ) -> None:
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -131,7 +131,6 @@
     credits: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    asks: int = 0
     links_made: int = 0
     stopped: bool = False
 
@@ -195,7 +194,7 @@
     elif isinstance(message, feed_messages.WholeView):
         yield from subscription.on_whole_view(router.sub, message)
     elif isinstance(message, feed_messages.AskReply):
-        answered = entry_messages.ControlAnswered(
+        answered = role_messages.ControlAnswered(
             message.ask_id, message.result
         )
         yield from entry_calls.step(router.entry, now_ms, answered)
@@ -205,7 +204,7 @@
 def _on_heartbeat(router: Router, now_ms: int, _message) -> Iterator:
     router.sub.busy = entry_calls.waiting_by_model(router.entry)
     yield from subscription.on_heartbeat_due(router.sub, now_ms)
-    remind = entry_messages.RemindControl()
+    remind = role_messages.RemindControl()
     yield from entry_calls.step(router.entry, now_ms, remind)
     yield from shutdown.note_idle(router.stop, now_ms)
     for upstream_id, opened in list(router.open_links.items()):
@@ -400,8 +399,8 @@
         await _send(router, effect)
     elif isinstance(effect, effects.SetTimer):
         mailbox.arm(router.box, effect, role_messages.TimerFired)
-    elif isinstance(effect, entry_messages.AskControl):
-        await _ask(router, effect)
+    elif isinstance(effect, role_messages.AskControl):
+        await control_link.ask(router.control, router.sub, effect)
     elif isinstance(effect, entry_messages.CallEnded):
         _on_call_ended(router, effect)
     elif isinstance(effect, subscription.FreshnessChanged):
@@ -439,16 +438,6 @@
             mailbox.post_now(opened.outbox, sent.frame)
 
 
-async def _ask(router: Router, ask: entry_messages.AskControl) -> None:
-    # A question that was not answered goes to the next replica, which
-    # passes it on to the leader.
-    controls = router.sub.controls
-    replica_id = controls[(router.sub.at + router.asks) % len(controls)]
-    router.asks += 1
-    message = feed_messages.Ask(router.name, ask.ask_id, ask.command)
-    await control_link.send(router.control, replica_id, message)
-
-
 def _reply(router: Router, effect) -> None:
     box = router.reply_boxes.get(effect.request_id)
     if box is None:
--- a/bilberryramp/tasks/upstream_engine.py
+++ b/bilberryramp/tasks/upstream_engine.py
@@ -9,7 +9,9 @@
 
 from bilberryramp.decisions import (
     call_messages,
+    commands,
     errors,
+    idempotency,
     model_orders,
     upstream_messages,
     views,
@@ -54,6 +56,8 @@
         Chunks that may still be sent.
     credited
         Set when credit arrives.
+    status, content_type, kept
+        The answer so far, for a request with an idempotency key.
     started, cancel_asked
         A task cancelled before its first step would never post its end,
         so a run that has not started is asked instead.
@@ -64,6 +68,9 @@
     credited: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     chunks: int = 0
     sent_bytes: int = 0
+    status: int = 0
+    content_type: str = ""
+    kept: bytearray = dataclasses.field(default_factory=bytearray)
     task: asyncio.Task | None = None
     started: bool = False
     cancel_asked: bool = False
@@ -195,7 +202,7 @@
     except asyncio.CancelledError:
         failure = _unknown(errors.FailureCode.CALLER_LEFT, "cancelled")
     ended = upstream_messages.RunEnded(
-        dispatch.attempt_id, job.chunks, failure, crashed
+        dispatch.attempt_id, job.chunks, failure, crashed, _kept_answer(job)
     )
     mailbox.post_now(box, ended)
 
@@ -209,8 +216,10 @@
         headers=headers,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=2),
     ) as resp:
+        job.status = resp.status
+        job.content_type = resp.headers["Content-Type"]
         head = call_messages.AnswerHead(
-            dispatch.attempt_id, resp.status, resp.headers["Content-Type"]
+            dispatch.attempt_id, job.status, job.content_type
         )
         await send(sender, head)
         async for data in resp.content.iter_any():
@@ -218,10 +227,24 @@
             if job.sent_bytes > max_answer_bytes:
                 code = errors.FailureCode.ANSWER_TOO_LARGE
                 return _unknown(code, "the answer is too large")
+            _keep(job, data)
             await _send_chunk(job, sender, send, data)
     return None
 
 
+def _keep(job: Run, data: bytes) -> None:
+    if job.start.dispatch.idempotency_key:
+        room = idempotency.MAX_ANSWER_BYTES + 1 - len(job.kept)
+        job.kept += data[: max(room, 0)]
+
+
+def _kept_answer(job: Run) -> commands.KeptAnswer | None:
+    marked = bool(job.start.dispatch.idempotency_key)
+    if not marked or len(job.kept) > idempotency.MAX_ANSWER_BYTES:
+        return None
+    return commands.KeptAnswer(job.status, job.content_type, bytes(job.kept))
+
+
 async def _send_chunk(job: Run, sender: str, send, data: bytes) -> None:
     for at in range(0, len(data), MAX_CHUNK_BYTES):
         while job.credit < 1:
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -151,11 +151,18 @@
         yield from subscription.on_delta(node.sub, now_ms, message)
     elif isinstance(message, feed_messages.WholeView):
         yield from subscription.on_whole_view(node.sub, message)
+    elif isinstance(message, feed_messages.AskReply):
+        answered = role_messages.ControlAnswered(
+            message.ask_id, message.result
+        )
+        yield from upstream_work.step(node.state, now_ms, answered)
 
 
 def _on_heartbeat(node: UpstreamNode, now_ms: int) -> Iterator:
     _refresh_report(node)
     yield from subscription.on_heartbeat_due(node.sub, now_ms)
+    remind = role_messages.RemindControl()
+    yield from upstream_work.step(node.state, now_ms, remind)
     for sender, heard_ms in list(node.heard_ms.items()):
         if now_ms - heard_ms > SENDER_SILENT_MS:
             del node.heard_ms[sender]
@@ -177,6 +184,8 @@
             await control_link.send(node.control, effect.to, effect.message)
         else:
             await _send_frame(node, effect.to, effect.message)
+    elif isinstance(effect, role_messages.AskControl):
+        await control_link.ask(node.control, node.sub, effect)
     elif isinstance(effect, upstream_messages.StartRun):
         _start_run(node, effect)
     elif isinstance(effect, upstream_messages.CancelRun):
