Say unknown when a marked request is refused before its record was read

Cause: an entry that refused a request early (stopping, configuration out of date, too many requests, route gone, quarantined) said not_run, and so did one that could not reach control in time. For a resend under an idempotency key that is not known: the earlier request may have run. A caller who trusts it files the same correction under a new key.

Change: such refusals of marked requests say unknown; quarantine of a marked request is judged after its record was read, so a kept answer is still given.

--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -226,12 +226,14 @@
 ) -> Iterator:
     request = message.request
     route = _find_route(entry, request)
+    if route is not None and not (request.repeat_never or route.repeat_never):
+        request = dataclasses.replace(request, idempotency_key="")
     failure = _early_failure(entry, request, route, message.wall_ms)
+    if failure is not None and request.idempotency_key:
+        failure = _without_record(failure)
     if route is None:
         yield entry_messages.ReplyFailure(request.request_id, failure)
         return
-    if not (request.repeat_never or route.repeat_never):
-        request = dataclasses.replace(request, idempotency_key="")
     allowed_ms = min(request.deadline_ms or route.deadline_ms, 3_600_000)
     call = Call(
         entry=entry,
@@ -282,11 +284,20 @@
     if len(entry.calls) >= entry.cfg.max_calls:
         message = "too many requests in progress"
         return errors.call_failure(code.OVERLOADED, message)
-    if quarantine.is_quarantined(entry.view, request.fingerprint, wall_ms):
+    # A marked request's record is asked for first: its key may have run.
+    unmarked = not request.idempotency_key
+    if unmarked and quarantine.is_quarantined(
+        entry.view, request.fingerprint, wall_ms
+    ):
         return _quarantined()
     return None
 
 
+def _without_record(failure: errors.CallFailure) -> errors.CallFailure:
+    """Leave open whether an earlier request with the key has run."""
+    return dataclasses.replace(failure, outcome=errors.Outcome.UNKNOWN)
+
+
 def _no_route(request: entry_messages.CallerRequest) -> errors.CallFailure:
     if request.model:
         message = f"the model {request.model!r} does not exist"
@@ -678,7 +689,7 @@
 def _reply_no_control(call: Call, now_ms: int, payload) -> Iterator:
     code = errors.FailureCode.CONTROL_UNAVAILABLE
     message = "the key could not be recorded in time"
-    call.failure = errors.call_failure(code, message)
+    call.failure = _without_record(errors.call_failure(code, message))
     yield from _reply_failure(call, now_ms, payload)
 
 
--- a/bilberryramp/decisions/run_records.py
+++ b/bilberryramp/decisions/run_records.py
@@ -29,7 +29,9 @@
 ]
 
 SETTLE_KEY = "settle/"
-SETTLE_MS = 10_000
+# Less than what a reservation outlasts its deadline by, so that a resend
+# does not find it expired before the answer is told.
+SETTLE_MS = 3000
 MAX_UNSETTLED = 256
 
 
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -468,7 +468,12 @@
         self.told[end.request_id].whole = True
 
     def do_failure(self, _name, _node, failed):
-        self.told[failed.request_id].failure = failed.failure
+        told, failure = self.told[failed.request_id], failed.failure
+        told.failure = failure
+        key = (route_of(told.request), told.request.idempotency_key)
+        not_run = failure.outcome == errors.Outcome.NOT_RUN
+        if not_run and key[1] and self.ran_keys[key]:
+            raise ViolationError(f"{key} has run, told {failure}")
 
     # Connections.
 
@@ -742,9 +747,7 @@
             key = told.request.idempotency_key
             if not (key and told.whole and id(told.asked) in alive):
                 continue
-            route = "corrections"
-            if told.request.model:
-                route = f"route-{told.request.model}"
+            route = route_of(told.request)
             record = self.control.keys.records[f"{route}/{key}"]
             if record.state != "finished":
                 raise ViolationError(f"{request_id}: {record.state}")
@@ -854,6 +857,10 @@
                 return
 
 
+def route_of(request):
+    return f"route-{request.model}" if request.model else "corrections"
+
+
 def answer_to(request_id):
     body = b"".join(part_of(request_id, n) for n in range(CHUNKS))
     return commands.KeptAnswer(200, "text/plain", body)
--- a/bilberryramp/decisions/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/tests/test_entry_calls.py
@@ -236,6 +236,27 @@
         bench.step(entry_messages.LinkFailed("u1"))
         self.assertEqual(len(bench.dispatches()), 2)
 
+    def test_refusal_before_the_record_is_read_leaves_the_outcome_open(self):
+        bench = Bench()
+        bench.entry.stopping = True
+        bench.call(builders.marked_request("r2"))
+        self.assertEqual(bench.failure().code, CODE.SHUTTING_DOWN)
+        self.assertEqual(bench.failure().outcome, OUTCOME.UNKNOWN)
+        bench.call(builders.caller_request("r3"))
+        self.assertEqual(bench.failure().outcome, OUTCOME.NOT_RUN)
+
+    def test_quarantine_does_not_hide_a_kept_answer(self):
+        bench = Bench()
+        for number in (1, 2):
+            strike = commands.ReportStrike(
+                "f1", f"u{number}", f"x.{number}", 0
+            )
+            builders.apply_to(bench.entry.view, strike)
+        bench.call(builders.marked_request("r2"))
+        answer = commands.KeptAnswer(200, "text/plain", b"done")
+        bench.control(commands.KeyKept(answer), "r2")
+        self.assertEqual(bench.of(entry_messages.ReplyChunk)[-1].data, b"done")
+
     def test_key_is_given_back_when_it_did_not_run(self):
         bench = self.granted(("u1",))
         bench.frame("u1", builders.refused("r1.1"))
