Refuse old idempotency keys by the time they tell

Cause: tombstones of expired keys end at 400,000. Beyond 500,000 claims a resend of a forgotten key was granted again: a doubled notice, listed as not proved and as what breaks first (docs/CAPACITY.md).

Ruled out: unbounded tombstones; a Bloom filter (bounded only per key, it still grows for ever); refusing all new marked requests once tombstones are full (an outage without end).

Change: a key that is a UUID of version 7 (RFC 9562) tells when it was made. It needs no tombstone once it is older than the retention. Whenever such a key is forgotten, early or late, a floor rises to its time, and keys made before the floor are refused as expired. The floor is state of the log, so it survives restart and leader change. Clocks of entries differ; a key too old by one clock and young by the next was the reason for the floor also on ordinary expiry. Keys from over an hour ahead keep tombstones.

Conclusion: with UUIDs of version 7, load shortens how long an answer is kept and never lets a request run twice.

--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -575,7 +575,7 @@
     ),
     errors.FailureCode.KEY_EXPIRED: (
         errors.Outcome.UNKNOWN,
-        "this key was used longer ago than answers are kept",
+        "this key is older than answers are kept",
     ),
     errors.FailureCode.KEY_MISMATCH: (
         errors.Outcome.NOT_RUN,
--- a/bilberryramp/decisions/idempotency.py
+++ b/bilberryramp/decisions/idempotency.py
@@ -1,11 +1,14 @@
 """Records that keep a request with an idempotency key to one run.
 
 A record is committed before its request is dispatched. Records older than
-the retention shrink to tombstones, whose keys are refused.
+the retention shrink to tombstones, whose keys are refused. A key that is a
+UUID of version 7 (RFC 9562) tells when it was made and needs no tombstone
+once it is older than the retention.
 """
 
 import dataclasses
 import enum
+import uuid
 from collections.abc import Iterator
 
 from bilberryramp.decisions import commands, errors
@@ -27,6 +30,9 @@
 MAX_RECORDS = 100_000
 MAX_TOMBSTONES = 400_000
 MAX_ANSWER_BYTES = 64 * 1024
+# A key from further in the future does not count as telling its time.
+MAX_CLOCK_SKEW_MS = 3600 * 1000
+_UUID_TIME_SHIFT = 80
 
 
 class KeyState(enum.StrEnum):
@@ -51,10 +57,22 @@
 
 @dataclasses.dataclass(slots=True)
 class KeyTable:
-    """Records and tombstones, both in the order of their claims."""
+    """What is known of claimed keys, in the order of their claims.
+
+    Attributes
+    ----------
+    records
+        Requests by key.
+    tombstones
+        Wall time of the claim in milliseconds, by key.
+    floor_ms
+        Keys that tell an earlier time than this are refused: tombstones of
+        such keys had to give way.
+    """
 
     records: dict[str, KeyRecord] = dataclasses.field(default_factory=dict)
     tombstones: dict[str, int] = dataclasses.field(default_factory=dict)
+    floor_ms: int = 0
 
 
 def reserve(table: KeyTable, index: int, command: commands.ReserveKey):
@@ -80,6 +98,8 @@
     record = table.records.get(command.key)
     if record is not None:
         return _answer_repeat(record, index, command)
+    if _is_too_old(table, command.key, command.at_ms):
+        return commands.KeyRefused(errors.FailureCode.KEY_EXPIRED)
     table.records[command.key] = KeyRecord(
         request_id=command.request_id,
         fingerprint=command.fingerprint,
@@ -149,9 +169,45 @@
 def _expire(table: KeyTable, now_ms: int) -> None:
     for key in list(_expired_keys(table, now_ms)):
         record = table.records.pop(key)
-        table.tombstones[key] = record.reserved_at_ms
+        if _is_too_old(table, key, now_ms):
+            _raise_floor(table, key, now_ms)
+        else:
+            table.tombstones[key] = record.reserved_at_ms
     while len(table.tombstones) > MAX_TOMBSTONES:
-        del table.tombstones[next(iter(table.tombstones))]
+        oldest = next(iter(table.tombstones))
+        del table.tombstones[oldest]
+        _raise_floor(table, oldest, now_ms)
+
+
+def _raise_floor(table: KeyTable, key: str, now_ms: int) -> None:
+    """Refuse every key that tells this key's time or an earlier one.
+
+    The claims' clocks differ, so a key that is too old by one clock could
+    be young enough by the next one.
+    """
+    made_ms = _made_at_ms(key, now_ms)
+    if made_ms is not None:
+        table.floor_ms = max(table.floor_ms, made_ms + 1)
+
+
+def _is_too_old(table: KeyTable, key: str, now_ms: int) -> bool:
+    made_ms = _made_at_ms(key, now_ms)
+    if made_ms is None:
+        return False
+    return made_ms < max(table.floor_ms, now_ms - RETENTION_MS)
+
+
+def _made_at_ms(key: str, now_ms: int) -> int | None:
+    """Read the wall time, in milliseconds, that a key tells."""
+    _, _, caller_key = key.partition("/")
+    try:
+        known = uuid.UUID(caller_key)
+    except ValueError:
+        return None
+    if known.version != 7:
+        return None
+    made_ms = known.int >> _UUID_TIME_SHIFT
+    return made_ms if made_ms <= now_ms + MAX_CLOCK_SKEW_MS else None
 
 
 def _expired_keys(table: KeyTable, now_ms: int) -> Iterator[str]:
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data for the decisions."""
 
 import random
+import uuid
 
 from bilberryramp.charts import loader
 from bilberryramp.decisions import (
@@ -140,6 +141,17 @@
     return caller_request(request_id, **fields)
 
 
+def kept_answer() -> commands.KeptAnswer:
+    return commands.KeptAnswer(200, "text/plain", b"\x00\xff")
+
+
+def timed_key(made_ms, rng) -> str:
+    """A UUID of version 7, as callers make them."""
+    version, variant = 7 << 76, 2 << 62
+    number = made_ms << 80 | version | rng.getrandbits(12) << 64
+    return str(uuid.UUID(int=number | variant | rng.getrandbits(62)))
+
+
 def arrived(request=None, wall_ms=1_000_000) -> entry_messages.CallArrived:
     return entry_messages.CallArrived(request or caller_request(), wall_ms)
 
