Search each engine once for room when demand exceeds the memory

Cause: `_make_room` counted the spare replicas of all models anew and searched every engine for each replica that lacked room.

Ruled out: searching fewer engines at random, or stopping after a few failures (both change which models get memory, and the experiments with it).

Change: `placement_surplus` counts spares once, follows each change, and remembers for each shape (service, accelerators, MiB) which engines were searched in vain; those are searched again once they change or a model held there gains a spare replica.

--- a/bilberryramp/decisions/placement.py
+++ b/bilberryramp/decisions/placement.py
@@ -10,7 +10,13 @@
 import types
 from collections.abc import Iterator, Mapping
 
-from bilberryramp.decisions import commands, placement_board, tables, views
+from bilberryramp.decisions import (
+    commands,
+    placement_board,
+    placement_surplus,
+    tables,
+    views,
+)
 
 __all__ = ["Shortfall", "plan", "shortfalls"]
 
@@ -69,11 +75,12 @@
     }
     for route in routes:
         _leave(board, route, wanted[route.model])
+    surplus = placement_surplus.start(board, routes, wanted)
     # Every model gets its least before demand gets more.
     for route in routes:
-        _fill(board, route, route.replicas, routes, wanted)
+        _fill(surplus, route, route.replicas)
     for route in routes:
-        _fill(board, route, wanted[route.model], routes, wanted)
+        _fill(surplus, route, wanted[route.model])
     _add_spares(board, routes, wanted, spares)
     yield from _changes(board, view)
 
@@ -97,8 +104,9 @@
     _drop_unrouted(board, wanted)
     routes = _largest_first(wanted)
     least = {route.model: 1 for route in routes}
+    surplus = placement_surplus.start(board, routes, least)
     for route in routes:
-        _fill(board, route, 1, routes, least)
+        _fill(surplus, route, 1)
         if not placement_board.holders(board, route):
             free_mib = placement_board.most_free_mib(board, route.service)
             yield Shortfall(
@@ -133,42 +141,19 @@
         for upstream_id in board.held_by.get(route.model, ())
         if board.upstreams[upstream_id].leaving
     ]
-    if leaving and len(_ready(board, route)) >= wanted:
+    if leaving and len(placement_surplus.ready(board, route)) >= wanted:
         for upstream_id in leaving:
             placement_board.take(board, upstream_id, route.model)
 
 
-def _ready(board, route: tables.Route) -> list[str]:
-    return [
-        upstream_id
-        for upstream_id in placement_board.holders(board, route)
-        if route.model in board.resident.get(upstream_id, ())
-    ]
-
-
-def _fill(board, route, target: int, routes, wanted) -> None:
+def _fill(surplus, route: tables.Route, target: int) -> None:
+    board = surplus.board
     while len(placement_board.holders(board, route)) < target:
         place = placement_board.room_for(board, route)
-        if place is None:
-            if not _make_room(board, route, routes, wanted):
-                return
-            continue
-        placement_board.put(board, *place)
-
-
-def _make_room(board, route, routes, wanted) -> bool:
-    spare = {r.model: _spare(board, r, wanted[r.model]) for r in routes}
-    evictions = placement_board.surplus_evictions(board, route, spare)
-    for upstream_id, model in evictions:
-        placement_board.take(board, upstream_id, model)
-    return bool(evictions)
-
-
-def _spare(board, route: tables.Route, wanted: int) -> int:
-    """Count replicas beyond the wanted ones, unless they are needed."""
-    held = len(placement_board.holders(board, route))
-    ready = len(_ready(board, route)) if board.resident else held
-    return min(held, ready) - wanted
+        if place is not None:
+            placement_surplus.put(surplus, *place)
+        elif not placement_surplus.make_room(surplus, route):
+            return
 
 
 def _add_spares(board, routes, wanted, most: int) -> None:
--- a/bilberryramp/decisions/placement_board.py
+++ b/bilberryramp/decisions/placement_board.py
@@ -6,7 +6,7 @@
 
 import bisect
 import dataclasses
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Set
 
 from bilberryramp.decisions import tables, views
 
@@ -182,7 +182,10 @@
 
 
 def surplus_evictions(
-    board: Board, route: tables.Route, spare: Mapping[str, int]
+    board: Board,
+    route: tables.Route,
+    spare: Mapping[str, int],
+    among: Set[str],
 ) -> list[tuple[str, str]]:
     """Find spare replicas whose memory would make room for a replica.
 
@@ -194,6 +197,8 @@
         The model route that lacks room.
     spare
         How many replicas each model can give up.
+    among
+        Ids of the upstreams to search.
 
     Returns
     -------
@@ -203,6 +208,8 @@
     """
     best: list[tuple[str, str]] = []
     for _, upstream_id in board.emptiest.get(route.service, ()):
+        if upstream_id not in among:
+            continue
         if route.model in board.places[upstream_id]:
             continue
         found = _evictions_on(board, upstream_id, route, spare)
--- /dev/null
+++ b/bilberryramp/decisions/placement_surplus.py
@@ -0,0 +1,167 @@
+"""Spare replicas that may give way to others while a plan is made.
+
+A search that fails is remembered: an engine that could not make room for
+one shape is not searched for that shape again until it changes.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from bilberryramp.decisions import placement_board, tables, views
+
+__all__ = ["Surplus", "make_room", "put", "ready", "start"]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Shape:
+    """What a replica needs: accelerators, and MiB on each of them."""
+
+    service: str
+    accelerators: int
+    memory_mib: int
+
+
+@dataclasses.dataclass(slots=True)
+class Surplus:
+    """Spare replicas of a board.
+
+    Attributes
+    ----------
+    routes
+        The route of each model.
+    wanted
+        Replicas wanted by model.
+    spare
+        Replicas that each model can give up; empty until they matter.
+    untried
+        Ids of the engines that may be able to make room, by shape; those
+        left out have been searched in vain.
+    """
+
+    board: placement_board.Board
+    routes: dict[str, tables.Route]
+    wanted: Mapping[str, int]
+    spare: dict[str, int]
+    untried: dict[Shape, set[str]]
+
+
+def start(
+    board: placement_board.Board,
+    routes: Iterable[tables.Route],
+    wanted: Mapping[str, int],
+) -> Surplus:
+    """Begin to follow the spare replicas of a board.
+
+    Parameters
+    ----------
+    board
+        From now on changed only through this module.
+    routes
+        The model routes.
+    wanted
+        Replicas wanted by model.
+
+    Returns
+    -------
+    Surplus
+        With nothing counted or searched yet.
+    """
+    by_model = {route.model: route for route in routes}
+    return Surplus(board, by_model, wanted, {}, {})
+
+
+def put(surplus: Surplus, upstream_id: str, place: views.ReplicaPlace) -> None:
+    """Place a replica.
+
+    Parameters
+    ----------
+    surplus
+        Its board is changed.
+    upstream_id, place
+        Where, and the replica; there must be room.
+    """
+    placement_board.put(surplus.board, upstream_id, place)
+    _note_change(surplus, upstream_id, place.model)
+
+
+def make_room(surplus: Surplus, route: tables.Route) -> bool:
+    """Give up spare replicas so that one of a route's model fits.
+
+    Parameters
+    ----------
+    surplus
+        Its board is changed.
+    route
+        The model route that lacks room.
+
+    Returns
+    -------
+    bool
+        False when no spare replicas make room.
+    """
+    if not surplus.spare:
+        surplus.spare = {m: _count(surplus, m) for m in surplus.routes}
+    board = surplus.board
+    shape = Shape(route.service, route.accelerators, route.memory_mib)
+    untried = _untried(surplus, shape)
+    evictions = placement_board.surplus_evictions(
+        board, route, surplus.spare, untried
+    )
+    if not evictions:
+        surplus.untried[shape] = {
+            upstream_id
+            for upstream_id in untried
+            if route.model in board.places[upstream_id]
+        }
+    for upstream_id, model in evictions:
+        placement_board.take(board, upstream_id, model)
+        _note_change(surplus, upstream_id, model)
+    return bool(evictions)
+
+
+def ready(board: placement_board.Board, route: tables.Route) -> list[str]:
+    """List the upstreams in service where a route's model is resident.
+
+    Parameters
+    ----------
+    board
+        The board.
+    route
+        A model route.
+
+    Returns
+    -------
+    list of str
+        Their ids, in alphabetical order.
+    """
+    return [
+        upstream_id
+        for upstream_id in placement_board.holders(board, route)
+        if route.model in board.resident.get(upstream_id, ())
+    ]
+
+
+def _count(surplus: Surplus, model: str) -> int:
+    """Count replicas beyond the wanted ones, unless they are needed."""
+    board, route = surplus.board, surplus.routes[model]
+    held = len(placement_board.holders(board, route))
+    resident = len(ready(board, route)) if board.resident else held
+    return min(held, resident) - surplus.wanted[model]
+
+
+def _untried(surplus: Surplus, shape: Shape) -> set[str]:
+    if shape not in surplus.untried:
+        surplus.untried[shape] = set(surplus.board.upstreams)
+    return surplus.untried[shape]
+
+
+def _note_change(surplus: Surplus, upstream_id: str, model: str) -> None:
+    """Search again where room or spare replicas may have appeared."""
+    changed = {upstream_id}
+    if model in surplus.spare:
+        before = surplus.spare[model]
+        surplus.spare[model] = _count(surplus, model)
+        if before < 1 <= surplus.spare[model]:
+            changed |= surplus.board.held_by[model]
+    for untried in surplus.untried.values():
+        untried |= changed
--- a/bilberryramp/wire/codec.py
+++ b/bilberryramp/wire/codec.py
@@ -2,7 +2,9 @@
 
 A dataclass becomes an array: the class's name, then its fields in order.
 The name lets a field hold any registered class, as log entries do with
-commands. Classes are registered once, below; others are refused.
+commands. Classes are registered once, below; others are refused. The large
+table of idempotency keys holds no such field and is left to msgspec, which
+is far faster.
 """
 
 import dataclasses
@@ -29,6 +31,9 @@
 __all__ = ["MalformedMessageError", "decode", "encode"]
 
 
+_LEFT_TO_MSGSPEC = (idempotency.KeyTable,)
+
+
 class MalformedMessageError(errors.BilberryError):
     """Bytes that are not an encoded message of this version."""
 
@@ -91,7 +96,7 @@
     """
     try:
         return _build(msgspec.msgpack.decode(data))
-    except (msgspec.DecodeError, TypeError, ValueError) as exc:
+    except (msgspec.MsgspecError, TypeError, ValueError) as exc:
         raise MalformedMessageError(str(exc)) from exc
     except (LookupError, AttributeError) as exc:
         raise MalformedMessageError(repr(exc)) from exc
@@ -109,6 +114,8 @@
 
 def _pack(value):
     cls = type(value)
+    if cls in _LEFT_TO_MSGSPEC:
+        return [cls.__name__, msgspec.msgpack.encode(value)]
     if cls.__name__ in _registry():
         return [cls.__name__, *_pack_fields(cls, value)]
     if cls in (str, int, bytes, bool, float, types.NoneType):
@@ -129,6 +136,8 @@
 def _build(raw):
     name, *values = raw
     cls = _registry()[name]
+    if cls in _LEFT_TO_MSGSPEC:
+        return msgspec.msgpack.decode(*values, type=cls)
     builders = _builders(cls)
     if len(values) != len(builders):
         raise MalformedMessageError(f"{name} has {len(values)} fields")
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -1,6 +1,7 @@
 """Measures what the size of the system costs single decisions.
 
-For several sizes: the whole view as a message, a plan, and a call.
+For several sizes: the whole view as a message, plans, a call, and a
+snapshot of idempotency records.
 """
 
 import time
@@ -13,6 +14,7 @@
     control_state,
     entry_calls,
     feed_messages,
+    idempotency,
     placement,
     tables,
 )
@@ -21,6 +23,10 @@
 
 SIZES = (150, 300, 600)
 CALLS = 300
+SPARES = 1_000_000
+UNMET_REPLICAS = 40
+RECORDS_PER_ENGINE = 100
+ANSWER_BYTES = 200
 
 
 def system(engines):
@@ -59,6 +65,34 @@
     return (time.perf_counter() - began) / CALLS * 1e6
 
 
+def crowded_plan_ms(view, engines):
+    """Every model wants more than the memory, full of spares, can hold."""
+    for change in list(placement.plan(view, {}, spares=SPARES)):
+        entry = control_state.Entry(1, view.index + 1, change)
+        control_state.apply_to_view(view, entry)
+    resident = {
+        upstream_id: {place.model: place for place in placed.replicas}
+        for upstream_id, placed in view.placements.items()
+    }
+    targets = {f"m{n}": UNMET_REPLICAS for n in range(2 * engines)}
+    took_ms, _ = timed_ms(
+        lambda: list(placement.plan(view, resident, targets))
+    )
+    return took_ms
+
+
+def keys(records):
+    table = idempotency.KeyTable()
+    answer = commands.KeptAnswer(200, "text/plain", b"x" * ANSWER_BYTES)
+    for number in range(records):
+        key, request_id = f"route/{number:036}", f"req-{number:032}"
+        claim = commands.ReserveKey(key, request_id, "f" * 64, 0, 0)
+        idempotency.reserve(table, number, claim)
+        end = commands.FinishKey(key, request_id, True, answer)
+        idempotency.finish(table, end)
+    return table
+
+
 def measure(engines):
     state = system(engines)
     view = state.view
@@ -69,13 +103,23 @@
     whole = feed_messages.WholeView("c1", view)
     encode_ms, data = timed_ms(lambda: codec.encode(whole))
     decode_ms, _ = timed_ms(lambda: codec.decode(data))
+    call_us = calls_us(view, engines)
+    table = keys(RECORDS_PER_ENGINE * engines)
+    pack_ms, packed = timed_ms(lambda: codec.encode(table))
+    unpack_ms, _ = timed_ms(lambda: codec.decode(packed))
     return {
         "first plan ms": fresh_ms,
         "steady plan ms": steady_ms,
+        "plan in full memory, all wanting more ms": crowded_plan_ms(
+            view, engines
+        ),
+        "idempotency records": RECORDS_PER_ENGINE * engines,
+        "encode them ms": pack_ms,
+        "decode them ms": unpack_ms,
         "whole view KB": len(data) / 1e3,
         "encode whole view ms": encode_ms,
         "decode whole view ms": decode_ms,
-        "call us": calls_us(view, engines),
+        "call us": call_us,
     }
 
 
