Read a broken stream on at the engine

Cause: when the connection between an upstream process and its engine broke in a streamed answer, the caller got a broken transfer although the engine still had the answer.

Ruled out: sending the request again with an offset (an engine that ignores the offset would run it twice); counting bytes (event boundaries are what the published protocol, server-sent events with ids, resumes at); resuming from the entry (the upstream process is the engine's only door).

Change: `event_trail` follows ids and the event in progress; after a break the rest is read by GET of the path and attempt id with Last-Event-ID, at most three times. The bytes of the event in progress come a second time and are skipped; if they differ, the answer ends as broken.

After: all 31 events arrive once, the last is [DONE], one stream.resumed in the log.

Conclusion: answers that are not streams, and streams without ids, still end as a broken transfer.

--- a/bilberryramp/settings/schema.py
+++ b/bilberryramp/settings/schema.py
@@ -186,6 +186,9 @@
     crash_on
         A request whose body holds this text ends the process; empty for
         none.
+    break_after
+        The connection of each streamed answer breaks in this event; 0 for
+        never.
     fault_rate, seed
         Share of orders whose answer is lost, and the seed that picks them.
     """
@@ -202,6 +205,7 @@
     load_ms: float = 50.0
     fenced: bool = True
     crash_on: str = ""
+    break_after: int = 0
     fault_rate: float = 0.0
     seed: int = 1
     telemetry: TelemetrySettings = TelemetrySettings()
--- a/bilberryramp/standins/engine.py
+++ b/bilberryramp/standins/engine.py
@@ -2,7 +2,9 @@
 
 It generates numbered words at a set speed that falls as more requests run
 at once. Orders change which models it holds; it can refuse old fencing
-numbers, lose answers to orders, and crash on a request, all by settings.
+numbers, lose answers to orders, break streams, and crash on a request, all
+by settings. A broken stream is read on by ``GET`` of the path and attempt id
+with ``Last-Event-ID``.
 """
 
 import asyncio
@@ -16,6 +18,7 @@
 
 from bilberryramp.decisions import model_orders, views
 from bilberryramp.settings import schema
+from bilberryramp.standins import engine_streams
 from bilberryramp.tasks import upstream_engine
 from bilberryramp.telemetry import tracing
 
@@ -36,6 +39,8 @@
         Highest fencing number seen.
     running
         Requests being generated.
+    streams
+        Streamed answers that may be read on.
     """
 
     cfg: schema.StandinSettings
@@ -46,6 +51,9 @@
     )
     fence: int = 0
     running: int = 0
+    streams: engine_streams.Streams = dataclasses.field(
+        default_factory=engine_streams.Streams
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,10 +110,15 @@
     async def text(request: web.Request) -> web.StreamResponse:
         return await _complete(engine, request, "text_completion")
 
+    async def read_on(request: web.Request) -> web.StreamResponse:
+        return await _read_on(engine, request)
+
     app.router.add_get("/engine/state", state)
     app.router.add_post("/engine/orders", orders)
     app.router.add_post("/v1/chat/completions", chat)
     app.router.add_post("/v1/completions", text)
+    app.router.add_get("/v1/chat/completions/{attempt_id}", read_on)
+    app.router.add_get("/v1/completions/{attempt_id}", read_on)
     return app
 
 
@@ -135,17 +148,12 @@
     _crash_if_told(engine, body)
     if asked.model not in engine.held:
         return web.Response(status=404, text="model not loaded")
-    engine.running += 1
-    try:
-        with tracing.span(
-            "engine.generate", request.headers.get("traceparent", "")
-        ):
-            if asked.stream:
-                return await _stream(engine, request, asked, kind)
-            words = [word async for word in _words(engine, asked)]
-            return _json(_whole(asked, kind, words))
-    finally:
-        engine.running -= 1
+    traceparent = request.headers.get("traceparent", "")
+    with tracing.span("engine.generate", traceparent):
+        if asked.stream:
+            return await _stream(engine, request, asked, kind)
+        words = [word async for word in _words(engine, asked)]
+        return _json(_whole(asked, kind, words))
 
 
 def _crash_if_told(engine: Engine, body: bytes) -> None:
@@ -156,23 +164,42 @@
 
 async def _words(engine: Engine, asked: _Request):
     count = asked.max_completion_tokens or asked.max_tokens or 16
-    await asyncio.sleep(engine.cfg.first_token_ms / 1000)
-    for number in range(count):
-        crowd = max(engine.running / engine.cfg.batch_slots, 1.0)
-        await asyncio.sleep(crowd / engine.cfg.tokens_per_s)
-        yield f"w{number} "
+    engine.running += 1
+    try:
+        await asyncio.sleep(engine.cfg.first_token_ms / 1000)
+        for number in range(count):
+            crowd = max(engine.running / engine.cfg.batch_slots, 1.0)
+            await asyncio.sleep(crowd / engine.cfg.tokens_per_s)
+            yield f"w{number} "
+    finally:
+        engine.running -= 1
 
 
 async def _stream(engine, request, asked, kind) -> web.StreamResponse:
-    headers = {"Content-Type": "text/event-stream"}
-    response = web.StreamResponse(headers=headers)
-    await response.prepare(request)
+    attempt_id = request.headers.get("Bilberry-Attempt-Id", uuid.uuid4().hex)
+    parts = _parts(engine, asked, kind)
+    engine_streams.begin(engine.streams, attempt_id, parts)
+    return await engine_streams.serve(
+        engine.streams, attempt_id, request, 0, engine.cfg.break_after
+    )
+
+
+async def _parts(engine: Engine, asked: _Request, kind: str):
     async for word in _words(engine, asked):
-        part = _part(asked, kind, word)
-        await response.write(b"data: " + part + b"\n\n")
-    await response.write(b"data: [DONE]\n\n")
-    await response.write_eof()
-    return response
+        yield _part(asked, kind, word)
+    yield b"[DONE]"
+
+
+async def _read_on(engine: Engine, request: web.Request):
+    attempt_id = request.match_info["attempt_id"]
+    last_id = request.headers.get("Last-Event-ID", "")
+    stream = engine_streams.find(engine.streams, attempt_id)
+    if stream is None or not last_id.isdigit():
+        return web.Response(status=404, text="no such stream")
+    first = int(last_id) + 1
+    return await engine_streams.serve(
+        engine.streams, attempt_id, request, first, 0
+    )
 
 
 def _part(asked: _Request, kind: str, word: str) -> bytes:
--- a/bilberryramp/standins/tests/test_failures.py
+++ b/bilberryramp/standins/tests/test_failures.py
@@ -233,6 +233,34 @@
             self.assertEqual(status, 200)
 
 
+class BrokenStreamTest(unittest.TestCase):
+    """The connection to an engine breaks in the middle of an event."""
+
+    def test_stream_is_read_on_and_arrives_whole(self):
+        cluster = builders.cluster(type(self))
+        for name, service in (
+            ("desk-1", "drafting-desk"),
+            ("desk-2", "drafting-desk"),
+            ("letters-1", "letter-llm"),
+        ):
+            breaking = builders.standin(name, break_after=7)
+            local_cluster.add_upstream(cluster, breaking, service)
+        port = local_cluster.add_entry(cluster, "entry-1")
+        local_cluster.wait_for_upstreams(cluster, 3)
+        builders.submit(cluster)
+        local_cluster.wait_http(f"http://127.0.0.1:{port}/readyz")
+        conn = http.client.HTTPConnection("127.0.0.1", port, timeout=30)
+        self.addCleanup(conn.close)
+        body = builders.completion(30, stream=True)
+        conn.request("POST", "/v1/completions", body)
+        events = conn.getresponse().read().split(b"\n\n")
+        numbers = [event.partition(b"\n")[0] for event in events[:-1]]
+        self.assertEqual(numbers, [b"id: %d" % n for n in range(31)])
+        self.assertIn(b"[DONE]", events[-2])
+        log = (cluster.folder / "upstream-letters-1.log").read_text()
+        self.assertEqual(log.count("stream.resumed"), 1)
+
+
 class SlowReaderTest(unittest.TestCase):
     """A caller that does not read loses its answer, nobody else does."""
 
--- a/bilberryramp/tasks/upstream_engine.py
+++ b/bilberryramp/tasks/upstream_engine.py
@@ -11,13 +11,14 @@
     call_messages,
     commands,
     errors,
+    event_trail,
     idempotency,
     model_orders,
     upstream_messages,
     views,
 )
 from bilberryramp.tasks import clock, mailbox
-from bilberryramp.telemetry import tracing
+from bilberryramp.telemetry import events, tracing
 
 __all__ = ["EngineState", "OrderBody", "Run", "order", "run", "watch"]
 
@@ -25,6 +26,9 @@
 STATE_TIMEOUT_S = 2.0
 WATCH_INTERVAL_S = 0.5
 MAX_CHUNK_BYTES = 64 * 1024
+MAX_RESUMES = 3
+_RUN_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=2)
+_EVENT_STREAM = "text/event-stream"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -56,6 +60,8 @@
         Chunks that may still be sent.
     credited
         Set when credit arrives.
+    trail
+        How far an event stream has been passed on.
     status, content_type, kept
         The answer so far, for a request with an idempotency key.
     started, cancel_asked
@@ -68,6 +74,9 @@
     credited: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     chunks: int = 0
     sent_bytes: int = 0
+    trail: event_trail.Trail = dataclasses.field(
+        default_factory=event_trail.Trail
+    )
     status: int = 0
     content_type: str = ""
     kept: bytearray = dataclasses.field(default_factory=bytearray)
@@ -208,30 +217,79 @@
 
 
 async def _exchange(session, url, job, max_answer_bytes, send, headers):
-    dispatch, sender = job.start.dispatch, job.start.sender
+    dispatch = job.start.dispatch
     async with session.request(
         dispatch.method,
         url + dispatch.path,
         data=dispatch.body,
         headers=headers,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=2),
+        timeout=_RUN_TIMEOUT,
     ) as resp:
-        job.status = resp.status
-        job.content_type = resp.headers["Content-Type"]
-        head = call_messages.AnswerHead(
-            dispatch.attempt_id, job.status, job.content_type
+        await _send_head(job, resp, send)
+        try:
+            return await _pass_on(job, resp, max_answer_bytes, send)
+        except aiohttp.ClientError:
+            if not event_trail.can_resume(job.trail):
+                raise
+    return await _resume(session, url, job, max_answer_bytes, send, headers)
+
+
+async def _resume(session, url, job, max_answer_bytes, send, headers):
+    """Read a broken stream on; a read cannot run the request again."""
+    dispatch = job.start.dispatch
+    for _ in range(MAX_RESUMES):
+        event_trail.note_resumed(job.trail)
+        events.emit(
+            events.STREAM_RESUMED,
+            attempt_id=dispatch.attempt_id,
+            last_id=job.trail.last_id,
         )
-        await send(sender, head)
-        async for data in resp.content.iter_any():
-            job.sent_bytes += len(data)
-            if job.sent_bytes > max_answer_bytes:
-                code = errors.FailureCode.ANSWER_TOO_LARGE
-                return _unknown(code, "the answer is too large")
-            _keep(job, data)
-            await _send_chunk(job, sender, send, data)
+        try:
+            async with session.get(
+                f"{url}{dispatch.path}/{dispatch.attempt_id}",
+                headers=headers | {"Last-Event-ID": job.trail.last_id},
+                timeout=_RUN_TIMEOUT,
+            ) as resp:
+                if resp.status != 200 or not _is_event_stream(resp):
+                    break
+                return await _pass_on(job, resp, max_answer_bytes, send)
+        except aiohttp.ClientError:
+            if not event_trail.can_resume(job.trail):
+                break
+    raise aiohttp.ClientPayloadError("the stream could not be resumed")
+
+
+async def _send_head(job: Run, resp, send) -> None:
+    job.status = resp.status
+    job.content_type = resp.headers["Content-Type"]
+    head = call_messages.AnswerHead(
+        job.start.dispatch.attempt_id, job.status, job.content_type
+    )
+    await send(job.start.sender, head)
+
+
+async def _pass_on(job: Run, resp, max_answer_bytes: int, send):
+    followed = _is_event_stream(resp)
+    async for received in resp.content.iter_any():
+        data = received
+        if followed:
+            data = event_trail.note(job.trail, received)
+            if job.trail.changed:
+                code = errors.FailureCode.ENGINE_CRASHED
+                return _unknown(code, "the resumed stream is another one")
+        job.sent_bytes += len(data)
+        if job.sent_bytes > max_answer_bytes:
+            code = errors.FailureCode.ANSWER_TOO_LARGE
+            return _unknown(code, "the answer is too large")
+        _keep(job, data)
+        await _send_chunk(job, job.start.sender, send, data)
     return None
 
 
+def _is_event_stream(resp) -> bool:
+    return resp.content_type == _EVENT_STREAM
+
+
 def _keep(job: Run, data: bytes) -> None:
     if job.start.dispatch.idempotency_key:
         room = idempotency.MAX_ANSWER_BYTES + 1 - len(job.kept)
@@ -262,6 +320,7 @@
     headers = {
         "Content-Type": "application/json",
         "Bilberry-Request-Id": dispatch.request_id,
+        "Bilberry-Attempt-Id": dispatch.attempt_id,
     }
     if traceparent:
         headers["traceparent"] = traceparent
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -99,6 +99,9 @@
 ORDER_ENDED = _declare(
     4004, "order.ended", "An order was confirmed, refused or not answered."
 )
+STREAM_RESUMED = _declare(
+    4005, "stream.resumed", "A broken answer is read on at the engine."
+)
 
 
 def emit(event: Event, **fields) -> None:
