Show the version in force at each entry; split the entry's decisions

Change: /metrics of an entry shows bilberry_configuration_version. test_in_force.py runs three control replicas, five entries, three upstream processes and their engines: two entries and a follower are killed, 200 changes accepted, the three return while the leader is killed, and every entry reaches the last version; then one change more.

Ruled out for the split: one class for each step (the shape asks for plain functions); keeping action names in one table far from their functions (each module now brings its own part of the table).

Before: no test of piled-up changes with real processes. After: it passed at first try; no fault found by it.

--- /dev/null
+++ b/bilberryramp/decisions/entry_attempts.py
@@ -0,0 +1,175 @@
+"""Choosing upstreams for a request, and its attempts at them."""
+
+from collections.abc import Iterator
+
+from bilberryramp.decisions import (
+    call_messages,
+    effects,
+    entry_refusals,
+    entry_state,
+    errors,
+    quarantine,
+    route_index,
+    routing,
+    views,
+)
+
+__all__ = ["actions", "choose", "end_attempt"]
+
+
+def choose(call: entry_state.Call, now_ms: int) -> str:
+    """Choose the upstream of the next attempt.
+
+    Parameters
+    ----------
+    call
+        Gets the upstream's id, or the failure that ends it.
+    now_ms
+        The entry's clock in milliseconds.
+
+    Returns
+    -------
+    str
+        The event of ``charts/request.yaml`` that follows.
+    """
+    entry, request = call.entry, call.request
+    found = _usable(call)
+    failure = _hopeless(call, found, now_ms)
+    if failure is not None:
+        call.failure = failure
+        return "hopeless"
+    options = [
+        _candidate(entry, upstream)
+        for upstream in found
+        if upstream.upstream_id not in call.refused_by
+    ]
+    if not options:
+        return "none_left"
+    chosen = entry.policy(options, request.affinity_key, entry.rng)
+    call.upstream_id = chosen.upstream_id
+    return "chosen"
+
+
+def _usable(call: entry_state.Call) -> list[views.Upstream]:
+    leaving = call.entry.leaving
+    return [
+        upstream
+        for upstream in route_index.candidates(call.entry.index, call.route)
+        if leaving.get(upstream.upstream_id) != upstream.incarnation
+    ]
+
+
+def _hopeless(
+    call: entry_state.Call, found, now_ms: int
+) -> errors.CallFailure | None:
+    code = errors.FailureCode
+    wall_ms = call.wall_ms + now_ms - call.began_ms
+    view, fingerprint = call.entry.view, call.request.fingerprint
+    if quarantine.is_quarantined(view, fingerprint, wall_ms):
+        return entry_refusals.quarantined()
+    if _would_risk_last(view, fingerprint, found, wall_ms):
+        return call.failure or entry_refusals.quarantined()
+    if call.tries >= call.entry.cfg.max_attempts:
+        message = f"gave up after {call.tries} attempts"
+        return call.failure or errors.call_failure(code.NO_UPSTREAM, message)
+    tried_all = found and all(u.upstream_id in call.refused_by for u in found)
+    overloaded = call.failure and call.failure.code == code.OVERLOADED
+    return call.failure if tried_all and overloaded else None
+
+
+def _would_risk_last(view, fingerprint: str, found, wall_ms: int) -> bool:
+    record = view.quarantine.get(fingerprint)
+    if record is None:
+        return False
+    down = quarantine.recently_lost(record, wall_ms)
+    return sum(u.upstream_id not in down for u in found) < 2
+
+
+def _candidate(
+    entry: entry_state.Entry, upstream: views.Upstream
+) -> routing.Candidate:
+    upstream_id = upstream.upstream_id
+    report = entry.loads.get(upstream_id)
+    load = routing.load_of(report, entry.own.get(upstream_id, 0))
+    return routing.Candidate(upstream_id, load)
+
+
+def _dispatch(call: entry_state.Call, now_ms: int, _payload) -> Iterator:
+    entry, request, route = call.entry, call.request, call.route
+    upstream = entry.view.upstreams[call.upstream_id]
+    call.attempts += 1
+    call.tries += 1
+    call.attempt_id = f"{call.key}.{call.attempts}"
+    call.next_chunk = 0
+    entry.own[call.upstream_id] = entry.own.get(call.upstream_id, 0) + 1
+    weights = (
+        pool.accelerators
+        for pool in entry.view.tables.pools
+        if pool.name == route.pool
+    )
+    frame = call_messages.Dispatch(
+        attempt_id=call.attempt_id,
+        request_id=call.key,
+        incarnation=upstream.incarnation,
+        view_index=entry.view.index,
+        route=route.name,
+        pool=route.pool,
+        weight=next(weights, 1),
+        priority=route.priority,
+        model=route.model,
+        method=request.method,
+        path=request.path,
+        body=request.body,
+        idempotency_key=request.idempotency_key,
+        suspect=request.fingerprint in entry.view.quarantine,
+        budget_ms=max(call.deadline_ms - now_ms, 0),
+        tokens=request.tokens,
+        credit=entry.cfg.credit_chunks,
+        traceparent=request.traceparent,
+    )
+    yield effects.Send(call.upstream_id, frame)
+
+
+def _note_refusal(call: entry_state.Call, _now_ms: int, _payload) -> Iterator:
+    call.refused_by.add(call.upstream_id)
+    yield from end_attempt(call)
+
+
+def _forget_refusals(
+    call: entry_state.Call, _now_ms: int, _payload
+) -> Iterator:
+    call.refused_by.clear()
+    call.tries = 0
+    yield from ()
+
+
+def end_attempt(call: entry_state.Call) -> Iterator:
+    """Stop counting a request's attempt, if one is in progress.
+
+    Parameters
+    ----------
+    call
+        The request.
+
+    Yields
+    ------
+    effect
+        None.
+    """
+    own = call.entry.own
+    if call.attempt_id:
+        own[call.upstream_id] = own.get(call.upstream_id, 1) - 1
+    call.attempt_id = ""
+    yield from ()
+
+
+def _cancel(call: entry_state.Call, _now_ms: int, _payload) -> Iterator:
+    yield effects.Send(call.upstream_id, call_messages.Cancel(call.attempt_id))
+
+
+actions = {
+    "dispatch": _dispatch,
+    "note_refusal": _note_refusal,
+    "forget_refusals": _forget_refusals,
+    "cancel": _cancel,
+}
--- /dev/null
+++ b/bilberryramp/decisions/entry_refusals.py
@@ -0,0 +1,82 @@
+"""Reasons for which an entry refuses a request before anything else."""
+
+import dataclasses
+
+from bilberryramp.decisions import (
+    entry_messages,
+    entry_state,
+    errors,
+    quarantine,
+    tables,
+)
+
+__all__ = ["early_failure", "quarantined", "without_record"]
+
+
+def early_failure(
+    entry: entry_state.Entry,
+    request: entry_messages.CallerRequest,
+    route: tables.Route | None,
+    wall_ms: int,
+) -> errors.CallFailure | None:
+    """Find a reason to refuse a request before an upstream is chosen.
+
+    Parameters
+    ----------
+    entry
+        The entry.
+    request
+        Without its idempotency key, unless it may not be repeated.
+    route
+        The route it takes, if there is one.
+    wall_ms
+        Wall time in milliseconds.
+
+    Returns
+    -------
+    CallFailure or None
+        None when nothing speaks against the request.
+    """
+    code = errors.FailureCode
+    if entry.stopping:
+        return errors.call_failure(code.SHUTTING_DOWN, "entry is stopping")
+    if entry.view.index < 1 and not entry.fresh:
+        message = "no configuration received yet"
+        return errors.call_failure(code.STALE_CONFIGURATION, message)
+    if route is None:
+        return _no_route(request)
+    if not entry.fresh and route.when_stale == tables.StaleRule.REFUSE:
+        message = "configuration may be out of date"
+        return errors.call_failure(code.STALE_CONFIGURATION, message)
+    if route.repeat_never and not request.idempotency_key:
+        message = f"route {route.name} needs an Idempotency-Key"
+        return errors.call_failure(code.KEY_REQUIRED, message)
+    if len(entry.calls) >= entry.cfg.max_calls:
+        message = "too many requests in progress"
+        return errors.call_failure(code.OVERLOADED, message)
+    # A marked request's record is asked for first: its key may have run.
+    unmarked = not request.idempotency_key
+    if unmarked and quarantine.is_quarantined(
+        entry.view, request.fingerprint, wall_ms
+    ):
+        return quarantined()
+    return None
+
+
+def without_record(failure: errors.CallFailure) -> errors.CallFailure:
+    """Leave open whether an earlier request with the key has run."""
+    return dataclasses.replace(failure, outcome=errors.Outcome.UNKNOWN)
+
+
+def _no_route(request: entry_messages.CallerRequest) -> errors.CallFailure:
+    if request.model:
+        message = f"the model {request.model!r} does not exist"
+        return errors.call_failure(errors.FailureCode.MODEL_NOT_FOUND, message)
+    message = f"no route leads to {request.path!r}"
+    return errors.call_failure(errors.FailureCode.ROUTE_NOT_FOUND, message)
+
+
+def quarantined() -> errors.CallFailure:
+    """Describe the refusal of a request that took down upstreams."""
+    message = "this request took down upstreams and is refused for a while"
+    return errors.call_failure(errors.FailureCode.QUARANTINED, message)
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -12,6 +12,7 @@
     control_state,
     entry_calls,
     entry_messages,
+    entry_state,
     errors,
     ledger,
     model_orders,
@@ -106,10 +107,10 @@
     return state_after(*joins, submit(wanted=wanted), *places).view
 
 
-def entry(view=None, policy="least_loaded", **changes) -> entry_calls.Entry:
+def entry(view=None, policy="least_loaded", **changes) -> entry_state.Entry:
     view = view or view_with()
-    return entry_calls.Entry(
-        cfg=entry_calls.EntrySettings("e1", policy=policy, **changes),
+    return entry_state.Entry(
+        cfg=entry_state.EntrySettings("e1", policy=policy, **changes),
         chart=bound("request", entry_calls),
         rng=random.Random(1),
         view=view,
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -19,6 +19,7 @@
     effects,
     entry_calls,
     entry_messages,
+    entry_state,
     errors,
     feed,
     feed_messages,
@@ -91,7 +92,7 @@
 
 @dataclasses.dataclass(slots=True)
 class EntryNode:
-    entry: entry_calls.Entry
+    entry: entry_state.Entry
     sub: subscription.Subscription
     pipes: dict = dataclasses.field(default_factory=dict)
     cut_off: bool = False
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -23,6 +23,7 @@
     effects,
     entry_calls,
     entry_messages,
+    entry_state,
     errors,
     placement,
     role_messages,
@@ -131,7 +132,7 @@
     policy: PolicySettings
     control: control_state.ControlState
     engines: dict[str, _Engine]
-    entries: list[entry_calls.Entry]
+    entries: list[entry_state.Entry]
     tally: outcomes.Outcomes
     watch: demand.Watch
     rng: random.Random
@@ -170,8 +171,8 @@
         loader.load("request"), entry_calls.guards, entry_calls.actions
     )
     entries = [
-        entry_calls.Entry(
-            cfg=entry_calls.EntrySettings(f"e{number}", policy.routing),
+        entry_state.Entry(
+            cfg=entry_state.EntrySettings(f"e{number}", policy.routing),
             chart=chart,
             rng=random.Random(f"{seed}/e{number}"),
             view=state.view,
--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -6,6 +6,7 @@
 
 from bilberryramp.decisions import (
     entry_calls,
+    entry_state,
     links,
     route_index,
     routing,
@@ -65,8 +66,8 @@
     name = f"entry/{cfg.name}/{uuid.uuid4().hex[:8]}"
     controls = tuple(control.replica_id for control in cfg.controls)
     sub = subscription.new_subscription(name, controls, chart, clock.now_ms())
-    entry = entry_calls.Entry(
-        cfg=entry_calls.EntrySettings(
+    entry = entry_state.Entry(
+        cfg=entry_state.EntrySettings(
             name=name, policy=cfg.policy, max_calls=cfg.max_calls
         ),
         chart=launch.bind_chart("request", entry_calls),
--- /dev/null
+++ b/bilberryramp/standins/tests/test_in_force.py
@@ -0,0 +1,126 @@
+"""Accepted configuration at a dozen processes over kills and restarts."""
+
+import dataclasses
+import json
+import re
+import unittest
+import urllib.error
+import urllib.request
+
+import msgspec
+
+from bilberryramp.settings import reader, schema
+from bilberryramp.standins import local_cluster
+from bilberryramp.standins.tests import builders
+from bilberryramp.tasks import operator_api
+
+ENTRIES = tuple(f"entry-{number}" for number in range(1, 6))
+PILED_UP = 200
+VERSION = re.compile(r"^bilberry_configuration_version (\d+)$", re.MULTILINE)
+
+
+class InForceTest(unittest.TestCase):
+    """Three control replicas, five entries, three upstreams."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = builders.cluster(cls, controls=3)
+        for name, service in (
+            ("desk-1", "drafting-desk"),
+            ("desk-2", "drafting-desk"),
+            ("letters-1", "letter-llm"),
+        ):
+            local_cluster.add_upstream(
+                cls.cluster, builders.standin(name), service
+            )
+        cls.ports = {
+            name: local_cluster.add_entry(cls.cluster, name)
+            for name in ENTRIES
+        }
+        local_cluster.wait_for_upstreams(cls.cluster, 3)
+        cls.routes = reader.read_or_raise(
+            builders.EXAMPLES / "routes.yaml", schema.RoutesFile
+        ).routes
+        cls.pools = reader.read_or_raise(
+            builders.EXAMPLES / "pools.yaml", schema.PoolsFile
+        ).pools
+
+    def test_changes_piled_up_while_processes_were_down(self):
+        first = self.submit_many(1)
+        self.wait_in_force(ENTRIES, first)
+        leader = builders.leader_of(self.cluster)
+        down = ["entry-2", "entry-4", self.follower_of(leader)]
+        for name in down:
+            local_cluster.kill(self.cluster, name)
+        piled = self.submit_many(PILED_UP)
+        self.assertEqual(piled, first + PILED_UP)
+        for name in down:
+            known = self.cluster.processes[name]
+            local_cluster.start_program(
+                self.cluster, name, known.program, known.settings
+            )
+        local_cluster.kill(self.cluster, leader)
+        self.wait_in_force(ENTRIES, piled)
+        last = self.submit_many(1)
+        self.assertEqual(last, piled + 1)
+        self.wait_in_force(ENTRIES, last)
+
+    def follower_of(self, leader):
+        names = [control.replica_id for control in self.cluster.controls]
+        return next(name for name in names if name != leader)
+
+    def submit_many(self, count):
+        """Submits changes of one route until so many were accepted."""
+        accepted, version = 0, builders.status(self.cluster)["version"]
+        for _ in builders.polls():
+            leader = builders.leader_of(self.cluster)
+            while accepted < count:
+                reply = self.submit(leader, version)
+                if reply is None or reply["outcome"] == "unknown":
+                    break
+                self.assertIn(reply["outcome"], ("accepted", "conflict"))
+                accepted += reply["outcome"] == "accepted"
+                version = reply["version"]
+            if accepted == count:
+                return version
+        raise AssertionError(f"accepted {accepted} of {count}")
+
+    def submit(self, leader, base_version):
+        changed = dataclasses.replace(
+            self.routes[0], deadline_ms=10_000 + base_version
+        )
+        body = operator_api.SubmitRequest(
+            submission_id=f"s{base_version}",
+            submitter="ann",
+            base_version=base_version,
+            routes=(changed, *self.routes[1:]),
+            pools=self.pools,
+        )
+        control = next(
+            c for c in self.cluster.controls if c.replica_id == leader
+        )
+        request = urllib.request.Request(
+            f"http://{control.operator_address}/v1/tables",
+            msgspec.json.encode(body),
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=6) as answer:
+                return json.loads(answer.read())
+        except urllib.error.HTTPError as exc:
+            return json.loads(exc.read())
+        except (urllib.error.URLError, OSError):
+            return None
+
+    def wait_in_force(self, names, version):
+        for name in names:
+            builders.wait_for(
+                lambda name=name: self.version_at(name) == version,
+                f"version {version} at {name}",
+            )
+
+    def version_at(self, name):
+        try:
+            found = VERSION.search(builders.metrics(self.ports[name]))
+        except (urllib.error.URLError, OSError):
+            return None
+        return int(found.group(1)) if found else None
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -15,6 +15,7 @@
     effects,
     entry_calls,
     entry_messages,
+    entry_state,
     feed_messages,
     links,
     role_messages,
@@ -28,6 +29,7 @@
 __all__ = ["ChunkTaken", "NewCall", "Router", "StopRouter", "run"]
 
 CREDIT_BATCH = 16
+VERSION_GAUGE = "bilberry_configuration_version"
 UNUSED_MS = 60_000
 RECONNECT_NEVER_MS = 3_600_000
 
@@ -116,7 +118,7 @@
     """
 
     name: str
-    entry: entry_calls.Entry
+    entry: entry_state.Entry
     sub: subscription.Subscription
     stop: shutdown.Shutdown
     link_chart: charting.Chart
@@ -403,6 +405,9 @@
         await control_link.ask(router.control, router.sub, effect)
     elif isinstance(effect, entry_messages.CallEnded):
         _on_call_ended(router, effect)
+    elif isinstance(effect, subscription.ViewChanged):
+        version = router.sub.view.version
+        metrics.show(router.metrics, VERSION_GAUGE, version)
     elif isinstance(effect, subscription.FreshnessChanged):
         events.emit(events.FRESHNESS, fresh=effect.fresh)
         noted = role_messages.FreshnessNoted(effect.fresh)
--- a/bilberryramp/telemetry/metrics.py
+++ b/bilberryramp/telemetry/metrics.py
@@ -1,11 +1,11 @@
-"""Latency histograms and counters, shown as Prometheus text."""
+"""Latency histograms, counters and gauges, shown as Prometheus text."""
 
 import dataclasses
 from collections.abc import Iterator
 
 from hdrh import histogram
 
-__all__ = ["Metrics", "count", "record", "render"]
+__all__ = ["Metrics", "count", "record", "render", "show"]
 
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
@@ -21,6 +21,7 @@
         default_factory=dict
     )
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
+    gauges: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def record(metrics: Metrics, name: str, seconds: float) -> None:
@@ -57,6 +58,19 @@
     metrics.counters[name] = metrics.counters.get(name, 0) + by
 
 
+def show(metrics: Metrics, name: str, value: int) -> None:
+    """Set a gauge.
+
+    Parameters
+    ----------
+    metrics
+        Changed in place.
+    name, value
+        The gauge's name and what it shows from now on.
+    """
+    metrics.gauges[name] = value
+
+
 def render(metrics: Metrics) -> str:
     """Render all metrics.
 
@@ -74,7 +88,8 @@
 
 
 def _lines(metrics: Metrics) -> Iterator[str]:
-    for name, value in sorted(metrics.counters.items()):
+    numbers = metrics.counters | metrics.gauges
+    for name, value in sorted(numbers.items()):
         yield f"{name} {value}\n"
     for name, found in sorted(metrics.histograms.items()):
         for percentile in _PERCENTILES:
