Keep a request's key while its route is not known

An entry that has no configuration yet cannot know that the route says it: a resend was told not_run although its key had run.

Ruled out: telling not_run only for a missing model (an entry behind the newest tables would be wrong about that, too).

Change: the key is dropped only when a known route does not mark requests.

Conclusion: a client that sends an idempotency key to a model that does not exist is told "unknown" beside the 404.

--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry_calls.py
@@ -101,8 +101,8 @@
 ) -> Iterator:
     request = message.request
     route = _find_route(entry, request)
-    route_marks = route is not None and route.repeat_never
-    if not (request.repeat_never or route_marks):
+    # Without its route, only the key tells that a request may be marked.
+    if route is not None and not (request.repeat_never or route.repeat_never):
         request = dataclasses.replace(request, idempotency_key="")
     failure = entry_refusals.early_failure(
         entry, request, route, message.wall_ms
--- a/bilberryramp/decisions/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/tests/test_entry_calls.py
@@ -245,6 +245,13 @@
         bench.call(builders.caller_request("r3"))
         self.assertEqual(bench.failure().outcome, OUTCOME.NOT_RUN)
 
+    def test_key_counts_while_its_route_is_not_known(self):
+        bench = Bench()
+        unknown = {"model": "m9", "idempotency_key": "k1"}
+        bench.call(builders.caller_request("r2", **unknown))
+        self.assertEqual(bench.failure().code, CODE.MODEL_NOT_FOUND)
+        self.assertEqual(bench.failure().outcome, OUTCOME.UNKNOWN)
+
     def test_quarantine_does_not_hide_a_kept_answer(self):
         bench = Bench()
         for number in (1, 2):
