Put requests that can no longer begin in time behind those that can

Ruled out by argument: refusing late requests at once (the partners forgive slowness; they are served when nothing else waits, and give way first when the queue is full).

Change: routes have `first_token_ms` (430), the dispatch carries what is left of it, and a queue sets back its first item while that is late; inside a priority, so urgent late work still goes before normal work in time. A share, a deadline and the bound of the queue stay as they were.

A planned stop of the control leader is now a test as well.

--- a/bilberryramp/decisions/admission.py
+++ b/bilberryramp/decisions/admission.py
@@ -3,7 +3,9 @@
 Start-time fair queueing in tokens: each pool advances a virtual clock by
 cost over weight, and the pool that is furthest behind goes next. A pool
 without work takes no part, so its share is lent to the others. Inside a
-pool the order is priority, then deadline.
+pool the order is priority, then deadline; but what can no longer begin in
+time goes behind what can, or a queue that is too long once would make every
+answer late from then on.
 
 Long requests make a queue alone too slow a remedy: a pool that fills all
 slots while the others are idle would keep them for as long as its requests
@@ -54,6 +56,8 @@
         Its cost.
     priority, deadline_ms
         Its order inside the pool.
+    late_ms
+        When it can no longer begin in time.
     """
 
     key: str
@@ -62,6 +66,7 @@
     tokens: int
     priority: tables.Priority
     deadline_ms: int
+    late_ms: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +90,9 @@
         Most items that wait.
     fair
         False for the baseline that ignores pools.
+    by_priority, late_last
+        False for the baselines that ignore priorities, or keep late work
+        in its order.
     slots, kept_slots
         Requests run at once, and how many of those are kept for pools
         below their share while several pools are active.
@@ -92,6 +100,8 @@
 
     limit: int
     fair: bool = True
+    by_priority: bool = True
+    late_last: bool = True
     slots: int = 1
     kept_slots: int = 0
     lanes: dict[str, _Lane] = dataclasses.field(default_factory=dict)
@@ -99,12 +109,18 @@
     arrivals: int = 0
 
 
-def new_queue(limit: int, slots: int, fair: bool = True) -> Queue:
+def new_queue(
+    limit: int,
+    slots: int,
+    fair: bool = True,
+    by_priority: bool = True,
+    late_last: bool = True,
+) -> Queue:
     """Make an empty queue.
 
     Parameters
     ----------
-    limit, slots, fair
+    limit, slots, fair, by_priority, late_last
         As in `Queue`.
 
     Returns
@@ -113,7 +129,7 @@
         With a twelfth of its slots kept, if it is fair.
     """
     kept = slots // KEPT_PART if fair else 0
-    return Queue(limit, fair, slots, kept)
+    return Queue(limit, fair, by_priority, late_last, slots, kept)
 
 
 def length(queue: Queue) -> int:
@@ -149,20 +165,23 @@
     lane.weight = max(item.weight, 1) if queue.fair else 1
     queue.arrivals += 1
     lane.last_arrival = queue.arrivals
-    rank = (_RANK[item.priority], item.deadline_ms, queue.arrivals)
-    heapq.heappush(lane.heap, (*rank, item))
+    rank = _RANK[item.priority] if queue.by_priority else 0
+    row = (rank, False, item.deadline_ms, queue.arrivals, item)
+    heapq.heappush(lane.heap, row)
     if length(queue) <= queue.limit:
         return None
     return _displace(queue)
 
 
-def take(queue: Queue) -> Item | None:
+def take(queue: Queue, now_ms: int) -> Item | None:
     """Remove the item that goes next and count it as running.
 
     Parameters
     ----------
     queue
         Changed in place.
+    now_ms
+        The process's clock in milliseconds.
 
     Returns
     -------
@@ -170,6 +189,11 @@
         None when nothing waits that may have a free slot.
     """
     free = queue.slots - running(queue)
+    if free < 1:
+        return None
+    if queue.late_last:
+        for lane in queue.lanes.values():
+            _put_late_last(lane, now_ms)
     waiting = [
         (lane.clock, name)
         for name, lane in queue.lanes.items()
@@ -255,6 +279,15 @@
     return False
 
 
+def _put_late_last(lane: _Lane, now_ms: int) -> None:
+    while lane.heap:
+        rank, late, deadline_ms, arrival, item = lane.heap[0]
+        if late or item.late_ms > now_ms:
+            return
+        row = (rank, True, deadline_ms, arrival, item)
+        heapq.heapreplace(lane.heap, row)
+
+
 def _displace(queue: Queue) -> Item:
     lane = max(
         (lane for lane in queue.lanes.values() if lane.heap),
--- a/bilberryramp/decisions/call_messages.py
+++ b/bilberryramp/decisions/call_messages.py
@@ -59,6 +59,8 @@
         Whether an upstream was lost while running this request before.
     budget_ms
         Time left until its deadline, in milliseconds.
+    first_token_in_ms
+        Time left until its answer should begin, in milliseconds.
     tokens
         Estimated cost in tokens, prompt and answer together.
     credit
@@ -82,6 +84,7 @@
     idempotency_key: str
     suspect: bool
     budget_ms: int
+    first_token_in_ms: int
     tokens: int
     credit: int
     traceparent: str
--- a/bilberryramp/decisions/entry_attempts.py
+++ b/bilberryramp/decisions/entry_attempts.py
@@ -123,6 +123,7 @@
         idempotency_key=request.idempotency_key,
         suspect=request.fingerprint in entry.view.quarantine,
         budget_ms=max(call.deadline_ms - now_ms, 0),
+        first_token_in_ms=call.began_ms + route.first_token_ms - now_ms,
         tokens=request.tokens,
         credit=entry.cfg.credit_chunks,
         traceparent=request.traceparent,
--- a/bilberryramp/decisions/routing.py
+++ b/bilberryramp/decisions/routing.py
@@ -6,7 +6,9 @@
 """
 
 import dataclasses
+import functools
 import hashlib
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -124,7 +126,7 @@
     return choose
 
 
-def _make_affinity() -> Policy:
+def _make_affinity(slack: float = AFFINITY_SLACK) -> Policy:
     fallback = _make_power_of_two()
 
     def choose(found, affinity_key, rng):
@@ -132,7 +134,7 @@
             return fallback(found, affinity_key, rng)
         favourite = max(found, key=lambda c: _score(affinity_key, c))
         least = min(candidate.load for candidate in found)
-        if favourite.load <= least + AFFINITY_SLACK:
+        if favourite.load <= least + slack:
             return favourite
         return fallback(found, affinity_key, rng)
 
@@ -150,4 +152,5 @@
     "least_loaded": _make_least_loaded,
     "power_of_two": _make_power_of_two,
     "affinity": _make_affinity,
+    "affinity_unbounded": functools.partial(_make_affinity, math.inf),
 }
--- a/bilberryramp/decisions/tables.py
+++ b/bilberryramp/decisions/tables.py
@@ -90,6 +90,8 @@
         What to do once the freshness lease has expired.
     deadline_ms
         Deadline for requests that name none, in milliseconds.
+    first_token_ms
+        Time in which an answer should begin, in milliseconds.
     """
 
     name: str
@@ -105,6 +107,7 @@
     repeat_never: bool = False
     when_stale: StaleRule = StaleRule.REFUSE
     deadline_ms: int = 120_000
+    first_token_ms: int = 430
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -246,9 +249,11 @@
         yield Problem(f"{path}.pool", route.pool, "the name of a pool")
     if not route.service:
         yield Problem(f"{path}.service", "", "a group of upstreams")
-    if route.deadline_ms < 1:
-        seen = str(route.deadline_ms)
-        yield Problem(f"{path}.deadline_ms", seen, "milliseconds above 0")
+    for field in ("deadline_ms", "first_token_ms"):
+        number = getattr(route, field)
+        if number < 1:
+            seen = str(number)
+            yield Problem(f"{path}.{field}", seen, "milliseconds above 0")
     if route.kind == RouteKind.SERVICE:
         if not route.path_prefix.startswith("/services/"):
             expected = "a path below /services/"
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -234,6 +234,7 @@
         "idempotency_key": "",
         "suspect": False,
         "budget_ms": 10_000,
+        "first_token_in_ms": 430,
         "tokens": 10,
         "credit": 8,
         "traceparent": "",
--- a/bilberryramp/decisions/tests/test_path_fuzz.py
+++ b/bilberryramp/decisions/tests/test_path_fuzz.py
@@ -112,7 +112,7 @@
         stateful.run_state_machine_as_test(PathMachine, settings=SETTINGS)
 
     def test_random_runs(self):
-        # 1008 and 1012: resends refused before their key was looked up.
+        # 1008, 1012: resends refused before their key was looked up.
         for seed in (*range(6), 1008, 1012):
             with self.subTest(seed=seed):
                 run(seed, 2500)
--- a/bilberryramp/decisions/tests/test_upstream_work.py
+++ b/bilberryramp/decisions/tests/test_upstream_work.py
@@ -143,6 +143,7 @@
 class AdmissionTest(unittest.TestCase):
     def item(self, key, pool, weight=1, tokens=10, **changes):
         fields = {"priority": tables.Priority.NORMAL, "deadline_ms": 100}
+        fields["late_ms"] = 1000
         return admission.Item(key, pool, weight, tokens, **(fields | changes))
 
     def fill(self, queue, pool, count, **changes):
@@ -151,20 +152,30 @@
             for n in range(count)
         ]
 
+    def test_what_is_late_goes_behind_what_can_begin_in_time(self):
+        queue = admission.new_queue(10, slots=10)
+        for key, late_ms in (("a", 5), ("b", 50), ("c", 8), ("d", 60)):
+            admission.offer(queue, self.item(key, "p", late_ms=late_ms))
+        urgent = tables.Priority.URGENT
+        urgent_late = self.item("u", "p", late_ms=1, priority=urgent)
+        admission.offer(queue, urgent_late)
+        taken = [admission.take(queue, 20).key for _ in range(5)]
+        self.assertEqual(taken, ["u", "b", "d", "a", "c"])
+
     def test_pools_share_by_weight(self):
         queue = admission.Queue(100, slots=100)
         self.fill(queue, "a", 30, weight=3)
         self.fill(queue, "b", 30, weight=1)
-        taken = [admission.take(queue).pool for _ in range(20)]
+        taken = [admission.take(queue, 0).pool for _ in range(20)]
         self.assertEqual(taken.count("a"), 15)
 
     def test_idle_share_is_lent_and_not_saved_up(self):
         queue = admission.Queue(100, slots=100)
         self.fill(queue, "a", 10)
         for _ in range(6):
-            admission.take(queue)
+            admission.take(queue, 0)
         self.fill(queue, "b", 10)
-        taken = [admission.take(queue).pool for _ in range(8)]
+        taken = [admission.take(queue, 0).pool for _ in range(8)]
         self.assertEqual(taken.count("b"), 4)
 
     def test_full_queue_displaces_from_the_largest_holder(self):
@@ -182,7 +193,7 @@
         admission.offer(queue, self.item("y", "a", deadline_ms=90))
         admission.offer(queue, self.item("z", "a", deadline_ms=50))
         admission.offer(queue, self.item("w", "a", priority=urgent))
-        taken = [admission.take(queue).key for _ in range(4)]
+        taken = [admission.take(queue, 0).key for _ in range(4)]
         self.assertEqual(taken, ["w", "z", "y", "x"])
 
     def test_removed_item_does_not_run(self):
@@ -190,23 +201,23 @@
         self.fill(queue, "a", 2)
         self.assertTrue(admission.remove(queue, "a0"))
         self.assertFalse(admission.remove(queue, "a0"))
-        self.assertEqual(admission.take(queue).key, "a1")
-        self.assertIsNone(admission.take(queue))
+        self.assertEqual(admission.take(queue, 0).key, "a1")
+        self.assertIsNone(admission.take(queue, 0))
 
     def test_last_slots_are_kept_for_pools_below_their_share(self):
         queue = admission.new_queue(100, slots=24)
         self.fill(queue, "b", 1)
-        admission.take(queue)
+        admission.take(queue, 0)
         admission.finish(queue, "b")
         self.fill(queue, "a", 30)
         for _ in range(22):
-            self.assertEqual(admission.take(queue).pool, "a")
-        self.assertIsNone(admission.take(queue))
+            self.assertEqual(admission.take(queue, 0).pool, "a")
+        self.assertIsNone(admission.take(queue, 0))
         admission.offer(queue, self.item("b9", "b"))
-        self.assertEqual(admission.take(queue).pool, "b")
+        self.assertEqual(admission.take(queue, 0).pool, "b")
 
     def test_pool_alone_may_have_every_slot(self):
         queue = admission.new_queue(100, slots=24)
         self.fill(queue, "a", 30)
-        taken = [admission.take(queue) for _ in range(25)]
+        taken = [admission.take(queue, 0) for _ in range(25)]
         self.assertEqual(taken.count(None), 1)
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream_work.py
@@ -220,6 +220,7 @@
         tokens=dispatch.tokens,
         priority=dispatch.priority,
         deadline_ms=deadline_ms,
+        late_ms=now_ms + dispatch.first_token_in_ms,
     )
     displaced = admission.offer(state.queue, item)
     if displaced is not None:
@@ -227,7 +228,7 @@
     if dispatch.attempt_id in state.works:
         key = QUEUE_WAIT_KEY + dispatch.attempt_id
         yield effects.SetTimer(key, 0, deadline_ms)
-    yield from _start_waiting(state)
+    yield from _start_waiting(state, now_ms)
 
 
 def _refusal(state, dispatch) -> errors.CallFailure | None:
@@ -302,8 +303,8 @@
 # Running.
 
 
-def _start_waiting(state: UpstreamState) -> Iterator:
-    while (item := admission.take(state.queue)) is not None:
+def _start_waiting(state: UpstreamState, now_ms: int) -> Iterator:
+    while (item := admission.take(state.queue, now_ms)) is not None:
         yield from _start(state, item)
 
 
@@ -341,7 +342,7 @@
         model = work.dispatch.model
         state.orders.running[model] -= 1
         yield from model_orders.note_idle(state.orders, now_ms, model)
-    yield from _start_waiting(state)
+    yield from _start_waiting(state, now_ms)
     yield from _check_stop(state, now_ms)
 
 
@@ -413,7 +414,7 @@
         yield from _follow_placement(state, now_ms)
     if came_back:
         yield upstream_messages.ReportDue()
-    yield from _start_waiting(state)
+    yield from _start_waiting(state, now_ms)
 
 
 def _on_engine_lost(state: UpstreamState, _now_ms: int, _message) -> Iterator:
--- a/bilberryramp/loadgen/outcomes.py
+++ b/bilberryramp/loadgen/outcomes.py
@@ -15,6 +15,7 @@
     "new_outcomes",
     "offer",
     "p95_ms",
+    "urgent_share",
 ]
 
 _HIGHEST_US = 3_600_000_000
@@ -30,6 +31,8 @@
         HdrHistograms in microseconds, from the intended start.
     moves
         Replicas placed after the first placement.
+    offered_urgent, attained_urgent
+        Requests of urgent routes.
     offered_by, attained_by
         Requests by group, which is the pool in virtual runs.
     """
@@ -42,6 +45,8 @@
     refused: int = 0
     failed: int = 0
     moves: int = 0
+    offered_urgent: int = 0
+    attained_urgent: int = 0
     offered_by: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -70,17 +75,18 @@
     )
 
 
-def offer(outcomes: Outcomes, group: str) -> None:
+def offer(outcomes: Outcomes, group: str, urgent: bool = False) -> None:
     """Count a request that was sent.
 
     Parameters
     ----------
     outcomes
         Changed in place.
-    group
-        The group it belongs to.
+    group, urgent
+        The group it belongs to, and whether its route is urgent.
     """
     outcomes.offered += 1
+    outcomes.offered_urgent += urgent
     outcomes.offered_by[group] += 1
 
 
@@ -112,6 +118,7 @@
     group: str,
     first_token_ms: float,
     between_tokens_ms: float,
+    urgent: bool = False,
 ) -> None:
     """Count a request that was answered.
 
@@ -125,6 +132,8 @@
         From the intended start to the first token.
     between_tokens_ms
         Mean time between tokens.
+    urgent
+        Whether its route is urgent.
     """
     load = outcomes.load
     outcomes.first_token.record_value(max(int(first_token_ms * 1e3), 1))
@@ -134,9 +143,15 @@
         and between_tokens_ms <= load.between_tokens_ms
     )
     outcomes.attained += met
+    outcomes.attained_urgent += met and urgent
     outcomes.attained_by[group] += met
 
 
+def urgent_share(outcomes: Outcomes) -> float:
+    """Return the attained part of the urgent requests, from 0 to 1."""
+    return outcomes.attained_urgent / max(outcomes.offered_urgent, 1)
+
+
 def attained_share(outcomes: Outcomes) -> float:
     """Return the part of all requests offered that met both targets."""
     return outcomes.attained / max(outcomes.offered, 1)
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -29,11 +29,17 @@
     role_messages,
     route_index,
     routing,
+    tables,
     upstream_messages,
     upstream_work,
     views,
 )
-from bilberryramp.loadgen import deployment, outcomes, workload
+from bilberryramp.loadgen import (
+    deployment,
+    outcomes,
+    virtual_engine,
+    workload,
+)
 
 __all__ = [
     "Event",
@@ -64,6 +70,10 @@
         spare memory is filled evenly with further replicas.
     fair
         Whether queues share between pools.
+    by_priority, late_last
+        Whether queues follow priorities and put late requests last.
+    retry_ratio, retry_burst
+        As in `entry_state.EntrySettings`.
     demand_cfg
         In place of the deployment's settings, if not None.
     boundless
@@ -73,6 +83,10 @@
     routing: str = "affinity"
     follow_demand: bool = True
     fair: bool = True
+    by_priority: bool = True
+    late_last: bool = True
+    retry_ratio: float = 0.1
+    retry_burst: float = 20.0
     demand_cfg: demand.DemandSettings | None = None
     boundless: bool = False
 
@@ -85,45 +99,6 @@
     act: Callable[["VirtualRun"], None]
 
 
-@dataclasses.dataclass(slots=True)
-class _Job:
-    """A request on an engine; work in seconds of an engine alone."""
-
-    arrival: workload.Arrival
-    start: upstream_messages.StartRun
-    first_at: float
-    done_at: float
-    first_ms: float = -1.0
-
-
-@dataclasses.dataclass(slots=True)
-class _Engine:
-    """Continuous batching: all requests advance at one shared speed.
-
-    Attributes
-    ----------
-    work
-        Work done for each request present since the start, in seconds.
-    due
-        Requests by the work at which their next event is due.
-    turn
-        Outdates events that were planned before the crowd changed.
-    """
-
-    state: upstream_work.UpstreamState
-    up: bool = True
-    loading: set[str] = dataclasses.field(default_factory=set)
-    held: set[str] = dataclasses.field(default_factory=set)
-    prefixes: collections.OrderedDict = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-    jobs: dict[str, _Job] = dataclasses.field(default_factory=dict)
-    due: list[tuple[float, str]] = dataclasses.field(default_factory=list)
-    work: float = 0.0
-    seen_ms: float = 0.0
-    turn: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class VirtualRun:
     """State of a run; times in milliseconds from its start."""
@@ -131,7 +106,7 @@
     plan: deployment.Deployment
     policy: PolicySettings
     control: control_state.ControlState
-    engines: dict[str, _Engine]
+    engines: dict[str, virtual_engine.Engine]
     entries: list[entry_state.Entry]
     tally: outcomes.Outcomes
     watch: demand.Watch
@@ -172,7 +147,12 @@
     )
     entries = [
         entry_state.Entry(
-            cfg=entry_state.EntrySettings(f"e{number}", policy.routing),
+            cfg=entry_state.EntrySettings(
+                f"e{number}",
+                policy.routing,
+                retry_ratio=policy.retry_ratio,
+                retry_burst=policy.retry_burst,
+            ),
             chart=chart,
             rng=random.Random(f"{seed}/e{number}"),
             view=state.view,
@@ -258,7 +238,7 @@
         upstream = engine.state.upstream
         if upstream.failure_domain != domain:
             continue
-        _catch_up(run_, engine)
+        virtual_engine.catch_up(engine, run_.now_ms)
         engine.up = engine.state.engine_up = False
         engine.held.clear()
         for attempt_id in list(engine.jobs):
@@ -318,13 +298,18 @@
             run_.plan.speed.slots,
         )
         queue = admission.new_queue(
-            run_.plan.queue_limit, run_.plan.speed.slots, run_.policy.fair
+            run_.plan.queue_limit,
+            run_.plan.speed.slots,
+            run_.policy.fair,
+            run_.policy.by_priority,
+            run_.policy.late_last,
         )
         state = upstream_work.UpstreamState(
             upstream, run_.control.view, queue, None
         )
         state.fresh = state.engine_up = True
-        run_.engines[upstream.upstream_id] = _Engine(state)
+        engine = virtual_engine.Engine(state, run_.plan.speed)
+        run_.engines[upstream.upstream_id] = engine
         _commit(run_, commands.JoinUpstream(upstream))
 
 
@@ -429,7 +414,7 @@
     run_.serial += 1
     request_id = f"r{run_.serial}"
     run_.arrivals[request_id] = arrival
-    outcomes.offer(run_.tally, _pool_of(run_, arrival.model))
+    outcomes.offer(run_.tally, *_groups_of(run_, arrival.model))
     request = entry_messages.CallerRequest(
         request_id=request_id,
         model=arrival.model,
@@ -449,9 +434,11 @@
     _entry_step(run_, entry, message)
 
 
-def _pool_of(run_: VirtualRun, model: str) -> str:
+def _groups_of(run_: VirtualRun, model: str) -> tuple[str, bool]:
     route = route_index.model_route(run_.entries[0].index, model)
-    return route.pool if route else ""
+    if route is None:
+        return "", False
+    return route.pool, route.priority == tables.Priority.URGENT
 
 
 def _entry_step(run_: VirtualRun, entry, message) -> None:
@@ -510,14 +497,18 @@
     _engine_step(run_, engine, message)
 
 
-def _engine_refusal(engine: _Engine, frame) -> errors.CallFailure | None:
+def _engine_refusal(
+    engine: virtual_engine.Engine, frame
+) -> errors.CallFailure | None:
     if engine.up and frame.model not in engine.held:
         code = errors.FailureCode.NOT_RESIDENT
         return errors.call_failure(code, "the model is not resident")
     return None
 
 
-def _engine_step(run_: VirtualRun, engine: _Engine, message) -> None:
+def _engine_step(
+    run_: VirtualRun, engine: virtual_engine.Engine, message
+) -> None:
     tally = upstream_work.step(engine.state, int(run_.now_ms), message)
     for effect in list(tally):
         if isinstance(effect, effects.Send):
@@ -529,7 +520,7 @@
             _start_job(run_, engine, effect)
         elif isinstance(effect, upstream_messages.CancelRun):
             if effect.attempt_id in engine.jobs:
-                _catch_up(run_, engine)
+                virtual_engine.catch_up(engine, run_.now_ms)
                 _end_job(run_, engine, effect.attempt_id, cancelled=True)
         elif isinstance(effect, effects.SetTimer):
             fired = role_messages.TimerFired(effect.key, effect.token)
@@ -546,77 +537,36 @@
 # The engine.
 
 
-def _start_job(run_: VirtualRun, engine: _Engine, start) -> None:
-    _catch_up(run_, engine)
-    speed = run_.plan.speed
+def _start_job(run_: VirtualRun, engine, start) -> None:
     arrival = run_.arrivals[start.dispatch.request_id]
-    prefill_s = arrival.prompt_tokens / speed.prefill_tokens_per_s
-    if _prefix_hit(engine, speed, arrival):
-        prefill_s *= speed.cached_prefill
-    first_at = engine.work + prefill_s
-    answer_s = arrival.answer_tokens * speed.between_tokens_ms / 1e3
-    job = _Job(arrival, start, first_at, first_at + answer_s)
-    attempt_id = start.dispatch.attempt_id
-    engine.jobs[attempt_id] = job
-    heapq.heappush(engine.due, (job.first_at, attempt_id))
-    heapq.heappush(engine.due, (job.done_at, attempt_id))
+    virtual_engine.start(engine, run_.now_ms, arrival, start)
     _plan_next(run_, engine)
 
 
-def _prefix_hit(engine: _Engine, speed, arrival) -> bool:
-    key = (arrival.model, arrival.prefix)
-    hit = key in engine.prefixes
-    engine.prefixes[key] = None
-    engine.prefixes.move_to_end(key)
-    if len(engine.prefixes) > speed.cached_prefixes:
-        engine.prefixes.popitem(last=False)
-    return hit
-
-
-def _slowdown(run_: VirtualRun, engine: _Engine) -> float:
-    crowd = max(len(engine.jobs) - 1, 0)
-    return 1.0 + run_.plan.speed.crowding * crowd
-
-
-def _catch_up(run_: VirtualRun, engine: _Engine) -> None:
-    passed_s = (run_.now_ms - engine.seen_ms) / 1e3
-    if engine.jobs:
-        engine.work += passed_s / _slowdown(run_, engine)
-    engine.seen_ms = run_.now_ms
-
-
-def _plan_next(run_: VirtualRun, engine: _Engine) -> None:
-    engine.turn += 1
-    while engine.due and engine.due[0][1] not in engine.jobs:
-        heapq.heappop(engine.due)
-    if engine.due:
-        left_s = max(engine.due[0][0] - engine.work, 0.0)
-        at_ms = run_.now_ms + left_s * _slowdown(run_, engine) * 1e3
-        _at(run_, at_ms, _advance, (engine, engine.turn))
+def _plan_next(run_: VirtualRun, engine) -> None:
+    due_ms = virtual_engine.next_due_ms(engine, run_.now_ms)
+    if due_ms is not None:
+        _at(run_, due_ms, _advance, (engine, engine.turn))
 
 
 def _advance(run_: VirtualRun, what: tuple) -> None:
     engine, turn = what
     if turn != engine.turn:
         return
-    _catch_up(run_, engine)
-    due_work, attempt_id = heapq.heappop(engine.due)
-    engine.work = max(engine.work, due_work)
-    job = engine.jobs[attempt_id]
-    if job.first_ms < 0:
-        job.first_ms = run_.now_ms
+    job = virtual_engine.advance(engine, run_.now_ms)
+    if job is None:
         _plan_next(run_, engine)
         return
     _count_whole(run_, job)
-    _end_job(run_, engine, attempt_id)
+    _end_job(run_, engine, job.start.dispatch.attempt_id)
 
 
-def _count_whole(run_: VirtualRun, job: _Job) -> None:
+def _count_whole(run_: VirtualRun, job: virtual_engine.Job) -> None:
     first_ms = job.first_ms - job.arrival.at_s * 1e3
     tokens = max(job.arrival.answer_tokens, 1)
     between_ms = (run_.now_ms - job.first_ms) / tokens
-    pool = _pool_of(run_, job.arrival.model)
-    outcomes.add(run_.tally, pool, first_ms, between_ms)
+    pool, urgent = _groups_of(run_, job.arrival.model)
+    outcomes.add(run_.tally, pool, first_ms, between_ms, urgent)
 
 
 def _end_job(run_, engine, attempt_id, crashed=False, cancelled=False):
--- a/bilberryramp/standins/tests/test_failures.py
+++ b/bilberryramp/standins/tests/test_failures.py
@@ -58,6 +58,15 @@
         self.start_again(leader)
         self.wait_in_service(leader)
 
+    def test_planned_stop_of_the_leader_hands_over(self):
+        before = self.accepted()
+        leader = builders.leader_of(self.cluster)
+        self.assertEqual(local_cluster.stop(self.cluster, leader), 0)
+        self.assertNotEqual(builders.leader_of(self.cluster), leader)
+        self.assertGreater(self.accepted(), before)
+        self.start_again(leader)
+        self.wait_in_service(leader)
+
     def test_frozen_leader_is_replaced_and_accepts_nothing(self):
         before = self.accepted()
         leader = builders.leader_of(self.cluster)
--- a/tools/experiments.py
+++ b/tools/experiments.py
@@ -22,6 +22,7 @@
 GREEDY = demand.DemandSettings(
     raise_margin=0.0, raise_after_ms=0, lower_after_ms=0
 )
+UNLIMITED = 1e9
 POLICIES = {
     "random": virtual.PolicySettings("random", False),
     "round_robin": virtual.PolicySettings("round_robin", False),
@@ -29,6 +30,12 @@
     "static_placement": virtual.PolicySettings("affinity", False),
     "greedy_placement": virtual.PolicySettings("affinity", demand_cfg=GREEDY),
     "no_shares": virtual.PolicySettings("affinity", fair=False),
+    "late_in_order": virtual.PolicySettings("affinity", late_last=False),
+    "no_priority": virtual.PolicySettings("affinity", by_priority=False),
+    "no_retry_budget": virtual.PolicySettings(
+        "affinity", retry_ratio=UNLIMITED, retry_burst=UNLIMITED
+    ),
+    "affinity_unbounded": virtual.PolicySettings("affinity_unbounded"),
     "no_affinity": virtual.PolicySettings("power_of_two"),
     "ours": virtual.PolicySettings("affinity"),
     "bound": virtual.PolicySettings("affinity", False, boundless=True),
@@ -39,6 +46,7 @@
 class Reading:
     attained: float
     least: float
+    urgent: float
     per_accelerator: float
     moves: int
     first_ms: float
@@ -57,6 +65,7 @@
     return Reading(
         attained=outcomes.attained_share(tally) * 100,
         least=outcomes.least_share(tally, flooded) * 100,
+        urgent=outcomes.urgent_share(tally) * 100,
         per_accelerator=tally.attained / accelerators / made.load.duration_s,
         moves=tally.moves,
         first_ms=outcomes.p95_ms(tally.first_token),
@@ -69,6 +78,7 @@
     name, scenario, policy = case
     shares = [r.attained for r in readings]
     least = statistics.mean(r.least for r in readings)
+    urgent = statistics.mean(r.urgent for r in readings)
     per = statistics.mean(r.per_accelerator for r in readings)
     moves = statistics.mean(r.moves for r in readings)
     first = statistics.mean(r.first_ms for r in readings)
@@ -81,6 +91,7 @@
         policy,
         f"{statistics.mean(shares):.1f} ({spread})",
         f"{least:.1f}",
+        f"{urgent:.1f}",
         f"{per:.3f}",
         f"{moves:.1f}",
         f"{first:.0f}",
@@ -100,11 +111,11 @@
         readings = list(pool.map(run_one, jobs))
     print(
         "| deployment | scenario | policy | attained % (least-most) | "
-        "worst pool % | "
+        "worst pool % | urgent % | "
         "attained/s per accelerator | moves | p95 first token ms | "
         "p95 between tokens ms | refused % |"
     )
-    print("| --- " * 10 + "|")
+    print("| --- " * 11 + "|")
     count = _SEEDS.value
     for number, case in enumerate(cases):
         print(row(case, readings[number * count : (number + 1) * count]))
