--- a/bilberryramp/standins/local_cluster.py
+++ b/bilberryramp/standins/local_cluster.py
@@ -28,6 +28,7 @@
     "free_ports",
     "kill",
     "new_cluster",
+    "start_again",
     "start_controls",
     "start_program",
     "stop",
@@ -248,6 +249,20 @@
     cluster.processes[name] = Process(program, settings, child)
 
 
+def start_again(cluster: Cluster, name: str) -> None:
+    """Start a process that ended, with the settings it had.
+
+    Parameters
+    ----------
+    cluster
+        Changed in place.
+    name
+        The process.
+    """
+    known = cluster.processes[name]
+    start_program(cluster, name, known.program, known.settings)
+
+
 def stop(cluster: Cluster, name: str) -> int:
     """Stop a process gracefully.
 
--- a/bilberryramp/standins/tests/builders.py
+++ b/bilberryramp/standins/tests/builders.py
@@ -34,6 +34,17 @@
     return schema.StandinSettings(name, kind, **changes)
 
 
+def add_engines(made, **changes):
+    """Starts the engines that the example tables need."""
+    for name, service in (
+        ("desk-1", "drafting-desk"),
+        ("desk-2", "drafting-desk"),
+        ("letters-1", "letter-llm"),
+    ):
+        engine = standin(name, **changes)
+        local_cluster.add_upstream(made, engine, service)
+
+
 def submit(made, *args):
     return local_cluster.ctl(
         made,
--- a/bilberryramp/standins/tests/test_failures.py
+++ b/bilberryramp/standins/tests/test_failures.py
@@ -18,14 +18,7 @@
     @classmethod
     def setUpClass(cls):
         cls.cluster = builders.cluster(cls, controls=3)
-        for name, service in (
-            ("desk-1", "drafting-desk"),
-            ("desk-2", "drafting-desk"),
-            ("letters-1", "letter-llm"),
-        ):
-            local_cluster.add_upstream(
-                cls.cluster, builders.standin(name), service
-            )
+        builders.add_engines(cls.cluster)
         local_cluster.wait_for_upstreams(cls.cluster, 3)
 
     def accepted(self):
@@ -33,12 +26,6 @@
         self.assertEqual(reply.returncode, 0, reply.stdout + reply.stderr)
         return builders.status(self.cluster)["version"]
 
-    def start_again(self, name):
-        known = self.cluster.processes[name]
-        local_cluster.start_program(
-            self.cluster, name, known.program, known.settings
-        )
-
     def wait_in_service(self, name):
         control = next(
             c for c in self.cluster.controls if c.replica_id == name
@@ -55,7 +42,7 @@
         leader = builders.leader_of(self.cluster)
         local_cluster.kill(self.cluster, leader)
         self.assertGreater(self.accepted(), before)
-        self.start_again(leader)
+        local_cluster.start_again(self.cluster, leader)
         self.wait_in_service(leader)
 
     def test_planned_stop_of_the_leader_hands_over(self):
@@ -64,7 +51,7 @@
         self.assertEqual(local_cluster.stop(self.cluster, leader), 0)
         self.assertNotEqual(builders.leader_of(self.cluster), leader)
         self.assertGreater(self.accepted(), before)
-        self.start_again(leader)
+        local_cluster.start_again(self.cluster, leader)
         self.wait_in_service(leader)
 
     def test_frozen_leader_is_replaced_and_accepts_nothing(self):
@@ -95,11 +82,11 @@
         first, second = [name for name in names if name != leader]
         local_cluster.kill(self.cluster, first)
         shutil.rmtree(self.cluster.folder / f"data-{first}")
-        self.start_again(first)
+        local_cluster.start_again(self.cluster, first)
         self.wait_in_service(first)
         local_cluster.kill(self.cluster, second)
         self.assertGreater(self.accepted(), before)
-        self.start_again(second)
+        local_cluster.start_again(self.cluster, second)
         self.wait_in_service(second)
 
 
@@ -135,11 +122,9 @@
 
     def restart(self, *names):
         for name in names:
-            known = self.cluster.processes[name]
-            if known.child.poll() is not None:
-                local_cluster.start_program(
-                    self.cluster, name, known.program, known.settings
-                )
+            child = self.cluster.processes[name].child
+            if child.poll() is not None:
+                local_cluster.start_again(self.cluster, name)
 
     def begin_stream(self, port, words):
         """Starts a streamed answer and reads its first part."""
@@ -247,13 +232,7 @@
 
     def test_stream_is_read_on_and_arrives_whole(self):
         cluster = builders.cluster(type(self))
-        for name, service in (
-            ("desk-1", "drafting-desk"),
-            ("desk-2", "drafting-desk"),
-            ("letters-1", "letter-llm"),
-        ):
-            breaking = builders.standin(name, break_after=7)
-            local_cluster.add_upstream(cluster, breaking, service)
+        builders.add_engines(cluster, break_after=7)
         port = local_cluster.add_entry(cluster, "entry-1")
         local_cluster.wait_for_upstreams(cluster, 3)
         builders.submit(cluster)
@@ -275,13 +254,7 @@
 
     def test_slow_reader_is_cut_off(self):
         cluster = builders.cluster(type(self))
-        for name, service in (
-            ("desk-1", "drafting-desk"),
-            ("desk-2", "drafting-desk"),
-            ("letters-1", "letter-llm"),
-        ):
-            fast = builders.standin(name, tokens_per_s=1e6, first_token_ms=0)
-            local_cluster.add_upstream(cluster, fast, service)
+        builders.add_engines(cluster, tokens_per_s=1e6, first_token_ms=0)
         port = local_cluster.add_entry(cluster, "entry-1", slow_reader_ms=300)
         local_cluster.wait_for_upstreams(cluster, 3)
         builders.submit(cluster)
--- a/bilberryramp/standins/tests/test_in_force.py
+++ b/bilberryramp/standins/tests/test_in_force.py
@@ -25,14 +25,7 @@
     @classmethod
     def setUpClass(cls):
         cls.cluster = builders.cluster(cls, controls=3)
-        for name, service in (
-            ("desk-1", "drafting-desk"),
-            ("desk-2", "drafting-desk"),
-            ("letters-1", "letter-llm"),
-        ):
-            local_cluster.add_upstream(
-                cls.cluster, builders.standin(name), service
-            )
+        builders.add_engines(cls.cluster)
         cls.ports = {
             name: local_cluster.add_entry(cls.cluster, name)
             for name in ENTRIES
@@ -55,10 +48,7 @@
         piled = self.submit_many(PILED_UP)
         self.assertEqual(piled, first + PILED_UP)
         for name in down:
-            known = self.cluster.processes[name]
-            local_cluster.start_program(
-                self.cluster, name, known.program, known.settings
-            )
+            local_cluster.start_again(self.cluster, name)
         local_cluster.kill(self.cluster, leader)
         self.wait_in_force(ENTRIES, piled)
         last = self.submit_many(1)
--- a/bilberryramp/standins/tests/test_kill_points.py
+++ b/bilberryramp/standins/tests/test_kill_points.py
@@ -28,14 +28,7 @@
     @classmethod
     def setUpClass(cls):
         cls.cluster = builders.cluster(cls, controls=3)
-        for name, service in (
-            ("desk-1", "drafting-desk"),
-            ("desk-2", "drafting-desk"),
-            ("letters-1", "letter-llm"),
-        ):
-            local_cluster.add_upstream(
-                cls.cluster, builders.standin(name), service
-            )
+        builders.add_engines(cls.cluster)
         (cls.service_port,) = local_cluster.free_ports(1)
         ledger = builders.standin(
             "ledger-1",
@@ -82,12 +75,6 @@
                 return answer
         raise AssertionError(f"{key} never ended: {answer}")
 
-    def start_again(self, name):
-        known = self.cluster.processes[name]
-        local_cluster.start_program(
-            self.cluster, name, known.program, known.settings
-        )
-
     def runs(self, key):
         url = f"http://127.0.0.1:{self.service_port}/runs"
         with urllib.request.urlopen(url, timeout=5) as answer:
@@ -138,7 +125,7 @@
                 key = f"upstream-{point}"
                 victim = "upstream-ledger-1"
                 first = self.send_and_kill(self.port, key, point, victim)
-                self.start_again(victim)
+                local_cluster.start_again(self.cluster, victim)
                 self.check(key, first, self.resend(key))
 
     def test_service(self):
@@ -148,7 +135,7 @@
                 key = f"service-{point}"
                 victim = "standin-ledger-1"
                 first = self.send_and_kill(self.port, key, point, victim)
-                self.start_again(victim)
+                local_cluster.start_again(self.cluster, victim)
                 url = f"http://127.0.0.1:{self.service_port}/engine/state"
                 local_cluster.wait_http(url)
                 last = self.resend(key)
@@ -170,7 +157,7 @@
                     victim,
                     deadline_ms=LONG_DEADLINE_MS,
                 )
-                self.start_again(victim)
+                local_cluster.start_again(self.cluster, victim)
                 last = self.resend(key)
                 self.check(key, first, last)
                 # An answer under way does not wait for control.
