--- /dev/null
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -0,0 +1,247 @@
+"""Types of a client's request on its way through an entry."""
+
+import dataclasses
+import enum
+
+from bilberryramp.decisions.fleet import documents, sharing
+
+__all__ = [
+    "AnswerBegun",
+    "Arrived",
+    "AttemptOver",
+    "Call",
+    "CallLeft",
+    "End",
+    "Fail",
+    "Failure",
+    "PassOn",
+    "Prompt",
+    "Refusal",
+    "Refuse",
+    "Request",
+    "SendCall",
+    "Wanted",
+]
+
+
+class End(enum.Enum):
+    """How an attempt at an upstream ended."""
+
+    DELIVERED = "delivered"
+    """The client has the whole answer."""
+    NOT_RUN = "not_run"
+    """The upstream said that it did not run the request."""
+    ABSENT = "absent"
+    """The upstream is another one, or lacks the model or adapter."""
+    UNREACHABLE = "unreachable"
+    """Nothing was sent, since no connection came about."""
+    BROKEN = "broken"
+    """The answer did not come, or not whole; the request may have run."""
+    FAILED = "failed"
+    """The upstream ran the request and reported a failure."""
+    CUT = "cut"
+    """A part of the answer had been passed on when it broke."""
+    LATE = "late"
+    """The time allowed ran out."""
+
+
+class Refusal(enum.Enum):
+    """Why a request was refused without being run."""
+
+    NO_DOCUMENT = "no_document"
+    NO_ROUTE = "no_route"
+    NO_UPSTREAM = "no_upstream"
+    NO_MODEL = "no_model"
+    OVERLOADED = "overloaded"
+    TOO_LATE = "too_late"
+    UPSTREAM_FULL = "upstream_full"
+    STOPPING = "stopping"
+
+
+class Failure(enum.Enum):
+    """Why a request that may have run has no answer."""
+
+    BROKEN = "broken"
+    LATE = "late"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Prompt:
+    """What a request to a model engine says of its size.
+
+    Attributes
+    ----------
+    model, adapter
+        `adapter` is empty for the model itself.
+    tokens_in, tokens_out
+        Tokens of the prompt, and at most of the answer.
+    parts
+        Pieces of the prompt in order.
+    """
+
+    model: str
+    adapter: str
+    tokens_in: int
+    tokens_out: int
+    parts: tuple[sharing.Part, ...]
+
+    @property
+    def weights(self) -> str:
+        """Model and adapter in one name."""
+        return f"{self.model}/{self.adapter}" if self.adapter else self.model
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Request:
+    """A client's request as decisions need it.
+
+    Attributes
+    ----------
+    patience_ms
+        How long the client will wait from its sending; -1 if not told.
+    prompt
+        None for requests to plain services.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    patience_ms: int
+    prompt: Prompt | None
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """Machine of one request.
+
+    Attributes
+    ----------
+    deadline_ms
+        When the client or the route gives up.
+    upstream_id
+        Where the current attempt goes.
+    sends, attempts
+        How often it was sent, and to how many upstreams that may have run
+        it.
+    need_tokens, unread_tokens
+        What the current attempt is charged at its upstream.
+    why
+        Why it waits, for the log and the refusal.
+    """
+
+    call_id: int
+    request: Request
+    route: documents.Route
+    service: str
+    arrived_ms: int
+    deadline_ms: int
+    key: str = ""
+    phase: str = "waiting"
+    timer: int = 0
+    upstream_id: str = ""
+    sends: int = 0
+    attempts: int = 0
+    tried: set = dataclasses.field(default_factory=set)
+    need_tokens: int = 0
+    unread_tokens: int = 0
+    sent_ms: int = 0
+    why: Refusal = Refusal.OVERLOADED
+    asked_ms: int = -(10**9)
+
+
+# Messages to the entry's decisions.
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrived:
+    """A client's request was read whole."""
+
+    call_id: int
+    request: Request
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerBegun:
+    """The first bytes of an answer came from the upstream."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AttemptOver:
+    """An attempt ended."""
+
+    call_id: int
+    end: End
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallLeft:
+    """The client closed its connection."""
+
+    call_id: int
+
+
+# Effects.
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SendCall:
+    """Send the request to an upstream.
+
+    Attributes
+    ----------
+    allowed_ms
+        Time that the upstream may take.
+    urgency
+        Rank for the upstream's own queue; 0 is first.
+    send
+        1 for the first sending.
+    """
+
+    call_id: int
+    upstream_id: str
+    address: str
+    allowed_ms: int
+    urgency: int
+    send: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refuse:
+    """Tell the client that the request was not run and will not be."""
+
+    call_id: int
+    reason: Refusal
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fail:
+    """Tell the client that the outcome is not known."""
+
+    call_id: int
+    reason: Failure
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PassOn:
+    """Give the client the failure that the upstream reported."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Wanted:
+    """Asks the orderer of engines for a model or adapter.
+
+    Attributes
+    ----------
+    upstream_id
+        Where; empty to leave the choice to the orderer.
+    """
+
+    service: str
+    upstream_id: str
+    model: str
+    adapter: str
--- /dev/null
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -0,0 +1,612 @@
+"""The entry's decisions: from a request's arrival to its end.
+
+The role is a function from (gateway, now, message) to effects. A call's
+states come from ``charts/exchange.yaml``.
+"""
+
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from bilberryramp.decisions import charting
+from bilberryramp.decisions.fleet import (
+    calls,
+    documents,
+    health,
+    hosts,
+    presence,
+    retry_budget,
+    scheduling,
+    sharing,
+)
+
+__all__ = [
+    "DocumentInForce",
+    "Gateway",
+    "HoldingLearned",
+    "Tick",
+    "Trace",
+    "actions",
+    "guards",
+    "is_idle",
+    "is_ready",
+    "step",
+]
+
+# How often one request may be sent in all, counting sends to upstreams that
+# did not run it.
+MAX_SENDS = 4
+# A call waits at least this long between two asks for the same model.
+ASK_AGAIN_MS = 300
+# A call must have this much time left to be sent at all.
+LEAST_TIME_MS = 60
+# Bounds of what clients are told to wait before they come back.
+LEAST_RETRY_AFTER_MS = 200
+MOST_RETRY_AFTER_MS = 2000
+# How many waiting calls are looked at when room may have come free.
+QUEUE_SCAN = 64
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DocumentInForce:
+    """A newer document is in force."""
+
+    doc: documents.Document
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HoldingLearned:
+    """An engine now holds, or no longer holds, a model or adapter."""
+
+    upstream_id: str
+    model: str
+    adapter: str
+    held: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Trace:
+    """A decision for the log, with the inputs that led to it."""
+
+    name: str
+    fields: dict
+
+
+@dataclasses.dataclass(slots=True)
+class Gateway:
+    """State of one entry.
+
+    Attributes
+    ----------
+    node_count
+        Entries that share the retry budget, this one included.
+    """
+
+    address: str
+    exchange_chart: charting.Chart
+    health_chart: charting.Chart
+    rng: random.Random
+    table: presence.Table
+    budget_limits: retry_budget.Limits
+    loads: sharing.Loads = dataclasses.field(default_factory=sharing.Loads)
+    doc: documents.Document | None = None
+    index: hosts.HostIndex | None = None
+    active: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
+    queue: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
+    judged: dict[str, health.Health] = dataclasses.field(default_factory=dict)
+    budgets: dict[str, retry_budget.Budget] = dataclasses.field(
+        default_factory=dict
+    )
+    full_until: dict[str, int] = dataclasses.field(default_factory=dict)
+    node_count: int = 1
+
+
+def is_ready(gw: Gateway) -> bool:
+    """Tell whether the entry holds a document and so can serve."""
+    return gw.doc is not None
+
+
+def is_idle(gw: Gateway) -> bool:
+    """Tell whether no call is in progress."""
+    return not gw.active
+
+
+def step(gw: Gateway, now_ms: int, message) -> Iterator:
+    """Handle one message.
+
+    Parameters
+    ----------
+    gw
+        Changed in place.
+    now_ms
+        The present.
+    message
+        One of this module's or of `calls`, an `Announcement` or a `Report`.
+
+    Yields
+    ------
+    effect
+        Effects of `calls`, `Trace` and `Report`.
+    """
+    yield from _HANDLERS[type(message)](gw, now_ms, message)
+
+
+# What the entry knows.
+
+
+def _on_document(gw: Gateway, now_ms: int, message) -> Iterator:
+    if gw.doc is not None and message.doc.version <= gw.doc.version:
+        return
+    gw.doc = message.doc
+    gw.index = hosts.build(message.doc)
+    yield from _serve_queue(gw, now_ms)
+
+
+def _on_announcement(gw: Gateway, now_ms: int, told) -> Iterator:
+    known = gw.table.upstreams.get(told.upstream_id)
+    was = known is not None and known.leaving_since_ms < 0
+    if not presence.note(gw.table, told, now_ms):
+        return
+    known = gw.table.upstreams[told.upstream_id]
+    leaving = known.leaving_since_ms >= 0
+    if was == leaving or known.last.seq == 1:
+        yield Trace(
+            "upstream.leaving" if leaving else "upstream.seen",
+            {
+                "upstream": told.upstream_id,
+                "service": told.service,
+                "address": told.address,
+                "seq": told.seq,
+                "born_ms": told.born_ms,
+            },
+        )
+    if gw.queue:
+        yield from _serve_queue(gw, now_ms)
+
+
+def _on_holding(gw: Gateway, now_ms: int, told: HoldingLearned) -> Iterator:
+    change = presence.note_held if told.held else presence.forget_held
+    change(gw.table, told.upstream_id, told.model, told.adapter)
+    if told.held:
+        yield from _serve_queue(gw, now_ms)
+
+
+def _on_report(gw: Gateway, now_ms: int, report: sharing.Report) -> Iterator:
+    sharing.note_report(gw.loads, report, _cache_tokens(gw), now_ms)
+    if gw.queue:
+        yield from _serve_queue(gw, now_ms)
+
+
+def _on_tick(gw: Gateway, now_ms: int, _message) -> Iterator:
+    presence.drop_gone(gw.table, now_ms)
+    yield from _serve_queue(gw, now_ms)
+    report = sharing.report_due(gw.loads, gw.address, now_ms)
+    if report is not None:
+        yield report
+
+
+def _cache_tokens(gw: Gateway) -> int:
+    services = gw.doc.services.values() if gw.doc is not None else ()
+    sizes = (s.engine.kv_tokens for s in services if s.engine is not None)
+    return max(sizes, default=0)
+
+
+# The life of a call.
+
+
+def _on_arrived(gw: Gateway, now_ms: int, message: calls.Arrived) -> Iterator:
+    req = message.request
+    if gw.doc is None:
+        yield from _refuse(
+            message.call_id,
+            req,
+            calls.Refusal.NO_DOCUMENT,
+            LEAST_RETRY_AFTER_MS,
+        )
+        return
+    route = hosts.find(gw.index, req.host, req.path)
+    if route is None:
+        yield from _refuse(message.call_id, req, calls.Refusal.NO_ROUTE, 0)
+        return
+    allowed_ms = route.timeout_ms
+    if req.patience_ms >= 0:
+        allowed_ms = min(allowed_ms, req.patience_ms)
+    call = calls.Call(
+        message.call_id,
+        req,
+        route,
+        hosts.pick_service(route, gw.rng),
+        now_ms,
+        now_ms + allowed_ms,
+    )
+    gw.active[call.call_id] = call
+    gw.queue[call.call_id] = call
+    yield from _try_place(gw, now_ms, call)
+    if call.phase == "waiting":
+        yield from _refuse_if_hopeless(gw, now_ms, call)
+
+
+def _on_answer_begun(gw: Gateway, now_ms: int, message) -> Iterator:
+    call = gw.active.get(message.call_id)
+    if call is not None:
+        yield from _fire(gw, call, "answering", now_ms)
+
+
+def _on_call_left(gw: Gateway, now_ms: int, message) -> Iterator:
+    call = gw.active.get(message.call_id)
+    if call is not None:
+        yield from _end(gw, call, "left", now_ms)
+        yield from _serve_queue(gw, now_ms)
+
+
+def _on_attempt_over(gw: Gateway, now_ms: int, message) -> Iterator:
+    call = gw.active.get(message.call_id)
+    if call is None:
+        return
+    end = message.end
+    _judge(gw, call, end, now_ms)
+    yield Trace(
+        "call.attempt",
+        {
+            "request_id": call.request.request_id,
+            "upstream": call.upstream_id,
+            "send": call.sends,
+            "end": end.value,
+            "took_ms": now_ms - call.sent_ms,
+        },
+    )
+    if end is calls.End.DELIVERED:
+        yield from _end(gw, call, "delivered", now_ms)
+    elif end in (calls.End.LATE, calls.End.CUT):
+        yield from _end(gw, call, "failed", now_ms)
+    elif _may_repeat(gw, call, end, now_ms):
+        yield from _fire(gw, call, "repeatable", now_ms)
+        yield from _try_place(gw, now_ms, call)
+    else:
+        yield from _give_up(gw, call, end, now_ms)
+    yield from _serve_queue(gw, now_ms)
+
+
+def _refuse(
+    call_id: int,
+    req: calls.Request,
+    reason: calls.Refusal,
+    retry_after_ms: int,
+) -> Iterator:
+    yield Trace(
+        "call.refused",
+        {
+            "request_id": req.request_id,
+            "reason": reason.value,
+            "retry_after_ms": retry_after_ms,
+        },
+    )
+    yield calls.Refuse(call_id, reason, retry_after_ms)
+
+
+def _fail(call: calls.Call, reason: calls.Failure) -> Iterator:
+    yield Trace(
+        "call.failed",
+        {
+            "request_id": call.request.request_id,
+            "reason": reason.value,
+            "upstream": call.upstream_id,
+            "sends": call.sends,
+        },
+    )
+    yield calls.Fail(call.call_id, reason)
+
+
+def _judge(gw: Gateway, call: calls.Call, end: calls.End, now_ms: int):
+    """Note what an attempt's end says of its upstream."""
+    if end in (calls.End.LATE, calls.End.ABSENT):
+        if end is calls.End.ABSENT and call.request.prompt is not None:
+            prompt = call.request.prompt
+            presence.forget_held(
+                gw.table, call.upstream_id, prompt.model, prompt.adapter
+            )
+        return
+    if end is calls.End.NOT_RUN:
+        gw.full_until[call.upstream_id] = now_ms + ASK_AGAIN_MS
+        return
+    machine = gw.judged.get(call.upstream_id)
+    if machine is None:
+        machine = health.Health(gw.health_chart, call.upstream_id)
+        gw.judged[call.upstream_id] = machine
+    good = end is calls.End.DELIVERED
+    hard = end is calls.End.UNREACHABLE
+    health.note_end(machine, good, hard, now_ms)
+
+
+def _may_repeat(
+    gw: Gateway, call: calls.Call, end: calls.End, now_ms: int
+) -> bool:
+    untouched = end in (
+        calls.End.NOT_RUN,
+        calls.End.ABSENT,
+        calls.End.UNREACHABLE,
+    )
+    if untouched:
+        call.attempts -= 1
+    elif not call.route.repeatable or call.route.streaming:
+        return False
+    if call.attempts >= call.route.max_attempts or call.sends >= MAX_SENDS:
+        return False
+    if call.deadline_ms - now_ms < LEAST_TIME_MS:
+        return False
+    if end is calls.End.UNREACHABLE:
+        return True
+    budget = _budget(gw, call.service)
+    return retry_budget.take(budget, gw.budget_limits, gw.node_count, now_ms)
+
+
+def _give_up(gw: Gateway, call: calls.Call, end, now_ms: int) -> Iterator:
+    yield from _end(gw, call, "failed", now_ms)
+    if end is calls.End.FAILED:
+        yield calls.PassOn(call.call_id)
+    elif end is calls.End.BROKEN or call.attempts > 0:
+        # An earlier attempt may have run, whatever the last one says.
+        yield from _fail(call, calls.Failure.BROKEN)
+    else:
+        yield from _refuse(
+            call.call_id,
+            call.request,
+            calls.Refusal.UPSTREAM_FULL,
+            _retry_after(gw, call, now_ms),
+        )
+
+
+def _end(gw: Gateway, call: calls.Call, event: str, now_ms: int) -> Iterator:
+    gw.active.pop(call.call_id, None)
+    gw.queue.pop(call.call_id, None)
+    yield from _fire(gw, call, event, now_ms)
+
+
+def _fire(gw: Gateway, call: calls.Call, event: str, now_ms: int) -> Iterator:
+    yield from charting.fire(gw.exchange_chart, call, event, now_ms, gw)
+
+
+# Placement.
+
+
+def _serve_queue(gw: Gateway, now_ms: int) -> Iterator:
+    if not gw.queue:
+        return
+    waiting = sorted(
+        gw.queue.values(),
+        key=lambda call: scheduling.queue_order(call, now_ms),
+    )
+    stuck: set[tuple[str, str]] = set()
+    for call in waiting[:QUEUE_SCAN]:
+        kind = (call.service, _weights(call))
+        if kind not in stuck:
+            yield from _try_place(gw, now_ms, call)
+            if call.phase == "waiting":
+                stuck.add(kind)
+    for call in waiting:
+        if call.phase == "waiting":
+            yield from _refuse_if_hopeless(gw, now_ms, call)
+
+
+def _weights(call: calls.Call) -> str:
+    prompt = call.request.prompt
+    return prompt.weights if prompt is not None else ""
+
+
+def _try_place(gw: Gateway, now_ms: int, call: calls.Call) -> Iterator:
+    engine = _engine_spec(gw, call.service)
+    candidates = _candidates(gw, call, now_ms)
+    if not candidates:
+        call.why = calls.Refusal.NO_UPSTREAM
+        return
+    if engine is None or call.request.prompt is None:
+        upstream = scheduling.pick_plain(candidates, gw.loads, now_ms)
+        if upstream is None:
+            call.why = calls.Refusal.OVERLOADED
+            return
+        yield from _place(gw, now_ms, call, upstream, 0, 0.0)
+        return
+    yield from _place_prompt(gw, now_ms, call, engine, candidates)
+
+
+def _place_prompt(gw, now_ms, call, engine, candidates) -> Iterator:
+    prompt = call.request.prompt
+    holders = [up for up in candidates if prompt.model in up.models]
+    if not holders:
+        call.why = calls.Refusal.NO_MODEL
+        yield from _ask_for(call, "", now_ms, "")
+        return
+    ready = holders
+    if prompt.adapter:
+        ready = [
+            up for up in holders if prompt.adapter in up.models[prompt.model]
+        ]
+        if not ready:
+            home = scheduling.pick_adapter_home(
+                prompt, holders, gw.loads, now_ms
+            )
+            call.why = calls.Refusal.NO_MODEL
+            home_id = home.last.upstream_id
+            yield from _ask_for(call, home_id, now_ms, prompt.adapter)
+            return
+    picked = scheduling.pick_engine(prompt, engine, ready, gw.loads, now_ms)
+    if picked is None:
+        call.why = calls.Refusal.OVERLOADED
+        return
+    upstream, cached, estimate_ms = picked
+    yield from _place(gw, now_ms, call, upstream, cached, estimate_ms)
+
+
+def _ask_for(call, upstream_id: str, now_ms: int, adapter: str) -> Iterator:
+    if now_ms - call.asked_ms >= ASK_AGAIN_MS:
+        call.asked_ms = now_ms
+        model = call.request.prompt.model
+        yield calls.Wanted(call.service, upstream_id, model, adapter)
+
+
+def _candidates(gw: Gateway, call: calls.Call, now_ms: int) -> list:
+    """List usable upstreams, the best group of them only.
+
+    Sound ones before avoided ones, and untried ones before those that did
+    not take the call; the last ones that are left are never given up.
+    """
+    everyone = list(presence.usable(gw.table, call.service, now_ms))
+    untried = [u for u in everyone if u.last.upstream_id not in call.tried]
+    open_ones = [
+        u
+        for u in untried
+        if gw.full_until.get(u.last.upstream_id, 0) <= now_ms
+    ]
+    sound = [u for u in open_ones if not _is_avoided(gw, u, now_ms)]
+    prompt = call.request.prompt
+    if prompt is not None:
+        sound_holders = [u for u in sound if prompt.model in u.models]
+        if not sound_holders and any(
+            prompt.model in u.models for u in open_ones
+        ):
+            return open_ones
+    return sound or open_ones or untried
+
+
+def _is_avoided(gw: Gateway, upstream, now_ms: int) -> bool:
+    return health.is_avoided(gw.judged.get(upstream.last.upstream_id), now_ms)
+
+
+def _place(gw, now_ms, call, upstream, cached, estimate_ms) -> Iterator:
+    upstream_id = upstream.last.upstream_id
+    prompt = call.request.prompt
+    call.upstream_id = upstream_id
+    call.sent_ms = now_ms
+    call.sends += 1
+    call.attempts += 1
+    call.tried.add(upstream_id)
+    if prompt is not None:
+        call.need_tokens = scheduling.needed_tokens(prompt, cached)
+        call.unread_tokens = max(prompt.tokens_in - cached, 0)
+        sent = sharing.SentPrompt(upstream_id, prompt.weights, prompt.parts)
+        sharing.note_sent(gw.loads, sent, _cache_tokens(gw))
+    if call.sends == 1:
+        budget = _budget(gw, call.service)
+        retry_budget.count_call(budget, gw.budget_limits, now_ms)
+    yield from _fire(gw, call, "placed", now_ms)
+    yield Trace(
+        "call.placed",
+        {
+            "request_id": call.request.request_id,
+            "route": call.route.name,
+            "document": gw.doc.version,
+            "upstream": upstream_id,
+            "heard_ms_ago": now_ms - upstream.heard_ms,
+            "cached_tokens": cached,
+            "estimate_ms": round(estimate_ms),
+            "waited_ms": now_ms - call.arrived_ms,
+            "send": call.sends,
+        },
+    )
+    yield calls.SendCall(
+        call.call_id,
+        upstream_id,
+        upstream.last.address,
+        max(call.deadline_ms - now_ms, 1),
+        min(call.route.urgency, 9),
+        call.sends,
+    )
+
+
+def _refuse_if_hopeless(gw: Gateway, now_ms: int, call) -> Iterator:
+    if call.deadline_ms - now_ms >= LEAST_TIME_MS:
+        return
+    reason = call.why
+    yield from _end(gw, call, "refused", now_ms)
+    if call.attempts > 0:
+        yield from _fail(call, calls.Failure.LATE)
+        return
+    yield from _refuse(
+        call.call_id, call.request, reason, _retry_after(gw, call, now_ms)
+    )
+
+
+def _retry_after(gw: Gateway, call: calls.Call, now_ms: int) -> int:
+    unread = [
+        sharing.total(gw.loads, u.last.upstream_id, now_ms).unread
+        for u in presence.usable(gw.table, call.service, now_ms)
+    ]
+    wait_ms = min(unread, default=0) / scheduling.READ_TOKENS_PER_MS
+    return int(min(max(wait_ms, LEAST_RETRY_AFTER_MS), MOST_RETRY_AFTER_MS))
+
+
+def _engine_spec(gw: Gateway, service: str) -> documents.EngineSpec | None:
+    known = gw.doc.services.get(service)
+    return known.engine if known is not None else None
+
+
+def _budget(gw: Gateway, service: str) -> retry_budget.Budget:
+    return gw.budgets.setdefault(service, retry_budget.Budget())
+
+
+# Actions of the chart.
+
+
+def _charge(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    gw.queue.pop(call.call_id, None)
+    load = sharing.own_load(gw.loads, call.upstream_id)
+    load.calls += 1
+    load.tokens += call.need_tokens
+    load.unread += call.unread_tokens
+    gw.loads.changed = True
+    yield from ()
+
+
+def _mark_read(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    load = sharing.own_load(gw.loads, call.upstream_id)
+    load.unread -= call.unread_tokens
+    call.unread_tokens = 0
+    gw.loads.changed = True
+    yield from ()
+
+
+def _discharge(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    load = sharing.own_load(gw.loads, call.upstream_id)
+    load.calls -= 1
+    load.tokens -= call.need_tokens
+    load.unread -= call.unread_tokens
+    call.need_tokens = call.unread_tokens = 0
+    gw.loads.changed = True
+    yield from ()
+
+
+def _join_queue(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    gw.queue[call.call_id] = call
+    yield from ()
+
+
+def _leave_queue(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    gw.queue.pop(call.call_id, None)
+    yield from ()
+
+
+guards: dict = {}
+actions = {
+    "charge": _charge,
+    "mark_read": _mark_read,
+    "discharge": _discharge,
+    "join_queue": _join_queue,
+    "leave_queue": _leave_queue,
+}
+
+_HANDLERS = {
+    DocumentInForce: _on_document,
+    HoldingLearned: _on_holding,
+    Tick: _on_tick,
+    presence.Announcement: _on_announcement,
+    sharing.Report: _on_report,
+    calls.Arrived: _on_arrived,
+    calls.AnswerBegun: _on_answer_begun,
+    calls.AttemptOver: _on_attempt_over,
+    calls.CallLeft: _on_call_left,
+}
--- /dev/null
+++ b/bilberryramp/decisions/fleet/operator_calls.py
@@ -0,0 +1,82 @@
+"""Calls of operators and upstreams to a node, as decisions see them."""
+
+import dataclasses
+
+from bilberryramp.decisions.fleet import documents, presence
+
+__all__ = [
+    "Farewell",
+    "Heartbeat",
+    "ReadDocument",
+    "Relay",
+    "RelayAck",
+    "Roster",
+    "Submit",
+    "Unreadable",
+]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Submit:
+    """A document to bring into force, decoded and as it came."""
+
+    doc: documents.Document
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReadDocument:
+    """Asks for the newest document."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Heartbeat:
+    """An upstream announces itself."""
+
+    told: presence.Announcement
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Farewell:
+    """An upstream leaves; its body is read beside its last heartbeat."""
+
+    upstream_id: str
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unreadable:
+    """A call that cannot be accepted, with the reason."""
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Relay:
+    """A heartbeat passed on to the other nodes.
+
+    Attributes
+    ----------
+    relay_id
+        Comes back in `RelayAck`; 0 when no answer is wanted.
+    """
+
+    sender: str
+    relay_id: int
+    told: presence.Announcement
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RelayAck:
+    """Another node has taken in a relayed heartbeat."""
+
+    sender: str
+    relay_id: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Roster:
+    """The other nodes heard lately, and the leader's address."""
+
+    addresses: tuple[str, ...]
+    leader: str
--- /dev/null
+++ b/bilberryramp/decisions/fleet/presence.py
@@ -0,0 +1,269 @@
+"""The upstreams that announce themselves, as one node knows them.
+
+There is no list: each upstream's heartbeats reach some node, which passes
+them on. They may come late, out of order or after the upstream has gone, so
+each carries its start time and a counter, and what has left stays known.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+
+__all__ = [
+    "Announcement",
+    "Held",
+    "Table",
+    "Upstream",
+    "drop_gone",
+    "forget_held",
+    "is_usable",
+    "note",
+    "note_held",
+    "snapshot",
+    "usable",
+]
+
+# Heartbeats that may be missed before an upstream counts as silent.
+MISSED_BEATS = 4
+# How long an upstream that left is remembered; later heartbeats of it are
+# at most some seconds late.
+REMEMBER_MS = 120_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Held:
+    """A model that an engine holds, with its adapters."""
+
+    model: str
+    version: int
+    adapters: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Announcement:
+    """One heartbeat.
+
+    Attributes
+    ----------
+    born_ms
+        Start of the process, in wall time; a restart may keep the id.
+    seq
+        Counts the heartbeats of one process.
+    slots
+        Requests that it serves at once.
+    leaving, gone
+        It drains, or has said that it leaves without draining first.
+    remaining_ms
+        Time until it is gone regardless of its work; -1 if not told.
+    """
+
+    upstream_id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    born_ms: int
+    seq: int
+    leaving: bool
+    gone: bool
+    remaining_ms: int
+    held: tuple[Held, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """What is known of one upstream.
+
+    Attributes
+    ----------
+    heard_ms
+        When a heartbeat of it last reached any node, on this clock.
+    models
+        Adapters by model, as last told or learned from orders.
+    """
+
+    last: Announcement
+    heard_ms: int
+    leaving_since_ms: int = -1
+    models: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Table:
+    """All upstreams by id, and the newest id at each address."""
+
+    beat_ms: int
+    upstreams: dict[str, Upstream] = dataclasses.field(default_factory=dict)
+    by_address: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+def note(table: Table, told: Announcement, now_ms: int) -> bool:
+    """Take in a heartbeat.
+
+    Parameters
+    ----------
+    table
+        Changed in place.
+    told
+        The heartbeat.
+    now_ms
+        The present.
+
+    Returns
+    -------
+    bool
+        Whether it told anything new; False for one out of date.
+    """
+    known = table.upstreams.get(told.upstream_id)
+    if known is not None and _is_older(told, known.last):
+        return False
+    if not _owns_address(table, told):
+        return False
+    if known is None or known.last.born_ms != told.born_ms:
+        known = Upstream(told, now_ms)
+        table.upstreams[told.upstream_id] = known
+    ends = told.leaving or told.gone
+    if ends and known.leaving_since_ms < 0:
+        known.leaving_since_ms = now_ms
+    known.last = told
+    known.heard_ms = now_ms
+    known.models = {held.model: set(held.adapters) for held in told.held}
+    table.by_address[told.address] = told.upstream_id
+    return True
+
+
+def _is_older(told: Announcement, last: Announcement) -> bool:
+    if (told.born_ms, told.seq) <= (last.born_ms, last.seq):
+        # A farewell may carry no counter of its own.
+        return not (
+            told.gone and told.born_ms == last.born_ms and not last.gone
+        )
+    return False
+
+
+def _owns_address(table: Table, told: Announcement) -> bool:
+    other_id = table.by_address.get(told.address, told.upstream_id)
+    other = table.upstreams.get(other_id)
+    return (
+        other is None
+        or other_id == told.upstream_id
+        or told.born_ms >= other.last.born_ms
+    )
+
+
+def note_held(
+    table: Table, upstream_id: str, model: str, adapter: str
+) -> None:
+    """Record that an engine holds a model, or an adapter of it.
+
+    Parameters
+    ----------
+    table
+        Changed in place.
+    upstream_id, model, adapter
+        `adapter` is empty for the model alone.
+    """
+    known = table.upstreams.get(upstream_id)
+    if known is not None:
+        adapters = known.models.setdefault(model, set())
+        if adapter:
+            adapters.add(adapter)
+
+
+def forget_held(
+    table: Table, upstream_id: str, model: str, adapter: str
+) -> None:
+    """Record that an engine lacks a model or adapter.
+
+    Parameters
+    ----------
+    table
+        Changed in place.
+    upstream_id, model, adapter
+        With an adapter, only that is forgotten.
+    """
+    known = table.upstreams.get(upstream_id)
+    if known is None:
+        return
+    if adapter:
+        known.models.get(model, set()).discard(adapter)
+    else:
+        known.models.pop(model, None)
+
+
+def is_usable(table: Table, upstream_id: str, now_ms: int) -> bool:
+    """Tell whether an upstream may get requests.
+
+    Parameters
+    ----------
+    table, upstream_id, now_ms
+        The upstream and the present.
+
+    Returns
+    -------
+    bool
+        False once it leaves, was replaced at its address or fell silent.
+    """
+    known = table.upstreams.get(upstream_id)
+    return (
+        known is not None
+        and known.leaving_since_ms < 0
+        and table.by_address.get(known.last.address) == upstream_id
+        and now_ms - known.heard_ms < MISSED_BEATS * table.beat_ms
+    )
+
+
+def usable(table: Table, service: str, now_ms: int) -> Iterator[Upstream]:
+    """List a service's upstreams that may get requests.
+
+    Parameters
+    ----------
+    table, service, now_ms
+        The service and the present.
+
+    Yields
+    ------
+    Upstream
+        In no order that means anything.
+    """
+    for upstream_id, known in table.upstreams.items():
+        if known.last.service == service and is_usable(
+            table, upstream_id, now_ms
+        ):
+            yield known
+
+
+def drop_gone(table: Table, now_ms: int) -> None:
+    """Forget upstreams not heard for a long time.
+
+    Parameters
+    ----------
+    table, now_ms
+        The table, changed in place, and the present.
+    """
+    for upstream_id, known in list(table.upstreams.items()):
+        if now_ms - known.heard_ms > REMEMBER_MS:
+            table.upstreams.pop(upstream_id)
+            address = known.last.address
+            if table.by_address.get(address) == upstream_id:
+                table.by_address.pop(address)
+
+
+def snapshot(table: Table, now_ms: int) -> tuple[Announcement, ...]:
+    """List the last heartbeats, for a node that has just started.
+
+    Parameters
+    ----------
+    table, now_ms
+        The table and the present.
+
+    Returns
+    -------
+    tuple of Announcement
+        Of upstreams in use and of those that left lately.
+    """
+    recent_ms = MISSED_BEATS * table.beat_ms
+    return tuple(
+        known.last
+        for known in table.upstreams.values()
+        if known.leaving_since_ms >= 0 or now_ms - known.heard_ms < recent_ms
+    )
--- /dev/null
+++ b/bilberryramp/decisions/fleet/register.py
@@ -0,0 +1,678 @@
+"""The replicated register: the service document and who votes on it.
+
+One record replaces another, so a node needs no log: the leader sends its
+newest record to every node and commits it once a majority of the voters
+holds it on disk. While the voters change, a majority of the old and of the
+new ones is needed, for commits and elections alike. A store that was found
+empty has an id of its own, so a node that lost its disk can neither vote nor
+count until a committed change has made its new store a voter.
+
+The role is a function from (node, now, message) to effects; the driver
+performs each ``Persist`` before any later ``Send``. ``now_ms`` must count
+the time for which the instance was suspended.
+"""
+
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from bilberryramp.decisions import charting, effects
+from bilberryramp.decisions.fleet import electorate
+from bilberryramp.decisions.fleet import register_messages as msgs
+
+__all__ = [
+    "GENESIS",
+    "Committed",
+    "LeaderChanged",
+    "Node",
+    "Persist",
+    "Propose",
+    "Proposed",
+    "Read",
+    "ReadAnswer",
+    "Tick",
+    "actions",
+    "guards",
+    "knows_leader",
+    "leads",
+    "new_node",
+    "step",
+]
+
+GENESIS = "genesis"
+
+# Timing of the register in milliseconds. The lease ends before followers
+# may vote again, with room for clocks that drift by a fifth.
+BEAT_MS = 500
+HEARTBEAT_MS = 150
+LEASE_MS = 800
+ELECTION_MS = 1000
+ELECTION_SPREAD_MS = 600
+# A record is sent again when it was not acknowledged for this long.
+RESEND_MS = 400
+# A node that was not heard for this long counts as gone for its roster.
+PEER_GONE_MS = 10_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Propose:
+    """Store a document; answered by `Proposed` with the same `ask`."""
+
+    ask: int
+    version: int
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Read:
+    """Read the newest document; answered by `ReadAnswer`."""
+
+    ask: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Proposed:
+    """Whether what was proposed, or something newer, is committed.
+
+    Attributes
+    ----------
+    done
+        False when the outcome is not known or this node does not lead.
+    leader
+        The operator address of the leader, if known.
+    """
+
+    ask: int
+    done: bool
+    leader: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReadAnswer:
+    """The newest committed document, or where to ask.
+
+    Attributes
+    ----------
+    body
+        None when this node cannot prove which document is the newest.
+    """
+
+    ask: int
+    body: bytes | None
+    leader: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Persist:
+    """Write and sync before anything later is sent."""
+
+    stored: msgs.Stored
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Committed:
+    """A document is in force."""
+
+    version: int
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeaderChanged:
+    """Who leads has changed, as far as the node knows."""
+
+    leads: bool
+    term: int
+    leader: str
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What the leader knows of one node.
+
+    Attributes
+    ----------
+    held
+        The record that the node last said it holds.
+    sent, sent_ms
+        The record last sent to it, and when.
+    acked_ms
+        Sending time of the newest heartbeat that it answered.
+    """
+
+    held: tuple[int, int] = (-1, -1)
+    sent: tuple[int, int] = (-1, -1)
+    sent_ms: int = -(10**9)
+    acked_ms: int = -(10**9)
+    store_id: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """State of one node.
+
+    Attributes
+    ----------
+    me
+        What this node says of itself.
+    seeds
+        Addresses that it was started with.
+    record
+        The newest record held, committed or not.
+    committed
+        Term and sequence of the newest record known to be committed.
+    published
+        Version of the last `Committed` effect.
+    peers
+        Other nodes by address, with the time when each was last heard.
+    waiting
+        Asks of operators by the sequence that must be committed.
+    """
+
+    me: msgs.Peer
+    seeds: tuple[str, ...]
+    chart: charting.Chart
+    rng: random.Random
+    record: msgs.Record | None = None
+    term: int = 0
+    voted_for: str = ""
+    committed: tuple[int, int] = (-1, -1)
+    published: int = -1
+    published_id: tuple[int, int] = (-1, -1)
+    leader: str = ""
+    leader_seen_ms: int = 0
+    election_due_ms: int = 0
+    beat_due_ms: int = 0
+    heartbeat_due_ms: int = 0
+    led_since_ms: int = 0
+    peers: dict[str, msgs.Peer] = dataclasses.field(default_factory=dict)
+    heard_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    addresses: dict[str, int] = dataclasses.field(default_factory=dict)
+    progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
+    votes: set = dataclasses.field(default_factory=set)
+    waiting: list[tuple[int, int]] = dataclasses.field(default_factory=list)
+    key: str = "member"
+    phase: str = "learner"
+    timer: int = 0
+
+
+def new_node(
+    me: msgs.Peer,
+    seeds: tuple[str, ...],
+    chart: charting.Chart,
+    rng: random.Random,
+    now_ms: int,
+    stored: msgs.Stored | None,
+) -> Node:
+    """Build a node from what its store holds.
+
+    Parameters
+    ----------
+    me, seeds, chart, rng
+        Identity, first contacts, bound chart, source of election jitter.
+    now_ms
+        The present. No vote is given for `ELECTION_MS` from here, since a
+        leader may hold a lease on a promise made before the restart.
+    stored
+        None when the store is empty.
+
+    Returns
+    -------
+    Node
+        A learner, or a follower if its record makes it a voter.
+    """
+    node = Node(me, seeds, chart, rng)
+    if stored is not None:
+        node.term, node.voted_for = stored.term, stored.voted_for
+        node.record = stored.record
+    if node.record is None and me.store_id == GENESIS:
+        members = tuple(msgs.Member(seed, GENESIS) for seed in sorted(seeds))
+        node.record = msgs.Record(0, 0, members)
+    node.leader_seen_ms = now_ms
+    _set_election_due(node, now_ms)
+    _check_membership(node, now_ms)
+    return node
+
+
+def leads(node: Node, now_ms: int) -> bool:
+    """Tell whether this node leads and no other can.
+
+    Parameters
+    ----------
+    node
+        The node.
+    now_ms
+        The present.
+
+    Returns
+    -------
+    bool
+        True while a majority answered within the lease and a record of
+        this term is committed.
+    """
+    return (
+        node.phase == "leader"
+        and node.committed[0] == node.term
+        and _lease_holds(node, now_ms)
+    )
+
+
+def knows_leader(node: Node, now_ms: int) -> str:
+    """Return the operator address of a leader heard lately, else "".
+
+    Parameters
+    ----------
+    node
+        The node.
+    now_ms
+        The present.
+
+    Returns
+    -------
+    str
+        An address, empty when no leader is known or it is this node.
+    """
+    fresh = now_ms - node.leader_seen_ms < ELECTION_MS
+    peer = node.peers.get(node.leader)
+    return peer.operator_address if fresh and peer is not None else ""
+
+
+def step(node: Node, now_ms: int, message) -> Iterator:
+    """Handle one message.
+
+    Parameters
+    ----------
+    node
+        Changed in place.
+    now_ms
+        The present.
+    message
+        `Tick`, `Propose`, `Read` or one of `register_messages`.
+
+    Yields
+    ------
+    effect
+        `Persist`, `Send`, `Committed`, `LeaderChanged` and answers.
+    """
+    yield from _HANDLERS[type(message)](node, now_ms, message)
+
+
+# Signs of life.
+
+
+def _on_tick(node: Node, now_ms: int, _message) -> Iterator:
+    if now_ms >= node.beat_due_ms:
+        node.beat_due_ms = now_ms + BEAT_MS
+        yield from _send_beats(node, now_ms)
+    if node.phase == "leader":
+        yield from _tick_leader(node, now_ms)
+    elif now_ms >= node.election_due_ms:
+        _set_election_due(node, now_ms)
+        yield from _raise(node, "quiet", now_ms)
+
+
+def _send_beats(node: Node, now_ms: int) -> Iterator:
+    _forget_silent(node, now_ms)
+    beat = msgs.Beat(node.me, tuple(node.peers))
+    for address in {*node.seeds, *node.addresses} - {node.me.address}:
+        yield effects.Send(address, beat)
+
+
+def _forget_silent(node: Node, now_ms: int) -> None:
+    for address, heard in list(node.heard_ms.items()):
+        if now_ms - heard > PEER_GONE_MS:
+            node.heard_ms.pop(address)
+            node.peers.pop(address, None)
+    for address, seen in list(node.addresses.items()):
+        if now_ms - seen > 3 * PEER_GONE_MS:
+            node.addresses.pop(address)
+
+
+def _on_beat(node: Node, now_ms: int, beat: msgs.Beat) -> Iterator:
+    address = beat.sender.address
+    is_new = address not in node.peers
+    node.peers[address] = beat.sender
+    node.heard_ms[address] = now_ms
+    for known in (address, *beat.peers):
+        if known != node.me.address:
+            node.addresses[known] = now_ms
+    if is_new:
+        yield effects.Send(address, msgs.Beat(node.me, tuple(node.peers)))
+
+
+# Elections.
+
+
+def _set_election_due(node: Node, now_ms: int) -> None:
+    spread = node.rng.randrange(ELECTION_SPREAD_MS)
+    node.election_due_ms = now_ms + ELECTION_MS + spread
+
+
+def _ask_prevotes(node: Node, now_ms: int, _payload) -> Iterator:
+    node.leader = ""
+    yield from _canvass(node, now_ms, node.term + 1, pre=True)
+
+
+def _ask_votes(node: Node, now_ms: int, _payload) -> Iterator:
+    node.term += 1
+    node.voted_for = node.me.address
+    _set_election_due(node, now_ms)
+    yield _persist(node)
+    yield from _canvass(node, now_ms, node.term, pre=False)
+
+
+def _canvass(node: Node, now_ms: int, term: int, pre: bool) -> Iterator:
+    node.votes = {_self(node)}
+    last_term, last_seq = _last(node)
+    ask = msgs.RequestVote(_self(node), term, last_term, last_seq, pre)
+    for member in electorate.voters(node.record):
+        if member != _self(node):
+            yield effects.Send(member.address, ask)
+    yield from _count_votes(node, now_ms, pre)
+
+
+def _count_votes(node: Node, now_ms: int, pre: bool) -> Iterator:
+    if electorate.is_quorum(node.record, node.votes):
+        event = "prevote_won" if pre else "vote_won"
+        yield from _raise(node, event, now_ms)
+
+
+def _on_request_vote(node: Node, now_ms: int, ask) -> Iterator:
+    bound = now_ms - node.leader_seen_ms < ELECTION_MS
+    bound = bound or node.phase == "leader"
+    if not ask.pre and ask.term > node.term and not bound:
+        yield from _adopt_term(node, now_ms, ask.term)
+    granted = not bound and _may_vote(node, ask)
+    if granted and not ask.pre:
+        node.voted_for = ask.sender.address
+        _set_election_due(node, now_ms)
+        yield _persist(node)
+    reply = msgs.VoteReply(_self(node), node.term, ask.term, ask.pre, granted)
+    yield effects.Send(ask.sender.address, reply)
+
+
+def _may_vote(node: Node, ask: msgs.RequestVote) -> bool:
+    if node.record is None or (ask.last_term, ask.last_seq) < _last(node):
+        return False
+    if ask.pre:
+        return ask.term > node.term
+    return ask.term == node.term and node.voted_for in (
+        "",
+        ask.sender.address,
+    )
+
+
+def _on_vote_reply(node: Node, now_ms: int, reply) -> Iterator:
+    if reply.term > node.term:
+        yield from _adopt_term(node, now_ms, reply.term)
+        return
+    wanted = "canvassing" if reply.pre else "candidate"
+    asked = node.term + 1 if reply.pre else node.term
+    if node.phase != wanted or reply.asked_term != asked:
+        return
+    if reply.granted:
+        node.votes.add(reply.sender)
+        yield from _count_votes(node, now_ms, reply.pre)
+
+
+def _adopt_term(node: Node, now_ms: int, term: int) -> Iterator:
+    node.term, node.voted_for = term, ""
+    node.leader = ""
+    yield _persist(node)
+    yield from _raise(node, "leader_heard", now_ms)
+
+
+def _lead(node: Node, now_ms: int, _payload) -> Iterator:
+    node.leader = node.me.address
+    node.leader_seen_ms = now_ms
+    node.led_since_ms = now_ms
+    node.progress = {}
+    yield LeaderChanged(True, node.term, node.me.operator_address)
+    yield from _store(node, now_ms)
+
+
+def _give_up(node: Node, now_ms: int, _payload) -> Iterator:
+    _set_election_due(node, now_ms)
+    waiting, node.waiting = node.waiting, []
+    yield LeaderChanged(False, node.term, "")
+    for _, ask in waiting:
+        yield Proposed(ask, False, "")
+
+
+# Replication.
+
+
+def _store(node: Node, now_ms: int, **changes) -> Iterator:
+    """Replace the record and send it to everyone."""
+    seq = node.record.seq + 1
+    node.record = dataclasses.replace(
+        node.record, term=node.term, seq=seq, **changes
+    )
+    yield from _send_heartbeats(node, now_ms)
+    yield _persist(node)
+    own = node.progress.setdefault(node.me.address, Progress())
+    own.held, own.store_id = _last(node), node.me.store_id
+    yield from _try_commit(node, now_ms)
+
+
+def _tick_leader(node: Node, now_ms: int) -> Iterator:
+    if not _lease_holds(node, now_ms):
+        grace = now_ms - node.led_since_ms > ELECTION_MS
+        if grace:
+            yield from _raise(node, "lease_lost", now_ms)
+            return
+    if now_ms >= node.heartbeat_due_ms:
+        yield from _send_heartbeats(node, now_ms)
+    yield from _review_members(node, now_ms)
+
+
+def _lease_holds(node: Node, now_ms: int) -> bool:
+    fresh = {_self(node)}
+    for address, seen in node.progress.items():
+        if now_ms - seen.acked_ms < LEASE_MS:
+            fresh.add(msgs.Member(address, seen.store_id))
+    return electorate.is_quorum(node.record, fresh)
+
+
+def _send_heartbeats(node: Node, now_ms: int) -> Iterator:
+    node.heartbeat_due_ms = now_ms + HEARTBEAT_MS
+    members = {m.address for m in electorate.voters(node.record)}
+    for address in (members | set(node.peers)) - {node.me.address}:
+        yield _append_for(node, now_ms, address)
+
+
+def _append_for(node: Node, now_ms: int, address: str) -> effects.Send:
+    seen = node.progress.setdefault(address, Progress())
+    last = _last(node)
+    lacks = seen.held != last
+    due = seen.sent != last or now_ms - seen.sent_ms >= RESEND_MS
+    record = None
+    if lacks and due:
+        record = node.record
+        seen.sent, seen.sent_ms = last, now_ms
+    message = msgs.Append(
+        _self(node), node.term, last, node.committed, record, now_ms
+    )
+    return effects.Send(address, message)
+
+
+def _on_append(node: Node, now_ms: int, message: msgs.Append) -> Iterator:
+    if message.term < node.term:
+        yield _reply_to_append(node, message)
+        return
+    if message.term > node.term:
+        node.term, node.voted_for = message.term, ""
+        yield _persist(node)
+    if node.leader != message.sender.address:
+        node.leader = message.sender.address
+        yield LeaderChanged(False, node.term, knows_leader(node, now_ms))
+    node.leader_seen_ms = now_ms
+    _set_election_due(node, now_ms)
+    yield from _raise(node, "leader_heard", now_ms)
+    newer = message.record
+    if newer is not None and (newer.term, newer.seq) > _last(node):
+        node.record = newer
+        yield _persist(node)
+        _check_membership(node, now_ms)
+    node.committed = max(node.committed, message.committed)
+    yield from _publish(node)
+    yield _reply_to_append(node, message)
+
+
+def _reply_to_append(node: Node, message: msgs.Append) -> effects.Send:
+    reply = msgs.AppendReply(
+        _self(node), node.term, _last(node), message.sent_ms
+    )
+    return effects.Send(message.sender.address, reply)
+
+
+def _on_append_reply(node: Node, now_ms: int, reply) -> Iterator:
+    if reply.term > node.term:
+        yield from _adopt_term(node, now_ms, reply.term)
+        return
+    if node.phase != "leader" or reply.term != node.term:
+        return
+    seen = node.progress.setdefault(reply.sender.address, Progress())
+    if seen.store_id != reply.sender.store_id:
+        seen.held = (-1, -1)
+        seen.store_id = reply.sender.store_id
+    seen.held = max(seen.held, reply.held)
+    seen.acked_ms = max(seen.acked_ms, reply.sent_ms)
+    yield from _try_commit(node, now_ms)
+
+
+def _try_commit(node: Node, now_ms: int) -> Iterator:
+    last = _last(node)
+    if node.committed >= last or node.phase != "leader":
+        return
+    holders = {
+        msgs.Member(address, seen.store_id)
+        for address, seen in node.progress.items()
+        if seen.held == last
+    }
+    if not electorate.is_quorum(node.record, holders):
+        return
+    node.committed = last
+    yield from _publish(node)
+    answered = [ask for seq, ask in node.waiting if seq <= node.record.seq]
+    node.waiting = [w for w in node.waiting if w[0] > node.record.seq]
+    for ask in answered:
+        yield Proposed(ask, True, "")
+    if node.record.leaving:
+        yield from _store(node, now_ms, leaving=())
+        _check_membership(node, now_ms)
+    else:
+        yield from _send_heartbeats(node, now_ms)
+
+
+def _publish(node: Node) -> Iterator:
+    last = _last(node)
+    if node.record is None or node.committed < last:
+        return
+    if last == node.published_id:
+        return
+    node.published_id = last
+    if node.record.version > node.published:
+        node.published = node.record.version
+        yield Committed(node.record.version, node.record.body)
+
+
+# Operators.
+
+
+def _on_propose(node: Node, now_ms: int, ask: Propose) -> Iterator:
+    if node.phase != "leader":
+        yield Proposed(ask.ask, False, knows_leader(node, now_ms))
+        return
+    if ask.version > node.record.version:
+        node.waiting.append((node.record.seq + 1, ask.ask))
+        yield from _store(node, now_ms, version=ask.version, body=ask.body)
+    elif leads(node, now_ms) and node.committed == _last(node):
+        yield Proposed(ask.ask, True, "")
+    else:
+        node.waiting.append((node.record.seq, ask.ask))
+
+
+def _on_read(node: Node, now_ms: int, ask: Read) -> Iterator:
+    if not leads(node, now_ms):
+        yield ReadAnswer(ask.ask, None, knows_leader(node, now_ms))
+    elif node.committed == _last(node):
+        yield ReadAnswer(ask.ask, node.record.body, "")
+    else:
+        yield ReadAnswer(ask.ask, None, "")
+
+
+# Voters.
+
+
+def _review_members(node: Node, now_ms: int) -> Iterator:
+    settled = node.committed == _last(node) and not node.record.leaving
+    if not settled or not leads(node, now_ms):
+        return
+    wanted = electorate.wanted_members(
+        node.record.members,
+        node.me,
+        node.peers,
+        node.heard_ms,
+        now_ms,
+        now_ms - node.led_since_ms,
+    )
+    if wanted != node.record.members:
+        yield from _store(
+            node, now_ms, members=wanted, leaving=node.record.members
+        )
+
+
+def _check_membership(node: Node, now_ms: int) -> None:
+    votes = node.record is not None and _self(node) in electorate.voters(
+        node.record
+    )
+    event = "admitted" if votes else "dismissed"
+    # Neither event has an action on a node that does not lead.
+    for _ in _raise(node, event, now_ms):
+        pass
+
+
+def _self(node: Node) -> msgs.Member:
+    return msgs.Member(node.me.address, node.me.store_id)
+
+
+def _last(node: Node) -> tuple[int, int]:
+    if node.record is None:
+        return (-1, -1)
+    return (node.record.term, node.record.seq)
+
+
+def _persist(node: Node) -> Persist:
+    return Persist(
+        msgs.Stored(node.me.store_id, node.term, node.voted_for, node.record)
+    )
+
+
+def _raise(node: Node, event: str, now_ms: int) -> Iterator:
+    yield from charting.fire(node.chart, node, event, now_ms, None)
+
+
+guards: dict = {}
+actions = {
+    "ask_prevotes": _ask_prevotes,
+    "ask_votes": _ask_votes,
+    "lead": _lead,
+    "give_up": _give_up,
+}
+
+_HANDLERS = {
+    Tick: _on_tick,
+    Propose: _on_propose,
+    Read: _on_read,
+    msgs.Beat: _on_beat,
+    msgs.RequestVote: _on_request_vote,
+    msgs.VoteReply: _on_vote_reply,
+    msgs.Append: _on_append,
+    msgs.AppendReply: _on_append_reply,
+}
--- /dev/null
+++ b/bilberryramp/decisions/fleet/register_messages.py
@@ -0,0 +1,155 @@
+"""Messages and stored types of the replicated register."""
+
+import dataclasses
+
+__all__ = [
+    "Append",
+    "AppendReply",
+    "Beat",
+    "Member",
+    "Peer",
+    "Record",
+    "RequestVote",
+    "Stored",
+    "VoteReply",
+]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Member:
+    """A voter, told apart from an empty successor at the same address."""
+
+    address: str
+    store_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Peer:
+    """What a node says of itself.
+
+    Attributes
+    ----------
+    address
+        Where it takes messages of other nodes; its identity.
+    store_id
+        Made when its store was first used.
+    name
+        Its name in settings.
+    durable
+        Whether its store is on a disk.
+    operator_address
+        Where it takes calls of operators.
+    """
+
+    address: str
+    store_id: str
+    name: str
+    durable: bool
+    operator_address: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Record:
+    """The register's whole value; each one replaces the one before.
+
+    Attributes
+    ----------
+    term, seq
+        Order of records; a later leader's come after all earlier ones.
+    members
+        Who votes.
+    leaving
+        The voters before a change of members, whose majority is needed as
+        well until the change is committed; else empty.
+    version
+        Version of the document.
+    body
+        The document as it was submitted.
+    """
+
+    term: int
+    seq: int
+    members: tuple[Member, ...]
+    leaving: tuple[Member, ...] = ()
+    version: int = -1
+    body: bytes = b""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stored:
+    """What a node must find again after a restart."""
+
+    store_id: str
+    term: int
+    voted_for: str
+    record: Record | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Beat:
+    """A node's sign of life to the others.
+
+    Attributes
+    ----------
+    peers
+        Addresses of nodes that the sender has heard lately.
+    """
+
+    sender: Peer
+    peers: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestVote:
+    """Asks for a vote, or with `pre` whether one would be given."""
+
+    sender: Member
+    term: int
+    last_term: int
+    last_seq: int
+    pre: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class VoteReply:
+    """Answers `RequestVote`; `asked_term` is the term of the question."""
+
+    sender: Member
+    term: int
+    asked_term: int
+    pre: bool
+    granted: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Append:
+    """A leader's heartbeat, with the record for those that lack it.
+
+    Attributes
+    ----------
+    last
+        Term and sequence of the leader's record.
+    committed
+        Term and sequence of the newest committed record.
+    record
+        None when the receiver is believed to hold it.
+    sent_ms
+        On the leader's clock; comes back in the reply.
+    """
+
+    sender: Member
+    term: int
+    last: tuple[int, int]
+    committed: tuple[int, int]
+    record: Record | None
+    sent_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AppendReply:
+    """Tells the leader what the sender's store holds."""
+
+    sender: Member
+    term: int
+    held: tuple[int, int]
+    sent_ms: int
--- /dev/null
+++ b/bilberryramp/platform/announcements.py
@@ -0,0 +1,134 @@
+"""Decodes the heartbeats of upstreams."""
+
+import msgspec
+
+from bilberryramp.decisions import errors
+from bilberryramp.decisions.fleet import presence
+
+__all__ = ["MalformedHeartbeatError", "farewell", "heartbeat"]
+
+
+class MalformedHeartbeatError(errors.BilberryError):
+    """A heartbeat that cannot be read; it names no upstream to use."""
+
+
+def heartbeat(upstream_id: str, body: bytes) -> presence.Announcement:
+    """Decode a heartbeat.
+
+    Parameters
+    ----------
+    upstream_id
+        From the call's path.
+    body
+        JSON.
+
+    Returns
+    -------
+    Announcement
+        In the project's own terms.
+
+    Raises
+    ------
+    MalformedHeartbeatError
+        When a field is missing or of another type, or the state is one
+        that is not known.
+    """
+    try:
+        raw = msgspec.json.decode(body)
+        state = raw["state"]
+        if state not in ("ready", "draining"):
+            raise MalformedHeartbeatError(f"state {state!r} is unknown")
+        return _announcement(upstream_id, raw, state == "draining")
+    except msgspec.MsgspecError as exc:
+        raise MalformedHeartbeatError(str(exc)) from exc
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise MalformedHeartbeatError(f"field {exc!r}") from exc
+
+
+def farewell(
+    upstream_id: str, body: bytes, last: presence.Announcement | None
+) -> presence.Announcement | None:
+    """Decode the call by which an upstream leaves at once.
+
+    Parameters
+    ----------
+    upstream_id, body
+        As for `heartbeat`; the body may be empty.
+    last
+        The last heartbeat known, for what the body leaves out.
+
+    Returns
+    -------
+    Announcement or None
+        None when the upstream is not known and the body says nothing.
+    """
+    try:
+        raw = msgspec.json.decode(body) if body else {}
+        return _announcement(upstream_id, raw, True, gone=True)
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        pass
+    if last is None:
+        return None
+    return _gone(last)
+
+
+def _gone(last: presence.Announcement) -> presence.Announcement:
+    return presence.Announcement(
+        upstream_id=last.upstream_id,
+        service=last.service,
+        address=last.address,
+        failure_domain=last.failure_domain,
+        slots=last.slots,
+        born_ms=last.born_ms,
+        seq=last.seq + 1,
+        leaving=True,
+        gone=True,
+        remaining_ms=-1,
+        held=last.held,
+    )
+
+
+def _announcement(
+    upstream_id: str, raw: dict, leaving: bool, gone: bool = False
+) -> presence.Announcement:
+    models = raw.get("models") or ()
+    return presence.Announcement(
+        upstream_id=upstream_id,
+        service=_text(raw, "service"),
+        address=_text(raw, "address"),
+        failure_domain=_text(raw, "zone"),
+        slots=_whole(raw, "slots"),
+        # Wall time of the process's start; tells restarts apart.
+        born_ms=_whole(raw, "born") if "born" in raw else 0,
+        seq=_whole(raw, "seq"),
+        leaving=leaving,
+        gone=gone,
+        remaining_ms=int(raw.get("remainingMs", -1)),
+        held=tuple(_held(row) for row in models),
+    )
+
+
+def _held(raw: dict) -> presence.Held:
+    return presence.Held(
+        model=_text(raw, "name"),
+        version=int(raw.get("version", 0)),
+        adapters=tuple(_adapter_name(row) for row in raw.get("adapters", ())),
+    )
+
+
+def _adapter_name(raw) -> str:
+    return str(raw["name"] if isinstance(raw, dict) else raw)
+
+
+def _text(raw: dict, field: str) -> str:
+    value = raw[field]
+    if not isinstance(value, str):
+        raise TypeError(field)
+    return value
+
+
+def _whole(raw: dict, field: str) -> int:
+    value = raw[field]
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(field)
+    return value
--- /dev/null
+++ b/bilberryramp/platform/exchanges.py
@@ -0,0 +1,203 @@
+"""Headers of clients' requests and of those sent on to upstreams."""
+
+import enum
+
+from bilberryramp.decisions.fleet import calls, sharing
+
+__all__ = [
+    "REQUEST_ID",
+    "RunState",
+    "answer_headers",
+    "forward_headers",
+    "is_signed",
+    "read_request",
+    "run_state",
+]
+
+_PREFIX = "x-bilberryramp-"
+REQUEST_ID = "X-Bilberryramp-Request-Id"
+_MODEL = _PREFIX + "model"
+_TOKENS = _PREFIX + "token-count"
+_PROMPT = _PREFIX + "prompt-prefix"
+_DEADLINE = "X-Bilberryramp-Deadline-Ms"
+_EXPECTED = "X-Bilberryramp-Expected-Instance"
+_URGENCY = "X-Bilberryramp-Request-Priority"
+_SIGNATURE = "X-Bilberryramp-Server-Signature"
+_NOT_RUN = "X-Bilberryramp-Not-Executed"
+
+# Headers of one connection only, and those that the HTTP library writes.
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+# Headers that only the system may set, whatever a client sends.
+_OURS = frozenset(
+    {
+        _PREFIX + "hold",
+        _PREFIX + "pin-ms",
+        _PREFIX + "kv-backup",
+        _PREFIX + "expected-instance",
+        _PREFIX + "expected-version",
+        _PREFIX + "request-priority",
+        _PREFIX + "deadline-ms",
+        "kv-from",
+        "kv-fetch",
+    }
+)
+
+
+class RunState(enum.Enum):
+    """What an upstream's answer says of the run."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    ABSENT = "absent"
+
+
+def read_request(host: str, path: str, headers) -> calls.Request:
+    """Decode a client's request.
+
+    Parameters
+    ----------
+    host
+        The `Host` header.
+    path
+        Path and query as sent.
+    headers
+        A case-insensitive mapping.
+
+    Returns
+    -------
+    Request
+        Sizes that cannot be read count as zero.
+    """
+    return calls.Request(
+        request_id=headers.get(REQUEST_ID, ""),
+        host=host.partition(":")[0],
+        path=path,
+        patience_ms=_whole(headers.get(_DEADLINE), -1),
+        prompt=_prompt(headers),
+    )
+
+
+def _prompt(headers) -> calls.Prompt | None:
+    name = headers.get(_MODEL)
+    if not name:
+        return None
+    model, _, adapter = name.partition("/")
+    tokens_in, _, tokens_out = headers.get(_TOKENS, "").partition(",")
+    return calls.Prompt(
+        model=model,
+        adapter=adapter,
+        tokens_in=_whole(tokens_in, 0),
+        tokens_out=_whole(tokens_out, 0),
+        parts=tuple(_parts(headers.get(_PROMPT, ""))),
+    )
+
+
+def _parts(text: str):
+    for item in text.split(","):
+        part_id, colon, tokens = item.strip().partition(":")
+        if colon:
+            yield sharing.Part(part_id, _whole(tokens, 0))
+
+
+def _whole(text: str | None, otherwise: int) -> int:
+    try:
+        return int(float(text)) if text else otherwise
+    except ValueError:
+        return otherwise
+
+
+def forward_headers(raw_headers, sending: calls.SendCall) -> list:
+    """Make the headers of a request to an upstream.
+
+    Parameters
+    ----------
+    raw_headers
+        Pairs of bytes as the client sent them.
+    sending
+        Where it goes and how long it may take.
+
+    Returns
+    -------
+    list of (str, str)
+        The client's own headers and ours.
+    """
+    headers = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in raw_headers
+    ]
+    headers = [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _HOP_BY_HOP and name.lower() not in _OURS
+    ]
+    headers.append((_DEADLINE, str(sending.allowed_ms)))
+    headers.append((_EXPECTED, sending.upstream_id))
+    headers.append((_URGENCY, str(sending.urgency)))
+    return headers
+
+
+def answer_headers(raw_headers) -> list:
+    """Make the headers of the answer to a client.
+
+    Parameters
+    ----------
+    raw_headers
+        Pairs of bytes as the upstream sent them.
+
+    Returns
+    -------
+    list of (str, str)
+        Without those of one connection only.
+    """
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in raw_headers
+        if name.lower().decode("latin-1") not in _HOP_BY_HOP
+    ]
+
+
+def run_state(status: int, headers) -> RunState:
+    """Tell from an upstream's answer whether it ran the request.
+
+    Parameters
+    ----------
+    status, headers
+        Of the answer.
+
+    Returns
+    -------
+    RunState
+        `RAN` unless the answer says otherwise.
+    """
+    # 421 always means another process, or a model that is not there.
+    if status == 421:
+        return RunState.ABSENT
+    return RunState.NOT_RUN if _NOT_RUN in headers else RunState.RAN
+
+
+def is_signed(headers) -> bool:
+    """Tell whether an answer is an upstream's own.
+
+    Parameters
+    ----------
+    headers
+        Of the answer.
+
+    Returns
+    -------
+    bool
+        False for one made by something else at that address.
+    """
+    return _SIGNATURE in headers
--- /dev/null
+++ b/bilberryramp/platform/operator_calls.py
@@ -0,0 +1,62 @@
+"""Decodes the calls that operators and upstreams make to a node."""
+
+import msgspec
+
+from bilberryramp.decisions import errors
+from bilberryramp.decisions.fleet import operator_calls as calls
+from bilberryramp.decisions.fleet import presence
+from bilberryramp.platform import announcements, service_documents
+
+__all__ = ["decode", "next_address_body"]
+
+
+def decode(method: str, path: str, body: bytes):
+    """Decode a call.
+
+    Parameters
+    ----------
+    method, path, body
+        Of the HTTP request.
+
+    Returns
+    -------
+    Submit, ReadDocument, Heartbeat, Farewell or Unreadable
+        In the project's own terms; None for a path that is not served.
+    """
+    parts = path.partition("?")[0].strip("/").split("/")
+    match (method, parts):
+        case ("POST", ["config", "put"]):
+            return _submit(body)
+        case ("GET", ["config", "get"]):
+            return calls.ReadDocument()
+        case ("POST", ["instances", upstream_id, "heartbeat"]):
+            return _heartbeat(upstream_id, body)
+        case ("POST", ["instances", upstream_id, "deregister"]):
+            return calls.Farewell(upstream_id, body)
+    return None
+
+
+def farewell(
+    call: calls.Farewell, last: presence.Announcement | None
+) -> presence.Announcement | None:
+    """Complete a farewell from what is known of the upstream."""
+    return announcements.farewell(call.upstream_id, call.body, last)
+
+
+def next_address_body() -> bytes:
+    """Encode the answer to a heartbeat."""
+    return msgspec.json.encode({})
+
+
+def _submit(body: bytes):
+    try:
+        return calls.Submit(service_documents.decode(body), body)
+    except errors.BilberryError as exc:
+        return calls.Unreadable(str(exc))
+
+
+def _heartbeat(upstream_id: str, body: bytes):
+    try:
+        return calls.Heartbeat(announcements.heartbeat(upstream_id, body))
+    except errors.BilberryError as exc:
+        return calls.Unreadable(str(exc))
--- /dev/null
+++ b/bilberryramp/platform/service_documents.py
@@ -0,0 +1,141 @@
+"""Decodes the operator's configuration into the project's document."""
+
+import msgspec
+
+from bilberryramp.decisions import errors
+from bilberryramp.decisions.fleet import documents
+
+__all__ = ["MalformedDocumentError", "decode"]
+
+
+class MalformedDocumentError(errors.BilberryError):
+    """A configuration that must not come into force; says why."""
+
+
+def decode(body: bytes) -> documents.Document:
+    """Decode and check a configuration.
+
+    Parameters
+    ----------
+    body
+        JSON as the operator sent it.
+
+    Returns
+    -------
+    Document
+        Complete and consistent.
+
+    Raises
+    ------
+    MalformedDocumentError
+        When it cannot be read in full or contradicts itself.
+    """
+    try:
+        raw = msgspec.json.decode(body)
+        doc = _document(raw)
+    except msgspec.MsgspecError as exc:
+        raise MalformedDocumentError(str(exc)) from exc
+    except KeyError as exc:
+        raise MalformedDocumentError(f"field {exc} is missing") from exc
+    except (TypeError, ValueError, AttributeError) as exc:
+        raise MalformedDocumentError(repr(exc)) from exc
+    _check(doc)
+    return doc
+
+
+def _document(raw: dict) -> documents.Document:
+    version = raw["version"]
+    if not isinstance(version, int) or isinstance(version, bool):
+        raise MalformedDocumentError("version is not a whole number")
+    services = [_service(row) for row in raw["services"]]
+    return documents.Document(
+        version=version,
+        routes=tuple(_route(row) for row in raw["routes"]),
+        services={service.name: service for service in services},
+        limits=_limits(raw.get("limits") or {}),
+    )
+
+
+def _route(raw: dict) -> documents.Route:
+    # A route names one service, or several with weights.
+    if raw.get("split"):
+        shares = tuple(
+            documents.Share(str(row["service"]), float(row["weight"]))
+            for row in raw["split"]
+        )
+    else:
+        shares = (documents.Share(str(raw["service"]), 1.0),)
+    kind = raw["kind"]
+    return documents.Route(
+        name=str(raw["name"]),
+        host=str(raw["host"]),
+        prefix=str(raw["pathPrefix"]),
+        shares=shares,
+        repeatable=kind == "idempotent",
+        streaming=kind == "streaming",
+        resumable=bool(raw.get("resumable", False)),
+        timeout_ms=int(raw["timeoutMs"]),
+        target_ms=int(raw.get("latencyTargetMs", raw["timeoutMs"])),
+        urgency=int(raw.get("priority", 5)),
+        max_attempts=int(raw.get("maxAttempts", 1)),
+    )
+
+
+def _service(raw: dict) -> documents.Service:
+    engine = raw.get("engine")
+    return documents.Service(
+        name=str(raw["name"]),
+        max_conns=int(raw.get("maxConns", 100)),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(raw: dict) -> documents.EngineSpec:
+    models = [
+        documents.ModelSpec(
+            name=str(row["name"]),
+            weights_mb=float(row["weightsMb"]),
+            load_s=float(row["loadS"]),
+            adapters=int(row.get("adapters", 0)),
+            adapter_mb=float(row.get("adapterMb", 0)),
+        )
+        for row in raw["models"]
+    ]
+    return documents.EngineSpec(
+        slots=int(raw["slots"]),
+        kv_tokens=int(raw["kvCapacity"]),
+        weights_mb=float(raw["weightsMb"]),
+        adapter_slots=int(raw.get("adapterSlots", 0)),
+        loads_per_s=float(raw.get("loadsPerS", 1)),
+        models={model.name: model for model in models},
+    )
+
+
+def _limits(raw: dict) -> documents.CallLimits:
+    usual = documents.CallLimits()
+    return documents.CallLimits(
+        header_bytes=int(raw.get("maxHeaderBytes", usual.header_bytes)),
+        body_bytes=int(raw.get("maxBodyBytes", usual.body_bytes)),
+        header_timeout_ms=int(
+            raw.get("headerTimeoutMs", usual.header_timeout_ms)
+        ),
+        idle_timeout_ms=int(raw.get("idleTimeoutMs", usual.idle_timeout_ms)),
+    )
+
+
+def _check(doc: documents.Document) -> None:
+    seen = set()
+    for route in doc.routes:
+        where = f"route {route.name}"
+        if (route.host, route.prefix) in seen:
+            raise MalformedDocumentError(f"{where}: host and prefix repeat")
+        seen.add((route.host, route.prefix))
+        if sum(share.weight for share in route.shares) <= 0:
+            raise MalformedDocumentError(f"{where}: weights add up to 0")
+        if route.timeout_ms <= 0:
+            raise MalformedDocumentError(f"{where}: no time allowed")
+        for share in route.shares:
+            if share.service not in doc.services or share.weight < 0:
+                raise MalformedDocumentError(
+                    f"{where}: service {share.service} is unknown"
+                )
--- /dev/null
+++ b/bilberryramp/platform/settings.py
@@ -0,0 +1,76 @@
+"""Decodes the platform's settings file of a process."""
+
+import pathlib
+import tomllib
+
+from bilberryramp.decisions import errors
+from bilberryramp.settings import fleet
+
+__all__ = ["MalformedSettingsError", "VARIABLE", "read"]
+
+VARIABLE = "BILBERRYRAMP_SETTINGS"
+
+
+class MalformedSettingsError(errors.BilberryError):
+    """The settings file cannot be used; names the file and the field."""
+
+
+def read(path: str) -> fleet.NodeSettings:
+    """Read the settings file.
+
+    Parameters
+    ----------
+    path
+        Where the file is.
+
+    Returns
+    -------
+    NodeSettings
+        In the project's own terms.
+
+    Raises
+    ------
+    MalformedSettingsError
+        When the file cannot be read, or a field is missing or of another
+        type.
+    """
+    try:
+        raw = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        return _decode(raw)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        raise MalformedSettingsError(f"{path}: {exc}") from exc
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise MalformedSettingsError(f"{path}: field {exc}") from exc
+
+
+def _decode(raw: dict) -> fleet.NodeSettings:
+    bounds = raw["bounds"]
+    listen = raw["listen"]
+    first_port, last_port = raw["internalPorts"]
+    return fleet.NodeSettings(
+        name=raw["nodeName"],
+        ip=raw["ip"],
+        failure_domain=raw["zone"],
+        peer_ports=(int(first_port), int(last_port)),
+        seeds=tuple(_host(seed) for seed in raw["seeds"]),
+        # True only while the whole system starts for the first time.
+        is_first_start=bool(raw["bootstrap"]),
+        data_folder=raw.get("dataDir", ""),
+        client_address=listen.get("front", ""),
+        readiness_address=listen.get("ready", ""),
+        operator_address=listen.get("control", ""),
+        heartbeat_ms=int(raw["heartbeatMs"]),
+        grace_ms=int(1000 * bounds["graceS"]),
+        drain_ms=int(bounds["drainMs"]),
+        apply_ms=int(bounds["configApplyMs"]),
+        order_lease_ms=int(bounds.get("leaseMs", 3000)),
+        retry_ratio=float(bounds["retryBudgetRatio"]),
+        retry_slack=float(bounds["budgetSlack"]),
+        retry_window_ms=int(1000 * bounds["budgetWindowS"]),
+        memory_mb=int(raw["limits"]["memoryMb"]),
+        link_mbps=float(raw["limits"]["linkMbps"]),
+    )
+
+
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
--- /dev/null
+++ b/bilberryramp/programs/node.py
@@ -0,0 +1,315 @@
+"""bilberry-node: entry and control in one process on a fleet instance."""
+
+import asyncio
+import dataclasses
+import gc
+import os
+import random
+import signal
+import sys
+import uuid
+
+from absl import app, flags
+
+from bilberryramp.charts import loader
+from bilberryramp.decisions import charting
+from bilberryramp.decisions.fleet import (
+    gateway,
+    health,
+    orders,
+    presence,
+    register,
+    register_messages,
+    retry_budget,
+)
+from bilberryramp.platform import (
+    engine_orders,
+    exchanges,
+    operator_calls,
+    service_documents,
+)
+from bilberryramp.platform import settings as platform_settings
+from bilberryramp.settings import fleet
+from bilberryramp.storage import slots
+from bilberryramp.tasks import (
+    clock,
+    fleet_frontend,
+    fleet_operator,
+    gateway_task,
+    mailbox,
+    peer_mesh,
+    register_task,
+    upstream_exchange,
+)
+from bilberryramp.tasks import (
+    engine_orders as order_task,
+)
+from bilberryramp.telemetry import events
+
+__all__ = ["run"]
+
+EXIT_BAD_SETTINGS = 2
+EXIT_DEFECT = 1
+
+# Connections that may wait to be accepted.
+BACKLOG = 512
+# After the signal to stop, new connections are taken for this long: the
+# balancer needs two missed status checks, one a second, to turn elsewhere.
+KEEP_LISTENING_S = 2.6
+# Time kept back at the end of the grace period for the exit itself.
+EXIT_MARGIN_S = 0.5
+# How often the end of running requests is looked for during a stop.
+DRAIN_POLL_S = 0.05
+# How often a change of the settings file is looked for.
+SETTINGS_POLL_S = 1.0
+# A node that has just started hears all upstreams within this many of their
+# heartbeats.
+BEATS_TO_HEAR = 1.1
+
+SETTINGS_FLAG = flags.DEFINE_string(
+    "settings", None, "The platform's settings file; by default as told."
+)
+
+
+@dataclasses.dataclass(slots=True)
+class NodeProcess:
+    """All that runs in the process."""
+
+    cfg: fleet.NodeSettings
+    path: str
+    register: register_task.RegisterTask
+    gateway: gateway_task.GatewayTask
+    front: fleet_frontend.Frontend
+    mesh: peer_mesh.Mesh
+    started_ms: int
+    servers: list = dataclasses.field(default_factory=list)
+    stop_asked: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
+    was_ready: bool = False
+
+
+def run() -> None:
+    """Console entry point."""
+    app.run(_main)
+
+
+def _main(_argv: list[str]) -> None:
+    path = SETTINGS_FLAG.value or os.environ.get(
+        platform_settings.VARIABLE, ""
+    )
+    try:
+        cfg = platform_settings.read(path)
+    except platform_settings.MalformedSettingsError as exc:
+        print(f"bilberry-node: {exc}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    events.start_bounded_logging("bilberry-node", cfg.name)
+    sys.exit(asyncio.run(_serve(cfg, path)))
+
+
+def _bind(name: str, module) -> charting.Chart:
+    return charting.bind(loader.load(name), module.guards, module.actions)
+
+
+async def _serve(cfg: fleet.NodeSettings, path: str) -> int:
+    proc = _assemble(cfg, path)
+    tasks = [
+        asyncio.create_task(register_task.run(proc.register)),
+        asyncio.create_task(gateway_task.run(proc.gateway)),
+        asyncio.create_task(
+            register_task.ticker(proc.register.box, register.Tick())
+        ),
+        asyncio.create_task(
+            register_task.ticker(proc.gateway.box, gateway.Tick())
+        ),
+        asyncio.create_task(_watch_settings(proc)),
+    ]
+    await _listen(proc)
+    _handle_signals(proc)
+    events.emit(events.STARTED, address=cfg.client_address)
+    # What exists now lives as long as the process.
+    gc.collect()
+    gc.freeze()
+    stopped = asyncio.create_task(_stop_when_asked(proc))
+    done, _ = await asyncio.wait(
+        [*tasks, stopped], return_when=asyncio.FIRST_COMPLETED
+    )
+    if stopped in done:
+        events.emit(events.STOPPED)
+        return 0
+    for task in done:
+        events.emit(events.TASK_FAILED, reason=repr(task.exception()))
+    return EXIT_DEFECT
+
+
+def _assemble(cfg: fleet.NodeSettings, path: str) -> NodeProcess:
+    now_ms = clock.boot_ms()
+    rng = random.Random()
+    port = cfg.peer_ports[0]
+    address = f"{cfg.ip}:{port}"
+    register_box, gateway_box = mailbox.Mailbox(), mailbox.Mailbox()
+    mesh = peer_mesh.open_mesh(address, _sorter(register_box, gateway_box))
+    table = presence.Table(cfg.heartbeat_ms)
+    gw = gateway.Gateway(
+        address,
+        _bind("exchange", gateway),
+        _bind("upstream_health", health),
+        rng,
+        table,
+        retry_budget.Limits(
+            cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_ms
+        ),
+    )
+    orderer = orders.Orderer(
+        _bind("engine_order", orders), table, cfg.order_lease_ms
+    )
+    session = upstream_exchange.open_session()
+    gateway_owner = gateway_task.GatewayTask(
+        gw,
+        orderer,
+        gateway_box,
+        mesh,
+        service_documents.decode,
+        order_task.make_sender(session, gateway_box, engine_orders, cfg.name),
+    )
+    register_owner = _open_register(
+        cfg, address, rng, now_ms, register_box, gateway_box, mesh
+    )
+    front = fleet_frontend.Frontend(gateway_owner, session, exchanges)
+    return NodeProcess(
+        cfg, path, register_owner, gateway_owner, front, mesh, now_ms
+    )
+
+
+def _open_register(
+    cfg, address, rng, now_ms, register_box, gateway_box, mesh
+) -> register_task.RegisterTask:
+    writes, stored = 0, None
+    if cfg.data_folder:
+        writes, stored = slots.read(cfg.data_folder)
+    fresh_id = register.GENESIS if cfg.is_first_start else uuid.uuid4().hex
+    me = register_messages.Peer(
+        address,
+        stored.store_id if stored is not None else fresh_id,
+        cfg.name,
+        bool(cfg.data_folder),
+        cfg.operator_address,
+    )
+    seeds = tuple(f"{seed}:{cfg.peer_ports[0]}" for seed in cfg.seeds)
+    node = register.new_node(
+        me, seeds, _bind("member", register), rng, now_ms, stored
+    )
+    return register_task.RegisterTask(
+        node, cfg.data_folder, writes, register_box, gateway_box, mesh
+    )
+
+
+def _sorter(register_box: mailbox.Mailbox, gateway_box: mailbox.Mailbox):
+    of_register = (
+        register_messages.Beat,
+        register_messages.RequestVote,
+        register_messages.VoteReply,
+        register_messages.Append,
+        register_messages.AppendReply,
+    )
+
+    def deliver(message) -> None:
+        is_register = isinstance(message, of_register)
+        mailbox.post_now(register_box if is_register else gateway_box, message)
+
+    return deliver
+
+
+async def _listen(proc: NodeProcess) -> None:
+    cfg = proc.cfg
+    api = fleet_operator.OperatorApi(
+        proc.register, proc.gateway, operator_calls
+    )
+    wanted = (
+        (cfg.operator_address, fleet_operator.make_server(api)),
+        (
+            cfg.readiness_address,
+            fleet_operator.make_readiness_server(lambda: _is_ready(proc)),
+        ),
+        (cfg.client_address, fleet_frontend.make_server(proc.front)),
+    )
+    loop = asyncio.get_running_loop()
+    for address, factory in wanted:
+        if address:
+            host, _, port = address.rpartition(":")
+            server = await loop.create_server(
+                factory, host, int(port), backlog=BACKLOG
+            )
+            proc.servers.append((server, factory))
+
+
+def _is_ready(proc: NodeProcess) -> bool:
+    heard_ms = proc.started_ms + BEATS_TO_HEAR * proc.cfg.heartbeat_ms
+    ready = (
+        gateway.is_ready(proc.gateway.gw)
+        and clock.boot_ms() >= heard_ms
+        and not proc.stop_asked.is_set()
+    )
+    if ready != proc.was_ready:
+        proc.was_ready = ready
+        events.emit(events.READINESS, ready=ready)
+    return ready
+
+
+def _handle_signals(proc: NodeProcess) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, proc.stop_asked.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, proc)
+
+
+def _reload(proc: NodeProcess) -> None:
+    """Take in the settings that may change while the process runs."""
+    try:
+        cfg = platform_settings.read(proc.path)
+    except platform_settings.MalformedSettingsError as exc:
+        events.emit(events.SETTINGS_UNREADABLE, reason=str(exc))
+        return
+    port = cfg.peer_ports[0]
+    proc.register.node.seeds = tuple(f"{s}:{port}" for s in cfg.seeds)
+    events.emit(events.RELOADED, seeds=list(cfg.seeds))
+
+
+async def _watch_settings(proc: NodeProcess) -> None:
+    seen = _stamp(proc.path)
+    while True:
+        await asyncio.sleep(SETTINGS_POLL_S)
+        stamp = _stamp(proc.path)
+        if stamp != seen:
+            seen = stamp
+            _reload(proc)
+
+
+def _stamp(path: str) -> tuple:
+    try:
+        stat = os.stat(path)
+    except OSError:
+        return ()
+    return (stat.st_mtime_ns, stat.st_size, stat.st_ino)
+
+
+async def _stop_when_asked(proc: NodeProcess) -> None:
+    await proc.stop_asked.wait()
+    events.emit(events.STOPPING)
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    proc.front.is_stopping = True
+    await asyncio.sleep(KEEP_LISTENING_S)
+    server, factory = proc.servers[-1]
+    server.close()
+    factory.pre_shutdown()
+    proc.front.is_closing = True
+    last = started + proc.cfg.grace_ms / 1000 - EXIT_MARGIN_S
+    while loop.time() < last and not gateway.is_idle(proc.gateway.gw):
+        await asyncio.sleep(DRAIN_POLL_S)
+    # The last answers leave the sockets.
+    await asyncio.sleep(DRAIN_POLL_S)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -0,0 +1,314 @@
+"""A node's HTTP interface for clients; each request is a task of its own."""
+
+import asyncio
+import dataclasses
+from types import ModuleType
+
+import aiohttp
+from aiohttp import hdrs, web
+
+from bilberryramp.decisions.fleet import calls, documents
+from bilberryramp.tasks import gateway_task, mailbox, upstream_exchange
+
+__all__ = ["Frontend", "handle", "make_server"]
+
+# A connection that a client keeps idle is closed a little after the limit
+# that clients are told.
+IDLE_SLACK_S = 2.0
+# Longest request line and header that is read.
+MAX_LINE_BYTES = 16384
+MAX_HEADERS = 128
+
+_STATUS = {
+    calls.Refusal.NO_ROUTE: 404,
+    calls.Failure.BROKEN: 502,
+    calls.Failure.LATE: 504,
+}
+_REFUSED = 503
+
+
+@dataclasses.dataclass(slots=True)
+class Frontend:
+    """What all requests of a node share.
+
+    Attributes
+    ----------
+    wire
+        Reads requests' headers and makes those that are sent on.
+    is_stopping
+        From then on each answer ends its connection.
+    is_closing
+        From then on requests are refused.
+    """
+
+    gateway: gateway_task.GatewayTask
+    session: aiohttp.ClientSession
+    wire: ModuleType
+    is_stopping: bool = False
+    is_closing: bool = False
+
+
+def make_server(front: Frontend) -> web.Server:
+    """Make the protocol factory for client connections.
+
+    Parameters
+    ----------
+    front
+        Shared by all requests.
+
+    Returns
+    -------
+    web.Server
+        For `loop.create_server`.
+    """
+
+    async def serve(request: web.BaseRequest) -> web.StreamResponse:
+        return await handle(front, request)
+
+    def make_request(message, payload, protocol, writer, task):
+        loop = asyncio.get_running_loop()
+        limits = _limits(front)
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            loop,
+            client_max_size=limits.body_bytes,
+        )
+
+    idle_s = documents.CallLimits().idle_timeout_ms / 1000 + IDLE_SLACK_S
+    return web.Server(
+        serve,
+        request_factory=make_request,
+        handler_cancellation=True,
+        keepalive_timeout=idle_s,
+        access_log=None,
+        auto_decompress=False,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+        max_headers=MAX_HEADERS,
+    )
+
+
+def _limits(front: Frontend) -> documents.CallLimits:
+    doc = front.gateway.gw.doc
+    return doc.limits if doc is not None else documents.CallLimits()
+
+
+async def handle(
+    front: Frontend, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Serve one request from its arrival to its last byte.
+
+    Parameters
+    ----------
+    front, request
+        What requests share, and this one.
+
+    Returns
+    -------
+    web.StreamResponse
+        Complete, or with its connection closed where it broke off.
+    """
+    try:
+        body = await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        return _plain(front, 413, "the body exceeds the limit", 0)
+    task = front.gateway
+    call_id = task.next_call
+    task.next_call += 1
+    asked = front.wire.read_request(
+        request.headers.get(hdrs.HOST, ""), request.raw_path, request.headers
+    )
+    if front.is_closing:
+        return _refusal(
+            front, calls.Refuse(call_id, calls.Refusal.STOPPING, 0)
+        )
+    fut = gateway_task.decision(task, call_id)
+    mailbox.post_now(task.box, calls.Arrived(call_id, asked))
+    try:
+        return await _follow(front, request, body, asked, call_id, fut)
+    except asyncio.CancelledError:
+        task.decisions.pop(call_id, None)
+        mailbox.post_now(task.box, calls.CallLeft(call_id))
+        raise
+
+
+async def _follow(
+    front, request, body, asked, call_id, fut
+) -> web.StreamResponse:
+    """Carry out decisions on a call until one ends it."""
+    task = front.gateway
+    failed: upstream_exchange.Answer | None = None
+    while True:
+        step = await fut
+        match step:
+            case calls.Refuse():
+                return _refusal(front, step)
+            case calls.Fail():
+                return _failure(front, step.reason)
+            case calls.PassOn():
+                return _whole(front, failed)
+        fut = gateway_task.decision(task, call_id)
+        attempt = _Attempt(front, request, body, asked, step)
+        end = await _try_once(attempt)
+        failed = attempt.failed or failed
+        mailbox.post_now(task.box, calls.AttemptOver(call_id, end))
+        if end in (calls.End.DELIVERED, calls.End.CUT):
+            task.decisions.pop(call_id, None)
+            return attempt.response
+        if end is calls.End.LATE:
+            task.decisions.pop(call_id, None)
+            return attempt.response or _failure(front, calls.Failure.LATE)
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """One sending of a request.
+
+    Attributes
+    ----------
+    response
+        What the client got or gets; None until it is known.
+    failed
+        The upstream's own failure, to be passed on if nothing better comes.
+    """
+
+    front: Frontend
+    request: web.BaseRequest
+    body: bytes
+    asked: calls.Request
+    sending: calls.SendCall
+    response: web.StreamResponse | None = None
+    failed: upstream_exchange.Answer | None = None
+
+
+async def _try_once(attempt: _Attempt) -> calls.End:
+    begun = None
+    try:
+        async with asyncio.timeout(attempt.sending.allowed_ms / 1000):
+            wire = attempt.front.wire
+            begun = await upstream_exchange.begin(
+                attempt.front.session,
+                attempt.request,
+                attempt.body,
+                attempt.sending,
+                wire.forward_headers(
+                    attempt.request.raw_headers, attempt.sending
+                ),
+            )
+            if isinstance(begun, calls.End):
+                return begun
+            return await _take_answer(attempt, begun)
+    except TimeoutError:
+        if attempt.response is not None:
+            _break_off(attempt)
+        return calls.End.LATE
+    finally:
+        if begun is not None and not isinstance(begun, calls.End):
+            begun.resp.close()
+
+
+async def _take_answer(attempt: _Attempt, begun) -> calls.End:
+    wire = attempt.front.wire
+    resp = begun.resp
+    echoed = resp.headers.get(wire.REQUEST_ID, attempt.asked.request_id)
+    if echoed != attempt.asked.request_id or not wire.is_signed(resp.headers):
+        state = wire.run_state(resp.status, resp.headers)
+        if echoed != attempt.asked.request_id or state is wire.RunState.RAN:
+            return calls.End.BROKEN
+    if resp.status < 300 and _is_stream(resp):
+        return await _pass_stream(attempt, begun)
+    answer = await upstream_exchange.read_whole(begun)
+    if isinstance(answer, calls.End):
+        return answer
+    resp.release()
+    return _classify(attempt, answer)
+
+
+def _is_stream(resp: aiohttp.ClientResponse) -> bool:
+    return resp.content_type == "text/event-stream"
+
+
+def _classify(attempt: _Attempt, answer) -> calls.End:
+    wire = attempt.front.wire
+    match wire.run_state(answer.status, answer.headers):
+        case wire.RunState.ABSENT:
+            return calls.End.ABSENT
+        case wire.RunState.NOT_RUN:
+            return calls.End.NOT_RUN
+    if answer.status >= 500:
+        attempt.failed = answer
+        return calls.End.FAILED
+    attempt.response = _whole(attempt.front, answer)
+    return calls.End.DELIVERED
+
+
+async def _pass_stream(attempt: _Attempt, begun) -> calls.End:
+    """Pass a stream's bytes on as they come."""
+    chunk = await upstream_exchange.read_some(begun)
+    if isinstance(chunk, calls.End):
+        return chunk
+    box = attempt.front.gateway.box
+    mailbox.post_now(box, calls.AnswerBegun(attempt.sending.call_id))
+    out = _head(attempt.front, begun.resp.status, begun.resp.raw_headers)
+    attempt.response = out
+    await out.prepare(attempt.request)
+    while chunk:
+        await out.write(chunk)
+        chunk = await upstream_exchange.read_some(begun)
+        if isinstance(chunk, calls.End):
+            _break_off(attempt)
+            return calls.End.CUT
+    await out.write_eof()
+    begun.resp.release()
+    return calls.End.DELIVERED
+
+
+def _break_off(attempt: _Attempt) -> None:
+    """End the client's connection so that the answer looks incomplete."""
+    attempt.response.force_close()
+    transport = attempt.request.transport
+    if transport is not None:
+        transport.close()
+
+
+def _head(front: Frontend, status: int, raw_headers) -> web.StreamResponse:
+    out = web.StreamResponse(status=status)
+    for name, value in front.wire.answer_headers(raw_headers):
+        out.headers.add(name, value)
+    if front.is_stopping:
+        out.force_close()
+    return out
+
+
+def _whole(front: Frontend, answer) -> web.Response:
+    out = web.Response(status=answer.status, body=answer.body)
+    out.headers.pop(hdrs.CONTENT_TYPE, None)
+    for name, value in front.wire.answer_headers(answer.raw_headers):
+        out.headers.add(name, value)
+    if front.is_stopping:
+        out.force_close()
+    return out
+
+
+def _refusal(front: Frontend, refusal: calls.Refuse) -> web.Response:
+    status = _STATUS.get(refusal.reason, _REFUSED)
+    return _plain(front, status, refusal.reason.value, refusal.retry_after_ms)
+
+
+def _failure(front: Frontend, reason: calls.Failure) -> web.Response:
+    return _plain(front, _STATUS[reason], reason.value, 0)
+
+
+def _plain(
+    front: Frontend, status: int, reason: str, retry_after_ms: int
+) -> web.Response:
+    out = web.json_response({"error": {"code": reason}}, status=status)
+    if retry_after_ms:
+        out.headers[hdrs.RETRY_AFTER] = f"{retry_after_ms / 1000:.3f}"
+    if front.is_stopping:
+        out.force_close()
+    return out
--- /dev/null
+++ b/bilberryramp/tasks/gateway_task.py
@@ -0,0 +1,237 @@
+"""The task that owns an entry's decisions and the leader's orders."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from bilberryramp.decisions.fleet import (
+    calls,
+    gateway,
+    operator_calls,
+    orders,
+    presence,
+    register,
+    sharing,
+)
+from bilberryramp.tasks import clock, mailbox, peer_mesh
+from bilberryramp.telemetry import events
+
+__all__ = ["Announce", "GatewayTask", "Stop", "decision", "run"]
+
+# How long the answer to a departing upstream waits for the other nodes;
+# the upstream turns to another node after a second.
+RELAY_WAIT_S = 0.6
+
+
+@dataclasses.dataclass(slots=True)
+class Announce:
+    """A heartbeat that this node received; `done` is set once it is known.
+
+    Attributes
+    ----------
+    make
+        Makes the announcement from the last one known of the upstream.
+    """
+
+    upstream_id: str
+    make: Callable
+    done: asyncio.Future
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stop:
+    """The process has been asked to stop."""
+
+
+@dataclasses.dataclass(slots=True)
+class PendingRelay:
+    """Nodes that have not yet taken in a departure."""
+
+    missing: set[str]
+    done: asyncio.Future
+
+
+@dataclasses.dataclass(slots=True)
+class GatewayTask:
+    """What the task owns.
+
+    Attributes
+    ----------
+    decode_document
+        Makes a document of what the register holds.
+    give_order
+        Starts an order to an engine; its end is posted to `box`.
+    decisions
+        Futures of the calls that wait for a decision.
+    """
+
+    gw: gateway.Gateway
+    orderer: orders.Orderer
+    box: mailbox.Mailbox
+    mesh: peer_mesh.Mesh
+    decode_document: Callable
+    give_order: Callable
+    peers: tuple[str, ...] = ()
+    leader: str = ""
+    decisions: dict[int, asyncio.Future] = dataclasses.field(
+        default_factory=dict
+    )
+    relays: dict[int, PendingRelay] = dataclasses.field(default_factory=dict)
+    next_call: int = 1
+    next_relay: int = 1
+
+
+async def run(task: GatewayTask) -> None:
+    """Handle messages until cancelled.
+
+    Parameters
+    ----------
+    task
+        The task's state.
+    """
+    while True:
+        for message in await mailbox.take_all(task.box):
+            _handle(task, clock.boot_ms(), message)
+
+
+def decision(task: GatewayTask, call_id: int) -> asyncio.Future:
+    """Return a future for the next decision on a call.
+
+    Parameters
+    ----------
+    task, call_id
+        The task, and the call.
+
+    Returns
+    -------
+    asyncio.Future
+        Gets a `SendCall`, `Refuse`, `Fail` or `PassOn`.
+    """
+    fut = asyncio.get_running_loop().create_future()
+    task.decisions[call_id] = fut
+    return fut
+
+
+def _handle(task: GatewayTask, now_ms: int, message) -> None:
+    match message:
+        case register.Committed():
+            _take_document(task, now_ms, message)
+        case register.LeaderChanged():
+            orders.set_leading(
+                task.orderer, message.leads, message.term, now_ms
+            )
+        case operator_calls.Roster():
+            task.peers, task.leader = message.addresses, message.leader
+            task.gw.node_count = len(message.addresses) + 1
+        case Announce():
+            _announce(task, now_ms, message)
+        case operator_calls.Relay():
+            _step(task, now_ms, message.told)
+            if message.relay_id:
+                ack = operator_calls.RelayAck(
+                    task.gw.address, message.relay_id
+                )
+                peer_mesh.send(task.mesh, message.sender, ack)
+        case operator_calls.RelayAck():
+            _note_relay_ack(task, message)
+        case orders.OrderEnded() | calls.Wanted():
+            _step_orders(task, now_ms, message)
+        case gateway.Tick() | sharing.Report():
+            _step(task, now_ms, message)
+            _step_orders(task, now_ms, message)
+        case _:
+            _step(task, now_ms, message)
+
+
+def _step(task: GatewayTask, now_ms: int, message) -> None:
+    for effect in gateway.step(task.gw, now_ms, message):
+        _perform(task, now_ms, effect)
+
+
+def _step_orders(task: GatewayTask, now_ms: int, message) -> None:
+    for effect in orders.step(task.orderer, now_ms, message):
+        _perform(task, now_ms, effect)
+
+
+def _perform(task: GatewayTask, now_ms: int, effect) -> None:
+    match effect:
+        case calls.SendCall() | calls.Refuse() | calls.Fail() | calls.PassOn():
+            fut = task.decisions.pop(effect.call_id, None)
+            if fut is not None and not fut.done():
+                fut.set_result(effect)
+        case sharing.Report():
+            peer_mesh.broadcast(task.mesh, task.peers, effect)
+            _step_orders(task, now_ms, effect)
+        case calls.Wanted():
+            _want(task, now_ms, effect)
+        case gateway.HoldingLearned():
+            peer_mesh.broadcast(task.mesh, task.peers, effect)
+            _step(task, now_ms, effect)
+        case orders.SendOrder():
+            task.give_order(effect)
+        case gateway.Trace():
+            events.trace(effect.name, effect.fields)
+
+
+def _want(task: GatewayTask, now_ms: int, ask: calls.Wanted) -> None:
+    if task.orderer.leading_since_ms >= 0:
+        _step_orders(task, now_ms, ask)
+    elif task.leader:
+        peer_mesh.send(task.mesh, task.leader, ask)
+
+
+def _take_document(task: GatewayTask, now_ms: int, committed) -> None:
+    message = gateway.DocumentInForce(task.decode_document(committed.body))
+    events.emit(events.DOCUMENT_IN_FORCE, version=committed.version)
+    _step(task, now_ms, message)
+    _step_orders(task, now_ms, message)
+
+
+# Heartbeats that came to this node.
+
+
+def _announce(task: GatewayTask, now_ms: int, ask: Announce) -> None:
+    known = task.gw.table.upstreams.get(ask.upstream_id)
+    told = ask.make(known.last if known is not None else None)
+    if told is None:
+        _finish(ask.done)
+        return
+    _step(task, now_ms, told)
+    ends = told.leaving or told.gone
+    if not ends or not task.peers:
+        relay = operator_calls.Relay(task.gw.address, 0, told)
+        peer_mesh.broadcast(task.mesh, task.peers, relay)
+        _finish(ask.done)
+        return
+    _relay_departure(task, told, ask.done)
+
+
+def _relay_departure(
+    task: GatewayTask, told: presence.Announcement, done: asyncio.Future
+) -> None:
+    number = task.next_relay
+    task.next_relay += 1
+    task.relays[number] = PendingRelay(set(task.peers), done)
+    relay = operator_calls.Relay(task.gw.address, number, told)
+    peer_mesh.broadcast(task.mesh, task.peers, relay)
+    loop = asyncio.get_running_loop()
+    loop.call_later(RELAY_WAIT_S, _end_relay, task, number)
+
+
+def _note_relay_ack(task: GatewayTask, ack: operator_calls.RelayAck) -> None:
+    pending = task.relays.get(ack.relay_id)
+    if pending is not None:
+        pending.missing.discard(ack.sender)
+        if not pending.missing:
+            _end_relay(task, ack.relay_id)
+
+
+def _end_relay(task: GatewayTask, number: int) -> None:
+    pending = task.relays.pop(number, None)
+    if pending is not None:
+        _finish(pending.done)
+
+
+def _finish(done: asyncio.Future) -> None:
+    if not done.done():
+        done.set_result(None)
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -5,11 +5,22 @@
 """
 
 import dataclasses
+import os
 import sys
 
 import eliot
 
-__all__ = ["CATALOGUE", "Event", "catalogue_page", "emit", "start_logging"]
+from bilberryramp.telemetry import bounded_log
+
+__all__ = [
+    "CATALOGUE",
+    "Event",
+    "catalogue_page",
+    "emit",
+    "start_bounded_logging",
+    "start_logging",
+    "trace",
+]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,6 +113,70 @@
 STREAM_RESUMED = _declare(
     4005, "stream.resumed", "A broken answer is read on at the engine."
 )
+REGISTER_LEADER = _declare(
+    5001, "register.leader", "A node gained or lost leadership, or found it."
+)
+ROSTER = _declare(
+    5002, "register.roster", "The nodes heard lately or the voters changed."
+)
+STORE_REFUSED = _declare(
+    5003,
+    "store.refused",
+    "A write to the store failed; the node says nothing until one succeeds.",
+)
+DOCUMENT_IN_FORCE = _declare(
+    5004, "document.in_force", "A version of the document is in force here."
+)
+DOCUMENT_SUBMITTED = _declare(
+    5005, "document.submitted", "An operator sent a document; its outcome."
+)
+CALL_UNREADABLE = _declare(
+    5006, "operator.unreadable", "A call of an operator was not understood."
+)
+READINESS = _declare(
+    5007, "node.readiness", "The node wants new connections, or not."
+)
+RELOADED = _declare(5008, "node.reloaded", "Settings were read again.")
+SETTINGS_UNREADABLE = _declare(
+    5009, "node.settings_unreadable", "Changed settings could not be read."
+)
+UPSTREAM_SEEN = _declare(
+    5101, "upstream.seen", "An upstream announced itself for the first time."
+)
+UPSTREAM_LEAVING = _declare(
+    5102, "upstream.leaving", "An upstream drains or has left."
+)
+CALL_PLACED = _declare(
+    5103, "call.placed", "A request goes to an upstream; why it was chosen."
+)
+CALL_ATTEMPT = _declare(
+    5104, "call.attempt", "A request's attempt at an upstream ended."
+)
+CALL_REFUSED = _declare(
+    5105, "call.refused", "A request was refused without being run."
+)
+CALL_FAILED = _declare(
+    5106, "call.failed", "A request that may have run has no answer."
+)
+FLEET_ORDER_SENT = _declare(
+    5201, "order.sent_to_engine", "The leader gave an order to an engine."
+)
+FLEET_ORDER_ANSWERED = _declare(
+    5202, "order.answered", "An engine answered an order, or did not."
+)
+
+
+def trace(name: str, fields: dict) -> None:
+    """Write one log line for a decision.
+
+    Parameters
+    ----------
+    name
+        The name of a declared event.
+    fields
+        The inputs that decided it, and the outcome.
+    """
+    emit(CATALOGUE[name], **fields)
 
 
 def emit(event: Event, **fields) -> None:
@@ -117,6 +192,27 @@
     eliot.log_message(event.name, number=event.number, **fields)
 
 
+def start_bounded_logging(program: str, name: str) -> bounded_log.BoundedLog:
+    """Send log lines to standard output, within a budget.
+
+    Parameters
+    ----------
+    program, name
+        Added to every line.
+
+    Returns
+    -------
+    BoundedLog
+        Counts the lines that were left out.
+    """
+    fd = sys.stdout.fileno()
+    os.set_blocking(fd, False)
+    log = bounded_log.BoundedLog(fd)
+    eliot.add_destinations(lambda message: bounded_log.write(log, message))
+    eliot.add_global_fields(program=program, instance=name)
+    return log
+
+
 def start_logging(program: str, name: str, path: str = "") -> None:
     """Send log lines to standard error, or to a file.
 
--- a/bilberryramp/wire/codec.py
+++ b/bilberryramp/wire/codec.py
@@ -27,6 +27,7 @@
     tables,
     views,
 )
+from bilberryramp.wire.errors import MalformedMessageError
 
 __all__ = ["MalformedMessageError", "decode", "encode"]
 
@@ -34,10 +35,6 @@
 _LEFT_TO_MSGSPEC = (idempotency.KeyTable,)
 
 
-class MalformedMessageError(errors.BilberryError):
-    """Bytes that are not an encoded message of this version."""
-
-
 def _classes():
     modules = (
         admission,
--- /dev/null
+++ b/bilberryramp/wire/errors.py
@@ -0,0 +1,9 @@
+"""Failures of the codecs."""
+
+from bilberryramp.decisions import errors
+
+__all__ = ["MalformedMessageError"]
+
+
+class MalformedMessageError(errors.BilberryError):
+    """Bytes that are not an encoded message of this version."""
