--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -233,15 +233,8 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Wanted:
-    """Asks the orderer of engines for a model or adapter.
-
-    Attributes
-    ----------
-    upstream_id
-        Where; empty to leave the choice to the orderer.
-    """
+    """Asks the orderer of engines for a model, or an adapter of it."""
 
     service: str
-    upstream_id: str
     model: str
     adapter: str
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -170,8 +170,14 @@
 
 
 def _on_holding(gw: Gateway, now_ms: int, told: HoldingLearned) -> Iterator:
-    change = presence.note_held if told.held else presence.forget_held
-    change(gw.table, told.upstream_id, told.model, told.adapter)
+    presence.note_held(
+        gw.table,
+        told.upstream_id,
+        told.model,
+        told.adapter,
+        told.held,
+        now_ms,
+    )
     if told.held:
         yield from _serve_queue(gw, now_ms)
 
@@ -307,8 +313,13 @@
     if end in (calls.End.LATE, calls.End.ABSENT):
         if end is calls.End.ABSENT and call.request.prompt is not None:
             prompt = call.request.prompt
-            presence.forget_held(
-                gw.table, call.upstream_id, prompt.model, prompt.adapter
+            presence.note_held(
+                gw.table,
+                call.upstream_id,
+                prompt.model,
+                prompt.adapter,
+                False,
+                now_ms,
             )
         return
     if end is calls.End.NOT_RUN:
@@ -419,7 +430,7 @@
     holders = [up for up in candidates if prompt.model in up.models]
     if not holders:
         call.why = calls.Refusal.NO_MODEL
-        yield from _ask_for(call, "", now_ms, "")
+        yield from _ask_for(call, now_ms)
         return
     ready = holders
     if prompt.adapter:
@@ -427,12 +438,8 @@
             up for up in holders if prompt.adapter in up.models[prompt.model]
         ]
         if not ready:
-            home = scheduling.pick_adapter_home(
-                prompt, holders, gw.loads, now_ms
-            )
             call.why = calls.Refusal.NO_MODEL
-            home_id = home.last.upstream_id
-            yield from _ask_for(call, home_id, now_ms, prompt.adapter)
+            yield from _ask_for(call, now_ms)
             return
     picked = scheduling.pick_engine(prompt, engine, ready, gw.loads, now_ms)
     if picked is None:
@@ -442,11 +449,11 @@
     yield from _place(gw, now_ms, call, upstream, cached, estimate_ms)
 
 
-def _ask_for(call, upstream_id: str, now_ms: int, adapter: str) -> Iterator:
+def _ask_for(call: calls.Call, now_ms: int) -> Iterator:
     if now_ms - call.asked_ms >= ASK_AGAIN_MS:
         call.asked_ms = now_ms
-        model = call.request.prompt.model
-        yield calls.Wanted(call.service, upstream_id, model, adapter)
+        prompt = call.request.prompt
+        yield calls.Wanted(call.service, prompt.model, prompt.adapter)
 
 
 def _candidates(gw: Gateway, call: calls.Call, now_ms: int) -> list:
--- a/bilberryramp/decisions/fleet/orders.py
+++ b/bilberryramp/decisions/fleet/orders.py
@@ -38,8 +38,16 @@
 LOAD_SLACK_MS = 20_000
 # Time after which an accepted adapter order is taken as carried out.
 ADAPTER_MS = 14
+# How long an engine gets no order after it said that it is busy.
+BUSY_PAUSE_MS = 80
+# Adapters on their way to an engine at once.
+ADAPTERS_AT_ONCE = 4
+# How long an engine may take to give up an adapter that is in use.
+ADAPTER_UNLOAD_MS = 4000
 # How often placement is reviewed.
 REVIEW_MS = 400
+# A want counts this long after it was last asked for.
+WANT_MS = 1500
 # Window of the weight store's ceiling, and the part of it that is used.
 CEILING_WINDOW_MS = 5000
 CEILING_SHARE = 0.9
@@ -108,14 +116,17 @@
         -1 while this node does not lead.
     quiet_ms
         How long a new leader waits before its first order.
-    used_ms
-        When weights were last used, by engine and weights.
+    wanted
+        Service, model and adapter that calls wait for, and when last asked.
     held_before
         Weights that an engine held once, and so has copies of.
+    paused_until
+        Engines that were busy, and until when they get no order.
     """
 
     chart: charting.Chart
     table: presence.Table
+    loads: sharing.Loads
     quiet_ms: int
     leading_since_ms: int = -1
     fence: int = 0
@@ -123,13 +134,14 @@
     doc: documents.Document | None = None
     orders: dict[int, Order] = dataclasses.field(default_factory=dict)
     loads_ms: list[int] = dataclasses.field(default_factory=list)
-    wanted: dict[tuple[str, str, str, str], int] = dataclasses.field(
+    wanted: dict[tuple[str, str, str], int] = dataclasses.field(
         default_factory=dict
     )
     demand: placement.Demand = dataclasses.field(
         default_factory=placement.Demand
     )
     held_before: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    paused_until: dict[str, int] = dataclasses.field(default_factory=dict)
     reviewed_ms: int = 0
 
 
@@ -192,117 +204,180 @@
 
 
 def _on_wanted(orderer: Orderer, now_ms: int, ask: calls.Wanted) -> Iterator:
-    placement.note_want(orderer.demand, ask.service, ask.model, now_ms)
+    orderer.wanted[(ask.service, ask.model, ask.adapter)] = now_ms
+    yield from _serve_wants(orderer, now_ms)
+
+
+def _serve_wants(orderer: Orderer, now_ms: int) -> Iterator:
+    """Bring wanted adapters and models to engines, oldest wants last."""
     if not _may_order(orderer, now_ms) or orderer.doc is None:
         return
-    service = orderer.doc.services.get(ask.service)
-    if service is None or service.engine is None:
-        return
-    if ask.adapter:
-        yield from _load_adapter(orderer, now_ms, service.engine, ask)
-    else:
-        yield from _review(orderer, now_ms)
+    for want, asked_ms in list(orderer.wanted.items()):
+        name, model, adapter = want
+        service = orderer.doc.services.get(name)
+        stale = now_ms - asked_ms > WANT_MS
+        if stale or service is None or service.engine is None:
+            orderer.wanted.pop(want)
+            continue
+        sites = list(_sites(orderer, service, now_ms))
+        if adapter and any(model in site.models for site in sites):
+            yield from _bring_adapter(
+                orderer, now_ms, service.engine, sites, want
+            )
+        elif not any(model in site.models for site in sites):
+            yield from _bring_model(
+                orderer, now_ms, service.engine, sites, want
+            )
+        else:
+            orderer.wanted.pop(want)
+
+
+def _sites(
+    orderer: Orderer, service: documents.Service, now_ms: int
+) -> Iterator[placement.Site]:
+    """Describe a service's engines with what is under way at each."""
+    for upstream in presence.usable(orderer.table, service.name, now_ms):
+        upstream_id = upstream.last.upstream_id
+        pending = [
+            order
+            for order in orderer.orders.values()
+            if order.what.upstream_id == upstream_id
+        ]
+        coming_mb = sum(_size_mb(service.engine, order) for order in pending)
+        used_mb = placement.memory_used_mb(service.engine, upstream)
+        adapters = sum(len(names) for names in upstream.models.values())
+        yield placement.Site(
+            upstream_id=upstream_id,
+            models=upstream.models,
+            copies=frozenset(upstream.last.copies),
+            free_mb=service.engine.weights_mb - used_mb - coming_mb,
+            free_places=service.engine.adapter_slots
+            - adapters
+            - sum(_takes_place(order) for order in pending),
+            is_busy=orderer.paused_until.get(upstream_id, 0) > now_ms
+            or any(not order.what.adapter for order in pending)
+            or sum(_takes_place(order) for order in pending)
+            >= ADAPTERS_AT_ONCE,
+            coming=frozenset(
+                (order.what.model, order.what.adapter)
+                for order in pending
+                if order.what.load
+            ),
+            is_emptying=any(not order.what.load for order in pending),
+            load=sharing.total(orderer.loads, upstream_id, now_ms),
+        )
+
+
+def _takes_place(order: Order) -> bool:
+    """Tell whether an order may yet take, or still holds, a place."""
+    what = order.what
+    return bool(what.adapter) and (what.load or order.phase == "unsure")
+
+
+def _size_mb(engine: documents.EngineSpec, order: Order) -> float:
+    """Return the memory that an order under way may take or not yet free."""
+    model = engine.models.get(order.what.model)
+    if model is None:
+        return 0.0
+    return model.adapter_mb if order.what.adapter else model.weights_mb
 
 
 # Adapters.
 
 
-def _load_adapter(orderer, now_ms, engine, ask) -> Iterator:
-    upstream = orderer.table.upstreams.get(ask.upstream_id)
-    model = engine.models.get(ask.model)
-    usable = presence.is_usable(orderer.table, ask.upstream_id, now_ms)
-    if upstream is None or model is None or not usable:
-        return
-    held = upstream.models.get(ask.model)
-    if held is None:
+def _bring_adapter(orderer, now_ms, engine, sites, want) -> Iterator:
+    _, model, adapter = want
+    if any((model, adapter) in site.coming for site in sites):
         return
-    if ask.adapter in held:
-        yield gateway.HoldingLearned(
-            ask.upstream_id, ask.model, ask.adapter, True
-        )
+    held = [s for s in sites if adapter in s.models.get(model, ())]
+    if held:
+        orderer.wanted.pop(want, None)
+        yield gateway.HoldingLearned(held[0].upstream_id, model, adapter, True)
         return
-    pending = list(_orders_at(orderer, ask.upstream_id))
-    if any(_is_for(order, ask.model, ask.adapter) for order in pending):
+    size_mb = engine.models[model].adapter_mb if model in engine.models else 0
+    found = placement.adapter_home(
+        model, size_mb, sites, orderer.demand, now_ms
+    )
+    if found is None:
         return
-    coming = [o for o in pending if o.what.load and o.what.adapter]
-    places = sum(len(names) for names in upstream.models.values())
-    unsure = [
-        o
-        for o in pending
-        if not o.what.load and o.what.adapter and o.phase == "unsure"
-    ]
-    free = engine.adapter_slots - places - len(coming) - len(unsure)
-    used_mb = placement.memory_used_mb(engine, upstream)
-    used_mb += sum(_size_mb(engine, order) for order in pending)
-    has_memory = used_mb + model.adapter_mb <= engine.weights_mb
-    if free > 0 and has_memory:
+    site, victim = found
+    upstream = orderer.table.upstreams[site.upstream_id]
+    if victim is None:
         yield from _send(
-            orderer, now_ms, upstream, True, ask.model, ask.adapter, engine
+            orderer, now_ms, upstream, True, model, adapter, engine
         )
-        return
-    if any(not o.what.load for o in pending):
-        return
-    victim = placement.idle_adapter(orderer.demand, upstream, now_ms)
-    if victim is not None:
+    else:
         yield from _send(orderer, now_ms, upstream, False, *victim, engine)
 
 
-def _is_for(order: Order, model: str, adapter: str) -> bool:
-    return order.what.model == model and order.what.adapter == adapter
+# Models.
+
 
+def _bring_model(orderer, now_ms, engine, sites, want) -> Iterator:
+    _, model, _ = want
+    if model not in engine.models:
+        return
+    if any((model, "") in site.coming for site in sites):
+        return
+    move = placement.make_room(
+        engine, sites, model, orderer.demand, now_ms, is_urgent=True
+    )
+    yield from _carry_out(orderer, now_ms, engine, move)
 
-def _size_mb(engine: documents.EngineSpec, order: Order) -> float:
-    """Return the memory that an order under way may take."""
-    model = engine.models.get(order.what.model)
-    if model is None or not order.what.load:
-        return 0.0
-    return model.adapter_mb if order.what.adapter else model.weights_mb
 
+def _carry_out(orderer, now_ms, engine, move) -> Iterator:
+    if move is None:
+        return
+    if (
+        move.load
+        and not _has_copy(orderer, move.upstream_id, move.model)
+        and not _ceiling_allows(orderer, engine, now_ms)
+    ):
+        return
+    upstream = orderer.table.upstreams[move.upstream_id]
+    yield from _send(
+        orderer, now_ms, upstream, move.load, move.model, "", engine
+    )
 
-# Models.
+
+def _has_copy(orderer: Orderer, upstream_id: str, model: str) -> bool:
+    upstream = orderer.table.upstreams.get(upstream_id)
+    told = upstream is not None and model in upstream.last.copies
+    return told or (upstream_id, model) in orderer.held_before
 
 
 def _on_tick(orderer: Orderer, now_ms: int, _message) -> Iterator:
     yield from _settle(orderer, now_ms)
+    if not _may_order(orderer, now_ms):
+        return
+    yield from _serve_wants(orderer, now_ms)
     if now_ms - orderer.reviewed_ms >= REVIEW_MS:
         yield from _review(orderer, now_ms)
 
 
 def _review(orderer: Orderer, now_ms: int) -> Iterator:
+    """Add a copy of the most crowded model."""
     orderer.reviewed_ms = now_ms
-    if not _may_order(orderer, now_ms) or orderer.doc is None:
-        return
-    placement.decay(orderer.demand, now_ms)
-    for service in orderer.doc.services.values():
-        if service.engine is not None:
-            yield from _review_service(orderer, now_ms, service)
-
-
-def _review_service(orderer, now_ms, service) -> Iterator:
-    engine = service.engine
-    upstreams = list(presence.usable(orderer.table, service.name, now_ms))
-    for upstream in upstreams:
-        for model in upstream.models:
-            orderer.held_before.add((upstream.last.upstream_id, model))
-    busy = {
-        order.what.upstream_id
-        for order in orderer.orders.values()
-        if not order.what.adapter
-    }
-    moves = placement.plan(
-        engine, service.name, upstreams, busy, orderer.demand, now_ms
-    )
-    for move in moves:
-        from_store = (
-            move.load
-            and (move.upstream_id, move.model) not in orderer.held_before
-        )
-        if from_store and not _ceiling_allows(orderer, engine, now_ms):
+    services = orderer.doc.services.values() if orderer.doc else ()
+    for service in services:
+        if service.engine is None:
             continue
-        upstream = orderer.table.upstreams[move.upstream_id]
-        yield from _send(
-            orderer, now_ms, upstream, move.load, move.model, "", engine
-        )
+        sites = list(_sites(orderer, service, now_ms))
+        for site in sites:
+            for model in site.models:
+                orderer.held_before.add((site.upstream_id, model))
+        placement.note_crowding(orderer.demand, sites)
+        model = placement.most_crowded(service.engine, orderer.demand, sites)
+        if model is not None:
+            move = placement.make_room(
+                service.engine,
+                sites,
+                model,
+                orderer.demand,
+                now_ms,
+                is_urgent=False,
+            )
+            yield from _carry_out(orderer, now_ms, service.engine, move)
 
 
 def _ceiling_allows(orderer, engine, now_ms: int) -> bool:
@@ -315,12 +390,6 @@
 # Orders under way.
 
 
-def _orders_at(orderer: Orderer, upstream_id: str) -> Iterator[Order]:
-    for order in orderer.orders.values():
-        if order.what.upstream_id == upstream_id:
-            yield order
-
-
 def _send(orderer, now_ms, upstream, load, model, adapter, engine) -> Iterator:
     upstream_id = upstream.last.upstream_id
     order_id = orderer.next_id
@@ -335,9 +404,7 @@
         orderer.fence,
     )
     from_store = (
-        load
-        and not adapter
-        and (upstream_id, model) not in orderer.held_before
+        load and not adapter and not _has_copy(orderer, upstream_id, model)
     )
     if from_store:
         orderer.loads_ms.append(now_ms)
@@ -347,7 +414,10 @@
     orderer.orders[order_id] = Order(
         what, now_ms, now_ms + nominal_ms + slack, from_store
     )
-    if not load:
+    if load:
+        weights = f"{model}/{adapter}" if adapter else model
+        placement.note_use(orderer.demand, upstream_id, weights, now_ms)
+    else:
         # No new call goes there from now on.
         yield gateway.HoldingLearned(upstream_id, model, adapter, False)
     yield gateway.Trace(
@@ -393,10 +463,14 @@
     if event == "unanswered":
         order.expires_ms = now_ms + UNSURE_MS
     elif event == "accepted" and what.adapter:
-        order.expires_ms = now_ms + ADAPTER_MS
+        took_ms = ADAPTER_MS if what.load else ADAPTER_UNLOAD_MS
+        order.expires_ms = now_ms + took_ms
+    elif ended.answer == OrderAnswer.BUSY:
+        orderer.paused_until[what.upstream_id] = now_ms + BUSY_PAUSE_MS
     yield from charting.fire(orderer.chart, order, event, now_ms, orderer)
     if event == "holding":
         yield from _tell_outcome(what)
+        yield from _serve_wants(orderer, now_ms)
 
 
 def _settle(orderer: Orderer, now_ms: int) -> Iterator:
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -1,33 +1,38 @@
-"""Which engine holds which model, planned from the demand just seen."""
+"""Which engine holds which model and adapter.
+
+Each function answers one load pattern: a model that no engine holds is asked
+for (`make_room`, urgent), the holders of a model are crowded
+(`most_crowded`, `make_room`), an adapter is asked for (`adapter_home`).
+"""
 
 import collections
 import dataclasses
-from collections.abc import Collection, Iterator
 
-from bilberryramp.decisions.fleet import documents, presence
+from bilberryramp.decisions.fleet import documents, presence, sharing
 
 __all__ = [
     "Demand",
     "Move",
-    "decay",
-    "idle_adapter",
+    "Site",
+    "adapter_home",
+    "make_room",
     "memory_used_mb",
+    "most_crowded",
+    "note_crowding",
     "note_use",
-    "note_want",
-    "plan",
 ]
 
-# A model not asked for this long may give way to one that is.
-IDLE_MODEL_MS = 4000
+# A model not used this long at an engine is idle there.
+IDLE_MODEL_MS = 3000
+# The last copy of a model gives way to another only when nothing asked for
+# it this long.
+IDLE_LAST_COPY_MS = 5000
 # An adapter not used this long may be unloaded.
-IDLE_ADAPTER_MS = 1500
-# A want counts this long, since its callers wait or come back.
-WANT_MS = 5000
-# Half-life of the use of a model, as the demand that is planned for.
-HALF_LIFE_MS = 4000
-# Another copy is made when the calls at a model's holders, each counted
-# with its half-life, exceed this many for each holder.
-USES_PER_COPY = 14.0
+IDLE_ADAPTER_MS = 2000
+# Unread prompt tokens at the least loaded holder of a model from which on
+# another copy is worth a load, and the weight of the newest look.
+CROWDED_TOKENS = 9000
+NEWEST_WEIGHT = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,22 +43,48 @@
     ----------
     used_ms
         Last use by engine and weights, and by model over all engines.
-    uses
-        Uses of each model, halved every `HALF_LIFE_MS`.
-    wants_ms
-        When a model that no engine holds was last asked for.
+    crowding
+        Moving average of the unread prompt tokens at the least loaded
+        holder of each model.
     """
 
     used_ms: dict[tuple[str, str], int] = dataclasses.field(
         default_factory=dict
     )
-    uses: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    wants_ms: dict[tuple[str, str], int] = dataclasses.field(
-        default_factory=dict
-    )
-    decayed_ms: int = 0
+    crowding: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Site:
+    """An engine as placement sees it.
+
+    Attributes
+    ----------
+    models
+        Adapters by model that it holds.
+    copies
+        Models that it can load without the weight store.
+    free_mb, free_places
+        Memory and places for adapters that no order may take.
+    is_busy
+        Whether it carries out an order on a model.
+    coming
+        Models and adapters on their way to it.
+    is_emptying
+        Whether something is on its way out.
+    load
+        Calls in flight over all entries.
+    """
+
+    upstream_id: str
+    models: dict[str, set[str]]
+    copies: frozenset[str]
+    free_mb: float
+    free_places: int
+    is_busy: bool
+    coming: frozenset[tuple[str, str]]
+    is_emptying: bool
+    load: sharing.Load
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -68,7 +99,7 @@
 def note_use(
     demand: Demand, upstream_id: str, weights: str, now_ms: int
 ) -> None:
-    """Count a prompt that was sent.
+    """Note that a prompt was sent.
 
     Parameters
     ----------
@@ -81,35 +112,52 @@
     demand.used_ms[(upstream_id, weights)] = now_ms
     demand.used_ms[(upstream_id, model)] = now_ms
     demand.used_ms[("", model)] = now_ms
-    demand.uses[model] += 1
 
 
-def note_want(demand: Demand, service: str, model: str, now_ms: int) -> None:
-    """Record that a call waits for a model or one of its adapters.
+def note_crowding(demand: Demand, sites: list[Site]) -> None:
+    """Take a look at how much waits at the holders of each model.
 
     Parameters
     ----------
     demand
         Changed in place.
-    service, model, now_ms
-        What is wanted, and when.
+    sites
+        The engines of a service.
     """
-    demand.wants_ms[(service, model)] = now_ms
+    least: dict[str, int] = {}
+    for site in sites:
+        for model in site.models:
+            unread = site.load.unread
+            least[model] = min(least.get(model, unread), unread)
+    for model, unread in least.items():
+        before = demand.crowding.get(model, 0.0)
+        demand.crowding[model] = before + NEWEST_WEIGHT * (unread - before)
 
 
-def decay(demand: Demand, now_ms: int) -> None:
-    """Let old demand fade.
+def most_crowded(
+    engine: documents.EngineSpec, demand: Demand, sites: list[Site]
+) -> str | None:
+    """Pick the model whose holders have the most waiting.
 
     Parameters
     ----------
-    demand, now_ms
-        Changed in place, and the present.
+    engine, demand, sites
+        What engines offer, uses, and the engines.
+
+    Returns
+    -------
+    str or None
+        None while no model is crowded, or a copy of it is on its way.
     """
-    passed = max(now_ms - demand.decayed_ms, 0)
-    factor = 0.5 ** (passed / HALF_LIFE_MS)
-    for model in list(demand.uses):
-        demand.uses[model] *= factor
-    demand.decayed_ms = now_ms
+    coming = {model for s in sites for model, adapter in s.coming}
+    crowded = [
+        (crowd, model)
+        for model, crowd in demand.crowding.items()
+        if crowd > CROWDED_TOKENS
+        and model not in coming
+        and model in engine.models
+    ]
+    return max(crowded)[1] if crowded else None
 
 
 def memory_used_mb(
@@ -127,130 +175,126 @@
     float
         Megabytes; a model of unknown size counts as the whole memory.
     """
-    names = {held.model for held in upstream.last.held} | set(upstream.models)
+    told = {held.model: set(held.adapters) for held in upstream.last.held}
     used = 0.0
-    for name in names:
+    for name in set(told) | set(upstream.models):
         spec = engine.models.get(name)
         if spec is None:
             return engine.weights_mb
-        adapters = upstream.models.get(name, ())
+        adapters = told.get(name, set()) | upstream.models.get(name, set())
         used += spec.weights_mb + spec.adapter_mb * len(adapters)
     return used
 
 
-def idle_adapter(
-    demand: Demand, upstream: presence.Upstream, now_ms: int
-) -> tuple[str, str] | None:
-    """Pick the adapter of an engine that was used least recently.
+def adapter_home(
+    model: str,
+    size_mb: float,
+    sites: list[Site],
+    demand: Demand,
+    now_ms: int,
+) -> tuple[Site, tuple[str, str] | None] | None:
+    """Pick the engine that should load an adapter.
 
     Parameters
     ----------
-    demand, upstream, now_ms
-        Uses, the engine and the present.
+    model, size_mb
+        The adapter's model, and the adapter's size.
+    sites, demand, now_ms
+        The engines, uses and the present.
 
     Returns
     -------
     tuple or None
-        Model and adapter; None while all were used just now.
+        The engine, and the adapter it must unload first or None; None
+        while no holder of the model can take it.
     """
-    upstream_id = upstream.last.upstream_id
+    holders = [s for s in sites if model in s.models and not s.is_busy]
+    holders.sort(key=lambda s: s.load.unread)
+    roomy = [s for s in holders if s.free_places > 0 and s.free_mb >= size_mb]
+    if roomy:
+        return roomy[0], None
+    victims = [
+        (s, _idle_adapter(s, demand, now_ms))
+        for s in holders
+        if not s.is_emptying
+    ]
+    victims = [(s, v) for s, v in victims if v is not None]
+    return victims[0] if victims else None
+
+
+def _idle_adapter(
+    site: Site, demand: Demand, now_ms: int
+) -> tuple[str, str] | None:
     oldest, victim = now_ms - IDLE_ADAPTER_MS, None
-    for model, adapters in upstream.models.items():
+    for model, adapters in site.models.items():
         for adapter in adapters:
-            key = (upstream_id, f"{model}/{adapter}")
+            key = (site.upstream_id, f"{model}/{adapter}")
             used = demand.used_ms.get(key, 0)
             if used < oldest:
                 oldest, victim = used, (model, adapter)
     return victim
 
 
-def plan(
+def make_room(
     engine: documents.EngineSpec,
-    service: str,
-    upstreams: list[presence.Upstream],
-    busy: Collection[str],
+    sites: list[Site],
+    model: str,
     demand: Demand,
     now_ms: int,
-) -> Iterator[Move]:
-    """Plan the next moves of a service's models.
+    is_urgent: bool,
+) -> Move | None:
+    """Plan the next step towards another copy of a model.
 
-    A model that calls wait for comes first, then another copy of one whose
-    holders are crowded. An engine without room first unloads an idle model,
-    never the last copy of one that was asked for lately.
+    An engine with room and a copy at hand comes first, then one with room;
+    else the least used surplus copy of another model is unloaded, and the
+    last copy of one only where calls wait for a model that no engine holds.
 
     Parameters
     ----------
-    engine, service
-        What the service's engines offer.
-    upstreams
-        The engines in use.
-    busy
-        Engines with an order under way.
-    demand, now_ms
-        Uses and wants, and the present.
-
-    Yields
-    ------
-    Move
-        At most one for each engine.
-    """
-    free = [u for u in upstreams if u.last.upstream_id not in busy]
-    copies = collections.Counter(m for u in upstreams for m in u.models)
-    for model in _short_models(engine, service, copies, demand, now_ms):
-        move = _make_room(engine, free, copies, model, demand, now_ms)
-        if move is not None:
-            free = [u for u in free if u.last.upstream_id != move.upstream_id]
-            yield move
-
-
-def _short_models(engine, service, copies, demand, now_ms) -> list[str]:
-    wanted = [
-        name
-        for name in engine.models
-        if copies[name] == 0
-        and now_ms - demand.wants_ms.get((service, name), -WANT_MS) < WANT_MS
-    ]
-    crowded = [
-        name
-        for name in engine.models
-        if copies[name] and demand.uses[name] / copies[name] > USES_PER_COPY
-    ]
-    crowded.sort(key=lambda name: -demand.uses[name] / copies[name])
-    return wanted + crowded
-
+    engine, sites, model, demand, now_ms
+        What engines offer, the engines, the model, uses and the present.
+    is_urgent
+        Whether no engine holds the model.
 
-def _make_room(engine, free, copies, model, demand, now_ms) -> Move | None:
+    Returns
+    -------
+    Move or None
+        None while nothing can be done.
+    """
     size = engine.models[model].weights_mb
-    hosts = [u for u in free if model not in u.models]
-    hosts.sort(key=lambda u: _recent_uses(demand, u))
-    for upstream in hosts:
-        left = engine.weights_mb - memory_used_mb(engine, upstream)
-        if left >= size:
-            return Move(upstream.last.upstream_id, True, model)
-    for upstream in hosts:
-        victim = _idle_model(upstream, copies, demand, now_ms)
-        if victim is not None:
-            copies[victim] -= 1
-            return Move(upstream.last.upstream_id, False, victim)
-    return None
-
-
-def _recent_uses(demand: Demand, upstream: presence.Upstream) -> float:
-    return sum(demand.uses[model] for model in upstream.models)
-
-
-def _idle_model(upstream, copies, demand, now_ms) -> str | None:
-    upstream_id = upstream.last.upstream_id
-    best, least = None, 0.0
-    for model in upstream.models:
-        used_here = demand.used_ms.get((upstream_id, model), -IDLE_MODEL_MS)
-        used_ever = demand.used_ms.get(("", model), -IDLE_MODEL_MS)
-        idle_here = now_ms - used_here >= IDLE_MODEL_MS
-        idle_all = now_ms - used_ever >= IDLE_MODEL_MS
-        spare = copies[model] > 1
-        if not (idle_all or (spare and idle_here)):
-            continue
-        cost = demand.uses[model] / max(copies[model], 1)
-        if best is None or cost < least:
-            best, least = model, cost
-    return best
+    hosts = [s for s in sites if model not in s.models and not s.is_busy]
+    hosts.sort(key=lambda s: (model not in s.copies, s.load.unread))
+    for site in hosts:
+        if site.free_mb >= size:
+            return Move(site.upstream_id, True, model)
+    # Room is being made somewhere already.
+    if any(site.is_emptying and site.is_busy for site in sites):
+        return None
+    copies = collections.Counter(name for s in sites for name in s.models)
+    options = [
+        (rank, index, site.upstream_id, victim)
+        for index, site in enumerate(hosts)
+        for victim in site.models
+        if site.free_mb + engine.models[victim].weights_mb >= size
+        for rank in _give_way_rank(
+            site, victim, copies, demand, now_ms, is_urgent
+        )
+    ]
+    if not options:
+        return None
+    _, _, upstream_id, victim = min(options)
+    return Move(upstream_id, False, victim)
+
+
+def _give_way_rank(site, victim, copies, demand, now_ms, is_urgent):
+    """Yield a rank if a model may leave an engine; lower goes first."""
+    used_here = demand.used_ms.get((site.upstream_id, victim), 0)
+    used_ever = demand.used_ms.get(("", victim), 0)
+    if copies[victim] > 1 and now_ms - used_here >= IDLE_MODEL_MS:
+        yield (0, used_here)
+    elif (
+        copies[victim] == 1
+        and is_urgent
+        and now_ms - used_ever >= IDLE_LAST_COPY_MS
+    ):
+        yield (1, used_ever)
--- a/bilberryramp/decisions/fleet/presence.py
+++ b/bilberryramp/decisions/fleet/presence.py
@@ -14,7 +14,6 @@
     "Table",
     "Upstream",
     "drop_gone",
-    "forget_held",
     "is_usable",
     "note",
     "note_held",
@@ -24,6 +23,9 @@
 
 # Heartbeats that may be missed before an upstream counts as silent.
 MISSED_BEATS = 4
+# For this long what an order did counts more than heartbeats, which may tell
+# of the time before it.
+LEARNED_MS = 3000
 # How long an upstream that left is remembered; later heartbeats of it are
 # at most some seconds late.
 REMEMBER_MS = 120_000
@@ -54,6 +56,8 @@
         It drains, or has said that it leaves without draining first.
     remaining_ms
         Time until it is gone regardless of its work; -1 if not told.
+    copies
+        Models that it need not fetch from the weight store.
     """
 
     upstream_id: str
@@ -67,6 +71,7 @@
     gone: bool
     remaining_ms: int
     held: tuple[Held, ...]
+    copies: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,12 +84,18 @@
         When a heartbeat of it last reached any node, on this clock.
     models
         Adapters by model, as last told or learned from orders.
+    learned
+        What orders did lately: by model and adapter, whether it is held and
+        when that was learned.
     """
 
     last: Announcement
     heard_ms: int
     leaving_since_ms: int = -1
     models: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    learned: dict[tuple[str, str], tuple[bool, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,6 +138,7 @@
     known.last = told
     known.heard_ms = now_ms
     known.models = {held.model: set(held.adapters) for held in told.held}
+    _apply_learned(known, now_ms)
     table.by_address[told.address] = told.upstream_id
     return True
 
@@ -151,9 +163,14 @@
 
 
 def note_held(
-    table: Table, upstream_id: str, model: str, adapter: str
+    table: Table,
+    upstream_id: str,
+    model: str,
+    adapter: str,
+    held: bool,
+    now_ms: int,
 ) -> None:
-    """Record that an engine holds a model, or an adapter of it.
+    """Record that an engine holds or lacks a model, or an adapter of it.
 
     Parameters
     ----------
@@ -161,33 +178,36 @@
         Changed in place.
     upstream_id, model, adapter
         `adapter` is empty for the model alone.
+    held
+        Whether the engine holds it.
+    now_ms
+        The present.
     """
     known = table.upstreams.get(upstream_id)
     if known is not None:
-        adapters = known.models.setdefault(model, set())
-        if adapter:
-            adapters.add(adapter)
+        known.learned[(model, adapter)] = (held, now_ms)
+        _apply_learned(known, now_ms)
 
 
-def forget_held(
-    table: Table, upstream_id: str, model: str, adapter: str
-) -> None:
-    """Record that an engine lacks a model or adapter.
+def _apply_learned(known: Upstream, now_ms: int) -> None:
+    for key, (held, at_ms) in list(known.learned.items()):
+        if now_ms - at_ms > LEARNED_MS:
+            known.learned.pop(key)
+        else:
+            _apply(known.models, *key, held)
 
-    Parameters
-    ----------
-    table
-        Changed in place.
-    upstream_id, model, adapter
-        With an adapter, only that is forgotten.
-    """
-    known = table.upstreams.get(upstream_id)
-    if known is None:
-        return
-    if adapter:
-        known.models.get(model, set()).discard(adapter)
+
+def _apply(
+    models: dict[str, set[str]], model: str, adapter: str, held: bool
+) -> None:
+    if held and adapter:
+        models.setdefault(model, set()).add(adapter)
+    elif held:
+        models.setdefault(model, set())
+    elif adapter:
+        models.get(model, set()).discard(adapter)
     else:
-        known.models.pop(model, None)
+        models.pop(model, None)
 
 
 def is_usable(table: Table, upstream_id: str, now_ms: int) -> bool:
--- a/bilberryramp/decisions/fleet/scheduling.py
+++ b/bilberryramp/decisions/fleet/scheduling.py
@@ -7,7 +7,6 @@
 engine, which would preempt running work for it.
 """
 
-import zlib
 from collections.abc import Iterable
 
 from bilberryramp.decisions.fleet import (
@@ -20,7 +19,6 @@
 __all__ = [
     "begin_estimate_ms",
     "needed_tokens",
-    "pick_adapter_home",
     "pick_engine",
     "pick_plain",
     "queue_order",
@@ -147,42 +145,6 @@
     return best
 
 
-def pick_adapter_home(
-    prompt: calls.Prompt,
-    candidates: Iterable[presence.Upstream],
-    loads: sharing.Loads,
-    now_ms: int,
-) -> presence.Upstream | None:
-    """Pick the engine that should load an adapter.
-
-    All entries rank engines alike for an adapter, so that they ask for it
-    at the same one; a busy engine loses its rank.
-
-    Parameters
-    ----------
-    prompt
-        Names the model and the adapter.
-    candidates
-        Engines that hold the model.
-    loads, now_ms
-        As for `pick_engine`.
-
-    Returns
-    -------
-    Upstream or None
-        None without candidates.
-    """
-
-    def rank(upstream: presence.Upstream) -> tuple[int, int]:
-        upstream_id = upstream.last.upstream_id
-        load = sharing.total(loads, upstream_id, now_ms)
-        busy = int(load.tokens // 60_000)
-        key = f"{prompt.weights} {upstream_id}"
-        return (busy, zlib.crc32(key.encode()))
-
-    return min(candidates, key=rank, default=None)
-
-
 def queue_order(call: calls.Call, now_ms: int) -> tuple:
     """Order waiting calls: in time before late, urgent before others.
 
--- a/bilberryramp/platform/announcements.py
+++ b/bilberryramp/platform/announcements.py
@@ -85,6 +85,7 @@
         gone=True,
         remaining_ms=-1,
         held=last.held,
+        copies=last.copies,
     )
 
 
@@ -105,9 +106,18 @@
         gone=gone,
         remaining_ms=int(raw.get("remainingMs", -1)),
         held=tuple(_held(row) for row in models),
+        copies=tuple(_copies(raw.get("atHand"))),
     )
 
 
+def _copies(raw):
+    """List the models of which an engine keeps copies near at hand."""
+    if isinstance(raw, dict):
+        for field in ("inMemory", "onDisk"):
+            for row in raw.get(field) or ():
+                yield str(row["name"] if isinstance(row, dict) else row)
+
+
 def _held(raw: dict) -> presence.Held:
     return presence.Held(
         model=_text(raw, "name"),
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -161,7 +161,7 @@
         ),
     )
     orderer = orders.Orderer(
-        _bind("engine_order", orders), table, cfg.order_lease_ms
+        _bind("engine_order", orders), table, gw.loads, cfg.order_lease_ms
     )
     session = upstream_exchange.open_session()
     gateway_owner = gateway_task.GatewayTask(
