Serve in-time work first, late work on what is left over

Change: a call goes to an engine only when it can still be in time there, or when capacity is left over; adapters go to the engine that can begin soonest; the pace of models is learned from first tokens.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -123,6 +123,8 @@
     sends, attempts
         How often it was sent, and to how many upstreams that may have run
         it.
+    work
+        What the upstream had to do before the answer, in prompt tokens.
     need_tokens, unread_tokens
         What the current attempt is charged at its upstream.
     why
@@ -142,6 +144,7 @@
     sends: int = 0
     attempts: int = 0
     tried: set = dataclasses.field(default_factory=set)
+    work: int = 0
     need_tokens: int = 0
     unread_tokens: int = 0
     sent_ms: int = 0
@@ -233,8 +236,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Wanted:
-    """Asks the orderer of engines for a model, or an adapter of it."""
+    """Asks the orderer of engines for a model, or an adapter of it.
+
+    Attributes
+    ----------
+    upstream_id
+        Where an adapter should go if it can; empty for anywhere.
+    """
 
     service: str
     model: str
     adapter: str
+    upstream_id: str = ""
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -37,12 +37,18 @@
 # did not run it.
 MAX_SENDS = 4
 # A call waits at least this long between two asks for the same model.
-ASK_AGAIN_MS = 300
+ASK_AGAIN_MS = 120
+# An upstream that said it is full gets no calls for this long.
+FULL_PAUSE_MS = 300
 # A call must have this much time left to be sent at all.
 LEAST_TIME_MS = 60
 # Bounds of what clients are told to wait before they come back.
 LEAST_RETRY_AFTER_MS = 200
 MOST_RETRY_AFTER_MS = 2000
+# Rank of calls whose objective has passed, behind all others.
+LATE_URGENCY = 9
+# How long a call waits for an adapter to come to a better engine.
+ADAPTER_PATIENCE_MS = 200
 # How many waiting calls are looked at when room may have come free.
 QUEUE_SCAN = 64
 
@@ -103,6 +109,7 @@
         default_factory=dict
     )
     full_until: dict[str, int] = dataclasses.field(default_factory=dict)
+    paces: dict[str, float] = dataclasses.field(default_factory=dict)
     node_count: int = 1
 
 
@@ -239,8 +246,13 @@
 
 def _on_answer_begun(gw: Gateway, now_ms: int, message) -> Iterator:
     call = gw.active.get(message.call_id)
-    if call is not None:
-        yield from _fire(gw, call, "answering", now_ms)
+    if call is None:
+        return
+    prompt = call.request.prompt
+    if prompt is not None and call.phase == "sent":
+        took_ms = now_ms - call.sent_ms
+        scheduling.note_pace(gw.paces, prompt.model, call.work, took_ms)
+    yield from _fire(gw, call, "answering", now_ms)
 
 
 def _on_call_left(gw: Gateway, now_ms: int, message) -> Iterator:
@@ -323,7 +335,7 @@
             )
         return
     if end is calls.End.NOT_RUN:
-        gw.full_until[call.upstream_id] = now_ms + ASK_AGAIN_MS
+        gw.full_until[call.upstream_id] = now_ms + FULL_PAUSE_MS
         return
     machine = gw.judged.get(call.upstream_id)
     if machine is None:
@@ -420,7 +432,7 @@
         if upstream is None:
             call.why = calls.Refusal.OVERLOADED
             return
-        yield from _place(gw, now_ms, call, upstream, 0, 0.0)
+        yield from _place(gw, now_ms, call, upstream, None)
         return
     yield from _place_prompt(gw, now_ms, call, engine, candidates)
 
@@ -430,30 +442,55 @@
     holders = [up for up in candidates if prompt.model in up.models]
     if not holders:
         call.why = calls.Refusal.NO_MODEL
-        yield from _ask_for(call, now_ms)
+        yield from _ask_for(call, now_ms, "")
         return
     ready = holders
     if prompt.adapter:
         ready = [
             up for up in holders if prompt.adapter in up.models[prompt.model]
         ]
-        if not ready:
+    choice = _pick_engine(gw, prompt, engine, ready, now_ms)
+    if prompt.adapter and now_ms - call.arrived_ms < ADAPTER_PATIENCE_MS:
+        other = _pick_engine(gw, prompt, engine, holders, now_ms)
+        if other is not None and _is_worth_adapter(choice, other):
             call.why = calls.Refusal.NO_MODEL
-            yield from _ask_for(call, now_ms)
+            other_id = other.upstream.last.upstream_id
+            yield from _ask_for(call, now_ms, other_id)
             return
-    picked = scheduling.pick_engine(prompt, engine, ready, gw.loads, now_ms)
-    if picked is None:
+    if choice is None:
+        call.why = calls.Refusal.OVERLOADED
+        if not ready:
+            yield from _ask_for(call, now_ms, "")
+        return
+    if not scheduling.may_begin(call, choice, now_ms):
         call.why = calls.Refusal.OVERLOADED
         return
-    upstream, cached, estimate_ms = picked
-    yield from _place(gw, now_ms, call, upstream, cached, estimate_ms)
+    yield from _place(gw, now_ms, call, choice.upstream, choice)
 
 
-def _ask_for(call: calls.Call, now_ms: int) -> Iterator:
+def _pick_engine(gw, prompt, engine, candidates, now_ms):
+    return scheduling.pick_engine(
+        prompt, engine, candidates, gw.loads, gw.paces, now_ms
+    )
+
+
+def _is_worth_adapter(
+    choice: scheduling.Choice | None, other: scheduling.Choice
+) -> bool:
+    """Tell whether to bring an adapter to an engine that lacks it."""
+    if choice is None:
+        return True
+    gain_ms = choice.estimate_ms - other.estimate_ms
+    return gain_ms > scheduling.ADAPTER_GAIN_MS
+
+
+def _ask_for(call: calls.Call, now_ms: int, upstream_id: str) -> Iterator:
     if now_ms - call.asked_ms >= ASK_AGAIN_MS:
         call.asked_ms = now_ms
         prompt = call.request.prompt
-        yield calls.Wanted(call.service, prompt.model, prompt.adapter)
+        yield calls.Wanted(
+            call.service, prompt.model, prompt.adapter, upstream_id
+        )
 
 
 def _candidates(gw: Gateway, call: calls.Call, now_ms: int) -> list:
@@ -484,7 +521,7 @@
     return health.is_avoided(gw.judged.get(upstream.last.upstream_id), now_ms)
 
 
-def _place(gw, now_ms, call, upstream, cached, estimate_ms) -> Iterator:
+def _place(gw, now_ms, call, upstream, choice) -> Iterator:
     upstream_id = upstream.last.upstream_id
     prompt = call.request.prompt
     call.upstream_id = upstream_id
@@ -492,9 +529,10 @@
     call.sends += 1
     call.attempts += 1
     call.tried.add(upstream_id)
-    if prompt is not None:
-        call.need_tokens = scheduling.needed_tokens(prompt, cached)
-        call.unread_tokens = max(prompt.tokens_in - cached, 0)
+    if choice is not None:
+        call.work = choice.work
+        call.need_tokens = scheduling.needed_tokens(prompt)
+        call.unread_tokens = max(prompt.tokens_in - choice.cached, 0)
         sent = sharing.SentPrompt(upstream_id, prompt.weights, prompt.parts)
         sharing.note_sent(gw.loads, sent, _cache_tokens(gw))
     if call.sends == 1:
@@ -509,8 +547,8 @@
             "document": gw.doc.version,
             "upstream": upstream_id,
             "heard_ms_ago": now_ms - upstream.heard_ms,
-            "cached_tokens": cached,
-            "estimate_ms": round(estimate_ms),
+            "cached_tokens": choice.cached if choice else 0,
+            "estimate_ms": round(choice.estimate_ms) if choice else 0,
             "waited_ms": now_ms - call.arrived_ms,
             "send": call.sends,
         },
@@ -520,11 +558,18 @@
         upstream_id,
         upstream.last.address,
         max(call.deadline_ms - now_ms, 1),
-        min(call.route.urgency, 9),
+        _urgency(call, now_ms),
         call.sends,
     )
 
 
+def _urgency(call: calls.Call, now_ms: int) -> int:
+    """Rank a call for the engine's own queue: late ones come last."""
+    if now_ms - call.arrived_ms >= call.route.target_ms:
+        return LATE_URGENCY
+    return min(call.route.urgency, LATE_URGENCY - 1)
+
+
 def _refuse_if_hopeless(gw: Gateway, now_ms: int, call) -> Iterator:
     if call.deadline_ms - now_ms >= LEAST_TIME_MS:
         return
@@ -543,7 +588,7 @@
         sharing.total(gw.loads, u.last.upstream_id, now_ms).unread
         for u in presence.usable(gw.table, call.service, now_ms)
     ]
-    wait_ms = min(unread, default=0) / scheduling.READ_TOKENS_PER_MS
+    wait_ms = min(unread, default=0) * scheduling.USUAL_PACE
     return int(min(max(wait_ms, LEAST_RETRY_AFTER_MS), MOST_RETRY_AFTER_MS))
 
 
--- a/bilberryramp/decisions/fleet/orders.py
+++ b/bilberryramp/decisions/fleet/orders.py
@@ -117,7 +117,8 @@
     quiet_ms
         How long a new leader waits before its first order.
     wanted
-        Service, model and adapter that calls wait for, and when last asked.
+        Service, model, adapter and perhaps engine that calls wait for, and
+        when last asked.
     held_before
         Weights that an engine held once, and so has copies of.
     paused_until
@@ -134,7 +135,7 @@
     doc: documents.Document | None = None
     orders: dict[int, Order] = dataclasses.field(default_factory=dict)
     loads_ms: list[int] = dataclasses.field(default_factory=list)
-    wanted: dict[tuple[str, str, str], int] = dataclasses.field(
+    wanted: dict[tuple[str, str, str, str], int] = dataclasses.field(
         default_factory=dict
     )
     demand: placement.Demand = dataclasses.field(
@@ -204,7 +205,8 @@
 
 
 def _on_wanted(orderer: Orderer, now_ms: int, ask: calls.Wanted) -> Iterator:
-    orderer.wanted[(ask.service, ask.model, ask.adapter)] = now_ms
+    want = (ask.service, ask.model, ask.adapter, ask.upstream_id)
+    orderer.wanted[want] = now_ms
     yield from _serve_wants(orderer, now_ms)
 
 
@@ -213,11 +215,11 @@
     if not _may_order(orderer, now_ms) or orderer.doc is None:
         return
     for want, asked_ms in list(orderer.wanted.items()):
-        name, model, adapter = want
+        name, model, adapter, _ = want
         service = orderer.doc.services.get(name)
         stale = now_ms - asked_ms > WANT_MS
         if stale or service is None or service.engine is None:
-            orderer.wanted.pop(want)
+            orderer.wanted.pop(want, None)
             continue
         sites = list(_sites(orderer, service, now_ms))
         if adapter and any(model in site.models for site in sites):
@@ -229,7 +231,7 @@
                 orderer, now_ms, service.engine, sites, want
             )
         else:
-            orderer.wanted.pop(want)
+            orderer.wanted.pop(want, None)
 
 
 def _sites(
@@ -270,8 +272,7 @@
 
 def _takes_place(order: Order) -> bool:
     """Tell whether an order may yet take, or still holds, a place."""
-    what = order.what
-    return bool(what.adapter) and (what.load or order.phase == "unsure")
+    return bool(order.what.adapter)
 
 
 def _size_mb(engine: documents.EngineSpec, order: Order) -> float:
@@ -286,7 +287,9 @@
 
 
 def _bring_adapter(orderer, now_ms, engine, sites, want) -> Iterator:
-    _, model, adapter = want
+    _, model, adapter, upstream_id = want
+    if upstream_id:
+        sites = [s for s in sites if s.upstream_id == upstream_id]
     if any((model, adapter) in site.coming for site in sites):
         return
     held = [s for s in sites if adapter in s.models.get(model, ())]
@@ -314,7 +317,7 @@
 
 
 def _bring_model(orderer, now_ms, engine, sites, want) -> Iterator:
-    _, model, _ = want
+    _, model, _, _ = want
     if model not in engine.models:
         return
     if any((model, "") in site.coming for site in sites):
@@ -480,7 +483,7 @@
         if upstream is None:
             yield from _fire(orderer, order, "expired", now_ms)
         elif now_ms >= order.expires_ms:
-            is_done = order.phase == "running" and what.adapter
+            is_done = order.phase == "running" and what.adapter and what.load
             yield from _fire(orderer, order, "expired", now_ms)
             if is_done:
                 yield from _tell_outcome(what)
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -31,8 +31,8 @@
 IDLE_ADAPTER_MS = 2000
 # Unread prompt tokens at the least loaded holder of a model from which on
 # another copy is worth a load, and the weight of the newest look.
-CROWDED_TOKENS = 9000
-NEWEST_WEIGHT = 0.25
+CROWDED_TOKENS = 5000
+NEWEST_WEIGHT = 0.4
 
 
 @dataclasses.dataclass(slots=True)
--- a/bilberryramp/decisions/fleet/scheduling.py
+++ b/bilberryramp/decisions/fleet/scheduling.py
@@ -7,6 +7,7 @@
 engine, which would preempt running work for it.
 """
 
+import dataclasses
 from collections.abc import Iterable
 
 from bilberryramp.decisions.fleet import (
@@ -17,8 +18,11 @@
 )
 
 __all__ = [
-    "begin_estimate_ms",
+    "Choice",
+    "begin_work",
+    "may_begin",
     "needed_tokens",
+    "note_pace",
     "pick_engine",
     "pick_plain",
     "queue_order",
@@ -27,8 +31,22 @@
 # Share of an engine's memory that calls may need together; their sizes are
 # upper bounds, but caches of prefixes and rounding to blocks take some.
 MEMORY_SHARE = 0.9
-# Prompt tokens that an engine reads in a millisecond, from its data sheet.
-READ_TOKENS_PER_MS = 38.0
+# Milliseconds for each prompt token to be read, before any was seen, and the
+# bounds of what is learned; the data sheet says 38.7 tokens in one.
+USUAL_PACE = 1 / 38.7
+LEAST_PACE = USUAL_PACE / 4
+MOST_PACE = USUAL_PACE * 4
+# Weight of the newest prompt in the learned pace, and the least work from
+# which a pace can be told.
+NEWEST_WEIGHT = 0.1
+LEAST_WORK = 1500
+# Time kept for the way to the engine and back.
+BEGIN_MARGIN_MS = 60
+# Backlog up to which an engine counts as having capacity left over.
+LEFT_OVER_MS = 150
+# How much sooner another engine must begin before an adapter is brought
+# there; a load takes some milliseconds and two messages.
+ADAPTER_GAIN_MS = 80
 # What one running call adds to another's time to its first token, counted
 # in prompt tokens: its share of each step.
 TOKENS_PER_RUNNING_CALL = 60
@@ -36,44 +54,85 @@
 PLAIN_FILL = 2.0
 
 
-def needed_tokens(prompt: calls.Prompt, cached: int) -> int:
-    """Return the memory that a prompt needs beside what is cached.
+@dataclasses.dataclass(slots=True, frozen=True)
+class Choice:
+    """An engine for a prompt.
+
+    Attributes
+    ----------
+    cached
+        Tokens that its prefix cache spares.
+    work
+        What it must do before the first token, in prompt tokens.
+    estimate_ms
+        The time until then.
+    """
+
+    upstream: presence.Upstream
+    cached: int
+    work: int
+    estimate_ms: float
+
+
+def needed_tokens(prompt: calls.Prompt) -> int:
+    """Return the memory that a prompt may need at an engine.
+
+    Parts that the engine keeps already count as well, since they cannot
+    yield while the prompt runs.
 
     Parameters
     ----------
     prompt
         The prompt.
-    cached
-        Tokens of it that the engine keeps already.
 
     Returns
     -------
     int
         Tokens.
     """
-    return max(prompt.tokens_in - cached, 0) + prompt.tokens_out
+    return prompt.tokens_in + prompt.tokens_out
 
 
-def begin_estimate_ms(
-    load: sharing.Load, prompt: calls.Prompt, cached: int
-) -> float:
-    """Estimate the time to the first token at an engine.
+def begin_work(load: sharing.Load, prompt: calls.Prompt, cached: int) -> int:
+    """Count what an engine must do before a prompt's first token.
 
     Parameters
     ----------
     load
         The engine's load over all entries.
-    prompt, cached
-        As for `needed_tokens`.
+    prompt
+        The prompt.
+    cached
+        Tokens of it that the engine keeps already.
 
     Returns
     -------
-    float
-        Milliseconds.
+    int
+        Prompt tokens to read, with the steps of running calls counted in
+        prompt tokens as well.
     """
-    tokens = load.unread + max(prompt.tokens_in - cached, 0)
-    tokens += TOKENS_PER_RUNNING_CALL * load.calls
-    return tokens / READ_TOKENS_PER_MS
+    own = max(prompt.tokens_in - cached, 0)
+    return load.unread + own + TOKENS_PER_RUNNING_CALL * load.calls
+
+
+def note_pace(
+    paces: dict[str, float], model: str, work: int, took_ms: int
+) -> None:
+    """Learn how fast engines begin prompts of a model.
+
+    Parameters
+    ----------
+    paces
+        Milliseconds for each token of work, by model; changed in place.
+    model, work, took_ms
+        A prompt's model, its work as of `begin_work`, and the time to its
+        first token.
+    """
+    if work < LEAST_WORK:
+        return
+    seen = min(max(took_ms / work, LEAST_PACE), MOST_PACE)
+    before = paces.get(model, USUAL_PACE)
+    paces[model] = before + NEWEST_WEIGHT * (seen - before)
 
 
 def pick_engine(
@@ -81,8 +140,9 @@
     engine: documents.EngineSpec,
     candidates: Iterable[presence.Upstream],
     loads: sharing.Loads,
+    paces: dict[str, float],
     now_ms: int,
-) -> tuple[presence.Upstream, int, float] | None:
+) -> Choice | None:
     """Pick the engine that can begin a prompt soonest.
 
     Parameters
@@ -93,32 +153,59 @@
         What each engine offers.
     candidates
         Engines that hold the model and adapter.
-    loads, now_ms
-        The load over all entries, and the present.
+    loads, paces, now_ms
+        The load over all entries, the pace of models and the present.
 
     Returns
     -------
-    tuple or None
-        The engine, the tokens its cache spares, and the estimate in
-        milliseconds; None while no engine has room.
+    Choice or None
+        None while no engine has room.
     """
     best = None
+    pace = paces.get(prompt.model, USUAL_PACE)
+    need = needed_tokens(prompt)
     for upstream in candidates:
         upstream_id = upstream.last.upstream_id
         load = sharing.total(loads, upstream_id, now_ms)
-        cached = sharing.cached_tokens(
-            loads, upstream_id, prompt.weights, prompt.parts
-        )
-        need = needed_tokens(prompt, cached)
         has_room = load.tokens + need <= MEMORY_SHARE * engine.kv_tokens
         if load.calls and not has_room or load.calls >= engine.slots:
             continue
-        estimate = begin_estimate_ms(load, prompt, cached)
-        if best is None or estimate < best[2]:
-            best = (upstream, cached, estimate)
+        cached = sharing.cached_tokens(
+            loads, upstream_id, prompt.weights, prompt.parts
+        )
+        work = begin_work(load, prompt, cached)
+        if best is None or work < best.work:
+            best = Choice(upstream, cached, work, work * pace)
     return best
 
 
+def may_begin(call: calls.Call, choice: Choice, now_ms: int) -> bool:
+    """Tell whether a call should go to its best engine now.
+
+    When more work comes than engines can do in time, a call that can still
+    be in time goes ahead, and one that cannot waits for capacity that is
+    left over, so that late work makes no other late.
+
+    Parameters
+    ----------
+    call, choice, now_ms
+        The call, its best engine and the present.
+
+    Returns
+    -------
+    bool
+        False to let it wait.
+    """
+    left_ms = call.route.target_ms - (now_ms - call.arrived_ms)
+    if choice.estimate_ms <= left_ms - BEGIN_MARGIN_MS:
+        return True
+    own_ms = choice.estimate_ms * (
+        max(call.request.prompt.tokens_in - choice.cached, 0)
+        / max(choice.work, 1)
+    )
+    return choice.estimate_ms - own_ms <= LEFT_OVER_MS
+
+
 def pick_plain(
     candidates: Iterable[presence.Upstream],
     loads: sharing.Loads,
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -302,8 +302,8 @@
     await asyncio.sleep(KEEP_LISTENING_S)
     server, factory = proc.servers[-1]
     server.close()
-    factory.pre_shutdown()
     proc.front.is_closing = True
+    fleet_frontend.close_idle(proc.front, factory)
     last = started + proc.cfg.grace_ms / 1000 - EXIT_MARGIN_S
     while loop.time() < last and not gateway.is_idle(proc.gateway.gw):
         await asyncio.sleep(DRAIN_POLL_S)
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -10,7 +10,7 @@
 from bilberryramp.decisions.fleet import calls, documents
 from bilberryramp.tasks import gateway_task, mailbox, upstream_exchange
 
-__all__ = ["Frontend", "handle", "make_server"]
+__all__ = ["Frontend", "close_idle", "handle", "make_server"]
 
 # A connection that a client keeps idle is closed a little after the limit
 # that clients are told.
@@ -39,6 +39,8 @@
         From then on each answer ends its connection.
     is_closing
         From then on requests are refused.
+    busy
+        Connections with a request in progress.
     """
 
     gateway: gateway_task.GatewayTask
@@ -46,6 +48,7 @@
     wire: ModuleType
     is_stopping: bool = False
     is_closing: bool = False
+    busy: set = dataclasses.field(default_factory=set)
 
 
 def make_server(front: Frontend) -> web.Server:
@@ -63,7 +66,12 @@
     """
 
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
-        return await handle(front, request)
+        conn = request.protocol
+        front.busy.add(conn)
+        try:
+            return await handle(front, request)
+        finally:
+            front.busy.discard(conn)
 
     def make_request(message, payload, protocol, writer, task):
         loop = asyncio.get_running_loop()
@@ -97,6 +105,21 @@
     return doc.limits if doc is not None else documents.CallLimits()
 
 
+def close_idle(front: Frontend, server: web.Server) -> None:
+    """Close connections without a request, the others after their answer.
+
+    Parameters
+    ----------
+    front, server
+        What requests share, and their server.
+    """
+    for conn in server.connections:
+        if conn in front.busy:
+            conn.close()
+        elif conn.transport is not None:
+            conn.transport.close()
+
+
 async def handle(
     front: Frontend, request: web.BaseRequest
 ) -> web.StreamResponse:
