--- a/bilberryramp/decisions/fleet/orders.py
+++ b/bilberryramp/decisions/fleet/orders.py
@@ -24,6 +24,9 @@
     "Order",
     "OrderAnswer",
     "OrderEnded",
+    "EngineRead",
+    "EngineView",
+    "ReadEngine",
     "Orderer",
     "SendOrder",
     "actions",
@@ -38,6 +41,9 @@
 LOAD_SLACK_MS = 20_000
 # Time after which an accepted adapter order is taken as carried out.
 ADAPTER_MS = 14
+# An engine's report lags behind its orders by some hundred milliseconds, so
+# it is read again only after this long.
+READ_AGAIN_MS = 500
 # How long an engine gets no order after it said that it is busy.
 BUSY_PAUSE_MS = 80
 # Adapters on their way to an engine at once.
@@ -55,7 +61,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SendOrder:
-    """Give an order to an engine; answered by `OrderEnded`."""
+    """Give an order to an engine; answered by `OrderEnded`.
+
+    Attributes
+    ----------
+    expected_count
+        Orders that the engine must have accepted before, so that an order
+        that arrives late is refused once a newer one was accepted.
+    """
 
     order_id: int
     upstream_id: str
@@ -64,6 +77,60 @@
     model: str
     adapter: str
     fence: int
+    expected_count: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReadEngine:
+    """Ask an engine what it holds; answered by `EngineRead`."""
+
+    upstream_id: str
+    address: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineRead:
+    """What an engine says of itself.
+
+    Attributes
+    ----------
+    order_count
+        How many orders it has accepted; -1 when it did not answer.
+    held
+        What it holds.
+    coming
+        Models and adapters on their way to it.
+    is_busy
+        Whether it carries out an order on a model.
+    """
+
+    upstream_id: str
+    order_count: int
+    held: tuple[presence.Held, ...] = ()
+    coming: tuple[tuple[str, str], ...] = ()
+    is_busy: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class EngineView:
+    """How far the leader knows the orders of one engine.
+
+    Attributes
+    ----------
+    born_ms
+        The process that this is about.
+    order_count
+        Orders that it has accepted; -1 while that is not known.
+    read_at_ms
+        When it was, or is to be, asked.
+    is_asked
+        Whether an answer is awaited.
+    """
+
+    born_ms: int
+    order_count: int = -1
+    read_at_ms: int = 0
+    is_asked: bool = False
 
 
 class OrderAnswer:
@@ -121,6 +188,8 @@
         when last asked.
     held_before
         Weights that an engine held once, and so has copies of.
+    views
+        What is known of each engine's orders.
     paused_until
         Engines that were busy, and until when they get no order.
     """
@@ -142,6 +211,7 @@
         default_factory=placement.Demand
     )
     held_before: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    views: dict[str, EngineView] = dataclasses.field(default_factory=dict)
     paused_until: dict[str, int] = dataclasses.field(default_factory=dict)
     reviewed_ms: int = 0
 
@@ -161,6 +231,7 @@
     if not leads:
         orderer.leading_since_ms = -1
         orderer.orders.clear()
+        orderer.views.clear()
     elif orderer.leading_since_ms < 0:
         orderer.leading_since_ms = now_ms
         orderer.fence = term
@@ -257,6 +328,8 @@
             - adapters
             - sum(_takes_place(order) for order in pending),
             is_busy=orderer.paused_until.get(upstream_id, 0) > now_ms
+            or not _is_known(orderer, upstream)
+            or any(order.phase in ("sent", "unsure") for order in pending)
             or any(not order.what.adapter for order in pending)
             or sum(_takes_place(order) for order in pending)
             >= ADAPTERS_AT_ONCE,
@@ -270,6 +343,63 @@
         )
 
 
+def _is_known(orderer: Orderer, upstream: presence.Upstream) -> bool:
+    view = orderer.views.get(upstream.last.upstream_id)
+    return (
+        view is not None
+        and view.born_ms == upstream.last.born_ms
+        and view.order_count >= 0
+    )
+
+
+def _read_engines(
+    orderer: Orderer, service: documents.Service, now_ms: int
+) -> Iterator:
+    """Ask the engines whose orders are not known."""
+    for upstream in presence.usable(orderer.table, service.name, now_ms):
+        last = upstream.last
+        view = orderer.views.get(last.upstream_id)
+        if view is None or view.born_ms != last.born_ms:
+            view = EngineView(last.born_ms)
+            orderer.views[last.upstream_id] = view
+        due = now_ms >= view.read_at_ms
+        if view.order_count < 0 and not view.is_asked and due:
+            view.is_asked = True
+            yield ReadEngine(last.upstream_id, last.address)
+
+
+def _on_engine_read(orderer: Orderer, now_ms: int, read) -> Iterator:
+    view = orderer.views.get(read.upstream_id)
+    if view is None:
+        return
+    view.is_asked = False
+    if read.order_count < 0 or read.is_busy:
+        view.read_at_ms = now_ms + READ_AGAIN_MS
+        return
+    view.order_count = read.order_count
+    for order in list(orderer.orders.values()):
+        # Whatever was on its way before is in what the engine now says, or
+        # will be refused for its count.
+        if order.what.upstream_id == read.upstream_id:
+            yield from _fire(orderer, order, "expired", now_ms)
+    yield from _take_in(orderer, now_ms, read)
+    yield from _serve_wants(orderer, now_ms)
+
+
+def _take_in(orderer: Orderer, now_ms: int, read: EngineRead) -> Iterator:
+    upstream = orderer.table.upstreams.get(read.upstream_id)
+    if upstream is None:
+        return
+    told = {(held.model, "") for held in read.held}
+    told |= {(h.model, name) for h in read.held for name in h.adapters}
+    told |= set(read.coming)
+    known = {(model, "") for model in upstream.models}
+    known |= {(m, a) for m, names in upstream.models.items() for a in names}
+    for key in told ^ known:
+        held = key in told
+        yield gateway.HoldingLearned(read.upstream_id, *key, held)
+
+
 def _takes_place(order: Order) -> bool:
     """Tell whether an order may yet take, or still holds, a place."""
     return bool(order.what.adapter)
@@ -353,6 +483,9 @@
     yield from _settle(orderer, now_ms)
     if not _may_order(orderer, now_ms):
         return
+    for service in orderer.doc.services.values() if orderer.doc else ():
+        if service.engine is not None:
+            yield from _read_engines(orderer, service, now_ms)
     yield from _serve_wants(orderer, now_ms)
     if now_ms - orderer.reviewed_ms >= REVIEW_MS:
         yield from _review(orderer, now_ms)
@@ -405,6 +538,7 @@
         model,
         adapter,
         orderer.fence,
+        orderer.views[upstream_id].order_count,
     )
     from_store = (
         load and not adapter and not _has_copy(orderer, upstream_id, model)
@@ -463,6 +597,19 @@
     )
     what = order.what
     event = _EVENTS[ended.answer]
+    view = orderer.views.get(what.upstream_id)
+    if view is not None and event == "unanswered":
+        view.order_count = -1
+        view.read_at_ms = now_ms + READ_AGAIN_MS
+    elif view is not None and ended.answer == OrderAnswer.ACCEPTED:
+        view.order_count += 1
+    elif view is not None and ended.answer == OrderAnswer.DONE:
+        # An order that holds already may or may not be counted.
+        view.order_count = -1
+        view.read_at_ms = now_ms
+    elif view is not None and ended.answer == OrderAnswer.BUSY:
+        view.order_count = -1
+        view.read_at_ms = now_ms + BUSY_PAUSE_MS
     if event == "unanswered":
         order.expires_ms = now_ms + UNSURE_MS
     elif event == "accepted" and what.adapter:
@@ -473,7 +620,11 @@
     yield from charting.fire(orderer.chart, order, event, now_ms, orderer)
     if event == "holding":
         yield from _tell_outcome(what)
-        yield from _serve_wants(orderer, now_ms)
+    elif event == "refused" and not what.load:
+        yield gateway.HoldingLearned(
+            what.upstream_id, what.model, what.adapter, True
+        )
+    yield from _serve_wants(orderer, now_ms)
 
 
 def _settle(orderer: Orderer, now_ms: int) -> Iterator:
@@ -518,6 +669,7 @@
 _HANDLERS = {
     calls.Wanted: _on_wanted,
     OrderEnded: _on_ended,
+    EngineRead: _on_engine_read,
     sharing.Report: _on_report,
     gateway.DocumentInForce: _on_document,
     gateway.Tick: _on_tick,
--- a/bilberryramp/platform/announcements.py
+++ b/bilberryramp/platform/announcements.py
@@ -5,7 +5,7 @@
 from bilberryramp.decisions import errors
 from bilberryramp.decisions.fleet import presence
 
-__all__ = ["MalformedHeartbeatError", "farewell", "heartbeat"]
+__all__ = ["MalformedHeartbeatError", "farewell", "heartbeat", "held_models"]
 
 
 class MalformedHeartbeatError(errors.BilberryError):
@@ -105,7 +105,7 @@
         leaving=leaving,
         gone=gone,
         remaining_ms=int(raw.get("remainingMs", -1)),
-        held=tuple(_held(row) for row in models),
+        held=held_models(models),
         copies=tuple(_copies(raw.get("atHand"))),
     )
 
@@ -118,6 +118,22 @@
                 yield str(row["name"] if isinstance(row, dict) else row)
 
 
+def held_models(rows) -> tuple[presence.Held, ...]:
+    """Decode the models that an engine lists.
+
+    Parameters
+    ----------
+    rows
+        Decoded JSON.
+
+    Returns
+    -------
+    tuple of Held
+        In the engine's order.
+    """
+    return tuple(_held(row) for row in rows)
+
+
 def _held(raw: dict) -> presence.Held:
     return presence.Held(
         model=_text(raw, "name"),
--- a/bilberryramp/platform/engine_orders.py
+++ b/bilberryramp/platform/engine_orders.py
@@ -3,10 +3,19 @@
 import msgspec
 
 from bilberryramp.decisions.fleet import orders
+from bilberryramp.platform import announcements
 
-__all__ = ["EXPECTED", "answer", "encode", "path"]
+__all__ = [
+    "EXPECTED",
+    "ORDER_PATH",
+    "REPORT_PATH",
+    "answer",
+    "encode",
+    "read_report",
+]
 
-path = "/order"
+ORDER_PATH = "/order"
+REPORT_PATH = "/report"
 EXPECTED = "X-Bilberryramp-Expected-Instance"
 
 _ANSWERS = {
@@ -37,6 +46,8 @@
         "model": order.model,
         "holder": holder,
         "fence": order.fence,
+        # The engine compares this with its count of accepted orders.
+        "precondition": order.expected_count,
     }
     if order.adapter:
         fields["adapter"] = order.adapter
@@ -60,3 +71,35 @@
     if status >= 500:
         return orders.OrderAnswer.NONE
     return _ANSWERS.get(status, orders.OrderAnswer.REFUSED)
+
+
+def read_report(upstream_id: str, body: bytes) -> orders.EngineRead:
+    """Decode an engine's report on itself.
+
+    Parameters
+    ----------
+    upstream_id, body
+        The engine, and JSON.
+
+    Returns
+    -------
+    EngineRead
+        With an order count of -1 when the report cannot be read.
+    """
+    try:
+        raw = msgspec.json.decode(body)
+        return orders.EngineRead(
+            upstream_id,
+            int(raw["seq"]),
+            announcements.held_models(raw.get("models") or ()),
+            tuple(_coming(row) for row in raw.get("coming") or ()),
+            bool(raw["busy"]),
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        return orders.EngineRead(upstream_id, -1)
+
+
+def _coming(row: str) -> tuple[str, str]:
+    # Written as model, slash, adapter, at sign and version.
+    model, _, adapter = str(row).partition("@")[0].partition("/")
+    return model, adapter
--- a/bilberryramp/tasks/engine_orders.py
+++ b/bilberryramp/tasks/engine_orders.py
@@ -14,6 +14,7 @@
 # An engine accepts or refuses an order at once; after this long the answer
 # is taken as lost.
 ORDER_TIMEOUT_S = 1.0
+HTTP_OK = 200
 
 
 def make_sender(
@@ -21,7 +22,7 @@
     box: mailbox.Mailbox,
     wire: ModuleType,
     holder: str,
-) -> Callable[[orders.SendOrder], None]:
+) -> Callable:
     """Make the function that starts an order.
 
     Parameters
@@ -47,7 +48,7 @@
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 resp = await session.post(
-                    f"http://{order.address}{wire.path}",
+                    f"http://{order.address}{wire.ORDER_PATH}",
                     data=wire.encode(order, holder),
                     headers={
                         "Content-Type": "application/json",
@@ -64,8 +65,25 @@
         message = orders.OrderEnded(order.order_id, ended)
         mailbox.post_now(box, message)
 
-    def start(order: orders.SendOrder) -> None:
-        task = asyncio.create_task(give(order))
+    async def read(ask: orders.ReadEngine) -> None:
+        found = orders.EngineRead(ask.upstream_id, -1)
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                resp = await session.get(
+                    f"http://{ask.address}{wire.REPORT_PATH}",
+                    headers={wire.EXPECTED: ask.upstream_id},
+                )
+                body = await resp.read()
+                if resp.status == HTTP_OK:
+                    found = wire.read_report(ask.upstream_id, body)
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            # It is asked again as long as its orders are not known.
+            pass
+        mailbox.post_now(box, found)
+
+    def start(effect: orders.SendOrder | orders.ReadEngine) -> None:
+        is_read = isinstance(effect, orders.ReadEngine)
+        task = asyncio.create_task(read(effect) if is_read else give(effect))
         running.add(task)
         task.add_done_callback(running.discard)
 
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -134,7 +134,7 @@
                 peer_mesh.send(task.mesh, message.sender, ack)
         case operator_calls.RelayAck():
             _note_relay_ack(task, message)
-        case orders.OrderEnded() | calls.Wanted():
+        case orders.OrderEnded() | orders.EngineRead() | calls.Wanted():
             _step_orders(task, now_ms, message)
         case gateway.Tick() | sharing.Report():
             _step(task, now_ms, message)
@@ -167,7 +167,7 @@
         case gateway.HoldingLearned():
             peer_mesh.broadcast(task.mesh, task.peers, effect)
             _step(task, now_ms, effect)
-        case orders.SendOrder():
+        case orders.SendOrder() | orders.ReadEngine():
             task.give_order(effect)
         case gateway.Trace():
             events.trace(effect.name, effect.fields)
