--- /dev/null
+++ b/bilberryramp/decisions/fleet/agent.py
@@ -0,0 +1,497 @@
+"""The process beside an engine: the only one that gives it orders.
+
+Entries ask it for adapters, the planner for models. It knows the engine from
+the engine's own report, which is fresh and free on the same instance, and
+gives one order at a time. Each order names the count of orders that the
+engine must have accepted before, so one that arrives late is refused, and a
+fencing token that rises over restarts of this process.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+
+from bilberryramp.decisions import charting
+from bilberryramp.decisions.fleet import documents, presence
+from bilberryramp.decisions.fleet.traces import Trace
+
+__all__ = [
+    "Agent",
+    "EngineRead",
+    "Hold",
+    "Holding",
+    "Order",
+    "OrderAnswer",
+    "OrderEnded",
+    "ReadEngine",
+    "SendOrder",
+    "Tell",
+    "Tick",
+    "actions",
+    "guards",
+    "new_agent",
+    "step",
+]
+
+# A wish counts this long after it was last told.
+WISH_MS = 1500
+# How often the engine is read while something is under way, and otherwise.
+READ_BUSY_MS = 40
+READ_IDLE_MS = 1000
+# How soon it is read again while an adapter is on its way, which takes some
+# milliseconds.
+READ_COMING_MS = 6
+# An adapter that was loaded this lately is not given up again.
+KEEP_LOADED_MS = 1500
+# Adapters on their way to an engine at once.
+ADAPTERS_AT_ONCE = 4
+# Pause after an engine refused an order.
+REFUSED_PAUSE_MS = 60
+# After an order without an answer the engine is read only once its report
+# can no longer be older than the order.
+UNANSWERED_PAUSE_MS = 500
+# How much the fencing token grows when the engine has seen a higher one.
+FENCE_STEP = 1_000_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Hold:
+    """Asks an agent to bring a model or adapter to its engine, or drop it.
+
+    Attributes
+    ----------
+    sender
+        Address of the node that asks; it is told of the outcome.
+    upstream_id
+        The engine's process that is meant.
+    adapter
+        Empty for the model itself.
+    spare
+        Adapters, as model and name, that may give way, idle longest first.
+    size_mb
+        Memory that it takes.
+    """
+
+    sender: str
+    upstream_id: str
+    load: bool
+    model: str
+    adapter: str
+    size_mb: float
+    capacity: documents.EngineCapacity
+    spare: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Holding:
+    """Tells an entry that an engine holds or lacks a model or adapter."""
+
+    upstream_id: str
+    model: str
+    adapter: str
+    held: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReadEngine:
+    """Ask the engine what it holds; answered by `EngineRead`.
+
+    Attributes
+    ----------
+    delay_ms
+        Time to wait before.
+    """
+
+    delay_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineRead:
+    """What the engine says of itself.
+
+    Attributes
+    ----------
+    order_count
+        How many orders it has accepted; -1 when it did not answer.
+    held, coming
+        What it holds, and what is on its way to it.
+    is_busy
+        Whether it carries out an order on a model.
+    """
+
+    order_count: int
+    held: tuple[presence.Held, ...] = ()
+    coming: tuple[tuple[str, str], ...] = ()
+    is_busy: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SendOrder:
+    """Give an order to the engine; answered by `OrderEnded`."""
+
+    upstream_id: str
+    load: bool
+    model: str
+    adapter: str
+    fence: int
+    expected_count: int
+
+
+class OrderAnswer:
+    """How an engine answered an order."""
+
+    ACCEPTED = "accepted"
+    DONE = "done"
+    BUSY = "busy"
+    FENCED = "fenced"
+    REFUSED = "refused"
+    NONE = "none"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OrderEnded:
+    """The answer to the order under way; one of `OrderAnswer`."""
+
+    answer: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tell:
+    """Send a message to a node."""
+
+    to: str
+    message: Holding
+
+
+@dataclasses.dataclass(slots=True)
+class Wish:
+    """Something asked for, by whom, and until when it counts."""
+
+    ask: Hold
+    senders: set[str]
+    expires_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Order:
+    """The order under way."""
+
+    what: SendOrder
+    sent_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Agent:
+    """State of one agent; its phases are those of ``engine_order.yaml``.
+
+    Attributes
+    ----------
+    order_count
+        Orders that the engine has accepted, as of the last report and the
+        answers since.
+    held
+        Adapters by model that the engine holds.
+    wishes
+        What was asked for, by model and adapter.
+    loaded_ms
+        When each adapter was loaded.
+    """
+
+    chart: charting.Chart
+    fence: int
+    key: str = "engine_order"
+    phase: str = "unread"
+    timer: int = 0
+    order: Order | None = None
+    order_count: int = -1
+    held: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    coming: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    is_busy: bool = False
+    wishes: dict[tuple[str, str], Wish] = dataclasses.field(
+        default_factory=dict
+    )
+    loaded_ms: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
+    read_due_ms: int = 0
+    is_reading: bool = False
+    paused_until: int = 0
+
+
+def new_agent(chart: charting.Chart, fence: int) -> Agent:
+    """Build an agent.
+
+    Parameters
+    ----------
+    chart
+        The bound chart.
+    fence
+        First fencing token, higher than those of earlier processes.
+
+    Returns
+    -------
+    Agent
+        It reads its engine before anything else.
+    """
+    return Agent(chart, fence, phase=chart.spec.initial)
+
+
+def step(agent: Agent, now_ms: int, message) -> Iterator:
+    """Handle one message.
+
+    Parameters
+    ----------
+    agent
+        Changed in place.
+    now_ms
+        The present.
+    message
+        `Hold`, `EngineRead`, `OrderEnded` or `Tick`.
+
+    Yields
+    ------
+    effect
+        `SendOrder`, `ReadEngine`, `Tell` and `Trace`.
+    """
+    yield from _HANDLERS[type(message)](agent, now_ms, message)
+
+
+def _on_hold(agent: Agent, now_ms: int, ask: Hold) -> Iterator:
+    key = (ask.model, ask.adapter)
+    if _is_fulfilled(agent, ask):
+        yield Tell(ask.sender, _holding(ask))
+        return
+    wish = agent.wishes.get(key)
+    if wish is None or wish.ask.load != ask.load:
+        wish = agent.wishes[key] = Wish(ask, set(), 0)
+    wish.ask = ask
+    wish.senders.add(ask.sender)
+    wish.expires_ms = now_ms + WISH_MS
+    yield from _work(agent, now_ms)
+
+
+def _on_tick(agent: Agent, now_ms: int, _message) -> Iterator:
+    for key, wish in list(agent.wishes.items()):
+        if now_ms >= wish.expires_ms:
+            agent.wishes.pop(key)
+    if now_ms >= agent.read_due_ms and not agent.is_reading:
+        agent.is_reading = True
+        yield ReadEngine()
+    yield from _work(agent, now_ms)
+
+
+def _on_read(agent: Agent, now_ms: int, read: EngineRead) -> Iterator:
+    agent.is_reading = False
+    active = agent.phase != "idle" or agent.is_busy or agent.coming
+    agent.read_due_ms = now_ms + (READ_BUSY_MS if active else READ_IDLE_MS)
+    if agent.phase == "sent":
+        return
+    if read.order_count < 0:
+        yield from _fire(agent, "silent", now_ms)
+        return
+    agent.order_count = read.order_count
+    agent.held = {held.model: set(held.adapters) for held in read.held}
+    agent.coming = set(read.coming)
+    agent.is_busy = read.is_busy
+    yield from _fire(agent, "was_read", now_ms)
+    yield from _tell_fulfilled(agent)
+    yield from _work(agent, now_ms)
+    if agent.coming and agent.phase != "sent":
+        agent.is_reading = True
+        yield ReadEngine(READ_COMING_MS)
+
+
+def _tell_fulfilled(agent: Agent) -> Iterator:
+    for key, wish in list(agent.wishes.items()):
+        if _is_fulfilled(agent, wish.ask):
+            agent.wishes.pop(key)
+            for sender in wish.senders:
+                yield Tell(sender, _holding(wish.ask))
+
+
+def _holding(ask: Hold) -> Holding:
+    return Holding(ask.upstream_id, ask.model, ask.adapter, ask.load)
+
+
+def _is_fulfilled(agent: Agent, ask: Hold) -> bool:
+    if agent.order_count < 0:
+        return False
+    if ask.adapter:
+        held = ask.adapter in agent.held.get(ask.model, ())
+    else:
+        held = ask.model in agent.held
+    return held == ask.load
+
+
+# Orders.
+
+
+def _work(agent: Agent, now_ms: int) -> Iterator:
+    """Give the next order that can be given, if any."""
+    if agent.phase != "idle" or now_ms < agent.paused_until:
+        return
+    if agent.is_busy:
+        return
+    for wish in agent.wishes.values():
+        ask = wish.ask
+        if (ask.model, ask.adapter) in agent.coming:
+            continue
+        what = _next_step(agent, ask, now_ms)
+        if what is not None:
+            yield from _send(agent, now_ms, ask, *what)
+            return
+
+
+def _next_step(
+    agent: Agent, ask: Hold, now_ms: int
+) -> tuple[bool, str, str] | None:
+    """Return load, model and adapter of the order that leads to a wish."""
+    if not ask.adapter:
+        return _step_to_model(agent, ask)
+    if ask.model not in agent.held:
+        return None
+    if len(agent.coming) >= ADAPTERS_AT_ONCE:
+        return None
+    places = sum(len(names) for names in agent.held.values())
+    places += len(agent.coming)
+    has_place = places < ask.capacity.adapter_slots
+    if has_place and _free_mb(agent, ask) >= ask.size_mb:
+        return (True, ask.model, ask.adapter)
+    for model, adapter in ask.spare:
+        loaded_ms = agent.loaded_ms.get((model, adapter), -KEEP_LOADED_MS)
+        is_held = adapter in agent.held.get(model, ())
+        if is_held and now_ms - loaded_ms >= KEEP_LOADED_MS:
+            return (False, model, adapter)
+    return None
+
+
+def _step_to_model(agent: Agent, ask: Hold) -> tuple[bool, str, str] | None:
+    if ask.load and (agent.coming or _free_mb(agent, ask) < ask.size_mb):
+        return None
+    return (ask.load, ask.model, "")
+
+
+def _free_mb(agent: Agent, ask: Hold) -> float:
+    capacity = ask.capacity
+    used = 0.0
+    for model, adapters in agent.held.items():
+        size = capacity.model_mb.get(model, capacity.weights_mb)
+        used += size + capacity.adapter_mb.get(model, 0.0) * len(adapters)
+    for model, _ in agent.coming:
+        used += capacity.adapter_mb.get(model, 0.0)
+    return capacity.weights_mb - used
+
+
+def _send(agent, now_ms, ask: Hold, load, model, adapter) -> Iterator:
+    what = SendOrder(
+        ask.upstream_id,
+        load,
+        model,
+        adapter,
+        agent.fence,
+        agent.order_count,
+    )
+    agent.order = Order(what, now_ms)
+    yield from _fire(agent, "order_given", now_ms)
+    if not load:
+        for sender in _everyone(agent):
+            yield Tell(sender, Holding(ask.upstream_id, model, adapter, False))
+    yield Trace(
+        "order.sent_to_engine",
+        {
+            "upstream": ask.upstream_id,
+            "load": load,
+            "model": model,
+            "adapter": adapter,
+            "fence": agent.fence,
+            "expected_count": agent.order_count,
+        },
+    )
+    yield what
+
+
+def _everyone(agent: Agent) -> set[str]:
+    return {s for wish in agent.wishes.values() for s in wish.senders}
+
+
+def _on_ended(agent: Agent, now_ms: int, ended: OrderEnded) -> Iterator:
+    order = agent.order
+    if order is None or agent.phase != "sent":
+        return
+    what = order.what
+    yield Trace(
+        "order.answered",
+        {
+            "upstream": what.upstream_id,
+            "load": what.load,
+            "model": what.model,
+            "adapter": what.adapter,
+            "answer": ended.answer,
+            "took_ms": now_ms - order.sent_ms,
+        },
+    )
+    if ended.answer in (OrderAnswer.ACCEPTED, OrderAnswer.DONE):
+        if what.load and what.adapter:
+            agent.loaded_ms[(what.model, what.adapter)] = now_ms
+        yield from _fire(agent, "taken", now_ms)
+    elif ended.answer == OrderAnswer.NONE:
+        yield from _fire(agent, "unanswered", now_ms)
+    else:
+        if ended.answer == OrderAnswer.FENCED:
+            agent.fence += FENCE_STEP
+        yield from _fire(agent, "turned_down", now_ms)
+
+
+def _fire(agent: Agent, event: str, now_ms: int) -> Iterator:
+    yield from charting.fire(agent.chart, agent, event, now_ms, None)
+
+
+# Actions of the chart.
+
+
+def _read_now(agent: Agent, now_ms: int, _payload) -> Iterator:
+    agent.order = None
+    if not agent.is_reading:
+        agent.is_reading = True
+        yield ReadEngine()
+
+
+def _read_soon(agent: Agent, now_ms: int, _payload) -> Iterator:
+    agent.order = None
+    agent.paused_until = now_ms + REFUSED_PAUSE_MS
+    agent.read_due_ms = now_ms + READ_BUSY_MS
+    yield from ()
+
+
+def _read_later(agent: Agent, now_ms: int, _payload) -> Iterator:
+    agent.order = None
+    agent.order_count = -1
+    agent.read_due_ms = now_ms + UNANSWERED_PAUSE_MS
+    yield from ()
+
+
+def _forget(agent: Agent, _now_ms: int, _payload) -> Iterator:
+    agent.order_count = -1
+    agent.held = {}
+    agent.coming = set()
+    yield from ()
+
+
+guards: dict = {}
+actions = {
+    "read_now": _read_now,
+    "read_soon": _read_soon,
+    "read_later": _read_later,
+    "forget": _forget,
+}
+
+_HANDLERS = {
+    Hold: _on_hold,
+    Tick: _on_tick,
+    EngineRead: _on_read,
+    OrderEnded: _on_ended,
+}
--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -20,7 +20,6 @@
     "Refuse",
     "Request",
     "SendCall",
-    "Wanted",
 ]
 
 
@@ -232,19 +231,3 @@
     """Give the client the failure that the upstream reported."""
 
     call_id: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Wanted:
-    """Asks the orderer of engines for a model, or an adapter of it.
-
-    Attributes
-    ----------
-    upstream_id
-        Where an adapter should go if it can; empty for anywhere.
-    """
-
-    service: str
-    model: str
-    adapter: str
-    upstream_id: str = ""
--- a/bilberryramp/decisions/fleet/documents.py
+++ b/bilberryramp/decisions/fleet/documents.py
@@ -5,11 +5,13 @@
 __all__ = [
     "CallLimits",
     "Document",
+    "EngineCapacity",
     "EngineSpec",
     "ModelSpec",
     "Route",
     "Service",
     "Share",
+    "capacity",
 ]
 
 
@@ -111,6 +113,48 @@
     models: dict[str, ModelSpec]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineCapacity:
+    """What an engine has room for, as the agent beside it needs to know.
+
+    Attributes
+    ----------
+    weights_mb
+        Memory for weights and adapters together.
+    adapter_slots
+        Adapters that it holds at once.
+    model_mb, adapter_mb
+        Size of each model's weights, and of one adapter of it.
+    """
+
+    weights_mb: float
+    adapter_slots: int
+    model_mb: dict[str, float]
+    adapter_mb: dict[str, float]
+
+
+def capacity(engine: EngineSpec) -> EngineCapacity:
+    """Return an engine's capacity without the rest of its description.
+
+    Parameters
+    ----------
+    engine
+        The description.
+
+    Returns
+    -------
+    EngineCapacity
+        Sizes by model name.
+    """
+    models = engine.models.values()
+    return EngineCapacity(
+        engine.weights_mb,
+        engine.adapter_slots,
+        {model.name: model.weights_mb for model in models},
+        {model.name: model.adapter_mb for model in models},
+    )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Service:
     """A group of interchangeable upstreams; plain if `engine` is None."""
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -10,22 +10,24 @@
 
 from bilberryramp.decisions import charting
 from bilberryramp.decisions.fleet import (
+    agent,
     calls,
     documents,
     health,
     hosts,
+    placement,
+    planner,
     presence,
     retry_budget,
     scheduling,
     sharing,
 )
+from bilberryramp.decisions.fleet.traces import Trace
 
 __all__ = [
     "DocumentInForce",
     "Gateway",
-    "HoldingLearned",
     "Tick",
-    "Trace",
     "actions",
     "guards",
     "is_idle",
@@ -49,6 +51,9 @@
 LATE_URGENCY = 9
 # How long a call waits for an adapter to come to a better engine.
 ADAPTER_PATIENCE_MS = 200
+# An agent that has not answered for this long is passed over for a while.
+AGENT_PATIENCE_MS = 400
+AGENT_PAUSE_MS = 1500
 # How many waiting calls are looked at when room may have come free.
 QUEUE_SCAN = 64
 
@@ -60,35 +65,19 @@
     doc: documents.Document
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class HoldingLearned:
-    """An engine now holds, or no longer holds, a model or adapter."""
-
-    upstream_id: str
-    model: str
-    adapter: str
-    held: bool
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Tick:
     """Time has passed."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Trace:
-    """A decision for the log, with the inputs that led to it."""
-
-    name: str
-    fields: dict
-
-
 @dataclasses.dataclass(slots=True)
 class Gateway:
     """State of one entry.
 
     Attributes
     ----------
+    asked_ms
+        When each agent was first asked for something it has not answered.
     node_count
         Entries that share the retry budget, this one included.
     """
@@ -110,6 +99,10 @@
     )
     full_until: dict[str, int] = dataclasses.field(default_factory=dict)
     paces: dict[str, float] = dataclasses.field(default_factory=dict)
+    demand: placement.Demand = dataclasses.field(
+        default_factory=placement.Demand
+    )
+    asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     node_count: int = 1
 
 
@@ -176,7 +169,8 @@
         yield from _serve_queue(gw, now_ms)
 
 
-def _on_holding(gw: Gateway, now_ms: int, told: HoldingLearned) -> Iterator:
+def _on_holding(gw: Gateway, now_ms: int, told: agent.Holding) -> Iterator:
+    gw.asked_ms.pop(told.upstream_id, None)
     presence.note_held(
         gw.table,
         told.upstream_id,
@@ -191,6 +185,7 @@
 
 def _on_report(gw: Gateway, now_ms: int, report: sharing.Report) -> Iterator:
     sharing.note_report(gw.loads, report, _cache_tokens(gw), now_ms)
+    _note_uses(gw, report, now_ms)
     if gw.queue:
         yield from _serve_queue(gw, now_ms)
 
@@ -200,9 +195,15 @@
     yield from _serve_queue(gw, now_ms)
     report = sharing.report_due(gw.loads, gw.address, now_ms)
     if report is not None:
+        _note_uses(gw, report, now_ms)
         yield report
 
 
+def _note_uses(gw: Gateway, report: sharing.Report, now_ms: int) -> None:
+    for sent in report.sent:
+        placement.note_use(gw.demand, sent.upstream_id, sent.weights, now_ms)
+
+
 def _cache_tokens(gw: Gateway) -> int:
     services = gw.doc.services.values() if gw.doc is not None else ()
     sizes = (s.engine.kv_tokens for s in services if s.engine is not None)
@@ -258,6 +259,17 @@
 def _on_call_left(gw: Gateway, now_ms: int, message) -> Iterator:
     call = gw.active.get(message.call_id)
     if call is not None:
+        yield Trace(
+            "call.left",
+            {
+                "request_id": call.request.request_id,
+                "route": call.route.name,
+                "phase": call.phase,
+                "why": call.why.value,
+                "upstream": call.upstream_id,
+                "after_ms": now_ms - call.arrived_ms,
+            },
+        )
         yield from _end(gw, call, "left", now_ms)
         yield from _serve_queue(gw, now_ms)
 
@@ -442,7 +454,7 @@
     holders = [up for up in candidates if prompt.model in up.models]
     if not holders:
         call.why = calls.Refusal.NO_MODEL
-        yield from _ask_for(call, now_ms, "")
+        yield from _want_model(gw, call, now_ms)
         return
     ready = holders
     if prompt.adapter:
@@ -451,16 +463,19 @@
         ]
     choice = _pick_engine(gw, prompt, engine, ready, now_ms)
     if prompt.adapter and now_ms - call.arrived_ms < ADAPTER_PATIENCE_MS:
-        other = _pick_engine(gw, prompt, engine, holders, now_ms)
+        able = [up for up in holders if _has_agent(gw, up, now_ms)]
+        other = _pick_engine(gw, prompt, engine, able, now_ms)
         if other is not None and _is_worth_adapter(choice, other):
             call.why = calls.Refusal.NO_MODEL
-            other_id = other.upstream.last.upstream_id
-            yield from _ask_for(call, now_ms, other_id)
+            yield from _want_adapter(gw, call, engine, other.upstream, now_ms)
             return
     if choice is None:
         call.why = calls.Refusal.OVERLOADED
         if not ready:
-            yield from _ask_for(call, now_ms, "")
+            call.why = calls.Refusal.NO_MODEL
+            able = [up for up in holders if _has_agent(gw, up, now_ms)]
+            home = gw.rng.choice(able or holders)
+            yield from _want_adapter(gw, call, engine, home, now_ms)
         return
     if not scheduling.may_begin(call, choice, now_ms):
         call.why = calls.Refusal.OVERLOADED
@@ -484,13 +499,45 @@
     return gain_ms > scheduling.ADAPTER_GAIN_MS
 
 
-def _ask_for(call: calls.Call, now_ms: int, upstream_id: str) -> Iterator:
+def _want_model(gw: Gateway, call: calls.Call, now_ms: int) -> Iterator:
     if now_ms - call.asked_ms >= ASK_AGAIN_MS:
         call.asked_ms = now_ms
-        prompt = call.request.prompt
-        yield calls.Wanted(
-            call.service, prompt.model, prompt.adapter, upstream_id
-        )
+        yield planner.WantModel(call.service, call.request.prompt.model)
+
+
+def _want_adapter(
+    gw: Gateway, call: calls.Call, engine, upstream, now_ms: int
+) -> Iterator:
+    """Ask the agent beside an engine for the adapter of a call."""
+    if now_ms - call.asked_ms < ASK_AGAIN_MS:
+        return
+    call.asked_ms = now_ms
+    prompt = call.request.prompt
+    spec = engine.models.get(prompt.model)
+    upstream_id = upstream.last.upstream_id
+    gw.asked_ms.setdefault(upstream_id, now_ms)
+    ask = agent.Hold(
+        gw.address,
+        upstream_id,
+        True,
+        prompt.model,
+        prompt.adapter,
+        spec.adapter_mb if spec is not None else 0.0,
+        documents.capacity(engine),
+        placement.idle_adapters(gw.demand, upstream, now_ms),
+    )
+    yield planner.SendPlan(upstream.last.address, ask)
+
+
+def _has_agent(gw: Gateway, upstream, now_ms: int) -> bool:
+    """Tell whether the agent beside an engine has not left asks open."""
+    asked_ms = gw.asked_ms.get(upstream.last.upstream_id)
+    if asked_ms is None or now_ms - asked_ms < AGENT_PATIENCE_MS:
+        return True
+    if now_ms - asked_ms > AGENT_PAUSE_MS:
+        gw.asked_ms.pop(upstream.last.upstream_id)
+        return True
+    return False
 
 
 def _candidates(gw: Gateway, call: calls.Call, now_ms: int) -> list:
@@ -653,7 +700,7 @@
 
 _HANDLERS = {
     DocumentInForce: _on_document,
-    HoldingLearned: _on_holding,
+    agent.Holding: _on_holding,
     Tick: _on_tick,
     presence.Announcement: _on_announcement,
     sharing.Report: _on_report,
--- a/bilberryramp/decisions/fleet/operator_calls.py
+++ b/bilberryramp/decisions/fleet/operator_calls.py
@@ -2,11 +2,12 @@
 
 import dataclasses
 
-from bilberryramp.decisions.fleet import documents, presence
+from bilberryramp.decisions.fleet import agent, documents, presence
 
 __all__ = [
     "Farewell",
     "Heartbeat",
+    "Passed",
     "ReadDocument",
     "Relay",
     "RelayAck",
@@ -74,6 +75,13 @@
     relay_id: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Passed:
+    """What an agent told one node, passed on to the others."""
+
+    holding: agent.Holding
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Roster:
     """The other nodes heard lately, and the leader's address."""
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -2,7 +2,7 @@
 
 Each function answers one load pattern: a model that no engine holds is asked
 for (`make_room`, urgent), the holders of a model are crowded
-(`most_crowded`, `make_room`), an adapter is asked for (`adapter_home`).
+(`crowded`, `make_room`), an adapter finds no place (`idle_adapters`).
 """
 
 import collections
@@ -14,10 +14,10 @@
     "Demand",
     "Move",
     "Site",
-    "adapter_home",
+    "crowded",
+    "idle_adapters",
     "make_room",
     "memory_used_mb",
-    "most_crowded",
     "note_crowding",
     "note_use",
 ]
@@ -29,6 +29,8 @@
 IDLE_LAST_COPY_MS = 5000
 # An adapter not used this long may be unloaded.
 IDLE_ADAPTER_MS = 2000
+# Adapters that are named to an agent as ones that may give way.
+MOST_SPARE = 4
 # Unread prompt tokens at the least loaded holder of a model from which on
 # another copy is worth a load, and the weight of the newest look.
 CROWDED_TOKENS = 5000
@@ -64,8 +66,8 @@
         Adapters by model that it holds.
     copies
         Models that it can load without the weight store.
-    free_mb, free_places
-        Memory and places for adapters that no order may take.
+    free_mb
+        Memory that nothing takes or is about to take.
     is_busy
         Whether it carries out an order on a model.
     coming
@@ -80,7 +82,6 @@
     models: dict[str, set[str]]
     copies: frozenset[str]
     free_mb: float
-    free_places: int
     is_busy: bool
     coming: frozenset[tuple[str, str]]
     is_emptying: bool
@@ -134,10 +135,10 @@
         demand.crowding[model] = before + NEWEST_WEIGHT * (unread - before)
 
 
-def most_crowded(
+def crowded(
     engine: documents.EngineSpec, demand: Demand, sites: list[Site]
-) -> str | None:
-    """Pick the model whose holders have the most waiting.
+) -> list[str]:
+    """List models whose holders have much waiting, most crowded first.
 
     Parameters
     ----------
@@ -146,18 +147,17 @@
 
     Returns
     -------
-    str or None
-        None while no model is crowded, or a copy of it is on its way.
+    list of str
+        Without those of which enough copies are on their way.
     """
-    coming = {model for s in sites for model, adapter in s.coming}
-    crowded = [
+    coming = collections.Counter(m for s in sites for m, _ in s.coming)
+    short = [
         (crowd, model)
         for model, crowd in demand.crowding.items()
-        if crowd > CROWDED_TOKENS
-        and model not in coming
+        if crowd > CROWDED_TOKENS * (1 + 2 * coming[model])
         and model in engine.models
     ]
-    return max(crowded)[1] if crowded else None
+    return [model for _, model in sorted(short, reverse=True)]
 
 
 def memory_used_mb(
@@ -186,53 +186,30 @@
     return used
 
 
-def adapter_home(
-    model: str,
-    size_mb: float,
-    sites: list[Site],
-    demand: Demand,
-    now_ms: int,
-) -> tuple[Site, tuple[str, str] | None] | None:
-    """Pick the engine that should load an adapter.
+def idle_adapters(
+    demand: Demand, upstream: presence.Upstream, now_ms: int
+) -> tuple[tuple[str, str], ...]:
+    """List adapters of an engine that may give way.
 
     Parameters
     ----------
-    model, size_mb
-        The adapter's model, and the adapter's size.
-    sites, demand, now_ms
-        The engines, uses and the present.
+    demand, upstream, now_ms
+        Uses, the engine and the present.
 
     Returns
     -------
-    tuple or None
-        The engine, and the adapter it must unload first or None; None
-        while no holder of the model can take it.
+    tuple of (str, str)
+        Model and adapter, idle longest first.
     """
-    holders = [s for s in sites if model in s.models and not s.is_busy]
-    holders.sort(key=lambda s: s.load.unread)
-    roomy = [s for s in holders if s.free_places > 0 and s.free_mb >= size_mb]
-    if roomy:
-        return roomy[0], None
-    victims = [
-        (s, _idle_adapter(s, demand, now_ms))
-        for s in holders
-        if not s.is_emptying
-    ]
-    victims = [(s, v) for s, v in victims if v is not None]
-    return victims[0] if victims else None
-
-
-def _idle_adapter(
-    site: Site, demand: Demand, now_ms: int
-) -> tuple[str, str] | None:
-    oldest, victim = now_ms - IDLE_ADAPTER_MS, None
-    for model, adapters in site.models.items():
+    upstream_id = upstream.last.upstream_id
+    idle = []
+    for model, adapters in upstream.models.items():
         for adapter in adapters:
-            key = (site.upstream_id, f"{model}/{adapter}")
+            key = (upstream_id, f"{model}/{adapter}")
             used = demand.used_ms.get(key, 0)
-            if used < oldest:
-                oldest, victim = used, (model, adapter)
-    return victim
+            if now_ms - used >= IDLE_ADAPTER_MS:
+                idle.append((used, model, adapter))
+    return tuple((m, a) for _, m, a in sorted(idle)[:MOST_SPARE])
 
 
 def make_room(
--- a/bilberryramp/platform/engine_orders.py
+++ b/bilberryramp/platform/engine_orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import orders
+from bilberryramp.decisions.fleet import agent
 from bilberryramp.platform import announcements
 
 __all__ = [
@@ -19,14 +19,14 @@
 EXPECTED = "X-Bilberryramp-Expected-Instance"
 
 _ANSWERS = {
-    200: orders.OrderAnswer.DONE,
-    202: orders.OrderAnswer.ACCEPTED,
-    409: orders.OrderAnswer.BUSY,
-    412: orders.OrderAnswer.FENCED,
+    200: agent.OrderAnswer.DONE,
+    202: agent.OrderAnswer.ACCEPTED,
+    409: agent.OrderAnswer.BUSY,
+    412: agent.OrderAnswer.FENCED,
 }
 
 
-def encode(order: orders.SendOrder, holder: str) -> bytes:
+def encode(order: agent.SendOrder, holder: str) -> bytes:
     """Encode an order.
 
     Parameters
@@ -65,21 +65,21 @@
     Returns
     -------
     str
-        One of `orders.OrderAnswer`. Any 5xx leaves open whether the order
+        One of `agent.OrderAnswer`. Any 5xx leaves open whether the order
         was taken.
     """
     if status >= 500:
-        return orders.OrderAnswer.NONE
-    return _ANSWERS.get(status, orders.OrderAnswer.REFUSED)
+        return agent.OrderAnswer.NONE
+    return _ANSWERS.get(status, agent.OrderAnswer.REFUSED)
 
 
-def read_report(upstream_id: str, body: bytes) -> orders.EngineRead:
+def read_report(body: bytes) -> agent.EngineRead:
     """Decode an engine's report on itself.
 
     Parameters
     ----------
-    upstream_id, body
-        The engine, and JSON.
+    body
+        JSON.
 
     Returns
     -------
@@ -88,15 +88,14 @@
     """
     try:
         raw = msgspec.json.decode(body)
-        return orders.EngineRead(
-            upstream_id,
+        return agent.EngineRead(
             int(raw["seq"]),
             announcements.held_models(raw.get("models") or ()),
             tuple(_coming(row) for row in raw.get("coming") or ()),
             bool(raw["busy"]),
         )
     except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
-        return orders.EngineRead(upstream_id, -1)
+        return agent.EngineRead(-1)
 
 
 def _coming(row: str) -> tuple[str, str]:
--- a/bilberryramp/platform/settings.py
+++ b/bilberryramp/platform/settings.py
@@ -59,6 +59,8 @@
         client_address=listen.get("front", ""),
         readiness_address=listen.get("ready", ""),
         operator_address=listen.get("control", ""),
+        # The engine on the same machine, on machines that have one.
+        engine_address=raw.get("app", ""),
         heartbeat_ms=int(raw["heartbeatMs"]),
         grace_ms=int(1000 * bounds["graceS"]),
         drain_ms=int(bounds["drainMs"]),
--- /dev/null
+++ b/bilberryramp/programs/agent.py
@@ -0,0 +1,75 @@
+"""bilberry-agent: the process beside an engine that gives it orders."""
+
+import asyncio
+import signal
+import sys
+
+import aiohttp
+from absl import app
+
+from bilberryramp.decisions.fleet import agent
+from bilberryramp.platform import engine_orders
+from bilberryramp.programs import fleet_launch
+from bilberryramp.tasks import (
+    agent_task,
+    clock,
+    mailbox,
+    peer_mesh,
+    register_task,
+)
+from bilberryramp.tasks import engine_orders as order_task
+from bilberryramp.telemetry import events
+
+__all__ = ["run"]
+
+
+def run() -> None:
+    """Console entry point."""
+    app.run(_main)
+
+
+def _main(_argv: list[str]) -> None:
+    cfg = fleet_launch.start("bilberry-agent")
+    sys.exit(asyncio.run(_serve(cfg)))
+
+
+async def _serve(cfg) -> int:
+    chart = fleet_launch.bind_chart("engine_order", agent)
+    box = mailbox.Mailbox()
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    mesh = peer_mesh.open_mesh(
+        f"{cfg.ip}:{cfg.peer_ports[0]}",
+        lambda message: mailbox.post_now(box, message),
+    )
+    async with aiohttp.ClientSession() as session:
+        task = agent_task.AgentTask(
+            # Wall time rises over restarts, so earlier tokens are lower.
+            agent.new_agent(chart, clock.wall_ms()),
+            box,
+            mesh,
+            order_task.make_sender(
+                session, box, engine_orders, cfg.engine_address, cfg.name
+            ),
+        )
+        running = [
+            asyncio.create_task(agent_task.run(task)),
+            asyncio.create_task(register_task.ticker(box, agent.Tick())),
+        ]
+        stopped = asyncio.create_task(stop.wait())
+        events.emit(events.STARTED, address=cfg.engine_address)
+        done, _ = await asyncio.wait(
+            [*running, stopped], return_when=asyncio.FIRST_COMPLETED
+        )
+    if stopped in done:
+        events.emit(events.STOPPED)
+        return 0
+    for ended in done:
+        events.emit(events.TASK_FAILED, reason=repr(ended.exception()))
+    return fleet_launch.EXIT_DEFECT
+
+
+if __name__ == "__main__":
+    run()
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -9,26 +9,24 @@
 import sys
 import uuid
 
-from absl import app, flags
+from absl import app
 
-from bilberryramp.charts import loader
-from bilberryramp.decisions import charting
 from bilberryramp.decisions.fleet import (
     gateway,
     health,
-    orders,
+    planner,
     presence,
     register,
     register_messages,
     retry_budget,
 )
 from bilberryramp.platform import (
-    engine_orders,
     exchanges,
     operator_calls,
     service_documents,
 )
 from bilberryramp.platform import settings as platform_settings
+from bilberryramp.programs import fleet_launch
 from bilberryramp.settings import fleet
 from bilberryramp.storage import slots
 from bilberryramp.tasks import (
@@ -41,16 +39,10 @@
     register_task,
     upstream_exchange,
 )
-from bilberryramp.tasks import (
-    engine_orders as order_task,
-)
 from bilberryramp.telemetry import events
 
 __all__ = ["run"]
 
-EXIT_BAD_SETTINGS = 2
-EXIT_DEFECT = 1
-
 # Connections that may wait to be accepted.
 BACKLOG = 512
 # After the signal to stop, new connections are taken for this long: the
@@ -66,10 +58,6 @@
 # heartbeats.
 BEATS_TO_HEAR = 1.1
 
-SETTINGS_FLAG = flags.DEFINE_string(
-    "settings", None, "The platform's settings file; by default as told."
-)
-
 
 @dataclasses.dataclass(slots=True)
 class NodeProcess:
@@ -95,20 +83,8 @@
 
 
 def _main(_argv: list[str]) -> None:
-    path = SETTINGS_FLAG.value or os.environ.get(
-        platform_settings.VARIABLE, ""
-    )
-    try:
-        cfg = platform_settings.read(path)
-    except platform_settings.MalformedSettingsError as exc:
-        print(f"bilberry-node: {exc}", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    events.start_bounded_logging("bilberry-node", cfg.name)
-    sys.exit(asyncio.run(_serve(cfg, path)))
-
-
-def _bind(name: str, module) -> charting.Chart:
-    return charting.bind(loader.load(name), module.guards, module.actions)
+    cfg = fleet_launch.start("bilberry-node")
+    sys.exit(asyncio.run(_serve(cfg, fleet_launch.settings_path())))
 
 
 async def _serve(cfg: fleet.NodeSettings, path: str) -> int:
@@ -139,7 +115,7 @@
         return 0
     for task in done:
         events.emit(events.TASK_FAILED, reason=repr(task.exception()))
-    return EXIT_DEFECT
+    return fleet_launch.EXIT_DEFECT
 
 
 def _assemble(cfg: fleet.NodeSettings, path: str) -> NodeProcess:
@@ -152,25 +128,23 @@
     table = presence.Table(cfg.heartbeat_ms)
     gw = gateway.Gateway(
         address,
-        _bind("exchange", gateway),
-        _bind("upstream_health", health),
+        fleet_launch.bind_chart("exchange", gateway),
+        fleet_launch.bind_chart("upstream_health", health),
         rng,
         table,
         retry_budget.Limits(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_ms
         ),
     )
-    orderer = orders.Orderer(
-        _bind("engine_order", orders), table, gw.loads, cfg.order_lease_ms
-    )
+    plans = planner.Planner(address, table, gw.loads, gw.demand)
     session = upstream_exchange.open_session()
     gateway_owner = gateway_task.GatewayTask(
         gw,
-        orderer,
+        plans,
         gateway_box,
         mesh,
         service_documents.decode,
-        order_task.make_sender(session, gateway_box, engine_orders, cfg.name),
+        cfg.peer_ports[0],
     )
     register_owner = _open_register(
         cfg, address, rng, now_ms, register_box, gateway_box, mesh
@@ -197,7 +171,12 @@
     )
     seeds = tuple(f"{seed}:{cfg.peer_ports[0]}" for seed in cfg.seeds)
     node = register.new_node(
-        me, seeds, _bind("member", register), rng, now_ms, stored
+        me,
+        seeds,
+        fleet_launch.bind_chart("member", register),
+        rng,
+        now_ms,
+        stored,
     )
     return register_task.RegisterTask(
         node, cfg.data_folder, writes, register_box, gateway_box, mesh
--- a/bilberryramp/settings/fleet.py
+++ b/bilberryramp/settings/fleet.py
@@ -23,6 +23,8 @@
         Where it may keep files; empty without a disk.
     client_address, readiness_address, operator_address
         Where it listens, as host and port.
+    engine_address
+        The engine on the same instance; empty without one.
     heartbeat_ms
         How often upstreams announce themselves.
     grace_ms
@@ -49,6 +51,7 @@
     client_address: str
     readiness_address: str
     operator_address: str
+    engine_address: str
     heartbeat_ms: int
     grace_ms: int
     drain_ms: int
--- a/bilberryramp/tasks/engine_orders.py
+++ b/bilberryramp/tasks/engine_orders.py
@@ -1,4 +1,4 @@
-"""Sends the leader's orders to engines over HTTP."""
+"""Sends an agent's orders to its engine over HTTP, and reads the engine."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from bilberryramp.decisions.fleet import orders
+from bilberryramp.decisions.fleet import agent
 from bilberryramp.tasks import mailbox
 
 __all__ = ["make_sender"]
@@ -21,34 +21,37 @@
     session: aiohttp.ClientSession,
     box: mailbox.Mailbox,
     wire: ModuleType,
+    engine_address: str,
     holder: str,
 ) -> Callable:
-    """Make the function that starts an order.
+    """Make the function that starts an order or a reading.
 
     Parameters
     ----------
     session
         For HTTP.
     box
-        Gets `OrderEnded`.
+        Gets `OrderEnded` and `EngineRead`.
     wire
         Encodes orders and decodes their answers.
+    engine_address
+        Of the engine on this instance.
     holder
         Name of this node.
 
     Returns
     -------
     callable
-        Returns at once.
+        Takes a `SendOrder` or `ReadEngine` and returns at once.
     """
     running: set[asyncio.Task] = set()
 
-    async def give(order: orders.SendOrder) -> None:
-        ended = orders.OrderAnswer.NONE
+    async def give(order: agent.SendOrder) -> None:
+        answer = agent.OrderAnswer.NONE
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 resp = await session.post(
-                    f"http://{order.address}{wire.ORDER_PATH}",
+                    f"http://{engine_address}{wire.ORDER_PATH}",
                     data=wire.encode(order, holder),
                     headers={
                         "Content-Type": "application/json",
@@ -56,33 +59,33 @@
                     },
                 )
                 await resp.read()
-                ended = wire.answer(resp.status)
+                answer = wire.answer(resp.status)
         except aiohttp.ClientConnectorError:
             # Nothing was sent.
-            ended = orders.OrderAnswer.REFUSED
+            answer = agent.OrderAnswer.REFUSED
         except (TimeoutError, aiohttp.ClientError, OSError):
+            # The answer stays unknown, which the caller logs.
             pass
-        message = orders.OrderEnded(order.order_id, ended)
-        mailbox.post_now(box, message)
+        mailbox.post_now(box, agent.OrderEnded(answer))
 
-    async def read(ask: orders.ReadEngine) -> None:
-        found = orders.EngineRead(ask.upstream_id, -1)
+    async def read(ask: agent.ReadEngine) -> None:
+        found = agent.EngineRead(-1)
+        await asyncio.sleep(ask.delay_ms / 1000)
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 resp = await session.get(
-                    f"http://{ask.address}{wire.REPORT_PATH}",
-                    headers={wire.EXPECTED: ask.upstream_id},
+                    f"http://{engine_address}{wire.REPORT_PATH}"
                 )
                 body = await resp.read()
                 if resp.status == HTTP_OK:
-                    found = wire.read_report(ask.upstream_id, body)
+                    found = wire.read_report(body)
         except (TimeoutError, aiohttp.ClientError, OSError):
-            # It is asked again as long as its orders are not known.
+            # It is asked again as long as nothing is known.
             pass
         mailbox.post_now(box, found)
 
-    def start(effect: orders.SendOrder | orders.ReadEngine) -> None:
-        is_read = isinstance(effect, orders.ReadEngine)
+    def start(effect: agent.SendOrder | agent.ReadEngine) -> None:
+        is_read = isinstance(effect, agent.ReadEngine)
         task = asyncio.create_task(read(effect) if is_read else give(effect))
         running.add(task)
         task.add_done_callback(running.discard)
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -5,14 +5,16 @@
 from collections.abc import Callable
 
 from bilberryramp.decisions.fleet import (
+    agent,
     calls,
     gateway,
     operator_calls,
-    orders,
+    planner,
     presence,
     register,
     sharing,
 )
+from bilberryramp.decisions.fleet.traces import Trace
 from bilberryramp.tasks import clock, mailbox, peer_mesh
 from bilberryramp.telemetry import events
 
@@ -59,18 +61,18 @@
     ----------
     decode_document
         Makes a document of what the register holds.
-    give_order
-        Starts an order to an engine; its end is posted to `box`.
+    agent_port
+        Where agents listen, on the instances of their engines.
     decisions
         Futures of the calls that wait for a decision.
     """
 
     gw: gateway.Gateway
-    orderer: orders.Orderer
+    planner: planner.Planner
     box: mailbox.Mailbox
     mesh: peer_mesh.Mesh
     decode_document: Callable
-    give_order: Callable
+    agent_port: int
     peers: tuple[str, ...] = ()
     leader: str = ""
     decisions: dict[int, asyncio.Future] = dataclasses.field(
@@ -117,9 +119,7 @@
         case register.Committed():
             _take_document(task, now_ms, message)
         case register.LeaderChanged():
-            orders.set_leading(
-                task.orderer, message.leads, message.term, now_ms
-            )
+            planner.set_leading(task.planner, message.leads, now_ms)
         case operator_calls.Roster():
             task.peers, task.leader = message.addresses, message.leader
             task.gw.node_count = len(message.addresses) + 1
@@ -134,11 +134,20 @@
                 peer_mesh.send(task.mesh, message.sender, ack)
         case operator_calls.RelayAck():
             _note_relay_ack(task, message)
-        case orders.OrderEnded() | orders.EngineRead() | calls.Wanted():
-            _step_orders(task, now_ms, message)
-        case gateway.Tick() | sharing.Report():
+        case planner.WantModel():
+            planner.want(task.planner, message, now_ms)
+            _review(task, now_ms)
+        case agent.Holding():
+            # The agent tells only the node that asked.
+            peer_mesh.broadcast(
+                task.mesh, task.peers, operator_calls.Passed(message)
+            )
+            _step(task, now_ms, message)
+        case operator_calls.Passed():
+            _step(task, now_ms, message.holding)
+        case gateway.Tick():
             _step(task, now_ms, message)
-            _step_orders(task, now_ms, message)
+            _review(task, now_ms)
         case _:
             _step(task, now_ms, message)
 
@@ -148,9 +157,10 @@
         _perform(task, now_ms, effect)
 
 
-def _step_orders(task: GatewayTask, now_ms: int, message) -> None:
-    for effect in orders.step(task.orderer, now_ms, message):
-        _perform(task, now_ms, effect)
+def _review(task: GatewayTask, now_ms: int) -> None:
+    if task.gw.doc is not None:
+        for effect in planner.review(task.planner, task.gw.doc, now_ms):
+            _perform(task, now_ms, effect)
 
 
 def _perform(task: GatewayTask, now_ms: int, effect) -> None:
@@ -161,21 +171,18 @@
                 fut.set_result(effect)
         case sharing.Report():
             peer_mesh.broadcast(task.mesh, task.peers, effect)
-            _step_orders(task, now_ms, effect)
-        case calls.Wanted():
+        case planner.WantModel():
             _want(task, now_ms, effect)
-        case gateway.HoldingLearned():
-            peer_mesh.broadcast(task.mesh, task.peers, effect)
-            _step(task, now_ms, effect)
-        case orders.SendOrder() | orders.ReadEngine():
-            task.give_order(effect)
-        case gateway.Trace():
+        case planner.SendPlan():
+            host = effect.address.rpartition(":")[0]
+            peer_mesh.send(task.mesh, f"{host}:{task.agent_port}", effect.ask)
+        case Trace():
             events.trace(effect.name, effect.fields)
 
 
-def _want(task: GatewayTask, now_ms: int, ask: calls.Wanted) -> None:
-    if task.orderer.leading_since_ms >= 0:
-        _step_orders(task, now_ms, ask)
+def _want(task: GatewayTask, now_ms: int, ask: planner.WantModel) -> None:
+    if task.planner.leading_since_ms >= 0:
+        planner.want(task.planner, ask, now_ms)
     elif task.leader:
         peer_mesh.send(task.mesh, task.leader, ask)
 
@@ -184,7 +191,6 @@
     message = gateway.DocumentInForce(task.decode_document(committed.body))
     events.emit(events.DOCUMENT_IN_FORCE, version=committed.version)
     _step(task, now_ms, message)
-    _step_orders(task, now_ms, message)
 
 
 # Heartbeats that came to this node.
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -158,8 +158,14 @@
 CALL_FAILED = _declare(
     5106, "call.failed", "A request that may have run has no answer."
 )
+CALL_LEFT = _declare(
+    5107, "call.left", "A client closed its connection before its answer."
+)
 FLEET_ORDER_SENT = _declare(
-    5201, "order.sent_to_engine", "The leader gave an order to an engine."
+    5201, "order.sent_to_engine", "An agent gave an order to its engine."
+)
+PLACEMENT_PLANNED = _declare(
+    5203, "placement.planned", "The leader wants a model at an engine, or not."
 )
 FLEET_ORDER_ANSWERED = _declare(
     5202, "order.answered", "An engine answered an order, or did not."
--- a/bilberryramp/wire/fleet_codec.py
+++ b/bilberryramp/wire/fleet_codec.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from bilberryramp.decisions.fleet import (
-    calls,
-    gateway,
+    agent,
     operator_calls,
+    planner,
     register_messages,
     sharing,
 )
@@ -27,8 +27,10 @@
         operator_calls.Relay,
         operator_calls.RelayAck,
         sharing.Report,
-        calls.Wanted,
-        gateway.HoldingLearned,
+        operator_calls.Passed,
+        planner.WantModel,
+        agent.Hold,
+        agent.Holding,
     )
 }
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
