--- a/bilberryramp/decisions/fleet/agent.py
+++ b/bilberryramp/decisions/fleet/agent.py
@@ -443,6 +443,8 @@
     else:
         if ended.answer == OrderAnswer.FENCED:
             agent.fence += FENCE_STEP
+        elif ended.answer == OrderAnswer.REFUSED:
+            agent.wishes.pop((what.model, what.adapter), None)
         yield from _fire(agent, "turned_down", now_ms)
 
 
--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -124,8 +124,9 @@
         it.
     work
         What the upstream had to do before the answer, in prompt tokens.
-    need_tokens, unread_tokens
-        What the current attempt is charged at its upstream.
+    need_tokens, unread_tokens, level
+        What the current attempt is charged at its upstream, and as how
+        urgent.
     why
         Why it waits, for the log and the refusal.
     """
@@ -146,6 +147,7 @@
     work: int = 0
     need_tokens: int = 0
     unread_tokens: int = 0
+    level: int = 0
     sent_ms: int = 0
     why: Refusal = Refusal.OVERLOADED
     asked_ms: int = -(10**9)
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -54,6 +54,8 @@
 # An agent that has not answered for this long is passed over for a while.
 AGENT_PATIENCE_MS = 400
 AGENT_PAUSE_MS = 1500
+# A node that holds no document yet usually gets one within this time.
+START_RETRY_AFTER_MS = 700
 # How many waiting calls are looked at when room may have come free.
 QUEUE_SCAN = 64
 
@@ -220,7 +222,7 @@
             message.call_id,
             req,
             calls.Refusal.NO_DOCUMENT,
-            LEAST_RETRY_AFTER_MS,
+            START_RETRY_AFTER_MS,
         )
         return
     route = hosts.find(gw.index, req.host, req.path)
@@ -461,10 +463,10 @@
         ready = [
             up for up in holders if prompt.adapter in up.models[prompt.model]
         ]
-    choice = _pick_engine(gw, prompt, engine, ready, now_ms)
+    choice = _pick_engine(gw, call, engine, ready, now_ms)
     if prompt.adapter and now_ms - call.arrived_ms < ADAPTER_PATIENCE_MS:
         able = [up for up in holders if _has_agent(gw, up, now_ms)]
-        other = _pick_engine(gw, prompt, engine, able, now_ms)
+        other = _pick_engine(gw, call, engine, able, now_ms)
         if other is not None and _is_worth_adapter(choice, other):
             call.why = calls.Refusal.NO_MODEL
             yield from _want_adapter(gw, call, engine, other.upstream, now_ms)
@@ -483,9 +485,15 @@
     yield from _place(gw, now_ms, call, choice.upstream, choice)
 
 
-def _pick_engine(gw, prompt, engine, candidates, now_ms):
+def _pick_engine(gw, call, engine, candidates, now_ms):
     return scheduling.pick_engine(
-        prompt, engine, candidates, gw.loads, gw.paces, now_ms
+        call.request.prompt,
+        engine,
+        candidates,
+        gw.loads,
+        gw.paces,
+        _urgency(call, now_ms),
+        now_ms,
     )
 
 
@@ -580,6 +588,7 @@
         call.work = choice.work
         call.need_tokens = scheduling.needed_tokens(prompt)
         call.unread_tokens = max(prompt.tokens_in - choice.cached, 0)
+        call.level = sharing.level(_urgency(call, now_ms))
         sent = sharing.SentPrompt(upstream_id, prompt.weights, prompt.parts)
         sharing.note_sent(gw.loads, sent, _cache_tokens(gw))
     if call.sends == 1:
@@ -618,7 +627,10 @@
 
 
 def _refuse_if_hopeless(gw: Gateway, now_ms: int, call) -> Iterator:
-    if call.deadline_ms - now_ms >= LEAST_TIME_MS:
+    left_ms = call.deadline_ms - now_ms
+    if left_ms >= LEAST_TIME_MS and scheduling.may_wait(
+        call, _load_time_ms(gw, call), now_ms
+    ):
         return
     reason = call.why
     yield from _end(gw, call, "refused", now_ms)
@@ -630,12 +642,23 @@
     )
 
 
+def _load_time_ms(gw: Gateway, call: calls.Call) -> float:
+    """Return how long a call's model takes to load, 0 if it waits for none."""
+    engine = _engine_spec(gw, call.service)
+    prompt = call.request.prompt
+    if call.why is not calls.Refusal.NO_MODEL or engine is None:
+        return 0.0
+    spec = engine.models.get(prompt.model)
+    return 1000 * spec.load_s if spec is not None else 0.0
+
+
 def _retry_after(gw: Gateway, call: calls.Call, now_ms: int) -> int:
-    unread = [
-        sharing.total(gw.loads, u.last.upstream_id, now_ms).unread
+    backlogs = [
+        sum(sharing.total(gw.loads, u.last.upstream_id, now_ms).unread)
         for u in presence.usable(gw.table, call.service, now_ms)
     ]
-    wait_ms = min(unread, default=0) * scheduling.USUAL_PACE
+    wait_ms = min(backlogs, default=0) * scheduling.USUAL_PACE
+    wait_ms = max(wait_ms, _load_time_ms(gw, call))
     return int(min(max(wait_ms, LEAST_RETRY_AFTER_MS), MOST_RETRY_AFTER_MS))
 
 
@@ -656,14 +679,14 @@
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.calls += 1
     load.tokens += call.need_tokens
-    load.unread += call.unread_tokens
+    load.unread[call.level] += call.unread_tokens
     gw.loads.changed = True
     yield from ()
 
 
 def _mark_read(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     load = sharing.own_load(gw.loads, call.upstream_id)
-    load.unread -= call.unread_tokens
+    load.unread[call.level] -= call.unread_tokens
     call.unread_tokens = 0
     gw.loads.changed = True
     yield from ()
@@ -673,7 +696,7 @@
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.calls -= 1
     load.tokens -= call.need_tokens
-    load.unread -= call.unread_tokens
+    load.unread[call.level] -= call.unread_tokens
     call.need_tokens = call.unread_tokens = 0
     gw.loads.changed = True
     yield from ()
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -128,7 +128,7 @@
     least: dict[str, int] = {}
     for site in sites:
         for model in site.models:
-            unread = site.load.unread
+            unread = sum(site.load.unread)
             least[model] = min(least.get(model, unread), unread)
     for model, unread in least.items():
         before = demand.crowding.get(model, 0.0)
@@ -240,7 +240,7 @@
     """
     size = engine.models[model].weights_mb
     hosts = [s for s in sites if model not in s.models and not s.is_busy]
-    hosts.sort(key=lambda s: (model not in s.copies, s.load.unread))
+    hosts.sort(key=lambda s: (model not in s.copies, sum(s.load.unread)))
     for site in hosts:
         if site.free_mb >= size:
             return Move(site.upstream_id, True, model)
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -44,10 +44,10 @@
 # Timing of the register in milliseconds. The lease ends before followers
 # may vote again, with room for clocks that drift by a fifth.
 BEAT_MS = 500
-HEARTBEAT_MS = 150
-LEASE_MS = 800
-ELECTION_MS = 1000
-ELECTION_SPREAD_MS = 600
+HEARTBEAT_MS = 120
+LEASE_MS = 520
+ELECTION_MS = 650
+ELECTION_SPREAD_MS = 400
 # A record is sent again when it was not acknowledged for this long.
 RESEND_MS = 400
 # A node that was not heard for this long counts as gone for its roster.
@@ -166,6 +166,8 @@
         The newest record held, committed or not.
     committed
         Term and sequence of the newest record known to be committed.
+    settled
+        The newest document known to be committed.
     published
         Version of the last `Committed` effect.
     peers
@@ -182,6 +184,7 @@
     term: int = 0
     voted_for: str = ""
     committed: tuple[int, int] = (-1, -1)
+    settled: msgs.Settled | None = None
     published: int = -1
     published_id: tuple[int, int] = (-1, -1)
     leader: str = ""
@@ -230,6 +233,7 @@
     if stored is not None:
         node.term, node.voted_for = stored.term, stored.voted_for
         node.record = stored.record
+        node.settled = stored.settled
     if node.record is None and me.store_id == GENESIS:
         members = tuple(msgs.Member(seed, GENESIS) for seed in sorted(seeds))
         node.record = msgs.Record(0, 0, members)
@@ -306,6 +310,8 @@
 
 
 def _on_tick(node: Node, now_ms: int, _message) -> Iterator:
+    if node.published < 0 and node.settled is not None:
+        yield from _settle(node, node.settled)
     if now_ms >= node.beat_due_ms:
         node.beat_due_ms = now_ms + BEAT_MS
         yield from _send_beats(node, now_ms)
@@ -318,7 +324,7 @@
 
 def _send_beats(node: Node, now_ms: int) -> Iterator:
     _forget_silent(node, now_ms)
-    beat = msgs.Beat(node.me, tuple(node.peers))
+    beat = _beat(node)
     for address in {*node.seeds, *node.addresses} - {node.me.address}:
         yield effects.Send(address, beat)
 
@@ -342,7 +348,25 @@
         if known != node.me.address:
             node.addresses[known] = now_ms
     if is_new:
-        yield effects.Send(address, msgs.Beat(node.me, tuple(node.peers)))
+        yield effects.Send(address, _beat(node))
+    if beat.version < 0 and node.settled is not None:
+        yield effects.Send(address, node.settled)
+
+
+def _beat(node: Node) -> msgs.Beat:
+    return msgs.Beat(node.me, tuple(node.peers), node.published)
+
+
+def _on_settled(node: Node, _now_ms: int, settled) -> Iterator:
+    yield from _settle(node, settled)
+
+
+def _settle(node: Node, settled: msgs.Settled) -> Iterator:
+    """Bring a committed document into force here, unless it is older."""
+    if settled.version > node.published:
+        node.settled = settled
+        node.published = settled.version
+        yield Committed(settled.version, settled.body)
 
 
 # Elections.
@@ -578,8 +602,9 @@
         return
     node.published_id = last
     if node.record.version > node.published:
-        node.published = node.record.version
-        yield Committed(node.record.version, node.record.body)
+        settled = msgs.Settled(node.record.version, node.record.body)
+        yield from _settle(node, settled)
+        yield _persist(node)
 
 
 # Operators.
@@ -671,6 +696,7 @@
     Propose: _on_propose,
     Read: _on_read,
     msgs.Beat: _on_beat,
+    msgs.Settled: _on_settled,
     msgs.RequestVote: _on_request_vote,
     msgs.VoteReply: _on_vote_reply,
     msgs.Append: _on_append,
--- a/bilberryramp/decisions/fleet/register_messages.py
+++ b/bilberryramp/decisions/fleet/register_messages.py
@@ -10,6 +10,7 @@
     "Peer",
     "Record",
     "RequestVote",
+    "Settled",
     "Stored",
     "VoteReply",
 ]
@@ -75,14 +76,30 @@
     body: bytes = b""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Settled:
+    """A committed document, for nodes that have none yet."""
+
+    version: int
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Stored:
-    """What a node must find again after a restart."""
+    """What a node must find again after a restart.
+
+    Attributes
+    ----------
+    settled
+        The newest document known to be committed. A node serves it after a
+        restart until it hears of a newer one.
+    """
 
     store_id: str
     term: int
     voted_for: str
     record: Record | None
+    settled: Settled | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -93,10 +110,13 @@
     ----------
     peers
         Addresses of nodes that the sender has heard lately.
+    version
+        Version of the document in force at the sender, or -1.
     """
 
     sender: Peer
     peers: tuple[str, ...]
+    version: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/scheduling.py
+++ b/bilberryramp/decisions/fleet/scheduling.py
@@ -21,6 +21,7 @@
     "Choice",
     "begin_work",
     "may_begin",
+    "may_wait",
     "needed_tokens",
     "note_pace",
     "pick_engine",
@@ -44,6 +45,12 @@
 BEGIN_MARGIN_MS = 60
 # Backlog up to which an engine counts as having capacity left over.
 LEFT_OVER_MS = 150
+# Part of its time that a call may be held without going to an engine, and
+# the part after which a load of its model must have ended.
+HOLD_SHARE = 0.35
+LOAD_SHARE = 0.7
+# Time for the plan, the order and the news of a load.
+LOAD_MARGIN_MS = 600
 # How much sooner another engine must begin before an adapter is brought
 # there; a load takes some milliseconds and two messages.
 ADAPTER_GAIN_MS = 80
@@ -93,7 +100,9 @@
     return prompt.tokens_in + prompt.tokens_out
 
 
-def begin_work(load: sharing.Load, prompt: calls.Prompt, cached: int) -> int:
+def begin_work(
+    load: sharing.Load, prompt: calls.Prompt, cached: int, urgency: int
+) -> int:
     """Count what an engine must do before a prompt's first token.
 
     Parameters
@@ -104,6 +113,8 @@
         The prompt.
     cached
         Tokens of it that the engine keeps already.
+    urgency
+        Its rank; an engine reads less urgent prompts after it.
 
     Returns
     -------
@@ -112,7 +123,8 @@
         prompt tokens as well.
     """
     own = max(prompt.tokens_in - cached, 0)
-    return load.unread + own + TOKENS_PER_RUNNING_CALL * load.calls
+    ahead = sum(load.unread[: sharing.level(urgency) + 1])
+    return ahead + own + TOKENS_PER_RUNNING_CALL * load.calls
 
 
 def note_pace(
@@ -141,6 +153,7 @@
     candidates: Iterable[presence.Upstream],
     loads: sharing.Loads,
     paces: dict[str, float],
+    urgency: int,
     now_ms: int,
 ) -> Choice | None:
     """Pick the engine that can begin a prompt soonest.
@@ -153,8 +166,9 @@
         What each engine offers.
     candidates
         Engines that hold the model and adapter.
-    loads, paces, now_ms
-        The load over all entries, the pace of models and the present.
+    loads, paces, urgency, now_ms
+        The load over all entries, the pace of models, the prompt's rank
+        and the present.
 
     Returns
     -------
@@ -173,7 +187,7 @@
         cached = sharing.cached_tokens(
             loads, upstream_id, prompt.weights, prompt.parts
         )
-        work = begin_work(load, prompt, cached)
+        work = begin_work(load, prompt, cached, urgency)
         if best is None or work < best.work:
             best = Choice(upstream, cached, work, work * pace)
     return best
@@ -232,6 +246,34 @@
     return best
 
 
+def may_wait(call: calls.Call, load_ms: float, now_ms: int) -> bool:
+    """Tell whether a call should go on waiting here.
+
+    A call that has missed its objective is refused and may come back, for
+    holding it longer rarely serves it; one whose model is being loaded
+    waits for that if enough time is left afterwards.
+
+    Parameters
+    ----------
+    call
+        A waiting call.
+    load_ms
+        How long its model's load takes; 0 if an engine holds it.
+    now_ms
+        The present.
+
+    Returns
+    -------
+    bool
+        False to refuse it now.
+    """
+    total_ms = call.deadline_ms - call.arrived_ms
+    limit_ms = max(call.route.target_ms, HOLD_SHARE * total_ms)
+    if load_ms + LOAD_MARGIN_MS <= LOAD_SHARE * total_ms:
+        limit_ms = max(limit_ms, load_ms + LOAD_MARGIN_MS)
+    return now_ms - call.arrived_ms < limit_ms
+
+
 def queue_order(call: calls.Call, now_ms: int) -> tuple:
     """Order waiting calls: in time before late, urgent before others.
 
--- a/bilberryramp/decisions/fleet/sharing.py
+++ b/bilberryramp/decisions/fleet/sharing.py
@@ -16,6 +16,7 @@
     "Report",
     "SentPrompt",
     "cached_tokens",
+    "level",
     "note_report",
     "note_sent",
     "own_load",
@@ -29,6 +30,8 @@
 # How often an entry reports while its load changes, and while it does not.
 REPORT_EVERY_MS = 60
 REPORT_IDLE_MS = 700
+# Levels of urgency that are told apart; the last one is for late calls.
+LEVELS = 4
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -50,13 +53,13 @@
     tokens
         Memory that they may need, prompt and answer.
     unread
-        Prompt tokens of calls whose answer has not begun.
+        Prompt tokens of calls whose answer has not begun, by `level`.
     """
 
     upstream_id: str
     calls: int = 0
     tokens: int = 0
-    unread: int = 0
+    unread: list[int] = dataclasses.field(default_factory=lambda: [0] * LEVELS)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -113,6 +116,22 @@
     reported_ms: int = 0
 
 
+def level(urgency: int) -> int:
+    """Return the level of a rank of urgency.
+
+    Parameters
+    ----------
+    urgency
+        0 is the most urgent.
+
+    Returns
+    -------
+    int
+        Index into `Load.unread`.
+    """
+    return min(urgency, LEVELS - 1)
+
+
 def own_load(loads: Loads, upstream_id: str) -> Load:
     """Return this entry's load at an upstream, made if needed.
 
@@ -154,7 +173,8 @@
     for row in rows:
         summed.calls += row.calls
         summed.tokens += row.tokens
-        summed.unread += row.unread
+        for level, tokens in enumerate(row.unread):
+            summed.unread[level] += tokens
     return summed
 
 
@@ -257,7 +277,9 @@
     loads.reported_ms = now_ms
     loads.changed = False
     rows = tuple(
-        dataclasses.replace(row) for row in loads.own.values() if row.calls
+        dataclasses.replace(row, unread=list(row.unread))
+        for row in loads.own.values()
+        if row.calls
     )
     sent, loads.unreported = tuple(loads.unreported), []
     return Report(sender, rows, sent)
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -188,6 +188,7 @@
         register_messages.Beat,
         register_messages.RequestVote,
         register_messages.VoteReply,
+        register_messages.Settled,
         register_messages.Append,
         register_messages.AppendReply,
     )
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -121,6 +121,7 @@
         case register.LeaderChanged():
             planner.set_leading(task.planner, message.leads, now_ms)
         case operator_calls.Roster():
+            _greet(task, now_ms, set(message.addresses) - set(task.peers))
             task.peers, task.leader = message.addresses, message.leader
             task.gw.node_count = len(message.addresses) + 1
         case Announce():
@@ -152,6 +153,14 @@
             _step(task, now_ms, message)
 
 
+def _greet(task: GatewayTask, now_ms: int, newcomers: set[str]) -> None:
+    """Tell nodes that have just come up which upstreams there are."""
+    if newcomers:
+        for told in presence.snapshot(task.gw.table, now_ms):
+            relay = operator_calls.Relay(task.gw.address, 0, told)
+            peer_mesh.broadcast(task.mesh, newcomers, relay)
+
+
 def _step(task: GatewayTask, now_ms: int, message) -> None:
     for effect in gateway.step(task.gw, now_ms, message):
         _perform(task, now_ms, effect)
--- a/bilberryramp/wire/fleet_codec.py
+++ b/bilberryramp/wire/fleet_codec.py
@@ -22,6 +22,7 @@
         register_messages.Beat,
         register_messages.RequestVote,
         register_messages.VoteReply,
+        register_messages.Settled,
         register_messages.Append,
         register_messages.AppendReply,
         operator_calls.Relay,
