--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -675,7 +675,13 @@
 
 def _persist(node: Node) -> Persist:
     return Persist(
-        msgs.Stored(node.me.store_id, node.term, node.voted_for, node.record)
+        msgs.Stored(
+            node.me.store_id,
+            node.term,
+            node.voted_for,
+            node.record,
+            node.settled,
+        )
     )
 
 
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -102,7 +102,14 @@
     ]
     await _listen(proc)
     _handle_signals(proc)
-    events.emit(events.STARTED, address=cfg.client_address)
+    node = proc.register.node
+    events.emit(
+        events.STARTED,
+        address=cfg.client_address,
+        store_writes=proc.register.writes,
+        record_version=node.record.version if node.record else None,
+        settled_version=node.settled.version if node.settled else None,
+    )
     # What exists now lives as long as the process.
     gc.collect()
     gc.freeze()
