Fuzz the register in virtual time; agents survive SIGHUP

The fuzz found that a silent voter was kept until another joined, so three replacements in a row left a majority of dead voters; a silent voter is now left out after 2.5 s while three remain.

--- a/bilberryramp/decisions/fleet/electorate.py
+++ b/bilberryramp/decisions/fleet/electorate.py
@@ -6,10 +6,10 @@
 
 __all__ = ["is_quorum", "voters", "wanted_members"]
 
-# A voter may be silent this long before a new node takes its place.
-REPLACE_AFTER_MS = 3000
-# A voter silent this long is removed while at least three others remain.
-REMOVE_AFTER_MS = 30_000
+# A voter silent this long is removed while at least three others remain; it
+# is admitted again when it returns. The platform counts a replaced instance
+# as gone four seconds after its successor started.
+REMOVE_AFTER_MS = 2500
 # A new leader watches this long before it changes the voters.
 SETTLE_MS = 1000
 # A node must have been heard this recently to become a voter.
@@ -71,8 +71,8 @@
     """Decide who should vote.
 
     Nodes with a disk vote; where none has one, all nodes do. A node that
-    came back with an empty store replaces its former self; a new node takes
-    the place of a silent one.
+    came back with an empty store replaces its former self; a silent one is
+    left out while enough others remain.
 
     Parameters
     ----------
@@ -116,7 +116,7 @@
         address: member
         for address, member in current.items()
         if address not in joining
-        and _stays(address, member, eligible, nodes, silent_ms, bool(joining))
+        and _is_eligible_still(address, member, eligible, nodes, silent_ms)
     }
     gone = _long_gone(kept, silent_ms, led_ms)
     if len(kept) + len(joining) - len(gone) >= MIN_MEMBERS:
@@ -127,14 +127,11 @@
     return wanted if set(wanted) != set(members) else members
 
 
-def _stays(address, member, eligible, nodes, silent_ms, joining) -> bool:
+def _is_eligible_still(address, member, eligible, nodes, silent_ms) -> bool:
     if eligible.get(address) == member:
         return True
-    if address in nodes and silent_ms.get(address, 0) < FRESH_MS:
-        # Heard, but not eligible: it has no disk while others have one.
-        return False
-    silent = silent_ms.get(address, REPLACE_AFTER_MS)
-    return not (joining and silent >= REPLACE_AFTER_MS)
+    # One that is heard but not eligible has no disk while others have one.
+    return address not in nodes or silent_ms.get(address, FRESH_MS) >= FRESH_MS
 
 
 def _long_gone(kept, silent_ms, led_ms) -> set[str]:
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -325,7 +325,7 @@
 def _send_beats(node: Node, now_ms: int) -> Iterator:
     _forget_silent(node, now_ms)
     beat = _beat(node)
-    for address in {*node.seeds, *node.addresses} - {node.me.address}:
+    for address in sorted({*node.seeds, *node.addresses} - {node.me.address}):
         yield effects.Send(address, beat)
 
 
@@ -506,7 +506,7 @@
 def _send_heartbeats(node: Node, now_ms: int) -> Iterator:
     node.heartbeat_due_ms = now_ms + HEARTBEAT_MS
     members = {m.address for m in electorate.voters(node.record)}
-    for address in (members | set(node.peers)) - {node.me.address}:
+    for address in sorted((members | set(node.peers)) - {node.me.address}):
         yield _append_for(node, now_ms, address)
 
 
--- /dev/null
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -0,0 +1,172 @@
+"""Builders of the fleet's test data."""
+
+import random
+
+from bilberryramp.charts import loader
+from bilberryramp.decisions import charting
+from bilberryramp.decisions.fleet import (
+    agent,
+    calls,
+    documents,
+    gateway,
+    health,
+    placement,
+    presence,
+    register,
+    register_messages,
+    retry_budget,
+    sharing,
+)
+
+
+def bound(name, module):
+    return charting.bind(loader.load(name), module.guards, module.actions)
+
+
+def a_model(name="m0", weights_mb=50_000.0, load_s=2.0, adapters=4):
+    return documents.ModelSpec(name, weights_mb, load_s, adapters, 40.0)
+
+
+def an_engine(models=("m0", "m1", "m2", "m3", "m4"), **changes):
+    fields = {
+        "slots": 64,
+        "kv_tokens": 200_000,
+        "weights_mb": 200_000.0,
+        "adapter_slots": 4,
+        "loads_per_s": 2.0,
+        "models": {name: a_model(name) for name in models},
+    }
+    return documents.EngineSpec(**(fields | changes))
+
+
+def a_route(prefix="/chat/", service="engines", **changes):
+    fields = {
+        "name": f"r{prefix}",
+        "host": "a.example",
+        "prefix": prefix,
+        "shares": (documents.Share(service, 1.0),),
+        "repeatable": False,
+        "streaming": True,
+        "resumable": False,
+        "timeout_ms": 6000,
+        "target_ms": 1000,
+        "urgency": 1,
+        "max_attempts": 1,
+    }
+    return documents.Route(**(fields | changes))
+
+
+def a_document(version=1, routes=None, engine=None):
+    services = {
+        "engines": documents.Service("engines", 300, engine or an_engine()),
+        "plain": documents.Service("plain", 100, None),
+    }
+    plain = a_route(
+        "/look/", "plain", streaming=False, repeatable=True, max_attempts=2
+    )
+    filing = a_route("/file/", "plain", streaming=False)
+    wanted = routes or (a_route(), plain, filing)
+    return documents.Document(
+        version, tuple(wanted), services, documents.CallLimits()
+    )
+
+
+def an_announcement(upstream_id="u1", **changes):
+    fields = {
+        "upstream_id": upstream_id,
+        "service": "engines",
+        "address": f"10.0.0.{abs(hash(upstream_id)) % 250}:80",
+        "failure_domain": "a",
+        "slots": 64,
+        "born_ms": 1000,
+        "seq": 1,
+        "leaving": False,
+        "gone": False,
+        "remaining_ms": -1,
+        "held": (presence.Held("m0", 1, ()),),
+    }
+    return presence.Announcement(**(fields | changes))
+
+
+def a_plain(upstream_id, **changes):
+    return an_announcement(
+        upstream_id, service="plain", slots=6, held=(), **changes
+    )
+
+
+def a_prompt(tokens_in=2000, tokens_out=50, model="m0", adapter="", parts=()):
+    made = tuple(sharing.Part(name, tokens) for name, tokens in parts)
+    return calls.Prompt(model, adapter, tokens_in, tokens_out, made)
+
+
+def a_request(path="/chat/x", prompt=None, patience_ms=6000, request_id="q"):
+    if prompt is None and path.startswith("/chat/"):
+        prompt = a_prompt()
+    return calls.Request(request_id, "a.example", path, patience_ms, prompt)
+
+
+def a_gateway(doc=None, upstreams=(), now_ms=10_000, seed=1):
+    gw = gateway.Gateway(
+        "n1:1",
+        bound("exchange", gateway),
+        bound("upstream_health", health),
+        random.Random(seed),
+        presence.Table(1200),
+        retry_budget.Limits(0.2, 60.0, 10_000),
+    )
+    messages = [gateway.DocumentInForce(doc or a_document()), *upstreams]
+    for message in messages:
+        drain(gateway.step(gw, now_ms, message))
+    return gw
+
+
+def drain(effects):
+    return list(effects)
+
+
+def only(effects, kind):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def an_agent(held=(), order_count=0, now_ms=10_000, fence=1):
+    made = agent.new_agent(bound("engine_order", agent), fence)
+    read = agent.EngineRead(order_count, held)
+    drain(agent.step(made, now_ms, agent.Tick()))
+    drain(agent.step(made, now_ms, read))
+    return made
+
+
+def a_hold(adapter="a1", model="m0", load=True, spare=(), **changes):
+    capacity = documents.capacity(an_engine())
+    size_mb = 40.0 if adapter else 50_000.0
+    fields = {
+        "sender": "n1:1",
+        "upstream_id": "u1",
+        "load": load,
+        "model": model,
+        "adapter": adapter,
+        "size_mb": size_mb,
+        "capacity": capacity,
+        "spare": spare,
+    }
+    return agent.Hold(**(fields | changes))
+
+
+def a_site(upstream_id="u1", models=("m0",), **changes):
+    fields = {
+        "upstream_id": upstream_id,
+        "models": {name: set() for name in models},
+        "copies": frozenset(models),
+        "free_mb": 200_000.0 - 50_000.0 * len(models),
+        "is_busy": False,
+        "coming": frozenset(),
+        "is_emptying": False,
+        "load": sharing.Load(upstream_id),
+    }
+    return placement.Site(**(fields | changes))
+
+
+def a_peer(address, store_id=register.GENESIS, durable=True):
+    return register_messages.Peer(
+        address, store_id, address, durable, f"{address}0"
+    )
--- a/bilberryramp/programs/agent.py
+++ b/bilberryramp/programs/agent.py
@@ -40,6 +40,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # None of its settings changes while it runs.
+    loop.add_signal_handler(signal.SIGHUP, events.emit, events.RELOADED)
     mesh = peer_mesh.open_mesh(
         f"{cfg.ip}:{cfg.peer_ports[0]}",
         lambda message: mailbox.post_now(box, message),
