--- a/bilberryramp/decisions/fleet/agent.py
+++ b/bilberryramp/decisions/fleet/agent.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import enum
 from collections.abc import Iterator
 
 from bilberryramp.decisions import charting
@@ -141,7 +142,7 @@
     expected_count: int
 
 
-class OrderAnswer:
+class OrderAnswer(enum.StrEnum):
     """How an engine answered an order."""
 
     ACCEPTED = "accepted"
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -90,6 +90,7 @@
     rng: random.Random
     table: presence.Table
     budget_limits: retry_budget.Limits
+    failure_domain: str = ""
     loads: sharing.Loads = dataclasses.field(default_factory=sharing.Loads)
     doc: documents.Document | None = None
     index: hosts.HostIndex | None = None
@@ -202,8 +203,8 @@
 
 
 def _note_uses(gw: Gateway, report: sharing.Report, now_ms: int) -> None:
-    for sent in report.sent:
-        placement.note_use(gw.demand, sent.upstream_id, sent.weights, now_ms)
+    for upstream_key, weights, _ in report.sent:
+        placement.note_use(gw.demand, upstream_key, weights, now_ms)
 
 
 def _cache_tokens(gw: Gateway) -> int:
@@ -309,6 +310,7 @@
     req: calls.Request,
     reason: calls.Refusal,
     retry_after_ms: int,
+    inputs: dict | None = None,
 ) -> Iterator:
     yield Trace(
         "call.refused",
@@ -316,6 +318,7 @@
             "request_id": req.request_id,
             "reason": reason.value,
             "retry_after_ms": retry_after_ms,
+            **(inputs or {}),
         },
     )
     yield calls.Refuse(call_id, reason, retry_after_ms)
@@ -442,7 +445,9 @@
         call.why = calls.Refusal.NO_UPSTREAM
         return
     if engine is None or call.request.prompt is None:
-        upstream = scheduling.pick_plain(candidates, gw.loads, now_ms)
+        upstream = scheduling.pick_plain(
+            candidates, gw.loads, gw.failure_domain, now_ms
+        )
         if upstream is None:
             call.why = calls.Refusal.OVERLOADED
             return
@@ -492,6 +497,7 @@
         candidates,
         gw.loads,
         gw.paces,
+        gw.failure_domain,
         _urgency(call, now_ms),
         now_ms,
     )
@@ -589,8 +595,13 @@
         call.need_tokens = scheduling.needed_tokens(prompt)
         call.unread_tokens = max(prompt.tokens_in - choice.cached, 0)
         call.level = sharing.level(_urgency(call, now_ms))
-        sent = sharing.SentPrompt(upstream_id, prompt.weights, prompt.parts)
-        sharing.note_sent(gw.loads, sent, _cache_tokens(gw))
+        sharing.note_sent(
+            gw.loads,
+            upstream_id,
+            prompt.weights,
+            prompt.parts,
+            _cache_tokens(gw),
+        )
     if call.sends == 1:
         budget = _budget(gw, call.service)
         retry_budget.count_call(budget, gw.budget_limits, now_ms)
@@ -637,8 +648,13 @@
     if call.attempts > 0:
         yield from _fail(call, calls.Failure.LATE)
         return
+    waited = {"route": call.route.name, "waited_ms": now_ms - call.arrived_ms}
     yield from _refuse(
-        call.call_id, call.request, reason, _retry_after(gw, call, now_ms)
+        call.call_id,
+        call.request,
+        reason,
+        _retry_after(gw, call, now_ms),
+        waited,
     )
 
 
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -37,6 +37,10 @@
 NEWEST_WEIGHT = 0.4
 
 
+# Stands for all engines together among the keys of `Demand.used_ms`.
+ANYWHERE = -1
+
+
 @dataclasses.dataclass(slots=True)
 class Demand:
     """Uses of weights, as the entries report them.
@@ -50,7 +54,7 @@
         holder of each model.
     """
 
-    used_ms: dict[tuple[str, str], int] = dataclasses.field(
+    used_ms: dict[tuple[int, str], int] = dataclasses.field(
         default_factory=dict
     )
     crowding: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -98,7 +102,7 @@
 
 
 def note_use(
-    demand: Demand, upstream_id: str, weights: str, now_ms: int
+    demand: Demand, upstream_key: int, weights: str, now_ms: int
 ) -> None:
     """Note that a prompt was sent.
 
@@ -106,13 +110,14 @@
     ----------
     demand
         Changed in place.
-    upstream_id, weights, now_ms
-        Where it went, with which model and adapter, and when.
+    upstream_key, weights, now_ms
+        Where it went, as of `sharing.short_key`, with which model and
+        adapter, and when.
     """
     model = weights.partition("/")[0]
-    demand.used_ms[(upstream_id, weights)] = now_ms
-    demand.used_ms[(upstream_id, model)] = now_ms
-    demand.used_ms[("", model)] = now_ms
+    demand.used_ms[(upstream_key, weights)] = now_ms
+    demand.used_ms[(upstream_key, model)] = now_ms
+    demand.used_ms[(ANYWHERE, model)] = now_ms
 
 
 def note_crowding(demand: Demand, sites: list[Site]) -> None:
@@ -201,11 +206,11 @@
     tuple of (str, str)
         Model and adapter, idle longest first.
     """
-    upstream_id = upstream.last.upstream_id
+    upstream_key = sharing.short_key(upstream.last.upstream_id)
     idle = []
     for model, adapters in upstream.models.items():
         for adapter in adapters:
-            key = (upstream_id, f"{model}/{adapter}")
+            key = (upstream_key, f"{model}/{adapter}")
             used = demand.used_ms.get(key, 0)
             if now_ms - used >= IDLE_ADAPTER_MS:
                 idle.append((used, model, adapter))
@@ -265,8 +270,10 @@
 
 def _give_way_rank(site, victim, copies, demand, now_ms, is_urgent):
     """Yield a rank if a model may leave an engine; lower goes first."""
-    used_here = demand.used_ms.get((site.upstream_id, victim), 0)
-    used_ever = demand.used_ms.get(("", victim), 0)
+    used_here = demand.used_ms.get(
+        (sharing.short_key(site.upstream_id), victim), 0
+    )
+    used_ever = demand.used_ms.get((ANYWHERE, victim), 0)
     if copies[victim] > 1 and now_ms - used_here >= IDLE_MODEL_MS:
         yield (0, used_here)
     elif (
--- a/bilberryramp/decisions/fleet/presence.py
+++ b/bilberryramp/decisions/fleet/presence.py
@@ -11,18 +11,23 @@
 __all__ = [
     "Announcement",
     "Held",
+    "Pulse",
     "Table",
     "Upstream",
     "drop_gone",
     "is_usable",
     "note",
     "note_held",
+    "note_pulse",
+    "pulse_of",
     "snapshot",
     "usable",
 ]
 
 # Heartbeats that may be missed before an upstream counts as silent.
 MISSED_BEATS = 4
+# Every so many heartbeats one is passed on whole, for nodes that missed some.
+WHOLE_EVERY = 5
 # For this long what an order did counts more than heartbeats, which may tell
 # of the time before it.
 LEARNED_MS = 3000
@@ -74,6 +79,15 @@
     copies: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Pulse:
+    """A heartbeat that differs from the one before only in its counter."""
+
+    upstream_id: str
+    born_ms: int
+    seq: int
+
+
 @dataclasses.dataclass(slots=True)
 class Upstream:
     """What is known of one upstream.
@@ -143,6 +157,40 @@
     return True
 
 
+def pulse_of(table: Table, told: Announcement) -> Pulse | None:
+    """Shorten a heartbeat that tells nothing new.
+
+    Parameters
+    ----------
+    table, told
+        The table before it takes in the heartbeat.
+
+    Returns
+    -------
+    Pulse or None
+        None when the whole heartbeat must be passed on.
+    """
+    known = table.upstreams.get(told.upstream_id)
+    if known is None or told.seq % WHOLE_EVERY == 0:
+        return None
+    if dataclasses.replace(told, seq=known.last.seq) != known.last:
+        return None
+    return Pulse(told.upstream_id, told.born_ms, told.seq)
+
+
+def note_pulse(table: Table, pulse: Pulse, now_ms: int) -> None:
+    """Take in a shortened heartbeat.
+
+    Parameters
+    ----------
+    table, pulse, now_ms
+        The table, changed in place, the heartbeat and the present.
+    """
+    known = table.upstreams.get(pulse.upstream_id)
+    if known is not None and known.last.born_ms == pulse.born_ms:
+        note(table, dataclasses.replace(known.last, seq=pulse.seq), now_ms)
+
+
 def _is_older(told: Announcement, last: Announcement) -> bool:
     if (told.born_ms, told.seq) <= (last.born_ms, last.seq):
         # A farewell may carry no counter of its own.
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -43,8 +43,9 @@
 
 # Timing of the register in milliseconds. The lease ends before followers
 # may vote again, with room for clocks that drift by a fifth.
-BEAT_MS = 500
+BEAT_MS = 700
 HEARTBEAT_MS = 120
+LEARNER_HEARTBEAT_MS = 360
 LEASE_MS = 520
 ELECTION_MS = 650
 ELECTION_SPREAD_MS = 400
@@ -143,12 +144,16 @@
         The record last sent to it, and when.
     acked_ms
         Sending time of the newest heartbeat that it answered.
+    heartbeat_ms, told
+        When it was last sent a heartbeat, and of which records.
     """
 
     held: tuple[int, int] = (-1, -1)
     sent: tuple[int, int] = (-1, -1)
     sent_ms: int = -(10**9)
     acked_ms: int = -(10**9)
+    heartbeat_ms: int = -(10**9)
+    told: tuple = ()
     store_id: str = ""
 
 
@@ -504,10 +509,17 @@
 
 
 def _send_heartbeats(node: Node, now_ms: int) -> Iterator:
+    """Send the record or a sign of life, less often to non-voters."""
     node.heartbeat_due_ms = now_ms + HEARTBEAT_MS
     members = {m.address for m in electorate.voters(node.record)}
     for address in sorted((members | set(node.peers)) - {node.me.address}):
-        yield _append_for(node, now_ms, address)
+        seen = node.progress.setdefault(address, Progress())
+        is_due = now_ms - seen.heartbeat_ms >= LEARNER_HEARTBEAT_MS
+        is_told = seen.told == (_last(node), node.committed)
+        if address in members or is_due or not is_told:
+            seen.heartbeat_ms = now_ms
+            seen.told = (_last(node), node.committed)
+            yield _append_for(node, now_ms, address)
 
 
 def _append_for(node: Node, now_ms: int, address: str) -> effects.Send:
--- a/bilberryramp/decisions/fleet/scheduling.py
+++ b/bilberryramp/decisions/fleet/scheduling.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from bilberryramp.decisions.fleet import (
@@ -32,6 +33,10 @@
 # Share of an engine's memory that calls may need together; their sizes are
 # upper bounds, but caches of prefixes and rounding to blocks take some.
 MEMORY_SHARE = 0.9
+# What it counts that an engine or plain upstream is in another failure
+# domain: work of some 15 ms, or part of a plain upstream's slots.
+FAR_TOKENS = 600
+FAR_FILL = 0.3
 # Milliseconds for each prompt token to be read, before any was seen, and the
 # bounds of what is learned; the data sheet says 38.7 tokens in one.
 USUAL_PACE = 1 / 38.7
@@ -153,6 +158,7 @@
     candidates: Iterable[presence.Upstream],
     loads: sharing.Loads,
     paces: dict[str, float],
+    failure_domain: str,
     urgency: int,
     now_ms: int,
 ) -> Choice | None:
@@ -166,16 +172,20 @@
         What each engine offers.
     candidates
         Engines that hold the model and adapter.
-    loads, paces, urgency, now_ms
-        The load over all entries, the pace of models, the prompt's rank
-        and the present.
+    loads, paces
+        The load over all entries, and the pace of models.
+    failure_domain
+        Of this entry; an engine there is preferred among equals, since
+        bytes between failure domains cost.
+    urgency, now_ms
+        The prompt's rank and the present.
 
     Returns
     -------
     Choice or None
         None while no engine has room.
     """
-    best = None
+    best, least = None, math.inf
     pace = paces.get(prompt.model, USUAL_PACE)
     need = needed_tokens(prompt)
     for upstream in candidates:
@@ -188,7 +198,10 @@
             loads, upstream_id, prompt.weights, prompt.parts
         )
         work = begin_work(load, prompt, cached, urgency)
-        if best is None or work < best.work:
+        is_near = upstream.last.failure_domain == failure_domain
+        cost = work if is_near else work + FAR_TOKENS
+        if cost < least:
+            least = cost
             best = Choice(upstream, cached, work, work * pace)
     return best
 
@@ -223,13 +236,14 @@
 def pick_plain(
     candidates: Iterable[presence.Upstream],
     loads: sharing.Loads,
+    failure_domain: str,
     now_ms: int,
 ) -> presence.Upstream | None:
     """Pick the plain upstream with the fewest calls for its slots.
 
     Parameters
     ----------
-    candidates, loads, now_ms
+    candidates, loads, failure_domain, now_ms
         As for `pick_engine`.
 
     Returns
@@ -237,10 +251,14 @@
     Upstream or None
         None while all have as many calls as they should.
     """
-    best, least = None, PLAIN_FILL
+    best, least = None, math.inf
     for upstream in candidates:
         load = sharing.total(loads, upstream.last.upstream_id, now_ms)
         fill = load.calls / max(upstream.last.slots, 1)
+        if fill >= PLAIN_FILL:
+            continue
+        if upstream.last.failure_domain != failure_domain:
+            fill += FAR_FILL
         if fill < least:
             best, least = upstream, fill
     return best
--- a/bilberryramp/decisions/fleet/sharing.py
+++ b/bilberryramp/decisions/fleet/sharing.py
@@ -7,6 +7,8 @@
 
 import collections
 import dataclasses
+import functools
+import zlib
 
 __all__ = [
     "Load",
@@ -21,6 +23,7 @@
     "note_sent",
     "own_load",
     "report_due",
+    "short_key",
     "total",
 ]
 
@@ -28,8 +31,8 @@
 # several times in it.
 REPORT_VALID_MS = 2000
 # How often an entry reports while its load changes, and while it does not.
-REPORT_EVERY_MS = 60
-REPORT_IDLE_MS = 700
+REPORT_EVERY_MS = 100
+REPORT_IDLE_MS = 900
 # Levels of urgency that are told apart; the last one is for late calls.
 LEVELS = 4
 
@@ -68,22 +71,38 @@
 
     Attributes
     ----------
+    upstream_key
+        The engine, as of `short_key`.
     weights
         Model and adapter; caches are kept for both together.
+    parts
+        Key and tokens of each part.
     """
 
-    upstream_id: str
+    upstream_key: int
     weights: str
-    parts: tuple[Part, ...]
+    parts: tuple[tuple[int, int], ...]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Report:
-    """One entry's load, and the prompts that it sent since the last."""
+    """One entry's load, and the prompts that it sent since the last.
+
+    Reports make up most of the traffic between nodes, so they are plain
+    tuples with short keys.
+
+    Attributes
+    ----------
+    rows
+        For each upstream its key, calls, tokens and unread tokens by level.
+    sent
+        For each prompt its upstream's key, its weights and its parts, as in
+        `SentPrompt`.
+    """
 
     sender: str
-    rows: tuple[Load, ...]
-    sent: tuple[SentPrompt, ...]
+    rows: tuple[tuple[int, ...], ...]
+    sent: tuple[tuple[int, str, tuple[tuple[int, int], ...]], ...]
 
 
 @dataclasses.dataclass(slots=True)
@@ -103,19 +122,38 @@
     Attributes
     ----------
     others
-        Reports of other entries, with their time of arrival.
+        Reports of other entries: time of arrival, and rows by their key.
     """
 
     own: dict[str, Load] = dataclasses.field(default_factory=dict)
-    others: dict[str, tuple[int, dict[str, Load]]] = dataclasses.field(
-        default_factory=dict
+    others: dict[str, tuple[int, dict[int, tuple[int, ...]]]] = (
+        dataclasses.field(default_factory=dict)
     )
-    caches: dict[str, PrefixCache] = dataclasses.field(default_factory=dict)
+    caches: dict[int, PrefixCache] = dataclasses.field(default_factory=dict)
     unreported: list[SentPrompt] = dataclasses.field(default_factory=list)
     changed: bool = False
     reported_ms: int = 0
 
 
+@functools.lru_cache(maxsize=4096)
+def short_key(name: str) -> int:
+    """Return a short key for an id, equal on all nodes.
+
+    Two ids with one key mix up estimates of load, never requests.
+
+    Parameters
+    ----------
+    name
+        Any id.
+
+    Returns
+    -------
+    int
+        32 bits.
+    """
+    return zlib.crc32(name.encode())
+
+
 def level(urgency: int) -> int:
     """Return the level of a rank of urgency.
 
@@ -164,20 +202,25 @@
     Load
         A new object.
     """
+    key = short_key(upstream_id)
     own = loads.own.get(upstream_id)
     summed = Load(upstream_id)
-    rows = [own] if own is not None else []
-    for heard_ms, by_id in loads.others.values():
-        if now_ms - heard_ms < REPORT_VALID_MS and upstream_id in by_id:
-            rows.append(by_id[upstream_id])
-    for row in rows:
-        summed.calls += row.calls
-        summed.tokens += row.tokens
-        for level, tokens in enumerate(row.unread):
-            summed.unread[level] += tokens
+    if own is not None:
+        _add(summed, own.calls, own.tokens, own.unread)
+    for heard_ms, by_key in loads.others.values():
+        if now_ms - heard_ms < REPORT_VALID_MS and key in by_key:
+            _, calls, tokens, *unread = by_key[key]
+            _add(summed, calls, tokens, unread)
     return summed
 
 
+def _add(summed: Load, calls: int, tokens: int, unread) -> None:
+    summed.calls += calls
+    summed.tokens += tokens
+    for index, waiting in enumerate(unread[:LEVELS]):
+        summed.unread[index] += waiting
+
+
 def note_report(
     loads: Loads, report: Report, cache_tokens: int, now_ms: int
 ) -> None:
@@ -194,33 +237,45 @@
     now_ms
         The present.
     """
-    rows = {row.upstream_id: row for row in report.rows}
+    rows = {row[0]: row for row in report.rows}
     loads.others[report.sender] = (now_ms, rows)
-    for prompt in report.sent:
-        _keep(loads, prompt, cache_tokens)
+    for sent in report.sent:
+        _keep(loads, SentPrompt(*sent), cache_tokens)
 
 
-def note_sent(loads: Loads, prompt: SentPrompt, cache_tokens: int) -> None:
+def note_sent(
+    loads: Loads,
+    upstream_id: str,
+    weights: str,
+    parts: tuple[Part, ...],
+    cache_tokens: int,
+) -> None:
     """Record a prompt that this entry sends.
 
     Parameters
     ----------
-    loads, prompt, cache_tokens
+    loads
+        Changed in place.
+    upstream_id, weights, parts
+        Where it goes, with which model and adapter, and its parts.
+    cache_tokens
         As for `note_report`.
     """
+    keyed = tuple((short_key(part.part_id), part.tokens) for part in parts)
+    prompt = SentPrompt(short_key(upstream_id), weights, keyed)
     _keep(loads, prompt, cache_tokens)
     loads.unreported.append(prompt)
 
 
 def _keep(loads: Loads, prompt: SentPrompt, cache_tokens: int) -> None:
-    cache = loads.caches.setdefault(prompt.upstream_id, PrefixCache())
-    for part in prompt.parts:
-        key = (prompt.weights, part.part_id)
+    cache = loads.caches.setdefault(prompt.upstream_key, PrefixCache())
+    for part_key, tokens in prompt.parts:
+        key = (prompt.weights, part_key)
         if key in cache.parts:
             cache.parts.move_to_end(key)
         else:
-            cache.parts[key] = part.tokens
-            cache.tokens += part.tokens
+            cache.parts[key] = tokens
+            cache.tokens += tokens
     while cache.tokens > cache_tokens and cache.parts:
         _, tokens = cache.parts.popitem(last=False)
         cache.tokens -= tokens
@@ -243,12 +298,12 @@
     int
         Tokens of the leading parts that its cache probably holds.
     """
-    cache = loads.caches.get(upstream_id)
+    cache = loads.caches.get(short_key(upstream_id))
     if cache is None:
         return 0
     found = 0
     for part in parts:
-        if (weights, part.part_id) not in cache.parts:
+        if (weights, short_key(part.part_id)) not in cache.parts:
             break
         found += part.tokens
     return found
@@ -277,9 +332,12 @@
     loads.reported_ms = now_ms
     loads.changed = False
     rows = tuple(
-        dataclasses.replace(row, unread=list(row.unread))
+        (short_key(row.upstream_id), row.calls, row.tokens, *row.unread)
         for row in loads.own.values()
         if row.calls
     )
-    sent, loads.unreported = tuple(loads.unreported), []
+    sent = tuple(
+        (p.upstream_key, p.weights, p.parts) for p in loads.unreported
+    )
+    loads.unreported = []
     return Report(sender, rows, sent)
--- /dev/null
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -0,0 +1,247 @@
+import unittest
+
+from bilberryramp.decisions.fleet import (
+    agent,
+    calls,
+    documents,
+    gateway,
+    planner,
+    presence,
+    sharing,
+)
+from bilberryramp.decisions.fleet.tests import builders
+
+NOW = 10_000
+
+
+def arrive(gw, call_id, request, now_ms=NOW):
+    message = calls.Arrived(call_id, request)
+    return builders.drain(gateway.step(gw, now_ms, message))
+
+
+def over(gw, call_id, end, now_ms=NOW + 50):
+    message = calls.AttemptOver(call_id, end)
+    return builders.drain(gateway.step(gw, now_ms, message))
+
+
+def tick(gw, now_ms):
+    return builders.drain(gateway.step(gw, now_ms, gateway.Tick()))
+
+
+class ArrivalTest(unittest.TestCase):
+    def test_a_node_without_a_document_refuses_and_knows_no_404(self):
+        gw = builders.a_gateway()
+        gw.doc = None
+        (refusal,) = builders.only(
+            arrive(gw, 1, builders.a_request()), calls.Refuse
+        )
+        self.assertIs(refusal.reason, calls.Refusal.NO_DOCUMENT)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_an_unknown_path_has_no_route(self):
+        gw = builders.a_gateway()
+        (refusal,) = builders.only(
+            arrive(gw, 1, builders.a_request("/none/x")), calls.Refuse
+        )
+        self.assertIs(refusal.reason, calls.Refusal.NO_ROUTE)
+
+    def test_a_call_goes_out_with_the_time_that_is_left(self):
+        gw = builders.a_gateway(upstreams=[builders.an_announcement()])
+        (sent,) = builders.only(
+            arrive(gw, 1, builders.a_request(patience_ms=900)),
+            calls.SendCall,
+        )
+        self.assertEqual((sent.upstream_id, sent.allowed_ms), ("u1", 900))
+
+    def test_the_routes_time_bounds_a_patient_client(self):
+        gw = builders.a_gateway(upstreams=[builders.an_announcement()])
+        (sent,) = builders.only(
+            arrive(gw, 1, builders.a_request(patience_ms=60_000)),
+            calls.SendCall,
+        )
+        self.assertEqual(sent.allowed_ms, 6000)
+
+
+class RetryTest(unittest.TestCase):
+    def test_a_call_that_may_have_run_is_not_sent_again(self):
+        ups = [builders.a_plain("p1"), builders.a_plain("p2")]
+        gw = builders.a_gateway(upstreams=ups)
+        arrive(gw, 1, builders.a_request("/file/x"))
+        effects = over(gw, 1, calls.End.BROKEN)
+        self.assertFalse(builders.only(effects, calls.SendCall))
+        (failure,) = builders.only(effects, calls.Fail)
+        self.assertIs(failure.reason, calls.Failure.BROKEN)
+
+    def test_a_repeatable_call_goes_to_another_upstream(self):
+        ups = [builders.a_plain("p1"), builders.a_plain("p2")]
+        gw = builders.a_gateway(upstreams=ups)
+        (first,) = builders.only(
+            arrive(gw, 1, builders.a_request("/look/x")), calls.SendCall
+        )
+        (second,) = builders.only(
+            over(gw, 1, calls.End.BROKEN), calls.SendCall
+        )
+        self.assertNotEqual(first.upstream_id, second.upstream_id)
+        self.assertTrue(
+            builders.only(over(gw, 1, calls.End.FAILED), calls.PassOn)
+        )
+
+    def test_a_refused_call_goes_on_even_if_it_may_not_repeat(self):
+        ups = [builders.a_plain("p1"), builders.a_plain("p2")]
+        gw = builders.a_gateway(upstreams=ups)
+        arrive(gw, 1, builders.a_request("/file/x"))
+        self.assertTrue(
+            builders.only(over(gw, 1, calls.End.NOT_RUN), calls.SendCall)
+        )
+
+    def test_not_run_is_said_only_if_no_attempt_may_have_run(self):
+        """An unknown first attempt forbids a refusal after the second."""
+        ups = [builders.a_plain("p1"), builders.a_plain("p2")]
+        gw = builders.a_gateway(upstreams=ups)
+        arrive(gw, 1, builders.a_request("/look/x"))
+        over(gw, 1, calls.End.BROKEN)
+        gw.budget_limits = builders.retry_budget.Limits(0.0, 0.0, 10_000)
+        effects = over(gw, 1, calls.End.NOT_RUN)
+        self.assertFalse(builders.only(effects, calls.Refuse))
+        self.assertTrue(builders.only(effects, calls.Fail))
+
+    def test_the_budget_ends_repeats(self):
+        ups = [builders.a_plain("p1"), builders.a_plain("p2")]
+        gw = builders.a_gateway(upstreams=ups)
+        gw.node_count = 30
+        repeats = 0
+        for call_id in range(20):
+            arrive(gw, call_id, builders.a_request("/look/x"))
+            effects = over(gw, call_id, calls.End.NOT_RUN)
+            repeats += len(builders.only(effects, calls.SendCall))
+            over(gw, call_id, calls.End.DELIVERED)
+        self.assertLessEqual(repeats, 0.2 * 20 + 2)
+
+
+class LeavingTest(unittest.TestCase):
+    def test_nothing_goes_to_an_upstream_that_drains(self):
+        gw = builders.a_gateway(upstreams=[builders.an_announcement()])
+        leaving = builders.an_announcement(seq=2, leaving=True)
+        builders.drain(gateway.step(gw, NOW, leaving))
+        effects = arrive(gw, 1, builders.a_request())
+        self.assertFalse(builders.only(effects, calls.SendCall))
+
+    def test_a_late_heartbeat_does_not_bring_it_back(self):
+        gw = builders.a_gateway(upstreams=[builders.an_announcement(seq=3)])
+        leaving = builders.an_announcement(seq=5, leaving=True)
+        builders.drain(gateway.step(gw, NOW, leaving))
+        late = builders.an_announcement(seq=4)
+        builders.drain(gateway.step(gw, NOW, late))
+        self.assertFalse(presence.is_usable(gw.table, "u1", NOW))
+
+    def test_a_dead_process_does_not_take_its_address_back(self):
+        new = builders.an_announcement("new", address="x:1", born_ms=9000)
+        old = builders.an_announcement("old", address="x:1", born_ms=1000)
+        gw = builders.a_gateway(upstreams=[new, old])
+        self.assertTrue(presence.is_usable(gw.table, "new", NOW))
+        self.assertFalse(presence.is_usable(gw.table, "old", NOW))
+
+
+class OverloadTest(unittest.TestCase):
+    """Replays more work than an engine can begin in time."""
+
+    def test_work_waits_here_and_is_refused_when_it_cannot_be_served(self):
+        gw = builders.a_gateway(upstreams=[builders.an_announcement()])
+        big = builders.a_prompt(tokens_in=20_000)
+        sent = 0
+        for call_id in range(10):
+            effects = arrive(gw, call_id, builders.a_request(prompt=big))
+            sent += len(builders.only(effects, calls.SendCall))
+        # One second of reading is some 38,000 tokens.
+        self.assertLessEqual(sent, 2)
+        refused = builders.only(tick(gw, NOW + 2300), calls.Refuse)
+        self.assertEqual(len(refused), 10 - sent)
+        self.assertTrue(all(r.retry_after_ms >= 200 for r in refused))
+
+    def test_urgent_work_goes_ahead_of_what_waits(self):
+        quick = builders.a_route("/quick/", target_ms=1000, urgency=0)
+        doc = builders.a_document(routes=[builders.a_route(), quick])
+        gw = builders.a_gateway(doc, [builders.an_announcement()])
+        big = builders.a_prompt(tokens_in=30_000)
+        for call_id in range(4):
+            arrive(gw, call_id, builders.a_request(prompt=big))
+        effects = arrive(
+            gw, 9, builders.a_request("/quick/x", builders.a_prompt(500))
+        )
+        (sent,) = builders.only(effects, calls.SendCall)
+        self.assertEqual(sent.call_id, 9)
+
+    def test_memory_is_never_promised_beyond_an_engines_own(self):
+        engine = builders.an_engine(kv_tokens=10_000)
+        doc = builders.a_document(engine=engine)
+        gw = builders.a_gateway(doc, [builders.an_announcement()])
+        for call_id in range(30):
+            arrive(gw, call_id, builders.a_request())
+            load = sharing.total(gw.loads, "u1", NOW)
+            self.assertLessEqual(load.tokens, 10_000)
+
+
+class AdapterTest(unittest.TestCase):
+    def test_an_adapter_is_asked_for_and_the_call_follows_it(self):
+        gw = builders.a_gateway(upstreams=[builders.an_announcement()])
+        prompt = builders.a_prompt(adapter="a1")
+        effects = arrive(gw, 1, builders.a_request(prompt=prompt))
+        (plan,) = builders.only(effects, planner.SendPlan)
+        self.assertEqual((plan.ask.model, plan.ask.adapter), ("m0", "a1"))
+        told = agent.Holding("u1", "m0", "a1", True)
+        effects = builders.drain(gateway.step(gw, NOW + 20, told))
+        self.assertTrue(builders.only(effects, calls.SendCall))
+
+    def test_an_old_heartbeat_does_not_hide_what_an_order_brought(self):
+        gw = builders.a_gateway(upstreams=[builders.an_announcement()])
+        told = agent.Holding("u1", "m0", "a1", True)
+        builders.drain(gateway.step(gw, NOW, told))
+        stale = builders.an_announcement(seq=2)
+        builders.drain(gateway.step(gw, NOW + 100, stale))
+        self.assertIn("a1", gw.table.upstreams["u1"].models["m0"])
+
+
+class DocumentTest(unittest.TestCase):
+    def test_an_older_document_changes_nothing(self):
+        gw = builders.a_gateway(builders.a_document(version=5))
+        older = gateway.DocumentInForce(builders.a_document(version=4))
+        builders.drain(gateway.step(gw, NOW, older))
+        self.assertEqual(gw.doc.version, 5)
+
+    def test_a_split_follows_its_weights(self):
+        shares = (
+            documents.Share("engines", 0.0),
+            documents.Share("plain", 1.0),
+        )
+        split = builders.a_route("/s/", shares=shares, streaming=False)
+        gw = builders.a_gateway(
+            builders.a_document(routes=[split]), [builders.a_plain("p1")]
+        )
+        (sent,) = builders.only(
+            arrive(gw, 1, builders.a_request("/s/x")), calls.SendCall
+        )
+        self.assertEqual(sent.upstream_id, "p1")
+
+
+class HealthTest(unittest.TestCase):
+    def test_an_upstream_that_cannot_be_reached_is_left_alone(self):
+        ups = [builders.a_plain("p1"), builders.a_plain("p2")]
+        gw = builders.a_gateway(upstreams=ups)
+        (first,) = builders.only(
+            arrive(gw, 1, builders.a_request("/file/x")), calls.SendCall
+        )
+        over(gw, 1, calls.End.UNREACHABLE)
+        for call_id in range(2, 6):
+            (sent,) = builders.only(
+                arrive(gw, call_id, builders.a_request("/file/x")),
+                calls.SendCall,
+            )
+            self.assertNotEqual(sent.upstream_id, first.upstream_id)
+
+    def test_the_last_upstream_is_never_given_up(self):
+        gw = builders.a_gateway(upstreams=[builders.a_plain("p1")])
+        for call_id in range(6):
+            arrive(gw, call_id, builders.a_request("/file/x"))
+            over(gw, call_id, calls.End.BROKEN)
+        effects = arrive(gw, 9, builders.a_request("/file/x"))
+        self.assertTrue(builders.only(effects, calls.SendCall))
--- /dev/null
+++ b/bilberryramp/platform/tests/test_whole_path.py
@@ -0,0 +1,190 @@
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+
+import aiohttp
+
+from bilberryramp.platform.tests import builders, engine_standin
+
+SETTINGS = """
+nodeName = "n1"
+ip = "127.0.0.1"
+zone = "a"
+internalPorts = [{peer}, {peer}]
+seeds = ["127.0.0.1:{control}"]
+bootstrap = true
+dataDir = "{folder}"
+heartbeatMs = 1200
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[limits]
+memoryMb = 300
+linkMbps = 1000.0
+[bounds]
+graceS = 8
+drainMs = 2000
+configApplyMs = 2000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 60
+"""
+NAMES = ("peer", "front", "ready", "control")
+# Far more than a start takes, also on a busy machine.
+PATIENCE_S = 60
+MODELS = [{"name": "m0", "version": 1, "adapters": []}]
+
+
+def free_ports(count):
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class WholePathTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.ports = dict(zip(NAMES, free_ports(len(NAMES)), strict=True))
+        path = pathlib.Path(folder.name, "node.toml")
+        data = pathlib.Path(folder.name, "data")
+        path.write_text(SETTINGS.format(folder=data, **self.ports))
+        self.proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bilberryramp.programs.node",
+            env={**os.environ, "BILBERRYRAMP_SETTINGS": str(path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        self.session = aiohttp.ClientSession()
+        self.llm = engine_standin.Engine("i-1", "svc-llm", models=MODELS)
+        self.app = engine_standin.Engine("i-2", "svc-app")
+        for engine in (self.llm, self.app):
+            await engine_standin.start(engine)
+
+    async def asyncTearDown(self):
+        if self.proc.returncode is None:
+            self.proc.kill()
+            await self.proc.wait()
+        for engine in (self.llm, self.app):
+            await engine_standin.stop(engine)
+        await self.session.close()
+
+    def at(self, name, path=""):
+        return f"http://127.0.0.1:{self.ports[name]}{path}"
+
+    async def until(self, ask):
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                try:
+                    if await ask():
+                        return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def put(self, body):
+        url = self.at("control", "/config/put")
+        async with self.session.post(url, data=body) as resp:
+            return resp.status
+
+    async def is_ready(self):
+        async with self.session.get(self.at("ready", "/ready")) as resp:
+            return resp.status == 200
+
+    async def begin(self):
+        async def accepted():
+            return await self.put(builders.a_config()) == 200
+
+        await self.until(accepted)
+        node = f"127.0.0.1:{self.ports['control']}"
+        for engine in (self.llm, self.app):
+            status = await engine_standin.beat(engine, self.session, node)
+            self.assertEqual(status, 200)
+        await self.until(self.is_ready)
+        return node
+
+    async def call(self, path, request_id, **headers):
+        url = self.at("front", path)
+        sent = {
+            "Host": "h.example",
+            "X-Bilberryramp-Request-Id": request_id,
+            "X-Bilberryramp-Deadline-Ms": "5000",
+        }
+        return await self.session.post(url, data=b"it", headers=sent | headers)
+
+    async def test_each_kind_of_request_is_served(self):
+        await self.begin()
+        resp = await self.call("/file/x", "q1")
+        self.assertEqual((resp.status, await resp.read()), (200, b"did it"))
+        signature = resp.headers["X-Bilberryramp-Server-Signature"]
+        self.assertEqual(signature, "sig-i-2")
+        prompt = {
+            "X-Bilberryramp-Model": "m0",
+            "X-Bilberryramp-Token-Count": "10,5",
+            "X-Bilberryramp-Prompt-Prefix": "aa:10",
+            "X-Bilberryramp-Hold": "mine",
+        }
+        resp = await self.call("/talk/x", "q2", **prompt)
+        body = await resp.read()
+        self.assertEqual(body.count(b"data:"), engine_standin.PIECES)
+        self.assertNotIn("X-Bilberryramp-Hold", self.llm.headers)
+        resp = await self.call("/none/x", "q3")
+        self.assertEqual(resp.status, 404)
+        self.assertEqual((self.app.ran, self.llm.ran), (["q1"], ["q2"]))
+
+    async def test_a_stream_that_breaks_off_does_not_look_complete(self):
+        await self.begin()
+        self.llm.break_after = 2
+        headers = {
+            "X-Bilberryramp-Model": "m0",
+            "X-Bilberryramp-Token-Count": "10,5",
+        }
+        resp = await self.call("/talk/x", "q1", **headers)
+        with self.assertRaises(aiohttp.ClientError):
+            await resp.read()
+        self.assertEqual(self.llm.ran, ["q1"])
+
+    async def test_the_document_is_read_back_and_never_goes_back(self):
+        await self.begin()
+        self.assertEqual(await self.put(builders.a_config(version=2)), 200)
+        self.assertEqual(await self.put(b"{"), 400)
+        url = self.at("control", "/config/get")
+        async with self.session.get(url) as resp:
+            self.assertEqual(await resp.read(), builders.a_config())
+
+    async def test_an_upstream_that_drains_gets_no_more(self):
+        node = await self.begin()
+        status = await engine_standin.beat(
+            self.app, self.session, node, "draining"
+        )
+        self.assertEqual(status, 200)
+        resp = await self.call(
+            "/file/x", "q1", **{"X-Bilberryramp-Deadline-Ms": "300"}
+        )
+        self.assertEqual(resp.status, 503)
+        self.assertIn("Retry-After", resp.headers)
+        self.assertEqual(self.app.ran, [])
+
+    async def test_a_planned_stop_answers_what_was_asked(self):
+        await self.begin()
+        self.proc.send_signal(signal.SIGTERM)
+
+        async def not_ready():
+            return not await self.is_ready()
+
+        await self.until(not_ready)
+        resp = await self.call("/file/x", "q1")
+        self.assertEqual(resp.status, 200)
+        self.assertEqual(resp.headers["Connection"], "close")
+        self.assertEqual(await self.proc.wait(), 0)
--- a/bilberryramp/programs/ctl.py
+++ b/bilberryramp/programs/ctl.py
@@ -20,6 +20,7 @@
 from bilberryramp.decisions import tables
 from bilberryramp.settings import reader, schema
 from bilberryramp.tasks import operator_api
+from bilberryramp.telemetry import explain
 
 __all__ = ["run"]
 
@@ -67,7 +68,10 @@
         return f"{self.reason} from {self.url or 'no control replica'}"
 
 
-USAGE = "bilberryctl [flags] validate|submit|diff|status|watch|drain UPSTREAM"
+USAGE = (
+    "bilberryctl [flags] validate|submit|diff|status|watch|drain UPSTREAM"
+    "|explain REQUEST_ID FILE..."
+)
 
 
 def run() -> None:
@@ -87,6 +91,24 @@
         sys.exit(EXIT_USAGE)
 
 
+def _explain(args: list[str]) -> int:
+    if len(args) < 2:
+        print(f"usage: {USAGE}", file=sys.stderr)
+        return EXIT_USAGE
+    request_id, *files = args
+    found = []
+    for name in files:
+        try:
+            with open(name, encoding="utf-8", errors="replace") as lines:
+                found += explain.read_events(lines, request_id)
+        except OSError as exc:
+            print(f"error: {exc}", file=sys.stderr)
+            return EXIT_USAGE
+    for line in explain.story(found):
+        print(line)
+    return 0
+
+
 def _read_tables() -> tables.Tables:
     routes = reader.read_or_raise(_ROUTES.value, schema.RoutesFile)
     pools = reader.read_or_raise(_POOLS.value, schema.PoolsFile)
@@ -277,6 +299,7 @@
 
 
 _COMMANDS = {
+    "explain": _explain,
     "validate": _validate,
     "submit": _submit,
     "diff": _diff,
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -142,6 +142,7 @@
         retry_budget.Limits(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_ms
         ),
+        cfg.failure_domain,
     )
     plans = planner.Planner(address, table, gw.loads, gw.demand)
     session = upstream_exchange.open_session()
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -133,6 +133,8 @@
                     task.gw.address, message.relay_id
                 )
                 peer_mesh.send(task.mesh, message.sender, ack)
+        case presence.Pulse():
+            presence.note_pulse(task.gw.table, message, now_ms)
         case operator_calls.RelayAck():
             _note_relay_ack(task, message)
         case planner.WantModel():
@@ -211,10 +213,11 @@
     if told is None:
         _finish(ask.done)
         return
+    pulse = presence.pulse_of(task.gw.table, told)
     _step(task, now_ms, told)
     ends = told.leaving or told.gone
     if not ends or not task.peers:
-        relay = operator_calls.Relay(task.gw.address, 0, told)
+        relay = pulse or operator_calls.Relay(task.gw.address, 0, told)
         peer_mesh.broadcast(task.mesh, task.peers, relay)
         _finish(ask.done)
         return
--- a/bilberryramp/wire/fleet_codec.py
+++ b/bilberryramp/wire/fleet_codec.py
@@ -9,6 +9,7 @@
     agent,
     operator_calls,
     planner,
+    presence,
     register_messages,
     sharing,
 )
@@ -28,6 +29,7 @@
         operator_calls.Relay,
         operator_calls.RelayAck,
         sharing.Report,
+        presence.Pulse,
         operator_calls.Passed,
         planner.WantModel,
         agent.Hold,
