--- /dev/null
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -0,0 +1,248 @@
+"""Sends a call to an upstream, asks for what it lacks, or lets it wait."""
+
+from collections.abc import Iterator
+
+from bilberryramp.decisions.fleet import (
+    agent,
+    calls,
+    documents,
+    gateway_state,
+    health,
+    placement,
+    planner,
+    presence,
+    retry_budget,
+    scheduling,
+    sharing,
+)
+from bilberryramp.decisions.fleet.traces import Trace
+
+__all__ = ["try_place"]
+
+# A call waits at least this long between two asks for the same model.
+ASK_AGAIN_MS = 120
+# Rank of calls whose objective has passed, behind all others.
+LATE_URGENCY = 9
+# How long a call waits for an adapter to come to a better engine.
+ADAPTER_PATIENCE_MS = 200
+# An agent that has not answered for this long is passed over for a while.
+AGENT_PATIENCE_MS = 400
+AGENT_PAUSE_MS = 1500
+
+
+def try_place(
+    gw: gateway_state.Gateway, now_ms: int, call: calls.Call
+) -> Iterator:
+    """Send a waiting call where it can begin soonest, if it should go now.
+
+    Parameters
+    ----------
+    gw, now_ms, call
+        The entry, the present and the call; both are changed in place.
+
+    Yields
+    ------
+    SendCall, SendPlan, WantModel, Trace
+        Nothing while the call is better left waiting; `call.why` then says
+        what is short.
+    """
+    engine = gateway_state.engine_spec(gw, call.service)
+    candidates = _candidates(gw, call, now_ms)
+    if not candidates:
+        call.why = calls.Refusal.NO_UPSTREAM
+        return
+    if engine is None or call.request.prompt is None:
+        upstream = scheduling.pick_plain(
+            candidates, gw.loads, gw.failure_domain, now_ms
+        )
+        if upstream is None:
+            call.why = calls.Refusal.OVERLOADED
+            return
+        yield from _place(gw, now_ms, call, upstream, None)
+        return
+    yield from _place_prompt(gw, now_ms, call, engine, candidates)
+
+
+def _place_prompt(gw, now_ms, call, engine, candidates) -> Iterator:
+    prompt = call.request.prompt
+    holders = [up for up in candidates if prompt.model in up.models]
+    if not holders:
+        call.why = calls.Refusal.NO_MODEL
+        yield from _want_model(gw, call, now_ms)
+        return
+    ready = holders
+    if prompt.adapter:
+        ready = [
+            up for up in holders if prompt.adapter in up.models[prompt.model]
+        ]
+    choice = _pick_engine(gw, call, engine, ready, now_ms)
+    if prompt.adapter and now_ms - call.arrived_ms < ADAPTER_PATIENCE_MS:
+        able = [up for up in holders if _has_agent(gw, up, now_ms)]
+        other = _pick_engine(gw, call, engine, able, now_ms)
+        if other is not None and _is_worth_adapter(choice, other):
+            call.why = calls.Refusal.NO_MODEL
+            yield from _want_adapter(gw, call, engine, other.upstream, now_ms)
+            return
+    if choice is None:
+        call.why = calls.Refusal.OVERLOADED
+        if not ready:
+            call.why = calls.Refusal.NO_MODEL
+            able = [up for up in holders if _has_agent(gw, up, now_ms)]
+            home = gw.rng.choice(able or holders)
+            yield from _want_adapter(gw, call, engine, home, now_ms)
+        return
+    if not scheduling.may_begin(call, choice, now_ms):
+        call.why = calls.Refusal.OVERLOADED
+        return
+    yield from _place(gw, now_ms, call, choice.upstream, choice)
+
+
+def _pick_engine(gw, call, engine, candidates, now_ms):
+    return scheduling.pick_engine(
+        call.request.prompt,
+        engine,
+        candidates,
+        gw.loads,
+        gw.paces,
+        gw.failure_domain,
+        _urgency(call, now_ms),
+        now_ms,
+    )
+
+
+def _is_worth_adapter(
+    choice: scheduling.Choice | None, other: scheduling.Choice
+) -> bool:
+    """Tell whether to bring an adapter to an engine that lacks it."""
+    if choice is None:
+        return True
+    gain_ms = choice.estimate_ms - other.estimate_ms
+    return gain_ms > scheduling.ADAPTER_GAIN_MS
+
+
+def _want_model(
+    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
+) -> Iterator:
+    if now_ms - call.asked_ms >= ASK_AGAIN_MS:
+        call.asked_ms = now_ms
+        yield planner.WantModel(call.service, call.request.prompt.model)
+
+
+def _want_adapter(
+    gw: gateway_state.Gateway, call: calls.Call, engine, upstream, now_ms: int
+) -> Iterator:
+    """Ask the agent beside an engine for the adapter of a call."""
+    if now_ms - call.asked_ms < ASK_AGAIN_MS:
+        return
+    call.asked_ms = now_ms
+    prompt = call.request.prompt
+    spec = engine.models.get(prompt.model)
+    upstream_id = upstream.last.upstream_id
+    gw.asked_ms.setdefault(upstream_id, now_ms)
+    ask = agent.Hold(
+        gw.address,
+        upstream_id,
+        True,
+        prompt.model,
+        prompt.adapter,
+        spec.adapter_mb if spec is not None else 0.0,
+        documents.capacity(engine),
+        placement.idle_adapters(gw.demand, upstream, now_ms),
+    )
+    yield planner.SendPlan(upstream.last.address, ask)
+
+
+def _has_agent(gw: gateway_state.Gateway, upstream, now_ms: int) -> bool:
+    """Tell whether the agent beside an engine has not left asks open."""
+    asked_ms = gw.asked_ms.get(upstream.last.upstream_id)
+    if asked_ms is None or now_ms - asked_ms < AGENT_PATIENCE_MS:
+        return True
+    if now_ms - asked_ms > AGENT_PAUSE_MS:
+        gw.asked_ms.pop(upstream.last.upstream_id)
+        return True
+    return False
+
+
+def _candidates(
+    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
+) -> list:
+    """List usable upstreams, the best group of them only.
+
+    Sound ones before avoided ones, and untried ones before those that did
+    not take the call; the last ones that are left are never given up.
+    """
+    everyone = list(presence.usable(gw.table, call.service, now_ms))
+    untried = [u for u in everyone if u.last.upstream_id not in call.tried]
+    open_ones = [
+        u
+        for u in untried
+        if gw.full_until.get(u.last.upstream_id, 0) <= now_ms
+    ]
+    sound = [u for u in open_ones if not _is_avoided(gw, u, now_ms)]
+    prompt = call.request.prompt
+    if prompt is not None:
+        sound_holders = [u for u in sound if prompt.model in u.models]
+        if not sound_holders and any(
+            prompt.model in u.models for u in open_ones
+        ):
+            return open_ones
+    return sound or open_ones or untried
+
+
+def _is_avoided(gw: gateway_state.Gateway, upstream, now_ms: int) -> bool:
+    return health.is_avoided(gw.judged.get(upstream.last.upstream_id), now_ms)
+
+
+def _place(gw, now_ms, call, upstream, choice) -> Iterator:
+    upstream_id = upstream.last.upstream_id
+    prompt = call.request.prompt
+    call.upstream_id = upstream_id
+    call.sent_ms = now_ms
+    call.sends += 1
+    call.attempts += 1
+    call.tried.add(upstream_id)
+    if choice is not None:
+        call.work = choice.work
+        call.need_tokens = scheduling.needed_tokens(prompt)
+        call.unread_tokens = max(prompt.tokens_in - choice.cached, 0)
+        call.level = sharing.level(_urgency(call, now_ms))
+        sharing.note_sent(
+            gw.loads,
+            upstream_id,
+            prompt.weights,
+            prompt.parts,
+            gateway_state.cache_tokens(gw),
+        )
+    if call.sends == 1:
+        budget = gateway_state.budget(gw, call.service)
+        retry_budget.count_call(budget, gw.budget_limits, now_ms)
+    yield from gateway_state.fire(gw, call, "placed", now_ms)
+    yield Trace(
+        "call.placed",
+        {
+            "request_id": call.request.request_id,
+            "route": call.route.name,
+            "document": gw.doc.version,
+            "upstream": upstream_id,
+            "heard_ms_ago": now_ms - upstream.heard_ms,
+            "cached_tokens": choice.cached if choice else 0,
+            "estimate_ms": round(choice.estimate_ms) if choice else 0,
+            "waited_ms": now_ms - call.arrived_ms,
+            "send": call.sends,
+        },
+    )
+    yield calls.SendCall(
+        call.call_id,
+        upstream_id,
+        upstream.last.address,
+        max(call.deadline_ms - now_ms, 1),
+        _urgency(call, now_ms),
+        call.sends,
+    )
+
+
+def _urgency(call: calls.Call, now_ms: int) -> int:
+    """Rank a call for the engine's own queue: late ones come last."""
+    if now_ms - call.arrived_ms >= call.route.target_ms:
+        return LATE_URGENCY
+    return min(call.route.urgency, LATE_URGENCY - 1)
--- /dev/null
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -0,0 +1,138 @@
+"""State of an entry, and the actions of a call's chart."""
+
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from bilberryramp.decisions import charting
+from bilberryramp.decisions.fleet import (
+    calls,
+    documents,
+    health,
+    hosts,
+    placement,
+    presence,
+    retry_budget,
+    sharing,
+)
+
+__all__ = [
+    "Gateway",
+    "actions",
+    "budget",
+    "cache_tokens",
+    "engine_spec",
+    "fire",
+    "guards",
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Gateway:
+    """State of one entry.
+
+    Attributes
+    ----------
+    asked_ms
+        When each agent was first asked for something it has not answered.
+    node_count
+        Entries that share the retry budget, this one included.
+    """
+
+    address: str
+    exchange_chart: charting.Chart
+    health_chart: charting.Chart
+    rng: random.Random
+    table: presence.Table
+    budget_limits: retry_budget.Limits
+    failure_domain: str = ""
+    loads: sharing.Loads = dataclasses.field(default_factory=sharing.Loads)
+    doc: documents.Document | None = None
+    index: hosts.HostIndex | None = None
+    active: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
+    queue: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
+    judged: dict[str, health.Health] = dataclasses.field(default_factory=dict)
+    budgets: dict[str, retry_budget.Budget] = dataclasses.field(
+        default_factory=dict
+    )
+    full_until: dict[str, int] = dataclasses.field(default_factory=dict)
+    paces: dict[str, float] = dataclasses.field(default_factory=dict)
+    demand: placement.Demand = dataclasses.field(
+        default_factory=placement.Demand
+    )
+    asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    node_count: int = 1
+
+
+def engine_spec(gw: Gateway, service: str) -> documents.EngineSpec | None:
+    """Return what a service's engines offer; None for a plain service."""
+    known = gw.doc.services.get(service)
+    return known.engine if known is not None else None
+
+
+def budget(gw: Gateway, service: str) -> retry_budget.Budget:
+    """Return a service's budget for repeats, made if needed."""
+    return gw.budgets.setdefault(service, retry_budget.Budget())
+
+
+def cache_tokens(gw: Gateway) -> int:
+    """Return the memory of an engine, for the size of its prefix cache."""
+    services = gw.doc.services.values() if gw.doc is not None else ()
+    sizes = (s.engine.kv_tokens for s in services if s.engine is not None)
+    return max(sizes, default=0)
+
+
+def fire(gw: Gateway, call: calls.Call, event: str, now_ms: int) -> Iterator:
+    """Raise an event of a call's chart."""
+    yield from charting.fire(gw.exchange_chart, call, event, now_ms, gw)
+
+
+# Actions of the chart.
+
+
+def _charge(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    gw.queue.pop(call.call_id, None)
+    load = sharing.own_load(gw.loads, call.upstream_id)
+    load.calls += 1
+    load.tokens += call.need_tokens
+    load.unread[call.level] += call.unread_tokens
+    gw.loads.changed = True
+    yield from ()
+
+
+def _mark_read(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    load = sharing.own_load(gw.loads, call.upstream_id)
+    load.unread[call.level] -= call.unread_tokens
+    call.unread_tokens = 0
+    gw.loads.changed = True
+    yield from ()
+
+
+def _discharge(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    load = sharing.own_load(gw.loads, call.upstream_id)
+    load.calls -= 1
+    load.tokens -= call.need_tokens
+    load.unread[call.level] -= call.unread_tokens
+    call.need_tokens = call.unread_tokens = 0
+    gw.loads.changed = True
+    yield from ()
+
+
+def _join_queue(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    gw.queue[call.call_id] = call
+    yield from ()
+
+
+def _leave_queue(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    gw.queue.pop(call.call_id, None)
+    yield from ()
+
+
+guards: dict = {}
+actions = {
+    "charge": _charge,
+    "mark_read": _mark_read,
+    "discharge": _discharge,
+    "join_queue": _join_queue,
+    "leave_queue": _leave_queue,
+}
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -9,6 +9,7 @@
     calls,
     documents,
     gateway,
+    gateway_state,
     health,
     placement,
     presence,
@@ -106,9 +107,9 @@
 
 
 def a_gateway(doc=None, upstreams=(), now_ms=10_000, seed=1):
-    gw = gateway.Gateway(
+    gw = gateway_state.Gateway(
         "n1:1",
-        bound("exchange", gateway),
+        bound("exchange", gateway_state),
         bound("upstream_health", health),
         random.Random(seed),
         presence.Table(1200),
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -13,6 +13,7 @@
 
 from bilberryramp.decisions.fleet import (
     gateway,
+    gateway_state,
     health,
     planner,
     presence,
@@ -133,9 +134,9 @@
     register_box, gateway_box = mailbox.Mailbox(), mailbox.Mailbox()
     mesh = peer_mesh.open_mesh(address, _sorter(register_box, gateway_box))
     table = presence.Table(cfg.heartbeat_ms)
-    gw = gateway.Gateway(
+    gw = gateway_state.Gateway(
         address,
-        fleet_launch.bind_chart("exchange", gateway),
+        fleet_launch.bind_chart("exchange", gateway_state),
         fleet_launch.bind_chart("upstream_health", health),
         rng,
         table,
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -8,6 +8,7 @@
     agent,
     calls,
     gateway,
+    gateway_state,
     operator_calls,
     planner,
     presence,
@@ -67,7 +68,7 @@
         Futures of the calls that wait for a decision.
     """
 
-    gw: gateway.Gateway
+    gw: gateway_state.Gateway
     planner: planner.Planner
     box: mailbox.Mailbox
     mesh: peer_mesh.Mesh
