--- a/bilberryramp/decisions/tests/test_charting.py
+++ b/bilberryramp/decisions/tests/test_charting.py
@@ -11,6 +11,12 @@
     shutdown,
     subscription,
 )
+from bilberryramp.decisions.fleet import (
+    agent,
+    gateway_state,
+    health,
+    register,
+)
 from bilberryramp.decisions.tests import builders
 
 TEXT = """
@@ -108,6 +114,10 @@
             "replica": replication,
             "request": entry_calls,
             "shutdown": shutdown,
+            "engine_order": agent,
+            "exchange": gateway_state,
+            "member": register,
+            "upstream_health": health,
         }
         self.assertEqual(sorted((*modules, "adoption")), loader.names())
         builders.adoption_chart()
