--- a/bilberryramp/platform/tests/test_whole_path.py
+++ b/bilberryramp/platform/tests/test_whole_path.py
@@ -35,7 +35,7 @@
 budgetWindowS = 10
 budgetSlack = 60
 """
-NAMES = ("peer", "front", "ready", "control")
+NAMES = ("peer", "front", "ready", "control", "metrics")
 # Far more than a start takes, also on a busy machine.
 PATIENCE_S = 60
 MODELS = [{"name": "m0", "version": 1, "adapters": []}]
@@ -63,6 +63,7 @@
             sys.executable,
             "-m",
             "bilberryramp.programs.node",
+            f"--metrics_port={self.ports['metrics']}",
             env={**os.environ, "BILBERRYRAMP_SETTINGS": str(path)},
             stdout=asyncio.subprocess.DEVNULL,
         )
@@ -142,6 +143,11 @@
         resp = await self.call("/none/x", "q3")
         self.assertEqual(resp.status, 404)
         self.assertEqual((self.app.ran, self.llm.ran), (["q1"], ["q2"]))
+        async with self.session.get(self.at("metrics", "/metrics")) as shown:
+            text = await shown.text()
+        self.assertIn('call_attempt_total{outcome="delivered"} 2', text)
+        self.assertIn("call_attempt_took_seconds", text)
+        self.assertIn("document_version 3", text)
 
     async def test_a_stream_that_breaks_off_does_not_look_complete(self):
         await self.begin()
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -9,7 +9,7 @@
 import sys
 import uuid
 
-from absl import app
+from absl import app, flags
 
 from bilberryramp.decisions.fleet import (
     gateway,
@@ -60,6 +60,11 @@
 BEATS_TO_HEAR = 1.1
 
 
+METRICS_PORT_FLAG = flags.DEFINE_integer(
+    "metrics_port", 0, "Port for metrics on the instance's address; 0: none."
+)
+
+
 @dataclasses.dataclass(slots=True)
 class NodeProcess:
     """All that runs in the process."""
@@ -223,6 +228,7 @@
         (cfg.client_address, fleet_frontend.make_server(proc.front)),
     )
     loop = asyncio.get_running_loop()
+    await _listen_for_metrics(proc, loop)
     for address, factory in wanted:
         if address:
             host, _, port = address.rpartition(":")
@@ -232,6 +238,23 @@
             proc.servers.append((server, factory))
 
 
+async def _listen_for_metrics(proc: NodeProcess, loop) -> None:
+    """Serve the metrics if there is a port for them."""
+    port = METRICS_PORT_FLAG.value
+    if not port:
+        return
+    factory = fleet_operator.make_metrics_server(
+        lambda: gateway_task.show_state(proc.gateway)
+    )
+    try:
+        server = await loop.create_server(factory, proc.cfg.ip, port)
+    except OSError as exc:
+        # Requests are served without metrics rather than not at all.
+        events.emit(events.METRICS_UNAVAILABLE, reason=str(exc))
+        return
+    proc.servers.append((server, factory))
+
+
 def _is_ready(proc: NodeProcess) -> bool:
     heard_ms = proc.started_ms + BEATS_TO_HEAR * proc.cfg.heartbeat_ms
     ready = (
--- a/bilberryramp/tasks/fleet_operator.py
+++ b/bilberryramp/tasks/fleet_operator.py
@@ -12,7 +12,12 @@
 from bilberryramp.tasks import gateway_task, mailbox, register_task
 from bilberryramp.telemetry import events
 
-__all__ = ["OperatorApi", "make_readiness_server", "make_server"]
+__all__ = [
+    "OperatorApi",
+    "make_metrics_server",
+    "make_readiness_server",
+    "make_server",
+]
 
 # Largest document that is read; one with thousands of routes is smaller.
 MAX_BODY_BYTES = 8 * 2**20
@@ -107,6 +112,26 @@
     return web.Server(serve, access_log=None)
 
 
+def make_metrics_server(show: Callable[[], str]) -> web.Server:
+    """Make the protocol factory for the metrics address.
+
+    Parameters
+    ----------
+    show
+        Renders all metrics.
+
+    Returns
+    -------
+    web.Server
+        For `loop.create_server`.
+    """
+
+    async def serve(_request: web.BaseRequest) -> web.Response:
+        return web.Response(text=show())
+
+    return web.Server(serve, access_log=None)
+
+
 async def _submit(api, request, call: asked.Submit) -> web.Response:
     answer = await register_task.ask(
         api.register,
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -17,9 +17,9 @@
 )
 from bilberryramp.decisions.fleet.traces import Trace
 from bilberryramp.tasks import clock, mailbox, peer_mesh
-from bilberryramp.telemetry import events
+from bilberryramp.telemetry import events, metrics
 
-__all__ = ["Announce", "GatewayTask", "Stop", "decision", "run"]
+__all__ = ["Announce", "GatewayTask", "decision", "run", "show_state"]
 
 # How long the answer to a departing upstream waits for the other nodes;
 # the upstream turns to another node after a second.
@@ -41,11 +41,6 @@
     done: asyncio.Future
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Stop:
-    """The process has been asked to stop."""
-
-
 @dataclasses.dataclass(slots=True)
 class PendingRelay:
     """Nodes that have not yet taken in a departure."""
@@ -80,6 +75,9 @@
         default_factory=dict
     )
     relays: dict[int, PendingRelay] = dataclasses.field(default_factory=dict)
+    counted: metrics.Metrics = dataclasses.field(
+        default_factory=metrics.Metrics
+    )
     next_call: int = 1
     next_relay: int = 1
 
@@ -189,9 +187,50 @@
             host = effect.address.rpartition(":")[0]
             peer_mesh.send(task.mesh, f"{host}:{task.agent_port}", effect.ask)
         case Trace():
+            _count(task, effect)
             events.trace(effect.name, effect.fields)
 
 
+def _count(task: GatewayTask, trace: Trace) -> None:
+    """Count a decision on a call, and how long it took or waited."""
+    fields = trace.fields
+    outcome = fields.get("reason") or fields.get("end") or ""
+    name = trace.name.replace(".", "_")
+    label = f'{{outcome="{outcome}"}}' if outcome else ""
+    metrics.count(task.counted, f"{name}_total{label}")
+    for field in ("took_ms", "waited_ms"):
+        if field in fields:
+            seconds = fields[field] / 1000
+            metrics.record(task.counted, f"{name}_{field[:-3]}", seconds)
+
+
+def show_state(task: GatewayTask) -> str:
+    """Render the counters, the histograms and what the entry holds now.
+
+    Parameters
+    ----------
+    task
+        The task's state.
+
+    Returns
+    -------
+    str
+        Prometheus text format.
+    """
+    gw = task.gw
+    gauges = {
+        "calls_active": len(gw.active),
+        "calls_waiting": len(gw.queue),
+        "upstreams_known": len(gw.table.upstreams),
+        "nodes_heard": len(task.peers),
+        "document_version": gw.doc.version if gw.doc is not None else -1,
+        "peer_messages_dropped": task.mesh.dropped,
+    }
+    for name, value in gauges.items():
+        metrics.show(task.counted, name, value)
+    return metrics.render(task.counted)
+
+
 def _want(task: GatewayTask, now_ms: int, ask: planner.WantModel) -> None:
     if task.planner.leading_since_ms >= 0:
         planner.want(task.planner, ask, now_ms)
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -140,6 +140,9 @@
 SETTINGS_UNREADABLE = _declare(
     5009, "node.settings_unreadable", "Changed settings could not be read."
 )
+METRICS_UNAVAILABLE = _declare(
+    5010, "node.metrics_unavailable", "The metrics address cannot be used."
+)
 UPSTREAM_SEEN = _declare(
     5101, "upstream.seen", "An upstream announced itself for the first time."
 )
