Refuse what still waits when a node is about to end

Ruled out: idle connections (the request was read). Change: once the listener closes, calls that wait are refused as not run. The new test failed before.

--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -24,6 +24,7 @@
 from bilberryramp.decisions.fleet.traces import Trace
 
 __all__ = [
+    "Closing",
     "DocumentInForce",
     "Tick",
     "is_idle",
@@ -54,6 +55,11 @@
     doc: documents.Document
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Closing:
+    """The process ends soon; what still waits is refused in time."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Tick:
     """Time has passed."""
@@ -149,6 +155,11 @@
         yield from _serve_queue(gw, now_ms)
 
 
+def _on_closing(gw: gateway_state.Gateway, now_ms: int, _message) -> Iterator:
+    gw.is_closing = True
+    yield from _serve_queue(gw, now_ms)
+
+
 def _on_tick(gw: gateway_state.Gateway, now_ms: int, _message) -> Iterator:
     presence.drop_gone(gw.table, now_ms)
     yield from _serve_queue(gw, now_ms)
@@ -402,11 +413,13 @@
     gw: gateway_state.Gateway, now_ms: int, call
 ) -> Iterator:
     left_ms = call.deadline_ms - now_ms
-    if left_ms >= LEAST_TIME_MS and scheduling.may_wait(
-        call, _load_time_ms(gw, call), now_ms
+    if (
+        not gw.is_closing
+        and left_ms >= LEAST_TIME_MS
+        and scheduling.may_wait(call, _load_time_ms(gw, call), now_ms)
     ):
         return
-    reason = call.why
+    reason = calls.Refusal.STOPPING if gw.is_closing else call.why
     yield from _end(gw, call, "refused", now_ms)
     if call.attempts > 0:
         yield from _fail(call, calls.Failure.LATE)
@@ -446,6 +459,7 @@
 _HANDLERS = {
     DocumentInForce: _on_document,
     agent.Holding: _on_holding,
+    Closing: _on_closing,
     Tick: _on_tick,
     presence.Announcement: _on_announcement,
     sharing.Report: _on_report,
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -35,6 +35,8 @@
     ----------
     asked_ms
         When each agent was first asked for something it has not answered.
+    is_closing
+        Whether the process ends soon, so that no call may wait.
     node_count
         Entries that share the retry budget, this one included.
     """
@@ -62,6 +64,7 @@
     )
     asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     node_count: int = 1
+    is_closing: bool = False
 
 
 def engine_spec(gw: Gateway, service: str) -> documents.EngineSpec | None:
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -201,6 +201,21 @@
         self.assertIn("a1", gw.table.upstreams["u1"].models["m0"])
 
 
+class ClosingTest(unittest.TestCase):
+    def test_what_waits_is_refused_before_the_process_ends(self):
+        """Replays a call that waited for a model until its node exited."""
+        gw = builders.a_gateway(upstreams=[builders.an_announcement()])
+        prompt = builders.a_prompt(model="m3")
+        effects = arrive(gw, 1, builders.a_request(prompt=prompt))
+        self.assertFalse(builders.only(effects, calls.Refuse))
+        effects = builders.drain(
+            gateway.step(gw, NOW + 100, gateway.Closing())
+        )
+        (refusal,) = builders.only(effects, calls.Refuse)
+        self.assertIs(refusal.reason, calls.Refusal.STOPPING)
+        self.assertTrue(gateway.is_idle(gw))
+
+
 class DocumentTest(unittest.TestCase):
     def test_an_older_document_changes_nothing(self):
         gw = builders.a_gateway(builders.a_document(version=5))
