Place copies of models by the demand at all entries

Change: entries report the work that clients ask for by model, served or not; the leader plans copies in proportion to it, several at a look, an unload and its load as one wish to the agent, copies at hand before the weight store.

The tests replay the shift with several engines idle, the stale crowding and the waiting rare model.

--- a/bilberryramp/decisions/fleet/agent.py
+++ b/bilberryramp/decisions/fleet/agent.py
@@ -67,7 +67,7 @@
     adapter
         Empty for the model itself.
     spare
-        Adapters, as model and name, that may give way, idle longest first.
+        What may give way, as model and adapter, first things first.
     size_mb
         Memory that it takes.
     """
@@ -371,9 +371,16 @@
 
 
 def _step_to_model(agent: Agent, ask: Hold) -> tuple[bool, str, str] | None:
-    if ask.load and (agent.coming or _free_mb(agent, ask) < ask.size_mb):
+    if not ask.load:
+        return (False, ask.model, "")
+    if agent.coming:
         return None
-    return (ask.load, ask.model, "")
+    if _free_mb(agent, ask) >= ask.size_mb:
+        return (True, ask.model, "")
+    for model, _ in ask.spare:
+        if model in agent.held and model != ask.model:
+            return (False, model, "")
+    return None
 
 
 def _free_mb(agent: Agent, ask: Hold) -> float:
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -222,6 +222,7 @@
         {
             "request_id": call.request.request_id,
             "route": call.route.name,
+            "weights": prompt.weights if prompt is not None else "",
             "document": gw.doc.version,
             "upstream": upstream_id,
             "heard_ms_ago": now_ms - upstream.heard_ms,
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -174,6 +174,8 @@
 ) -> None:
     for upstream_key, weights, _ in report.sent:
         placement.note_use(gw.demand, upstream_key, weights, now_ms)
+    for model_key, tokens in report.asked:
+        placement.note_asked(gw.demand, model_key, tokens, now_ms)
 
 
 # The life of a call.
@@ -208,6 +210,10 @@
     )
     gw.active[call.call_id] = call
     gw.queue[call.call_id] = call
+    if req.prompt is not None:
+        sharing.note_asked(
+            gw.loads, req.prompt.model, scheduling.whole_work(req.prompt)
+        )
     yield from dispatch.try_place(gw, now_ms, call)
     if call.phase == "waiting":
         yield from _refuse_if_hopeless(gw, now_ms, call)
@@ -424,7 +430,11 @@
     if call.attempts > 0:
         yield from _fail(call, calls.Failure.LATE)
         return
-    waited = {"route": call.route.name, "waited_ms": now_ms - call.arrived_ms}
+    waited = {
+        "route": call.route.name,
+        "weights": _weights(call),
+        "waited_ms": now_ms - call.arrived_ms,
+    }
     yield from _refuse(
         call.call_id,
         call.request,
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -1,12 +1,14 @@
 """Which engine holds which model and adapter.
 
-Each function answers one load pattern: a model that no engine holds is asked
-for (`make_room`, urgent), the holders of a model are crowded
-(`crowded`, `make_room`), an adapter finds no place (`idle_adapters`).
+Each function answers one load pattern: demand moves to models with few
+holders, or calls wait for one that no engine holds (`plan_moves`); an
+adapter finds no place (`idle_adapters`).
 """
 
 import collections
 import dataclasses
+import math
+from collections.abc import Iterator
 
 from bilberryramp.decisions.fleet import documents, presence, sharing
 
@@ -14,31 +16,45 @@
     "Demand",
     "Move",
     "Site",
-    "crowded",
     "idle_adapters",
-    "make_room",
     "memory_used_mb",
-    "note_crowding",
+    "note_asked",
     "note_use",
+    "plan_moves",
+    "rate",
 ]
 
-# A model not used this long at an engine is idle there.
-IDLE_MODEL_MS = 3000
-# The last copy of a model gives way to another only when nothing asked for
-# it this long.
-IDLE_LAST_COPY_MS = 5000
+# Time constant of the moving average of demand: short against the seconds in
+# which demand moves to other models, long against the time between calls.
+DEMAND_MS = 3000
+# What a load costs, in tokens a second for each copy that it must relieve:
+# about a fifteenth of what an engine reads (38.7 prompt tokens in one
+# millisecond, data sheet).
+MOVE_COST = 2500.0
+# What a model without a holder is worth, in the same unit: calls that wait
+# for it outweigh all but the few copies of a busy model; without calls it
+# only takes memory that is free.
+WAITED_FOR = 20_000.0
+ABSENT = 5000.0
+# What the last copy of a model is worth beyond its demand.
+LAST_COPY = 2500.0
+# A copy in use may still run something, which its unloading waits for.
+IN_USE_MS = 3000
+IN_USE = 1000.0
+# A copy that is taken away must be worth this much less than one that comes.
+HYSTERESIS = 1.3
+# Loads are compared over this time: a copy that comes late serves less of it.
+HORIZON_S = 10.0
+# Load time of a copy that the engine keeps at hand, against the weight store.
+AT_HAND_SHARE = 0.2
+# Weight of what an engine does already among places for a copy.
+BALANCE = 0.1
+# Moves that are begun at one look.
+MOST_MOVES = 8
 # An adapter not used this long may be unloaded.
 IDLE_ADAPTER_MS = 2000
 # Adapters that are named to an agent as ones that may give way.
 MOST_SPARE = 4
-# Unread prompt tokens at the least loaded holder of a model from which on
-# another copy is worth a load, and the weight of the newest look.
-CROWDED_TOKENS = 5000
-NEWEST_WEIGHT = 0.4
-
-
-# Stands for all engines together among the keys of `Demand.used_ms`.
-ANYWHERE = -1
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,16 +64,18 @@
     Attributes
     ----------
     used_ms
-        Last use by engine and weights, and by model over all engines.
-    crowding
-        Moving average of the unread prompt tokens at the least loaded
-        holder of each model.
+        Last use by engine and weights.
+    rates
+        Work asked for by model, tokens a second, and when that was; models
+        and engines are keyed as of `sharing.short_key`.
     """
 
     used_ms: dict[tuple[int, str], int] = dataclasses.field(
         default_factory=dict
     )
-    crowding: dict[str, float] = dataclasses.field(default_factory=dict)
+    rates: dict[int, tuple[float, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -72,33 +90,50 @@
         Models that it can load without the weight store.
     free_mb
         Memory that nothing takes or is about to take.
-    is_busy
-        Whether it carries out an order on a model.
-    coming
-        Models and adapters on their way to it.
-    is_emptying
-        Whether something is on its way out.
-    load
-        Calls in flight over all entries.
+    coming, leaving
+        Model on its way to it and those that give way to it; a site with
+        either takes no further move.
     """
 
     upstream_id: str
     models: dict[str, set[str]]
     copies: frozenset[str]
     free_mb: float
-    is_busy: bool
-    coming: frozenset[tuple[str, str]]
-    is_emptying: bool
-    load: sharing.Load
+    coming: str = ""
+    leaving: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Move:
-    """Load a model at an engine, or unload it."""
+    """Load a model at an engine, after others have given way.
+
+    Attributes
+    ----------
+    victims
+        Models to unload before, as far as memory is short.
+    from_store
+        Whether it takes a load from the weight store.
+    gain
+        Worth less costs, in tokens a second for each copy.
+    """
 
     upstream_id: str
-    load: bool
     model: str
+    victims: tuple[str, ...]
+    from_store: bool
+    gain: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Plan:
+    """What `plan_moves` works on; `copies` counts those on their way."""
+
+    engine: documents.EngineSpec
+    demand: Demand
+    waited_for: frozenset[str]
+    now_ms: int
+    copies: collections.Counter
+    rates: dict[str, float]
 
 
 def note_use(
@@ -117,52 +152,44 @@
     model = weights.partition("/")[0]
     demand.used_ms[(upstream_key, weights)] = now_ms
     demand.used_ms[(upstream_key, model)] = now_ms
-    demand.used_ms[(ANYWHERE, model)] = now_ms
 
 
-def note_crowding(demand: Demand, sites: list[Site]) -> None:
-    """Take a look at how much waits at the holders of each model.
+def note_asked(
+    demand: Demand, model_key: int, tokens: int, now_ms: int
+) -> None:
+    """Note work that clients asked of a model, whether served or not.
 
     Parameters
     ----------
     demand
         Changed in place.
-    sites
-        The engines of a service.
+    model_key, tokens, now_ms
+        The model, as of `sharing.short_key`, the work and the present.
     """
-    least: dict[str, int] = {}
-    for site in sites:
-        for model in site.models:
-            unread = sum(site.load.unread)
-            least[model] = min(least.get(model, unread), unread)
-    for model, unread in least.items():
-        before = demand.crowding.get(model, 0.0)
-        demand.crowding[model] = before + NEWEST_WEIGHT * (unread - before)
+    before = _decayed(demand, model_key, now_ms)
+    added = 1000 * tokens / DEMAND_MS
+    demand.rates[model_key] = (before + added, now_ms)
 
 
-def crowded(
-    engine: documents.EngineSpec, demand: Demand, sites: list[Site]
-) -> list[str]:
-    """List models whose holders have much waiting, most crowded first.
+def rate(demand: Demand, model: str, now_ms: int) -> float:
+    """Return the demand for a model.
 
     Parameters
     ----------
-    engine, demand, sites
-        What engines offer, uses, and the engines.
+    demand, model, now_ms
+        Uses, the model and the present.
 
     Returns
     -------
-    list of str
-        Without those of which enough copies are on their way.
+    float
+        Tokens a second, a moving average.
     """
-    coming = collections.Counter(m for s in sites for m, _ in s.coming)
-    short = [
-        (crowd, model)
-        for model, crowd in demand.crowding.items()
-        if crowd > CROWDED_TOKENS * (1 + 2 * coming[model])
-        and model in engine.models
-    ]
-    return [model for _, model in sorted(short, reverse=True)]
+    return _decayed(demand, sharing.short_key(model), now_ms)
+
+
+def _decayed(demand: Demand, model_key: int, now_ms: int) -> float:
+    tokens, at_ms = demand.rates.get(model_key, (0.0, now_ms))
+    return tokens * math.exp((at_ms - now_ms) / DEMAND_MS)
 
 
 def memory_used_mb(
@@ -217,68 +244,144 @@
     return tuple((m, a) for _, m, a in sorted(idle)[:MOST_SPARE])
 
 
-def make_room(
+def plan_moves(
     engine: documents.EngineSpec,
     sites: list[Site],
-    model: str,
     demand: Demand,
+    waited_for: frozenset[str],
+    store_loads: int,
     now_ms: int,
-    is_urgent: bool,
-) -> Move | None:
-    """Plan the next step towards another copy of a model.
+) -> Iterator[Move]:
+    """Plan copies of models where demand for them has outgrown the others.
 
-    An engine with room and a copy at hand comes first, then one with room;
-    else the least used surplus copy of another model is unloaded, and the
-    last copy of one only where calls wait for a model that no engine holds.
+    A copy is worth what it takes off each other copy of its model: it spares
+    a fraction of the demand that shrinks with each copy, so copies end up
+    about in proportion to demand and the busiest models give copies up last.
 
     Parameters
     ----------
-    engine, sites, model, demand, now_ms
-        What engines offer, the engines, the model, uses and the present.
-    is_urgent
-        Whether no engine holds the model.
-
-    Returns
-    -------
-    Move or None
-        None while nothing can be done.
+    engine, sites, demand
+        What engines offer, the engines of one service, and uses.
+    waited_for
+        Models that calls wait for and no engine holds.
+    store_loads
+        Loads that the weight store still allows.
+    now_ms
+        The present.
+
+    Yields
+    ------
+    Move
+        The most worthwhile first, one for an engine.
     """
-    size = engine.models[model].weights_mb
-    hosts = [s for s in sites if model not in s.models and not s.is_busy]
-    hosts.sort(key=lambda s: (model not in s.copies, sum(s.load.unread)))
-    for site in hosts:
-        if site.free_mb >= size:
-            return Move(site.upstream_id, True, model)
-    # Room is being made somewhere already.
-    if any(site.is_emptying and site.is_busy for site in sites):
-        return None
-    copies = collections.Counter(name for s in sites for name in s.models)
-    options = [
-        (rank, index, site.upstream_id, victim)
-        for index, site in enumerate(hosts)
-        for victim in site.models
-        if site.free_mb + engine.models[victim].weights_mb >= size
-        for rank in _give_way_rank(
-            site, victim, copies, demand, now_ms, is_urgent
+    plan = _Plan(
+        engine,
+        demand,
+        waited_for,
+        now_ms,
+        _count_copies(sites),
+        {name: rate(demand, name, now_ms) for name in engine.models},
+    )
+    open_sites = [s for s in sites if not s.coming and not s.leaving]
+    for _ in range(MOST_MOVES):
+        options = (
+            move
+            for model in plan.engine.models
+            if _worth(plan, model) > MOVE_COST
+            for site in open_sites
+            for move in _options(plan, site, model, store_loads)
         )
-    ]
-    if not options:
-        return None
-    _, _, upstream_id, victim = min(options)
-    return Move(upstream_id, False, victim)
+        best = max(options, key=_preference, default=None)
+        if best is None:
+            return
+        yield best
+        store_loads -= best.from_store
+        plan.copies[best.model] += 1
+        plan.copies.subtract(best.victims)
+        open_sites = [
+            s for s in open_sites if s.upstream_id != best.upstream_id
+        ]
+
+
+def _preference(move: Move) -> tuple:
+    return (move.gain, -len(move.victims))
+
+
+def _count_copies(sites: list[Site]) -> collections.Counter:
+    return collections.Counter(
+        model
+        for site in sites
+        for model in {*site.models, site.coming} - {"", *site.leaving}
+    )
 
 
-def _give_way_rank(site, victim, copies, demand, now_ms, is_urgent):
-    """Yield a rank if a model may leave an engine; lower goes first."""
-    used_here = demand.used_ms.get(
-        (sharing.short_key(site.upstream_id), victim), 0
+def _worth(plan: _Plan, model: str) -> float:
+    """Return what one more copy of a model is worth."""
+    copies, asked = plan.copies[model], plan.rates[model]
+    if copies > 0:
+        return asked / (copies * (copies + 1))
+    return asked + (WAITED_FOR if model in plan.waited_for else ABSENT)
+
+
+def _loss(plan: _Plan, site: Site, model: str) -> float:
+    """Return what is lost when an engine gives a copy up."""
+    asked = plan.rates.get(model, 0.0)
+    copies = plan.copies[model]
+    is_last = copies <= 1
+    lost = asked + LAST_COPY if is_last else asked / (copies * (copies - 1))
+    key = (sharing.short_key(site.upstream_id), model)
+    used_ms = plan.demand.used_ms.get(key)
+    if used_ms is not None and plan.now_ms - used_ms < IN_USE_MS:
+        lost += IN_USE
+    return lost
+
+
+def _options(
+    plan: _Plan, site: Site, model: str, store_loads: int
+) -> Iterator[Move]:
+    """Yield the move of a model to an engine if it pays."""
+    from_store = model not in site.copies
+    if model in site.models or from_store and store_loads < 1:
+        return
+    spec = plan.engine.models[model]
+    losses = sorted(
+        (_loss(plan, site, held), held)
+        for held in site.models
+        if held in plan.engine.models
+    )
+    victims = _victims(plan, losses, spec.weights_mb - site.free_mb)
+    if victims is None:
+        return
+    load_s = spec.load_s * (1.0 if from_store else AT_HAND_SHARE)
+    lost = sum(loss for loss, held in losses if held in victims)
+    done = sum(
+        plan.rates.get(held, 0.0) / max(plan.copies[held], 1)
+        for held in site.models
+    )
+    gain = (
+        _worth(plan, model) * max(1 - load_s / HORIZON_S, 0.1)
+        - HYSTERESIS * lost
+        - BALANCE * done
     )
-    used_ever = demand.used_ms.get((ANYWHERE, victim), 0)
-    if copies[victim] > 1 and now_ms - used_here >= IDLE_MODEL_MS:
-        yield (0, used_here)
-    elif (
-        copies[victim] == 1
-        and is_urgent
-        and now_ms - used_ever >= IDLE_LAST_COPY_MS
-    ):
-        yield (1, used_ever)
+    is_waited_for = model in plan.waited_for
+    if gain > (0 if is_waited_for else MOVE_COST):
+        yield Move(site.upstream_id, model, victims, from_store, gain)
+
+
+def _victims(
+    plan: _Plan, losses: list[tuple[float, str]], short_mb: float
+) -> tuple[str, ...] | None:
+    """Pick the models that give way: one if that suffices, else several."""
+    if short_mb <= 0:
+        return ()
+    models = plan.engine.models
+    for _, held in losses:
+        if models[held].weights_mb >= short_mb:
+            return (held,)
+    chosen = []
+    for _, held in losses:
+        chosen.append(held)
+        short_mb -= models[held].weights_mb
+        if short_mb <= 0:
+            return tuple(chosen)
+    return None
--- a/bilberryramp/decisions/fleet/planner.py
+++ b/bilberryramp/decisions/fleet/planner.py
@@ -30,7 +30,11 @@
 # Window of the weight store's ceiling and the part of it that is used; a
 # new leader, who does not know its predecessor's loads, uses half of that.
 CEILING_WINDOW_MS = 5000
-CEILING_SHARE = 0.9
+CEILING_SHARE = 1.0
+# An engine keeps a copy of what it has just unloaded; after this long its
+# own heartbeats tell whether it still does.
+DROPPED_MS = 3000
+NEVER_MS = -(10**9)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -77,8 +81,9 @@
         Service and model that calls wait for, and when last asked.
     plans
         The move under way at each engine.
-    held_before
-        Engine and model, for models that it has held and so has a copy of.
+    dropped_ms
+        Engine and model: when that was last told to give way, and so left a
+        copy at hand.
     """
 
     address: str
@@ -91,7 +96,9 @@
     )
     plans: dict[str, Plan] = dataclasses.field(default_factory=dict)
     loads_ms: list[int] = dataclasses.field(default_factory=list)
-    held_before: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    dropped_ms: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
     reviewed_ms: int = 0
 
 
@@ -120,7 +127,11 @@
     planner, ask, now_ms
         Changed in place; what is wanted, and the present.
     """
-    planner.wanted[(ask.service, ask.model)] = now_ms
+    key = (ask.service, ask.model)
+    if now_ms - planner.wanted.get(key, NEVER_MS) > WANT_MS:
+        # The first call that waits for a model need not wait for a review.
+        planner.reviewed_ms = now_ms - REVIEW_MS
+    planner.wanted[key] = now_ms
 
 
 def review(planner: Planner, doc: documents.Document, now_ms: int) -> Iterator:
@@ -151,55 +162,48 @@
 def _review_service(planner, service, now_ms) -> Iterator:
     engine = service.engine
     upstreams = list(presence.usable(planner.table, service.name, now_ms))
-    for upstream in upstreams:
-        for model in upstream.models:
-            planner.held_before.add((upstream.last.upstream_id, model))
     yield from _follow_up(planner, now_ms)
     sites = [_site(planner, engine, u, now_ms) for u in upstreams]
-    placement.note_crowding(planner.demand, sites)
-    for model in _short_models(planner, service, sites, now_ms):
-        is_urgent = not any(model in site.models for site in sites)
-        move = placement.make_room(
-            engine, sites, model, planner.demand, now_ms, is_urgent
-        )
-        if move is not None and _allows(planner, engine, move, now_ms):
-            yield from _begin(planner, engine, move, now_ms)
-            sites = [_site(planner, engine, u, now_ms) for u in upstreams]
-
-
-def _short_models(planner, service, sites, now_ms) -> list[str]:
+    moves = placement.plan_moves(
+        engine,
+        sites,
+        planner.demand,
+        _waited_for(planner, service, sites, now_ms),
+        _store_loads(planner, engine, now_ms),
+        now_ms,
+    )
+    for move in moves:
+        yield from _begin(planner, engine, move, now_ms)
+
+
+def _waited_for(planner, service, sites, now_ms) -> frozenset[str]:
     held = {model for site in sites for model in site.models}
-    coming = {model for site in sites for model, _ in site.coming}
-    wanted = [
+    return frozenset(
         model
         for (name, model), asked_ms in planner.wanted.items()
         if name == service.name
         and now_ms - asked_ms <= WANT_MS
-        and model in service.engine.models
-        and model not in held | coming
-    ]
-    crowded = placement.crowded(service.engine, planner.demand, sites)
-    return wanted + [m for m in crowded if m not in wanted]
+        and model not in held
+    )
 
 
 def _site(planner, engine, upstream, now_ms) -> placement.Site:
     upstream_id = upstream.last.upstream_id
     plan = planner.plans.get(upstream_id)
-    used_mb = placement.memory_used_mb(engine, upstream)
-    coming = frozenset()
-    if plan is not None and plan.move.load:
-        coming = frozenset({(plan.move.model, "")})
-        if plan.move.model not in upstream.models:
-            used_mb += plan.ask.size_mb
+    free_mb = engine.weights_mb - placement.memory_used_mb(engine, upstream)
     return placement.Site(
         upstream_id=upstream_id,
         models=upstream.models,
-        copies=frozenset(upstream.last.copies),
-        free_mb=engine.weights_mb - used_mb,
-        is_busy=plan is not None,
-        coming=coming,
-        is_emptying=plan is not None and not plan.move.load,
-        load=sharing.total(planner.loads, upstream_id, now_ms),
+        copies=frozenset(upstream.last.copies)
+        | frozenset(
+            model
+            for model in engine.models
+            if now_ms - planner.dropped_ms.get((upstream_id, model), NEVER_MS)
+            < DROPPED_MS
+        ),
+        free_mb=free_mb,
+        coming=plan.move.model if plan is not None else "",
+        leaving=plan.move.victims if plan is not None else (),
     )
 
 
@@ -208,45 +212,39 @@
     for upstream_id, plan in list(planner.plans.items()):
         upstream = planner.table.upstreams.get(upstream_id)
         held = upstream is not None and plan.move.model in upstream.models
-        if held == plan.move.load or now_ms >= plan.expires_ms:
+        if held or now_ms >= plan.expires_ms:
             planner.plans.pop(upstream_id)
         elif now_ms - plan.sent_ms >= RESEND_MS:
             plan.sent_ms = now_ms
             yield SendPlan(plan.address, plan.ask)
 
 
-def _has_copy(planner: Planner, move: placement.Move) -> bool:
-    upstream = planner.table.upstreams.get(move.upstream_id)
-    told = upstream is not None and move.model in upstream.last.copies
-    return told or (move.upstream_id, move.model) in planner.held_before
-
-
-def _allows(planner, engine, move, now_ms: int) -> bool:
-    """Tell whether the weight store's ceiling allows a move."""
-    if not move.load or _has_copy(planner, move):
-        return True
+def _store_loads(planner, engine, now_ms: int) -> int:
+    """Return how many loads the weight store's ceiling allows now."""
     oldest = now_ms - CEILING_WINDOW_MS
     planner.loads_ms = [t for t in planner.loads_ms if t >= oldest]
     most = engine.loads_per_s * CEILING_WINDOW_MS / 1000 * CEILING_SHARE
     if now_ms - planner.leading_since_ms < CEILING_WINDOW_MS:
         most /= 2
-    return len(planner.loads_ms) + 1 <= max(most, 1)
+    return int(max(most, 1)) - len(planner.loads_ms)
 
 
 def _begin(planner, engine, move, now_ms: int) -> Iterator:
     upstream = planner.table.upstreams[move.upstream_id]
     spec = engine.models[move.model]
-    from_store = move.load and not _has_copy(planner, move)
-    if from_store:
+    if move.from_store:
         planner.loads_ms.append(now_ms)
+    for victim in move.victims:
+        planner.dropped_ms[(move.upstream_id, victim)] = now_ms
     ask = agent.Hold(
         planner.address,
         move.upstream_id,
-        move.load,
+        True,
         move.model,
         "",
         spec.weights_mb,
         documents.capacity(engine),
+        tuple((victim, "") for victim in move.victims),
     )
     expires_ms = now_ms + int(1000 * spec.load_s) + GIVE_UP_MS
     plan = Plan(move, ask, upstream.last.address, now_ms, expires_ms)
@@ -255,10 +253,13 @@
         "placement.planned",
         {
             "upstream": move.upstream_id,
-            "load": move.load,
             "model": move.model,
-            "from_store": from_store,
-            "crowding": round(planner.demand.crowding.get(move.model, 0)),
+            "instead_of": list(move.victims),
+            "from_store": move.from_store,
+            "tokens_per_s": round(
+                placement.rate(planner.demand, move.model, now_ms)
+            ),
+            "gain": round(move.gain),
         },
     )
     yield SendPlan(plan.address, ask)
--- a/bilberryramp/decisions/fleet/scheduling.py
+++ b/bilberryramp/decisions/fleet/scheduling.py
@@ -28,6 +28,7 @@
     "pick_engine",
     "pick_plain",
     "queue_order",
+    "whole_work",
 ]
 
 # Share of an engine's memory that calls may need together; their sizes are
@@ -62,6 +63,9 @@
 # What one running call adds to another's time to its first token, counted
 # in prompt tokens: its share of each step.
 TOKENS_PER_RUNNING_CALL = 60
+# Prompt tokens that an engine reads in the time of one generated token, at
+# the pace of a full batch (data sheet: 64 tokens in about 8 ms).
+WORK_PER_TOKEN_OUT = 5
 # Calls that a plain upstream gets at once, as a multiple of its slots.
 PLAIN_FILL = 2.0
 
@@ -105,6 +109,22 @@
     return prompt.tokens_in + prompt.tokens_out
 
 
+def whole_work(prompt: calls.Prompt) -> int:
+    """Count what an engine must do for a prompt that it knows nothing of.
+
+    Parameters
+    ----------
+    prompt
+        The prompt.
+
+    Returns
+    -------
+    int
+        Prompt tokens, with those to be generated counted in these as well.
+    """
+    return prompt.tokens_in + WORK_PER_TOKEN_OUT * prompt.tokens_out
+
+
 def begin_work(
     load: sharing.Load, prompt: calls.Prompt, cached: int, urgency: int
 ) -> int:
--- a/bilberryramp/decisions/fleet/sharing.py
+++ b/bilberryramp/decisions/fleet/sharing.py
@@ -19,6 +19,7 @@
     "SentPrompt",
     "cached_tokens",
     "level",
+    "note_asked",
     "note_report",
     "note_sent",
     "own_load",
@@ -98,11 +99,14 @@
     sent
         For each prompt its upstream's key, its weights and its parts, as in
         `SentPrompt`.
+    asked
+        Work that clients asked for, by key of the model, in tokens.
     """
 
     sender: str
     rows: tuple[tuple[int, ...], ...]
     sent: tuple[tuple[int, str, tuple[tuple[int, int], ...]], ...]
+    asked: tuple[tuple[int, int], ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -131,6 +135,9 @@
     )
     caches: dict[int, PrefixCache] = dataclasses.field(default_factory=dict)
     unreported: list[SentPrompt] = dataclasses.field(default_factory=list)
+    asked: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     changed: bool = False
     reported_ms: int = 0
 
@@ -267,6 +274,20 @@
     loads.unreported.append(prompt)
 
 
+def note_asked(loads: Loads, model: str, tokens: int) -> None:
+    """Record work that a client asked for, whether it is served or not.
+
+    Parameters
+    ----------
+    loads
+        Changed in place.
+    model, tokens
+        The model, and the work.
+    """
+    loads.asked[short_key(model)] += tokens
+    loads.changed = True
+
+
 def _keep(loads: Loads, prompt: SentPrompt, cache_tokens: int) -> None:
     cache = loads.caches.setdefault(prompt.upstream_key, PrefixCache())
     for part_key, tokens in prompt.parts:
@@ -340,4 +361,6 @@
         (p.upstream_key, p.weights, p.parts) for p in loads.unreported
     )
     loads.unreported = []
-    return Report(sender, rows, sent)
+    asked = tuple(loads.asked.items())
+    loads.asked.clear()
+    return Report(sender, rows, sent, asked)
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -28,14 +28,16 @@
     return documents.ModelSpec(name, weights_mb, load_s, adapters, 40.0)
 
 
-def an_engine(models=("m0", "m1", "m2", "m3", "m4"), **changes):
+def an_engine(models=("m0", "m1", "m2", "m3", "m4"), sizes=(), **changes):
+    specs = {name: a_model(name) for name in models}
+    specs |= {name: a_model(name, size_mb) for name, size_mb in sizes}
     fields = {
         "slots": 64,
         "kv_tokens": 200_000,
         "weights_mb": 200_000.0,
         "adapter_slots": 4,
         "loads_per_s": 2.0,
-        "models": {name: a_model(name) for name in models},
+        "models": specs,
     }
     return documents.EngineSpec(**(fields | changes))
 
@@ -125,6 +127,15 @@
     return list(effects)
 
 
+def arrive(gw, call_id, request, now_ms=10_000):
+    message = calls.Arrived(call_id, request)
+    return drain(gateway.step(gw, now_ms, message))
+
+
+def tick(gw, now_ms):
+    return drain(gateway.step(gw, now_ms, gateway.Tick()))
+
+
 def only(effects, kind):
     return [effect for effect in effects if isinstance(effect, kind)]
 
@@ -159,10 +170,6 @@
         "models": {name: set() for name in models},
         "copies": frozenset(models),
         "free_mb": 200_000.0 - 50_000.0 * len(models),
-        "is_busy": False,
-        "coming": frozenset(),
-        "is_emptying": False,
-        "load": sharing.Load(upstream_id),
     }
     return placement.Site(**(fields | changes))
 
--- a/bilberryramp/decisions/fleet/tests/test_agent.py
+++ b/bilberryramp/decisions/fleet/tests/test_agent.py
@@ -87,6 +87,17 @@
         ask = builders.a_hold("", model="m4")
         self.assertFalse(orders(hold(made, ask)))
 
+    def test_a_model_gives_way_to_the_one_that_was_asked_for(self):
+        held = tuple(presence.Held(f"m{i}", 1, ()) for i in range(4))
+        made = builders.an_agent(held)
+        ask = builders.a_hold("", model="m4", spare=(("m2", ""),))
+        (order,) = orders(hold(made, ask))
+        self.assertEqual((order.load, order.model), (False, "m2"))
+        ended(made, agent.OrderAnswer.DONE)
+        left = tuple(h for h in held if h.model != "m2")
+        (order,) = orders(read(made, 1, left))
+        self.assertEqual((order.load, order.model), (True, "m4"))
+
     def test_the_asker_is_told_when_it_is_there(self):
         held = (presence.Held("m0", 1, ()),)
         made = builders.an_agent(held)
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -14,26 +14,17 @@
 NOW = 10_000
 
 
-def arrive(gw, call_id, request, now_ms=NOW):
-    message = calls.Arrived(call_id, request)
-    return builders.drain(gateway.step(gw, now_ms, message))
-
-
 def over(gw, call_id, end, now_ms=NOW + 50):
     message = calls.AttemptOver(call_id, end)
     return builders.drain(gateway.step(gw, now_ms, message))
 
 
-def tick(gw, now_ms):
-    return builders.drain(gateway.step(gw, now_ms, gateway.Tick()))
-
-
 class ArrivalTest(unittest.TestCase):
     def test_a_node_without_a_document_refuses_and_knows_no_404(self):
         gw = builders.a_gateway()
         gw.doc = None
         (refusal,) = builders.only(
-            arrive(gw, 1, builders.a_request()), calls.Refuse
+            builders.arrive(gw, 1, builders.a_request()), calls.Refuse
         )
         self.assertIs(refusal.reason, calls.Refusal.NO_DOCUMENT)
         self.assertGreater(refusal.retry_after_ms, 0)
@@ -41,14 +32,14 @@
     def test_an_unknown_path_has_no_route(self):
         gw = builders.a_gateway()
         (refusal,) = builders.only(
-            arrive(gw, 1, builders.a_request("/none/x")), calls.Refuse
+            builders.arrive(gw, 1, builders.a_request("/none/x")), calls.Refuse
         )
         self.assertIs(refusal.reason, calls.Refusal.NO_ROUTE)
 
     def test_a_call_goes_out_with_the_time_that_is_left(self):
         gw = builders.a_gateway(upstreams=[builders.an_announcement()])
         (sent,) = builders.only(
-            arrive(gw, 1, builders.a_request(patience_ms=900)),
+            builders.arrive(gw, 1, builders.a_request(patience_ms=900)),
             calls.SendCall,
         )
         self.assertEqual((sent.upstream_id, sent.allowed_ms), ("u1", 900))
@@ -56,7 +47,7 @@
     def test_the_routes_time_bounds_a_patient_client(self):
         gw = builders.a_gateway(upstreams=[builders.an_announcement()])
         (sent,) = builders.only(
-            arrive(gw, 1, builders.a_request(patience_ms=60_000)),
+            builders.arrive(gw, 1, builders.a_request(patience_ms=60_000)),
             calls.SendCall,
         )
         self.assertEqual(sent.allowed_ms, 6000)
@@ -66,7 +57,7 @@
     def test_a_call_that_may_have_run_is_not_sent_again(self):
         ups = [builders.a_plain("p1"), builders.a_plain("p2")]
         gw = builders.a_gateway(upstreams=ups)
-        arrive(gw, 1, builders.a_request("/file/x"))
+        builders.arrive(gw, 1, builders.a_request("/file/x"))
         effects = over(gw, 1, calls.End.BROKEN)
         self.assertFalse(builders.only(effects, calls.SendCall))
         (failure,) = builders.only(effects, calls.Fail)
@@ -76,7 +67,8 @@
         ups = [builders.a_plain("p1"), builders.a_plain("p2")]
         gw = builders.a_gateway(upstreams=ups)
         (first,) = builders.only(
-            arrive(gw, 1, builders.a_request("/look/x")), calls.SendCall
+            builders.arrive(gw, 1, builders.a_request("/look/x")),
+            calls.SendCall,
         )
         (second,) = builders.only(
             over(gw, 1, calls.End.BROKEN), calls.SendCall
@@ -89,7 +81,7 @@
     def test_a_refused_call_goes_on_even_if_it_may_not_repeat(self):
         ups = [builders.a_plain("p1"), builders.a_plain("p2")]
         gw = builders.a_gateway(upstreams=ups)
-        arrive(gw, 1, builders.a_request("/file/x"))
+        builders.arrive(gw, 1, builders.a_request("/file/x"))
         self.assertTrue(
             builders.only(over(gw, 1, calls.End.NOT_RUN), calls.SendCall)
         )
@@ -98,7 +90,7 @@
         """An unknown first attempt forbids a refusal after the second."""
         ups = [builders.a_plain("p1"), builders.a_plain("p2")]
         gw = builders.a_gateway(upstreams=ups)
-        arrive(gw, 1, builders.a_request("/look/x"))
+        builders.arrive(gw, 1, builders.a_request("/look/x"))
         over(gw, 1, calls.End.BROKEN)
         gw.budget_limits = builders.retry_budget.Limits(0.0, 0.0, 10_000)
         effects = over(gw, 1, calls.End.NOT_RUN)
@@ -111,7 +103,7 @@
         gw.node_count = 30
         repeats = 0
         for call_id in range(20):
-            arrive(gw, call_id, builders.a_request("/look/x"))
+            builders.arrive(gw, call_id, builders.a_request("/look/x"))
             effects = over(gw, call_id, calls.End.NOT_RUN)
             repeats += len(builders.only(effects, calls.SendCall))
             over(gw, call_id, calls.End.DELIVERED)
@@ -123,7 +115,7 @@
         gw = builders.a_gateway(upstreams=[builders.an_announcement()])
         leaving = builders.an_announcement(seq=2, leaving=True)
         builders.drain(gateway.step(gw, NOW, leaving))
-        effects = arrive(gw, 1, builders.a_request())
+        effects = builders.arrive(gw, 1, builders.a_request())
         self.assertFalse(builders.only(effects, calls.SendCall))
 
     def test_a_late_heartbeat_does_not_bring_it_back(self):
@@ -150,11 +142,13 @@
         big = builders.a_prompt(tokens_in=20_000)
         sent = 0
         for call_id in range(10):
-            effects = arrive(gw, call_id, builders.a_request(prompt=big))
+            effects = builders.arrive(
+                gw, call_id, builders.a_request(prompt=big)
+            )
             sent += len(builders.only(effects, calls.SendCall))
         # One second of reading is some 38,000 tokens.
         self.assertLessEqual(sent, 2)
-        refused = builders.only(tick(gw, NOW + 2300), calls.Refuse)
+        refused = builders.only(builders.tick(gw, NOW + 2300), calls.Refuse)
         self.assertEqual(len(refused), 10 - sent)
         self.assertTrue(all(r.retry_after_ms >= 200 for r in refused))
 
@@ -164,8 +158,8 @@
         gw = builders.a_gateway(doc, [builders.an_announcement()])
         big = builders.a_prompt(tokens_in=30_000)
         for call_id in range(4):
-            arrive(gw, call_id, builders.a_request(prompt=big))
-        effects = arrive(
+            builders.arrive(gw, call_id, builders.a_request(prompt=big))
+        effects = builders.arrive(
             gw, 9, builders.a_request("/quick/x", builders.a_prompt(500))
         )
         (sent,) = builders.only(effects, calls.SendCall)
@@ -176,7 +170,7 @@
         doc = builders.a_document(engine=engine)
         gw = builders.a_gateway(doc, [builders.an_announcement()])
         for call_id in range(30):
-            arrive(gw, call_id, builders.a_request())
+            builders.arrive(gw, call_id, builders.a_request())
             load = sharing.total(gw.loads, "u1", NOW)
             self.assertLessEqual(load.tokens, 10_000)
 
@@ -185,7 +179,7 @@
     def test_an_adapter_is_asked_for_and_the_call_follows_it(self):
         gw = builders.a_gateway(upstreams=[builders.an_announcement()])
         prompt = builders.a_prompt(adapter="a1")
-        effects = arrive(gw, 1, builders.a_request(prompt=prompt))
+        effects = builders.arrive(gw, 1, builders.a_request(prompt=prompt))
         (plan,) = builders.only(effects, planner.SendPlan)
         self.assertEqual((plan.ask.model, plan.ask.adapter), ("m0", "a1"))
         told = agent.Holding("u1", "m0", "a1", True)
@@ -206,7 +200,7 @@
         """Replays a call that waited for a model until its node exited."""
         gw = builders.a_gateway(upstreams=[builders.an_announcement()])
         prompt = builders.a_prompt(model="m3")
-        effects = arrive(gw, 1, builders.a_request(prompt=prompt))
+        effects = builders.arrive(gw, 1, builders.a_request(prompt=prompt))
         self.assertFalse(builders.only(effects, calls.Refuse))
         effects = builders.drain(
             gateway.step(gw, NOW + 100, gateway.Closing())
@@ -233,7 +227,7 @@
             builders.a_document(routes=[split]), [builders.a_plain("p1")]
         )
         (sent,) = builders.only(
-            arrive(gw, 1, builders.a_request("/s/x")), calls.SendCall
+            builders.arrive(gw, 1, builders.a_request("/s/x")), calls.SendCall
         )
         self.assertEqual(sent.upstream_id, "p1")
 
@@ -243,12 +237,13 @@
         ups = [builders.a_plain("p1"), builders.a_plain("p2")]
         gw = builders.a_gateway(upstreams=ups)
         (first,) = builders.only(
-            arrive(gw, 1, builders.a_request("/file/x")), calls.SendCall
+            builders.arrive(gw, 1, builders.a_request("/file/x")),
+            calls.SendCall,
         )
         over(gw, 1, calls.End.UNREACHABLE)
         for call_id in range(2, 6):
             (sent,) = builders.only(
-                arrive(gw, call_id, builders.a_request("/file/x")),
+                builders.arrive(gw, call_id, builders.a_request("/file/x")),
                 calls.SendCall,
             )
             self.assertNotEqual(sent.upstream_id, first.upstream_id)
@@ -256,7 +251,7 @@
     def test_the_last_upstream_is_never_given_up(self):
         gw = builders.a_gateway(upstreams=[builders.a_plain("p1")])
         for call_id in range(6):
-            arrive(gw, call_id, builders.a_request("/file/x"))
+            builders.arrive(gw, call_id, builders.a_request("/file/x"))
             over(gw, call_id, calls.End.BROKEN)
-        effects = arrive(gw, 9, builders.a_request("/file/x"))
+        effects = builders.arrive(gw, 9, builders.a_request("/file/x"))
         self.assertTrue(builders.only(effects, calls.SendCall))
--- a/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
+++ b/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
@@ -6,69 +6,137 @@
 NOW = 100_000
 
 
-def use(demand, site, model, now_ms):
-    key = sharing.short_key(site.upstream_id)
-    placement.note_use(demand, key, model, now_ms)
+def asked(rates, now_ms=NOW):
+    """Build demand in tokens a second by model."""
+    demand = placement.Demand()
+    for model, tokens_per_s in rates.items():
+        tokens = tokens_per_s * placement.DEMAND_MS // 1000
+        placement.note_asked(demand, sharing.short_key(model), tokens, now_ms)
+    return demand
 
 
-class MakeRoomTest(unittest.TestCase):
+def plan(sites, demand, waited_for=(), store_loads=9, **engine):
+    moves = placement.plan_moves(
+        builders.an_engine(**engine),
+        sites,
+        demand,
+        frozenset(waited_for),
+        store_loads,
+        NOW,
+    )
+    return builders.drain(moves)
+
+
+class ShiftOfDemandTest(unittest.TestCase):
+    """Replays demand that moves to a model with a single holder."""
+
+    def sites(self):
+        """Build six engines full of what was asked for before."""
+        filling = ("m0", "m1", "m2")
+        return [builders.a_site("u0", ("m3", *filling))] + [
+            builders.a_site(f"u{i}", ("m4", *filling)) for i in range(1, 6)
+        ]
+
+    def test_copies_come_at_once_at_several_engines(self):
+        """One copy after another, each loaded for seconds, is too slow."""
+        moves = plan(self.sites(), asked({"m3": 100_000}))
+        self.assertEqual({move.model for move in moves}, {"m3"})
+        self.assertGreaterEqual(len(moves), 3)
+        self.assertEqual(len({move.upstream_id for move in moves}), len(moves))
+
+    def test_demand_that_was_refused_counts_too(self):
+        gw = builders.a_gateway()
+        prompt = builders.a_prompt(tokens_in=9000, model="m3")
+        for call_id in range(9):
+            request = builders.a_request(prompt=prompt)
+            builders.arrive(gw, call_id, request)
+        builders.tick(gw, 10_200)
+        rate = placement.rate(gw.demand, "m3", 10_200)
+        self.assertGreater(rate, 9 * 9000 * 0.9 / 3)
+
+    def test_old_demand_is_forgotten(self):
+        """Replays a model that stayed crowded for ever once it was gone."""
+        demand = asked({"m3": 100_000}, NOW - 20_000)
+        self.assertEqual(plan(self.sites(), demand), [])
+
+    def test_copies_that_are_on_their_way_count(self):
+        sites = self.sites()
+        demand = asked({"m3": 9000})
+        first = plan(sites, demand)
+        self.assertEqual(len(first), 1)
+        moved = first[0].upstream_id
+        sites = [
+            builders.a_site(s.upstream_id, tuple(s.models), coming="m3")
+            if s.upstream_id == moved
+            else s
+            for s in sites
+        ]
+        self.assertEqual(plan(sites, demand), [])
+
+    def test_even_demand_leaves_all_as_it_is(self):
+        models = ("m0", "m1", "m2", "m3", "m4")
+        rates = dict.fromkeys(models, 20_000)
+        sites = [
+            builders.a_site(f"u{i}", models[i % 2 : i % 2 + 4])
+            for i in range(6)
+        ]
+        self.assertEqual(plan(sites, asked(rates)), [])
+
+    def test_the_weight_store_bounds_new_copies(self):
+        moves = plan(self.sites(), asked({"m3": 100_000}), store_loads=2)
+        self.assertEqual(len(moves), 2)
+
+
+class RareModelTest(unittest.TestCase):
+    """Replays models without a holder that are asked for."""
+
     def test_a_copy_at_hand_goes_before_the_weight_store(self):
+        full = ("m0", "m1", "m2", "m3")
+        at_hand = frozenset({*full, "m4"})
         sites = [
-            builders.a_site("u1", ("m0",), copies=frozenset({"m0"})),
-            builders.a_site("u2", ("m0",), copies=frozenset({"m0", "m1"})),
+            builders.a_site("u1", ("m0",)),
+            builders.a_site("u2", full, copies=at_hand),
+            builders.a_site("u3", full),
         ]
-        demand = placement.Demand()
-        move = placement.make_room(
-            builders.an_engine(), sites, "m1", demand, NOW, True
-        )
-        self.assertEqual(move, placement.Move("u2", True, "m1"))
+        (move, *_) = plan(sites, placement.Demand(), {"m4"})
+        self.assertEqual((move.upstream_id, move.from_store), ("u2", False))
+        self.assertEqual(len(move.victims), 1)
 
     def test_a_surplus_copy_gives_way_before_a_last_one(self):
         full = ("m0", "m1", "m2", "m3")
-        sites = [builders.a_site("u1", full), builders.a_site("u2", ("m0",))]
-        sites[1] = builders.a_site("u2", ("m0",), is_busy=True)
-        demand = placement.Demand()
-        move = placement.make_room(
-            builders.an_engine(), sites, "m4", demand, NOW, True
-        )
-        self.assertEqual(move, placement.Move("u1", False, "m0"))
+        sites = [
+            builders.a_site("u1", full),
+            builders.a_site("u2", ("m0",), coming="m0"),
+        ]
+        (move,) = plan(sites, placement.Demand(), {"m4"})
+        self.assertEqual(move.victims, ("m0",))
 
-    def test_the_last_copy_of_a_model_in_use_stays(self):
+    def test_the_few_copies_of_busy_models_stay(self):
         full = ("m0", "m1", "m2", "m3")
-        site = builders.a_site("u1", full)
-        demand = placement.Demand()
-        for model in full:
-            use(demand, site, model, NOW - 100)
-        move = placement.make_room(
-            builders.an_engine(), [site], "m4", demand, NOW, True
-        )
-        self.assertIsNone(move)
+        demand = asked(dict.fromkeys(full, 60_000))
+        sites = [builders.a_site("u1", full)]
+        self.assertEqual(plan(sites, demand, {"m4"}), [])
 
-    def test_crowding_alone_never_takes_a_last_copy(self):
+    def test_an_absent_model_takes_free_memory_only(self):
         full = ("m0", "m1", "m2", "m3")
-        move = placement.make_room(
-            builders.an_engine(),
-            [builders.a_site("u1", full)],
-            "m4",
+        sites = [builders.a_site("u1", full)]
+        self.assertEqual(plan(sites, placement.Demand()), [])
+        sites.append(builders.a_site("u2", ("m0",)))
+        (move,) = plan(sites, placement.Demand())
+        self.assertEqual((move.model, move.victims), ("m4", ()))
+
+    def test_several_give_way_to_a_large_one(self):
+        small = ("m0", "m1", "m2")
+        sites = [builders.a_site("u1", small)]
+        (move,) = plan(
+            sites,
             placement.Demand(),
-            NOW,
-            False,
+            {"m9"},
+            models=small,
+            sizes=(("m9", 120_000.0),),
         )
-        self.assertIsNone(move)
+        self.assertEqual(len(move.victims), 2)
 
 
-class CrowdedTest(unittest.TestCase):
-    def test_a_model_is_crowded_if_all_its_holders_are(self):
-        busy = sharing.Load("u1", 5, 50_000, [0, 40_000, 0, 0])
-        sites = [
-            builders.a_site("u1", ("m0",), load=busy),
-            builders.a_site("u2", ("m0", "m1")),
-        ]
-        demand = placement.Demand()
-        for _ in range(5):
-            placement.note_crowding(demand, sites)
-        engine = builders.an_engine()
-        self.assertEqual(placement.crowded(engine, demand, sites), [])
-        for _ in range(5):
-            placement.note_crowding(demand, sites[:1])
-        self.assertEqual(placement.crowded(engine, demand, sites), ["m0"])
+if __name__ == "__main__":
+    unittest.main()
