Be back sooner after all nodes have started again

Restarted voters sent signs of life to the seeds alone, which had been exchanged for nodes that started 0.7 s later; the first canvass was lost while its connections were being made; the first plan to each agent likewise, and was sent again only after 0.6 s; the planner and readiness waited for 1.1 heartbeats in any case.

Ruled out: the start of the processes (0.4 s on the core; 0.06 s of it were certificates read for TLS, which no connection uses); disks.

Change: signs of life go to the stored voters too, each 150 ms until a leader is known; plans are sent again after 60 ms, then at doubling intervals; a node is ready, and plans, once no new upstream has appeared for 250 ms; a call waits for a copy at hand by that copy's load time.

--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -44,6 +44,9 @@
 MOST_RETRY_AFTER_MS = 2000
 # A node that holds no document yet usually gets one within this time.
 START_RETRY_AFTER_MS = 700
+# Upstreams announce themselves one by one; after this long without a new one
+# a node that has just started counts as knowing them.
+ALL_KNOWN_MS = 250
 # How many waiting calls are looked at when room may have come free.
 QUEUE_SCAN = 64
 
@@ -65,9 +68,26 @@
     """Time has passed."""
 
 
-def is_ready(gw: gateway_state.Gateway) -> bool:
-    """Tell whether the entry holds a document and so can serve."""
-    return gw.doc is not None
+def is_ready(gw: gateway_state.Gateway, now_ms: int) -> bool:
+    """Tell whether the entry can serve.
+
+    Parameters
+    ----------
+    gw, now_ms
+        The entry and the present.
+
+    Returns
+    -------
+    bool
+        Whether it holds a document and knows the upstreams.
+    """
+    if gw.doc is None:
+        return False
+    if now_ms >= gw.heard_all_ms:
+        return True
+    found = {known.last.service for known in gw.table.upstreams.values()}
+    is_settled = now_ms - gw.table.grown_ms >= ALL_KNOWN_MS
+    return is_settled and found >= set(gw.doc.services)
 
 
 def is_idle(gw: gateway_state.Gateway) -> bool:
@@ -422,7 +442,7 @@
     if (
         not gw.is_closing
         and left_ms >= LEAST_TIME_MS
-        and scheduling.may_wait(call, _load_time_ms(gw, call), now_ms)
+        and scheduling.may_wait(call, _load_time_ms(gw, call, now_ms), now_ms)
     ):
         return
     reason = calls.Refusal.STOPPING if gw.is_closing else call.why
@@ -444,14 +464,23 @@
     )
 
 
-def _load_time_ms(gw: gateway_state.Gateway, call: calls.Call) -> float:
+def _load_time_ms(
+    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
+) -> float:
     """Return how long a call's model takes to load, 0 if it waits for none."""
     engine = gateway_state.engine_spec(gw, call.service)
     prompt = call.request.prompt
     if call.why is not calls.Refusal.NO_MODEL or engine is None:
         return 0.0
     spec = engine.models.get(prompt.model)
-    return 1000 * spec.load_s if spec is not None else 0.0
+    if spec is None:
+        return 0.0
+    is_at_hand = any(
+        prompt.model in upstream.last.copies
+        for upstream in presence.usable(gw.table, call.service, now_ms)
+    )
+    share = placement.AT_HAND_SHARE if is_at_hand else 1.0
+    return 1000 * spec.load_s * share
 
 
 def _retry_after(
@@ -462,7 +491,7 @@
         for u in presence.usable(gw.table, call.service, now_ms)
     ]
     wait_ms = min(backlogs, default=0) * scheduling.USUAL_PACE
-    wait_ms = max(wait_ms, _load_time_ms(gw, call))
+    wait_ms = max(wait_ms, _load_time_ms(gw, call, now_ms))
     return int(min(max(wait_ms, LEAST_RETRY_AFTER_MS), MOST_RETRY_AFTER_MS))
 
 
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -37,6 +37,8 @@
         When each agent was first asked for something it has not answered.
     is_closing
         Whether the process ends soon, so that no call may wait.
+    heard_all_ms
+        From then on every upstream must have announced itself here.
     node_count
         Entries that share the retry budget, this one included.
     """
@@ -63,6 +65,7 @@
         default_factory=placement.Demand
     )
     asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    heard_all_ms: int = 0
     node_count: int = 1
     is_closing: bool = False
 
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -13,6 +13,7 @@
 from bilberryramp.decisions.fleet import documents, presence, sharing
 
 __all__ = [
+    "AT_HAND_SHARE",
     "Demand",
     "Move",
     "Site",
--- a/bilberryramp/decisions/fleet/planner.py
+++ b/bilberryramp/decisions/fleet/planner.py
@@ -23,9 +23,11 @@
 REVIEW_MS = 300
 # A want counts this long after it was last asked for.
 WANT_MS = 1500
-# A plan is sent again until it is seen to be carried out, and given up
-# after its nominal time and this much more.
-RESEND_MS = 400
+# A plan is sent again until it is seen to be carried out, soon at first, for
+# a connection to the agent may still have to come about. It is given up
+# after its nominal time and GIVE_UP_MS more.
+RESEND_MS = 60
+MOST_RESEND_MS = 800
 GIVE_UP_MS = 4000
 # Window of the weight store's ceiling and the part of it that is used; a
 # new leader, who does not know its predecessor's loads, uses half of that.
@@ -59,6 +61,7 @@
     address: str
     sent_ms: int
     expires_ms: int
+    resend_ms: int = RESEND_MS
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -151,6 +154,7 @@
     """
     if planner.leading_since_ms < 0:
         return
+    yield from _follow_up(planner, now_ms)
     if now_ms - planner.reviewed_ms < REVIEW_MS:
         return
     planner.reviewed_ms = now_ms
@@ -162,7 +166,6 @@
 def _review_service(planner, service, now_ms) -> Iterator:
     engine = service.engine
     upstreams = list(presence.usable(planner.table, service.name, now_ms))
-    yield from _follow_up(planner, now_ms)
     sites = [_site(planner, engine, u, now_ms) for u in upstreams]
     moves = placement.plan_moves(
         engine,
@@ -214,8 +217,9 @@
         held = upstream is not None and plan.move.model in upstream.models
         if held or now_ms >= plan.expires_ms:
             planner.plans.pop(upstream_id)
-        elif now_ms - plan.sent_ms >= RESEND_MS:
+        elif now_ms - plan.sent_ms >= plan.resend_ms:
             plan.sent_ms = now_ms
+            plan.resend_ms = min(2 * plan.resend_ms, MOST_RESEND_MS)
             yield SendPlan(plan.address, plan.ask)
 
 
--- a/bilberryramp/decisions/fleet/presence.py
+++ b/bilberryramp/decisions/fleet/presence.py
@@ -114,9 +114,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Table:
-    """All upstreams by id, and the newest id at each address."""
+    """All upstreams by id, and the newest id at each address.
+
+    Attributes
+    ----------
+    grown_ms
+        When an upstream was last heard for the first time.
+    """
 
     beat_ms: int
+    grown_ms: int = 0
     upstreams: dict[str, Upstream] = dataclasses.field(default_factory=dict)
     by_address: dict[str, str] = dataclasses.field(default_factory=dict)
 
@@ -146,6 +153,7 @@
     if known is None or known.last.born_ms != told.born_ms:
         known = Upstream(told, now_ms)
         table.upstreams[told.upstream_id] = known
+        table.grown_ms = now_ms
     ends = told.leaving or told.gone
     if ends and known.leaving_since_ms < 0:
         known.leaving_since_ms = now_ms
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -44,6 +44,9 @@
 # Timing of the register in milliseconds. The lease ends before followers
 # may vote again, with room for clocks that drift by a fifth.
 BEAT_MS = 700
+# Signs of life while no leader is known, so that connections stand by the
+# time of the first election after all nodes have started.
+EAGER_BEAT_MS = 150
 HEARTBEAT_MS = 120
 LEARNER_HEARTBEAT_MS = 360
 LEASE_MS = 520
@@ -318,7 +321,7 @@
     if node.published < 0 and node.settled is not None:
         yield from _settle(node, node.settled)
     if now_ms >= node.beat_due_ms:
-        node.beat_due_ms = now_ms + BEAT_MS
+        node.beat_due_ms = now_ms + (BEAT_MS if node.leader else EAGER_BEAT_MS)
         yield from _send_beats(node, now_ms)
     if node.phase == "leader":
         yield from _tick_leader(node, now_ms)
@@ -330,7 +333,9 @@
 def _send_beats(node: Node, now_ms: int) -> Iterator:
     _forget_silent(node, now_ms)
     beat = _beat(node)
-    for address in sorted({*node.seeds, *node.addresses} - {node.me.address}):
+    voters = electorate.voters(node.record) if node.record else ()
+    known = {*node.seeds, *node.addresses, *(v.address for v in voters)}
+    for address in sorted(known - {node.me.address}):
         yield effects.Send(address, beat)
 
 
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -28,16 +28,15 @@
     return documents.ModelSpec(name, weights_mb, load_s, adapters, 40.0)
 
 
-def an_engine(models=("m0", "m1", "m2", "m3", "m4"), sizes=(), **changes):
-    specs = {name: a_model(name) for name in models}
-    specs |= {name: a_model(name, size_mb) for name, size_mb in sizes}
+def an_engine(models=("m0", "m1", "m2", "m3", "m4"), specs=(), **changes):
+    made = {name: a_model(name) for name in models} | dict(specs)
     fields = {
         "slots": 64,
         "kv_tokens": 200_000,
         "weights_mb": 200_000.0,
         "adapter_slots": 4,
         "loads_per_s": 2.0,
-        "models": specs,
+        "models": made,
     }
     return documents.EngineSpec(**(fields | changes))
 
--- a/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
+++ b/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
@@ -133,7 +133,7 @@
             placement.Demand(),
             {"m9"},
             models=small,
-            sizes=(("m9", 120_000.0),),
+            specs={"m9": builders.a_model("m9", 120_000.0)},
         )
         self.assertEqual(len(move.victims), 2)
 
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -75,7 +75,6 @@
     gateway: gateway_task.GatewayTask
     front: fleet_frontend.Frontend
     mesh: peer_mesh.Mesh
-    started_ms: int
     servers: list = dataclasses.field(default_factory=list)
     stop_asked: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
@@ -117,7 +116,6 @@
         settled_version=node.settled.version if node.settled else None,
     )
     # What exists now lives as long as the process.
-    gc.collect()
     gc.freeze()
     stopped = asyncio.create_task(_stop_when_asked(proc))
     done, _ = await asyncio.wait(
@@ -150,6 +148,7 @@
         ),
         cfg.failure_domain,
     )
+    gw.heard_all_ms = now_ms + round(BEATS_TO_HEAR * cfg.heartbeat_ms)
     plans = planner.Planner(address, table, gw.loads, gw.demand)
     session = upstream_exchange.open_session()
     gateway_owner = gateway_task.GatewayTask(
@@ -164,9 +163,7 @@
         cfg, address, rng, now_ms, register_box, gateway_box, mesh
     )
     front = fleet_frontend.Frontend(gateway_owner, session, exchanges)
-    return NodeProcess(
-        cfg, path, register_owner, gateway_owner, front, mesh, now_ms
-    )
+    return NodeProcess(cfg, path, register_owner, gateway_owner, front, mesh)
 
 
 def _open_register(
@@ -256,11 +253,8 @@
 
 
 def _is_ready(proc: NodeProcess) -> bool:
-    heard_ms = proc.started_ms + BEATS_TO_HEAR * proc.cfg.heartbeat_ms
-    ready = (
-        gateway.is_ready(proc.gateway.gw)
-        and clock.boot_ms() >= heard_ms
-        and not proc.stop_asked.is_set()
+    ready = not proc.stop_asked.is_set() and gateway.is_ready(
+        proc.gateway.gw, clock.boot_ms()
     )
     if ready != proc.was_ready:
         proc.was_ready = ready
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -168,7 +168,7 @@
 
 
 def _review(task: GatewayTask, now_ms: int) -> None:
-    if task.gw.doc is not None:
+    if gateway.is_ready(task.gw, now_ms):
         for effect in planner.review(task.planner, task.gw.doc, now_ms):
             _perform(task, now_ms, effect)
 
