--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -127,8 +127,10 @@
     need_tokens, unread_tokens, level
         What the current attempt is charged at its upstream, and as how
         urgent.
-    why
-        Why it waits, for the log and the refusal.
+    begun_ms
+        When the answer began; -1 before.
+    why, was_held
+        Why it waits, for the log and the refusal, and whether it ever did.
     """
 
     call_id: int
@@ -149,7 +151,9 @@
     unread_tokens: int = 0
     level: int = 0
     sent_ms: int = 0
+    begun_ms: int = -1
     why: Refusal = Refusal.OVERLOADED
+    was_held: bool = False
     asked_ms: int = -(10**9)
 
 
@@ -173,10 +177,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AttemptOver:
-    """An attempt ended."""
+    """An attempt ended.
+
+    Attributes
+    ----------
+    longest_gap_ms
+        Longest pause between two pieces of a stream.
+    """
 
     call_id: int
     end: End
+    longest_gap_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -229,6 +229,7 @@
             "cached_tokens": choice.cached if choice else 0,
             "estimate_ms": round(choice.estimate_ms) if choice else 0,
             "waited_ms": now_ms - call.arrived_ms,
+            "waited_for": call.why.value if call.was_held else "",
             "send": call.sends,
         },
     )
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -236,6 +236,7 @@
         )
     yield from dispatch.try_place(gw, now_ms, call)
     if call.phase == "waiting":
+        call.was_held = True
         yield from _refuse_if_hopeless(gw, now_ms, call)
 
 
@@ -246,6 +247,7 @@
     if call is None:
         return
     prompt = call.request.prompt
+    call.begun_ms = now_ms
     if prompt is not None and call.phase == "sent":
         took_ms = now_ms - call.sent_ms
         scheduling.note_pace(gw.paces, prompt.model, call.work, took_ms)
@@ -286,6 +288,10 @@
             "send": call.sends,
             "end": end.value,
             "took_ms": now_ms - call.sent_ms,
+            "begun_after_ms": call.begun_ms - call.sent_ms
+            if call.begun_ms >= call.sent_ms
+            else -1,
+            "longest_gap_ms": message.longest_gap_ms,
         },
     )
     if end is calls.End.DELIVERED:
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -178,7 +178,8 @@
         attempt = _Attempt(front, request, body, asked, step)
         end = await _try_once(attempt)
         failed = attempt.failed or failed
-        mailbox.post_now(task.box, calls.AttemptOver(call_id, end))
+        gap_ms = round(1000 * attempt.longest_gap_s)
+        mailbox.post_now(task.box, calls.AttemptOver(call_id, end, gap_ms))
         if end in (calls.End.DELIVERED, calls.End.CUT):
             task.decisions.pop(call_id, None)
             return attempt.response
@@ -197,6 +198,8 @@
         What the client got or gets; None until it is known.
     failed
         The upstream's own failure, to be passed on if nothing better comes.
+    longest_gap_s
+        Longest pause between two pieces of a stream.
     """
 
     front: Frontend
@@ -206,6 +209,7 @@
     sending: calls.SendCall
     response: web.StreamResponse | None = None
     failed: upstream_exchange.Answer | None = None
+    longest_gap_s: float = 0.0
 
 
 async def _try_once(attempt: _Attempt) -> calls.End:
@@ -279,9 +283,14 @@
     out = _head(attempt.front, begun.resp.status, begun.resp.raw_headers)
     attempt.response = out
     await out.prepare(attempt.request)
+    loop = asyncio.get_running_loop()
+    seen = loop.time()
     while chunk:
         await out.write(chunk)
         chunk = await upstream_exchange.read_some(begun)
+        now = loop.time()
+        attempt.longest_gap_s = max(attempt.longest_gap_s, now - seen)
+        seen = now
         if isinstance(chunk, calls.End):
             _break_off(attempt)
             return calls.End.CUT
