Take turns with long prompts, and give busy models more copies

An engine reads a piece of a prompt in each step (some 130 ms), so prompts that follow one another without a break hold up its streams; that happened where a model had too few copies (titi: 31 of 59 paused with 3 copies, 4 of 65 with 6). The planner had itself given up copies before traffic began, to bring models that nobody asked for, and valued a copy no more where the others had twice the work they could do.

--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -113,6 +113,8 @@
         Effects of `calls`, `Trace` and `Report`.
     """
     yield from _HANDLERS[type(message)](gw, now_ms, message)
+    if gw.loads.is_urgent:
+        yield from _tell_load(gw, now_ms)
 
 
 # What the entry knows.
@@ -183,6 +185,10 @@
 def _on_tick(gw: gateway_state.Gateway, now_ms: int, _message) -> Iterator:
     presence.drop_gone(gw.table, now_ms)
     yield from _serve_queue(gw, now_ms)
+    yield from _tell_load(gw, now_ms)
+
+
+def _tell_load(gw: gateway_state.Gateway, now_ms: int) -> Iterator:
     report = sharing.report_due(gw.loads, gw.address, now_ms)
     if report is not None:
         _note_uses(gw, report, now_ms)
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -103,21 +103,15 @@
     load.tokens += call.need_tokens
     load.unread[call.level] += call.unread_tokens
     _count_adapter(load, call, 1)
-    gw.loads.changed = True
+    sharing.note_change(gw.loads, call.upstream_id, call.unread_tokens)
     yield from ()
 
 
-def _count_adapter(load: sharing.Load, call: calls.Call, change: int) -> None:
-    prompt = call.request.prompt
-    if prompt is not None and prompt.adapter:
-        sharing.note_adapter(load, prompt.weights, change)
-
-
 def _mark_read(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.unread[call.level] -= call.unread_tokens
+    sharing.note_change(gw.loads, call.upstream_id, call.unread_tokens)
     call.unread_tokens = 0
-    gw.loads.changed = True
     yield from ()
 
 
@@ -127,11 +121,17 @@
     load.tokens -= call.need_tokens
     load.unread[call.level] -= call.unread_tokens
     _count_adapter(load, call, -1)
+    sharing.note_change(gw.loads, call.upstream_id, call.unread_tokens)
     call.need_tokens = call.unread_tokens = 0
-    gw.loads.changed = True
     yield from ()
 
 
+def _count_adapter(load: sharing.Load, call: calls.Call, change: int) -> None:
+    prompt = call.request.prompt
+    if prompt is not None and prompt.adapter:
+        sharing.note_adapter(load, prompt.weights, change)
+
+
 def _join_queue(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     gw.queue[call.call_id] = call
     yield from ()
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -39,7 +39,12 @@
 WAITED_FOR = 20_000.0
 ABSENT = 5000.0
 # What the last copy of a model is worth beyond its demand.
-LAST_COPY = 2500.0
+LAST_COPY = 1500.0
+# What an engine reads at most, in tokens a second (data sheet), and how much
+# more a copy is worth where the others have that much to do: calls wait the
+# longer the less of an engine is idle.
+ENGINE_RATE = 38_700.0
+PRESSURE = 3.0
 # A copy in use may still run something, which its unloading waits for.
 IN_USE_MS = 3000
 IN_USE = 1000.0
@@ -51,6 +56,9 @@
 AT_HAND_SHARE = 0.2
 # Weight of what an engine does already among places for a copy.
 BALANCE = 0.1
+# Part of the demand for a model with adapters that is held up by a load at
+# its engine.
+ADAPTERS_HELD_UP = 0.5
 # Moves that are begun at one look.
 MOST_MOVES = 8
 # An adapter to which no call was sent this long may be unloaded if none is in
@@ -361,16 +369,21 @@
     """Return what one more copy of a model is worth."""
     copies, asked = plan.copies[model], plan.rates[model]
     if copies > 0:
-        return asked / (copies * (copies + 1))
+        return _relief(asked, copies)
     return asked + (WAITED_FOR if model in plan.waited_for else ABSENT)
 
 
+def _relief(asked: float, copies: int) -> float:
+    """Return what one copy more takes off each of a model's copies."""
+    busy = asked / copies / ENGINE_RATE
+    return asked / (copies * (copies + 1)) * (1 + PRESSURE * busy**2)
+
+
 def _loss(plan: _Plan, site: Site, model: str) -> float:
     """Return what is lost when an engine gives a copy up."""
     asked = plan.rates.get(model, 0.0)
     copies = plan.copies[model]
-    is_last = copies <= 1
-    lost = asked + LAST_COPY if is_last else asked / (copies * (copies - 1))
+    lost = _relief(asked, copies - 1) if copies > 1 else asked + LAST_COPY
     key = (sharing.short_key(site.upstream_id), model)
     used_ms = plan.demand.used_ms.get(key)
     if used_ms is not None and plan.now_ms - used_ms < IN_USE_MS:
@@ -392,24 +405,35 @@
         if held in plan.engine.models
     )
     victims = _victims(plan, losses, spec.weights_mb - site.free_mb)
-    if victims is None:
+    is_waited_for = model in plan.waited_for
+    is_spare = not plan.copies[model] and not is_waited_for
+    if victims is None or is_spare and victims:
         return
     load_s = spec.load_s * (1.0 if from_store else AT_HAND_SHARE)
     lost = sum(loss for loss, held in losses if held in victims)
-    done = sum(
-        plan.rates.get(held, 0.0) / max(plan.copies[held], 1)
-        for held in site.models
-    )
     gain = (
         _worth(plan, model) * max(1 - load_s / HORIZON_S, 0.1)
         - HYSTERESIS * lost
-        - BALANCE * done
+        - _disturbance(plan, site, load_s)
     )
-    is_waited_for = model in plan.waited_for
     if gain > (0 if is_waited_for else MOVE_COST):
         yield Move(site.upstream_id, model, victims, from_store, gain)
 
 
+def _disturbance(plan: _Plan, site: Site, load_s: float) -> float:
+    """Return what a load takes from what an engine does already.
+
+    Another model shares its batch, and no adapter can come while it loads.
+    """
+    lost = 0.0
+    for held in site.models:
+        done = plan.rates.get(held, 0.0) / max(plan.copies[held], 1)
+        lost += BALANCE * done
+        if held in plan.engine.models and plan.engine.models[held].adapters:
+            lost += ADAPTERS_HELD_UP * done * load_s / HORIZON_S
+    return lost
+
+
 def _victims(
     plan: _Plan, losses: list[tuple[float, str]], short_mb: float
 ) -> tuple[str, ...] | None:
--- a/bilberryramp/decisions/fleet/scheduling.py
+++ b/bilberryramp/decisions/fleet/scheduling.py
@@ -49,6 +49,15 @@
 LEAST_WORK = 1500
 # Time kept for the way to the engine and back.
 BEGIN_MARGIN_MS = 60
+# Unread tokens from which on streams pause for too long: four pieces, read at
+# some 130 ms each (data sheet), against the pauses of 600 ms that routes
+# allow. What each such stream counts, in prompt tokens: as much as a short
+# prompt that is late.
+STALL_TOKENS = 16_384
+STALL_COST = 1500
+# A call whose spare time is less than this goes out of turn: news of a read
+# prompt takes up to a look at the queue (50 ms) and a report.
+TURN_SPARE_MS = 120
 # Backlog up to which an engine counts as having capacity left over.
 LEFT_OVER_MS = 150
 # Part of its time that a call may be held without going to an engine, and
@@ -80,6 +89,8 @@
         Tokens that its prefix cache spares.
     work
         What it must do before the first token, in prompt tokens.
+    unread
+        Prompt tokens of other calls that it has not read yet.
     estimate_ms
         The time until then.
     """
@@ -87,6 +98,7 @@
     upstream: presence.Upstream
     cached: int
     work: int
+    unread: int
     estimate_ms: float
 
 
@@ -219,13 +231,30 @@
         )
         work = begin_work(load, prompt, cached, urgency)
         is_near = upstream.last.failure_domain == failure_domain
-        cost = work if is_near else work + FAR_TOKENS
+        cost = work + _stall_cost(load, prompt.tokens_in - cached)
+        if not is_near:
+            cost += FAR_TOKENS
         if cost < least:
             least = cost
-            best = Choice(upstream, cached, work, work * pace)
+            best = Choice(
+                upstream, cached, work, sum(load.unread), work * pace
+            )
     return best
 
 
+def _stall_cost(load: sharing.Load, own: int) -> float:
+    """Return what it counts that streams of an engine pause for too long.
+
+    They do while the engine reads some pieces of prompts without a break,
+    be these of one prompt or of several.
+    """
+    if sum(load.unread) + own < STALL_TOKENS:
+        return 0.0
+    return STALL_COST * (
+        load.calls if own >= sharing.LONG_PROMPT_TOKENS else 1
+    )
+
+
 def may_begin(call: calls.Call, choice: Choice, now_ms: int) -> bool:
     """Tell whether a call should go to its best engine now.
 
@@ -244,8 +273,9 @@
         False to let it wait.
     """
     left_ms = call.route.target_ms - (now_ms - call.arrived_ms)
-    if choice.estimate_ms <= left_ms - BEGIN_MARGIN_MS:
-        return True
+    spare_ms = left_ms - BEGIN_MARGIN_MS - choice.estimate_ms
+    if spare_ms >= 0:
+        return spare_ms < TURN_SPARE_MS or _has_its_turn(call, choice)
     own_ms = choice.estimate_ms * (
         max(call.request.prompt.tokens_in - choice.cached, 0)
         / max(choice.work, 1)
@@ -253,6 +283,21 @@
     return choice.estimate_ms - own_ms <= LEFT_OVER_MS
 
 
+def _has_its_turn(call: calls.Call, choice: Choice) -> bool:
+    """Tell whether an engine should read a prompt now.
+
+    An engine reads one piece of the prompts that wait in each step, and
+    streams go on by a token a step. Long prompts that follow one another
+    without a break make each of its streams pause for too long, so one waits
+    until the others have been read.
+    """
+    own = call.request.prompt.tokens_in - choice.cached
+    return (
+        own < sharing.LONG_PROMPT_TOKENS
+        or choice.unread < sharing.LONG_PROMPT_TOKENS
+    )
+
+
 def pick_plain(
     candidates: Iterable[presence.Upstream],
     loads: sharing.Loads,
--- a/bilberryramp/decisions/fleet/sharing.py
+++ b/bilberryramp/decisions/fleet/sharing.py
@@ -22,6 +22,7 @@
     "level",
     "note_adapter",
     "note_asked",
+    "note_change",
     "note_report",
     "note_sent",
     "own_load",
@@ -33,11 +34,21 @@
 # A report of another entry counts for this long; a healthy entry reports
 # several times in it.
 REPORT_VALID_MS = 2000
-# How often an entry reports while its load changes, and while it does not.
-REPORT_EVERY_MS = 100
+# How soon an entry reports that a long prompt went out or was read, other
+# changes of its load, and that nothing changed. Two entries that send long
+# prompts to one engine in the time between make its streams pause.
+REPORT_URGENT_MS = 15
+REPORT_EVERY_MS = 160
 REPORT_IDLE_MS = 900
+# How often a report tells of all upstreams, for nodes that missed some.
+REPORT_WHOLE_MS = 900
+# Prompts from this size on count as long: half of what an engine reads in one
+# step (4096 tokens, data sheet).
+LONG_PROMPT_TOKENS = 2048
 # Levels of urgency that are told apart; the last one is for late calls.
 LEVELS = 4
+# Where the adapters begin in a row of a report.
+ADAPTERS_FROM = 3 + LEVELS
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,22 +113,23 @@
     Attributes
     ----------
     rows
-        For each upstream its key, calls, tokens and unread tokens by level.
+        For each upstream its key, calls, tokens, unread tokens by level and
+        the keys of the adapters that its calls use.
     sent
         For each prompt its upstream's key, its weights and its parts, as in
         `SentPrompt`.
     asked
         Work that clients asked for, by key of the model, in tokens.
-    using
-        For each upstream its key, and the keys of the adapters that calls in
-        flight use there.
+    is_whole
+        Whether upstreams without a row have no calls of this entry; else
+        they have those that were told before.
     """
 
     sender: str
     rows: tuple[tuple[int, ...], ...]
     sent: tuple[tuple[int, str, tuple[tuple[int, int], ...]], ...]
     asked: tuple[tuple[int, int], ...] = ()
-    using: tuple[tuple[int, ...], ...] = ()
+    is_whole: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,24 +150,25 @@
     ----------
     others
         Reports of other entries: time of arrival, and rows by their key.
-    used_by_others
-        Adapters in use by other entries: upstream and adapter by entry.
+    changed
+        Upstreams whose load the next report tells.
+    is_urgent
+        Whether others should know of the changes at once.
     """
 
     own: dict[str, Load] = dataclasses.field(default_factory=dict)
     others: dict[str, tuple[int, dict[int, tuple[int, ...]]]] = (
         dataclasses.field(default_factory=dict)
     )
-    used_by_others: dict[str, frozenset[tuple[int, int]]] = dataclasses.field(
-        default_factory=dict
-    )
     caches: dict[int, PrefixCache] = dataclasses.field(default_factory=dict)
     unreported: list[SentPrompt] = dataclasses.field(default_factory=list)
     asked: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    changed: bool = False
+    changed: set[str] = dataclasses.field(default_factory=set)
+    is_urgent: bool = False
     reported_ms: int = 0
+    reported_whole_ms: int = 0
 
 
 @functools.lru_cache(maxsize=4096)
@@ -232,18 +245,33 @@
         _add(summed, own.calls, own.tokens, own.unread)
     for heard_ms, by_key in loads.others.values():
         if now_ms - heard_ms < REPORT_VALID_MS and key in by_key:
-            _, calls, tokens, *unread = by_key[key]
-            _add(summed, calls, tokens, unread)
+            _, calls, tokens, *rest = by_key[key]
+            _add(summed, calls, tokens, rest[:LEVELS])
     return summed
 
 
 def _add(summed: Load, calls: int, tokens: int, unread) -> None:
     summed.calls += calls
     summed.tokens += tokens
-    for index, waiting in enumerate(unread[:LEVELS]):
+    for index, waiting in enumerate(unread):
         summed.unread[index] += waiting
 
 
+def note_change(loads: Loads, upstream_id: str, unread_tokens: int) -> None:
+    """Note that an own load has changed and must be reported.
+
+    Parameters
+    ----------
+    loads, upstream_id
+        Changed in place, and where.
+    unread_tokens
+        By how much the unread tokens there have changed.
+    """
+    loads.changed.add(upstream_id)
+    if unread_tokens >= LONG_PROMPT_TOKENS:
+        loads.is_urgent = True
+
+
 def note_adapter(load: Load, weights: str, change: int) -> None:
     """Count a call that uses an adapter, or its end.
 
@@ -283,10 +311,10 @@
     key = short_key(weights)
     if own is not None and key in own.using:
         return True
-    pair = (short_key(upstream_id), key)
+    upstream_key = short_key(upstream_id)
     return any(
-        pair in loads.used_by_others.get(sender, ())
-        for sender, (heard_ms, _) in loads.others.items()
+        key in by_key.get(upstream_key, ())[ADAPTERS_FROM:]
+        for heard_ms, by_key in loads.others.values()
         if now_ms - heard_ms < REPORT_VALID_MS
     )
 
@@ -308,12 +336,10 @@
         The present.
     """
     rows = {row[0]: row for row in report.rows}
+    if not report.is_whole:
+        _, before = loads.others.get(report.sender, (now_ms, {}))
+        rows = before | rows
     loads.others[report.sender] = (now_ms, rows)
-    loads.used_by_others[report.sender] = frozenset(
-        (upstream_key, adapter_key)
-        for upstream_key, *adapter_keys in report.using
-        for adapter_key in adapter_keys
-    )
     for sent in report.sent:
         _keep(loads, SentPrompt(*sent), cache_tokens)
 
@@ -353,7 +379,6 @@
         The model, and the work.
     """
     loads.asked[short_key(model)] += tokens
-    loads.changed = True
 
 
 def _keep(loads: Loads, prompt: SentPrompt, cache_tokens: int) -> None:
@@ -415,25 +440,41 @@
     Report or None
         None when nothing needs to be told yet.
     """
-    wait_ms = REPORT_EVERY_MS if loads.changed else REPORT_IDLE_MS
+    if loads.is_urgent:
+        wait_ms = REPORT_URGENT_MS
+    elif loads.changed or loads.asked:
+        wait_ms = REPORT_EVERY_MS
+    else:
+        wait_ms = REPORT_IDLE_MS
     if now_ms - loads.reported_ms < wait_ms:
         return None
-    loads.reported_ms = now_ms
-    loads.changed = False
-    rows = tuple(
-        (short_key(row.upstream_id), row.calls, row.tokens, *row.unread)
-        for row in loads.own.values()
-        if row.calls
-    )
-    sent = tuple(
-        (p.upstream_key, p.weights, p.parts) for p in loads.unreported
+    is_whole = now_ms - loads.reported_whole_ms >= REPORT_WHOLE_MS
+    report = Report(
+        sender,
+        tuple(
+            _row(load)
+            for load in loads.own.values()
+            if (load.calls if is_whole else load.upstream_id in loads.changed)
+        ),
+        tuple((p.upstream_key, p.weights, p.parts) for p in loads.unreported),
+        tuple(loads.asked.items()),
+        is_whole,
     )
-    loads.unreported = []
-    asked = tuple(loads.asked.items())
+    loads.reported_ms = now_ms
+    if is_whole:
+        loads.reported_whole_ms = now_ms
+    loads.is_urgent = False
+    loads.changed.clear()
+    loads.unreported.clear()
     loads.asked.clear()
-    using = tuple(
-        (short_key(row.upstream_id), *row.using)
-        for row in loads.own.values()
-        if row.using
+    return report
+
+
+def _row(load: Load) -> tuple[int, ...]:
+    return (
+        short_key(load.upstream_id),
+        load.calls,
+        load.tokens,
+        *load.unread,
+        *load.using,
     )
-    return Report(sender, rows, sent, asked, using)
--- a/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
+++ b/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
@@ -86,6 +86,27 @@
         moves = plan(self.sites(), asked({"m3": 100_000}), store_loads=2)
         self.assertEqual(len(moves), 2)
 
+    def test_copies_from_before_the_first_call_stay(self):
+        """Replays a planner that had given them up when traffic began."""
+        sites = [
+            builders.a_site(f"u{i}", ("m0", "m1", "m2", "m3"))
+            for i in range(4)
+        ]
+        self.assertEqual(plan(sites, placement.Demand()), [])
+
+    def test_a_copy_is_worth_more_where_the_others_have_too_much(self):
+        """Twice what two engines can read outweighs four last copies."""
+        sites = [builders.a_site(f"u{i}", ("m3",)) for i in range(2)]
+        full = [f"m{i}" for i in range(10, 22)]
+        sites += [
+            builders.a_site(f"v{i}", tuple(full[4 * i : 4 * i + 4]))
+            for i in range(3)
+        ]
+        moves = plan(sites, asked({"m3": 150_000}), models=("m3", *full))
+        self.assertGreaterEqual(
+            len([m for m in moves if m.upstream_id.startswith("v")]), 2
+        )
+
 
 class RareModelTest(unittest.TestCase):
     """Replays models without a holder that are asked for."""
