Soak the real programs with faults from outside

The users ask for a randomized soak of the programs as separate processes. Cause of this commit: there was none; the fuzzers play the decisions alone.

The platform's stand-ins move out of the tests, so that tests and soak share one copy. A node can listen for others elsewhere than at the address that they use, so that links can be faulty.

Its tests found two faults of the soak itself before it landed: a core node could be harmed while another had lost its data, and a reset ended connections cleanly.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 MINUTES ?= 1
 
-.PHONY: demo test soak capacity experiments
+.PHONY: demo test soak fault-soak capacity experiments
 
 .venv/installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -28,3 +28,6 @@
 
 experiments: .venv/installed
 	$(BIN)/python tools/experiments.py
+
+fault-soak: .venv/installed
+	$(BIN)/python tools/fault_soak.py --seed=$(SEED) --minutes=$(MINUTES)
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -5,6 +5,7 @@
     calls,
     documents,
     gateway,
+    placement,
     planner,
     presence,
     sharing,
@@ -195,6 +196,88 @@
         self.assertIn("a1", gw.table.upstreams["u1"].models["m0"])
 
 
+class AdapterPlacesTest(unittest.TestCase):
+    """Replays many adapters at engines with few places."""
+
+    FULL = (presence.Held("m0", 1, ("a1", "a2", "a3", "a4")),)
+
+    def asked(self, gw, call_id, adapter, now_ms):
+        prompt = builders.a_prompt(tokens_in=100, adapter=adapter)
+        effects = builders.arrive(
+            gw, call_id, builders.a_request(prompt=prompt), now_ms
+        )
+        return builders.only(effects, planner.SendPlan)
+
+    def test_an_adapter_that_no_call_uses_gives_way(self):
+        full = builders.an_announcement(held=self.FULL)
+        gw = builders.a_gateway(upstreams=[full])
+        for call_id, adapter in enumerate(("a1", "a2", "a3", "a4")):
+            self.asked(gw, call_id, adapter, NOW)
+        over(gw, 2, calls.End.DELIVERED, NOW + 100)
+        (plan,) = self.asked(gw, 9, "a9", NOW + 500)
+        self.assertEqual(plan.ask.spare, (("m0", "a3"),))
+
+    def test_an_engine_with_a_place_is_asked_rather_than_a_full_one(self):
+        ups = [
+            builders.an_announcement("u1", held=self.FULL),
+            builders.an_announcement("u2"),
+        ]
+        gw = builders.a_gateway(upstreams=ups)
+        for call_id, adapter in enumerate(("a1", "a2", "a3", "a4")):
+            self.asked(gw, call_id, adapter, NOW)
+        asks = self.asked(gw, 9, "a9", NOW + 500)
+        self.assertEqual([a.ask.upstream_id for a in asks], ["u2"])
+
+    def test_while_all_places_are_in_use_demand_grows(self):
+        """More copies of the model bring more places."""
+        full = builders.an_announcement(held=self.FULL)
+        gw = builders.a_gateway(upstreams=[full])
+        for call_id, adapter in enumerate(("a1", "a2", "a3", "a4")):
+            self.asked(gw, call_id, adapter, NOW)
+        builders.tick(gw, NOW + 200)
+        before = placement.rate(gw.demand, "m0", NOW + 200)
+        self.asked(gw, 9, "a9", NOW + 300)
+        for wait_ms in range(400, 1000, 50):
+            builders.tick(gw, NOW + wait_ms)
+        self.assertGreater(placement.rate(gw.demand, "m0", NOW + 900), before)
+
+
+class TurnTest(unittest.TestCase):
+    """Replays long prompts that come at the same time."""
+
+    def gateway(self, **route):
+        doc = builders.a_document(routes=[builders.a_route(**route)])
+        return builders.a_gateway(doc, [builders.an_announcement()])
+
+    def sent(self, gw, call_id, tokens, now_ms=NOW):
+        prompt = builders.a_prompt(tokens_in=tokens)
+        effects = builders.arrive(
+            gw, call_id, builders.a_request(prompt=prompt), now_ms
+        )
+        return builders.only(effects, calls.SendCall)
+
+    def test_a_long_prompt_waits_for_the_one_before_it(self):
+        gw = self.gateway(target_ms=1500)
+        self.assertTrue(self.sent(gw, 1, 9000))
+        self.assertFalse(self.sent(gw, 2, 9000, NOW + 10))
+        begun = calls.AnswerBegun(1)
+        builders.drain(gateway.step(gw, NOW + 240, begun))
+        effects = builders.tick(gw, NOW + 250)
+        self.assertTrue(builders.only(effects, calls.SendCall))
+
+    def test_a_short_prompt_does_not_wait(self):
+        gw = self.gateway(target_ms=1500)
+        self.sent(gw, 1, 9000)
+        self.assertTrue(self.sent(gw, 2, 800, NOW + 10))
+
+    def test_one_without_time_to_spare_does_not_wait(self):
+        gw = self.gateway(target_ms=1500)
+        self.sent(gw, 1, 9000)
+        self.sent(gw, 2, 9000, NOW + 10)
+        effects = builders.tick(gw, NOW + 960)
+        self.assertTrue(builders.only(effects, calls.SendCall))
+
+
 class ClosingTest(unittest.TestCase):
     def test_what_waits_is_refused_before_the_process_ends(self):
         """Replays a call that waited for a model until its node exited."""
--- a/bilberryramp/decisions/fleet/tests/test_sharing.py
+++ b/bilberryramp/decisions/fleet/tests/test_sharing.py
@@ -40,3 +40,76 @@
         sharing.note_sent(loads, "u1", "m0", PARTS, 1000)
         found = sharing.cached_tokens(loads, "u1", "m0/a1", PARTS)
         self.assertEqual(found, 0)
+
+
+class ReportTest(unittest.TestCase):
+    """Replays entries that place calls by what they know of each other."""
+
+    def setUp(self):
+        self.loads = sharing.Loads()
+        self.heard = sharing.Loads()
+        self.tell(5000)
+
+    def change(self, upstream_id, tokens):
+        load = sharing.own_load(self.loads, upstream_id)
+        load.calls += 1
+        load.unread[1] += tokens
+        sharing.note_change(self.loads, upstream_id, tokens)
+
+    def tell(self, now_ms):
+        report = sharing.report_due(self.loads, "n2", now_ms)
+        if report is not None:
+            sharing.note_report(self.heard, report, 1000, now_ms)
+        return report
+
+    def test_a_long_prompt_is_told_at_once(self):
+        """Two long prompts in a tenth of a second held up an engine."""
+        self.change("u1", 9000)
+        self.assertIsNotNone(self.tell(5020))
+        self.assertEqual(sharing.total(self.heard, "u1", 5020).calls, 1)
+
+    def test_a_short_one_is_told_with_others(self):
+        self.change("u1", 400)
+        self.assertIsNone(self.tell(5020))
+        self.assertIsNotNone(self.tell(5200))
+
+    def test_a_report_of_changes_leaves_the_rest_as_it_was(self):
+        self.change("u1", 9000)
+        self.tell(5020)
+        self.change("u2", 9000)
+        report = self.tell(5040)
+        self.assertEqual(len(report.rows), 1)
+        for upstream_id in ("u1", "u2"):
+            told = sharing.total(self.heard, upstream_id, 5040)
+            self.assertEqual(told.calls, 1)
+
+    def test_the_end_of_the_last_call_is_told(self):
+        self.change("u1", 9000)
+        self.tell(5020)
+        load = sharing.own_load(self.loads, "u1")
+        load.calls, load.unread[1] = 0, 0
+        sharing.note_change(self.loads, "u1", 9000)
+        self.tell(5040)
+        self.assertEqual(sharing.total(self.heard, "u1", 5040).calls, 0)
+
+    def test_a_whole_report_heals_what_was_missed(self):
+        self.change("u1", 9000)
+        sharing.report_due(self.loads, "n2", 5020)
+        self.tell(6000)
+        self.assertEqual(sharing.total(self.heard, "u1", 6000).calls, 1)
+
+    def test_adapters_in_use_are_told(self):
+        load = sharing.own_load(self.loads, "u1")
+        sharing.note_adapter(load, "m0/a1", 1)
+        self.change("u1", 400)
+        self.tell(5200)
+        for loads in (self.loads, self.heard):
+            for adapter, used in (("a1", True), ("a2", False)):
+                found = sharing.is_adapter_used(
+                    loads, "u1", f"m0/{adapter}", 5200
+                )
+                self.assertIs(found, used)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/bilberryramp/platform/standins.py
@@ -0,0 +1,442 @@
+"""Stand-ins for the Guild platform's engine, client and operator.
+
+For tests and the fault soak, which run without the platform's bench. Each
+speaks the least that the programs need.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from bilberryramp.platform import settings
+
+__all__ = [
+    "VARIABLE",
+    "Engine",
+    "Reply",
+    "beat",
+    "call",
+    "farewell",
+    "make_config",
+    "make_route",
+    "make_settings",
+    "put_config",
+    "read_config",
+    "start",
+    "stop",
+]
+
+VARIABLE = settings.VARIABLE
+PIECES = 3
+_ID = "X-Bilberryramp-Request-Id"
+
+
+@dataclasses.dataclass(slots=True)
+class Engine:
+    """A running stand-in of a model engine or plain service.
+
+    Attributes
+    ----------
+    advertised
+        Address that its heartbeats name; by default where it listens.
+    ran
+        Ids of the requests that it ran.
+    headers
+        Headers of the last request.
+    break_after
+        Pieces of a stream after which the connection is cut; -1 for never.
+    work_s
+        Time that a plain request, or each piece of a stream, takes.
+    on_run, on_order
+        Called with the id of a request that begins to run, and with the
+        fields of an order that is accepted.
+    """
+
+    upstream_id: str
+    service: str
+    address: str = ""
+    advertised: str = ""
+    zone: str = "a"
+    models: list = dataclasses.field(default_factory=list)
+    ran: list = dataclasses.field(default_factory=list)
+    headers: dict = dataclasses.field(default_factory=dict)
+    break_after: int = -1
+    work_s: float = 0.0
+    born_ms: int = 1000
+    beats: int = 0
+    orders: int = 0
+    fence: int = -1
+    on_run: Callable = lambda request_id: None
+    on_order: Callable = lambda fields: None
+    server: asyncio.Server | None = None
+    factory: web.Server | None = None
+
+
+async def start(
+    engine: Engine, host: str = "127.0.0.1", port: int = 0
+) -> None:
+    """Listen on the loopback.
+
+    Parameters
+    ----------
+    engine
+        Its address is set.
+    host, port
+        By default a free port.
+    """
+    loop = asyncio.get_running_loop()
+
+    async def serve(request: web.BaseRequest) -> web.StreamResponse:
+        match request.path:
+            case "/report":
+                return _report(engine)
+            case "/order":
+                return _order(engine, await request.read())
+        return await _answer(engine, request)
+
+    engine.factory = web.Server(serve, access_log=None)
+    engine.server = await loop.create_server(engine.factory, host, port)
+    port = engine.server.sockets[0].getsockname()[1]
+    engine.address = f"{host}:{port}"
+
+
+async def stop(engine: Engine) -> None:
+    """Stop listening and cut all connections.
+
+    Parameters
+    ----------
+    engine
+        Started before.
+    """
+    engine.server.close()
+    for conn in engine.factory.connections:
+        if conn.transport is not None:
+            conn.transport.abort()
+    await engine.server.wait_closed()
+
+
+def _report(engine: Engine) -> web.Response:
+    fields = {"seq": engine.orders, "models": engine.models, "busy": False}
+    return web.Response(body=msgspec.json.encode(fields))
+
+
+def _order(engine: Engine, body: bytes) -> web.Response:
+    fields = msgspec.json.decode(body)
+    if fields["fence"] < engine.fence:
+        return web.Response(status=412)
+    if fields.get("precondition", engine.orders) != engine.orders:
+        return web.Response(status=409)
+    engine.fence = fields["fence"]
+    engine.orders += 1
+    engine.on_order(fields)
+    held = {row["name"]: row for row in engine.models}
+    if fields["op"] == "unload" and "adapter" not in fields:
+        held.pop(fields["model"], None)
+    elif fields["op"] == "load" and "adapter" not in fields:
+        held[fields["model"]] = {
+            "name": fields["model"],
+            "version": 1,
+            "adapters": [],
+        }
+    elif fields["model"] in held:
+        names = set(held[fields["model"]]["adapters"])
+        change = names.add if fields["op"] == "load" else names.discard
+        change(fields["adapter"])
+        held[fields["model"]]["adapters"] = sorted(names)
+    engine.models = list(held.values())
+    return web.Response(status=202)
+
+
+async def _answer(engine, request) -> web.StreamResponse:
+    request_id = request.headers.get(_ID, "")
+    engine.headers = dict(request.headers)
+    headers = {
+        _ID: request_id,
+        "X-Bilberryramp-Server-Signature": f"sig-{engine.upstream_id}",
+    }
+    expected = request.headers.get("X-Bilberryramp-Expected-Instance")
+    model = request.headers.get("X-Bilberryramp-Model")
+    held = {row["name"] for row in engine.models}
+    if (
+        expected != engine.upstream_id
+        or model is not None
+        and model not in held
+    ):
+        return web.Response(status=421, headers=headers)
+    body = await request.read()
+    engine.ran.append(request_id)
+    engine.on_run(request_id)
+    if model is None:
+        await asyncio.sleep(engine.work_s)
+        return web.Response(body=b"did " + body, headers=headers)
+    out = web.StreamResponse(headers=headers)
+    out.content_type = "text/event-stream"
+    with contextlib.suppress(ConnectionError):
+        await _stream(engine, request, out, body)
+    return out
+
+
+async def _stream(engine, request, out, body: bytes) -> None:
+    await out.prepare(request)
+    for number in range(PIECES):
+        if number == engine.break_after:
+            request.transport.abort()
+            return
+        await out.write(b"id: %d\ndata: %s\n\n" % (number, body))
+        await asyncio.sleep(engine.work_s)
+
+
+async def beat(
+    engine: Engine,
+    session: aiohttp.ClientSession,
+    node: str,
+    state: str = "ready",
+) -> int:
+    """Send one heartbeat to a node.
+
+    Parameters
+    ----------
+    engine, session, node, state
+        The engine, how and where to send, and `ready` or `draining`.
+
+    Returns
+    -------
+    int
+        The status of the answer.
+    """
+    engine.beats += 1
+    body = msgspec.json.encode(
+        {
+            "service": engine.service,
+            "address": engine.advertised or engine.address,
+            "zone": engine.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "seq": engine.beats,
+            "coldLeftMs": 0,
+            "born": engine.born_ms,
+            "models": engine.models,
+        }
+    )
+    path = f"http://{node}/instances/{engine.upstream_id}/heartbeat"
+    async with session.post(path, data=body) as resp:
+        return resp.status
+
+
+async def farewell(
+    engine: Engine, session: aiohttp.ClientSession, node: str
+) -> int:
+    """Tell a node that an engine is gone.
+
+    Parameters
+    ----------
+    engine, session, node
+        The engine, and how and where to send.
+
+    Returns
+    -------
+    int
+        The status of the answer.
+    """
+    path = f"http://{node}/instances/{engine.upstream_id}/deregister"
+    async with session.post(path) as resp:
+        return resp.status
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reply:
+    """What a client got.
+
+    Attributes
+    ----------
+    is_whole
+        Whether all pieces of a stream, or a plain body, were there.
+    owner
+        The content that the engine was sent, as its answer names it.
+    """
+
+    status: int
+    is_whole: bool
+    owner: str
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    node: str,
+    path: str,
+    request_id: str,
+    deadline_ms: int,
+    model: str = "",
+) -> Reply:
+    """Send a request as a client does, with its id as the body.
+
+    Parameters
+    ----------
+    session, node, path
+        How, where and what to ask.
+    request_id, deadline_ms
+        Of the request.
+    model
+        Empty for a request to a plain service.
+
+    Returns
+    -------
+    Reply
+        Raises what the HTTP library raises when the connection breaks.
+    """
+    headers = {
+        "Host": "h.example",
+        _ID: request_id,
+        "X-Bilberryramp-Deadline-Ms": str(deadline_ms),
+    }
+    if model:
+        headers["X-Bilberryramp-Model"] = model
+        headers["X-Bilberryramp-Token-Count"] = "100,20"
+        headers["X-Bilberryramp-Prompt-Prefix"] = "aa:80,bb:20"
+    url = f"http://{node}{path}"
+    async with session.post(
+        url, data=request_id.encode(), headers=headers
+    ) as resp:
+        body = await resp.read()
+    if not model:
+        return Reply(resp.status, True, body.removeprefix(b"did ").decode())
+    pieces = [
+        line.removeprefix(b"data: ").decode()
+        for line in body.splitlines()
+        if line.startswith(b"data: ")
+    ]
+    owners = set(pieces)
+    is_whole = len(pieces) == PIECES and len(owners) == 1
+    return Reply(resp.status, is_whole, owners.pop() if is_whole else "")
+
+
+async def put_config(session, node: str, body: bytes) -> int:
+    """Submit a configuration as the operator does; return the status."""
+    async with session.post(f"http://{node}/config/put", data=body) as resp:
+        return resp.status
+
+
+async def read_config(session, node: str) -> tuple[int, bytes]:
+    """Read the configuration; return the status and the body."""
+    async with session.get(f"http://{node}/config/get") as resp:
+        return resp.status, await resp.read()
+
+
+SETTINGS = """
+nodeName = "{name}"
+ip = "{ip}"
+zone = "a"
+internalPorts = [{peer}, {peer}]
+seeds = [{seeds}]
+bootstrap = true
+dataDir = "{folder}"
+heartbeatMs = {heartbeat_ms}
+app = "{engine}"
+[listen]
+front = "{front}"
+ready = "{ready}"
+control = "{control}"
+[limits]
+memoryMb = 300
+linkMbps = 1000.0
+[bounds]
+graceS = 8
+drainMs = 2000
+configApplyMs = 2000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 60
+"""
+
+
+def make_route(
+    prefix: str = "/talk/", service: str = "svc-llm", **changes
+) -> dict:
+    """Make a route of the configuration, with some fields changed."""
+    fields = {
+        "name": f"r{prefix}",
+        "host": "h.example",
+        "pathPrefix": prefix,
+        "kind": "streaming",
+        "timeoutMs": 6000,
+        "latencyTargetMs": 1000,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 1,
+    }
+    return fields | changes
+
+
+def make_config(
+    version: int = 3, routes: list | None = None, **changes
+) -> bytes:
+    """Make a small configuration with a route of each kind."""
+    plain = {"name": "svc-app", "healthPath": "/h", "maxConns": 50}
+    engine = {
+        "slots": 8,
+        "kvCapacity": 100_000,
+        "models": [
+            {
+                "name": "m0",
+                "weightsMb": 1000.0,
+                "loadS": 1.0,
+                "adapters": 2,
+                "adapterMb": 10.0,
+            }
+        ],
+        "weightsMb": 4000.0,
+        "adapterSlots": 2,
+        "loadsPerS": 1.0,
+    }
+    llm = {"name": "svc-llm", "maxConns": 50, "engine": engine}
+    usual = [
+        make_route(),
+        make_route("/file/", "svc-app", kind="non_idempotent"),
+        make_route("/look/", "svc-app", kind="idempotent", maxAttempts=2),
+    ]
+    fields = {
+        "version": version,
+        "routes": usual if routes is None else routes,
+        "services": [llm, plain],
+        "limits": {"maxBodyBytes": 4096},
+    }
+    return msgspec.json.encode(fields | changes)
+
+
+def make_settings(
+    name: str, ip: str, peer_port: int, seeds: list[str], **fields
+) -> str:
+    """Make the text of a process's settings file.
+
+    Parameters
+    ----------
+    name, ip, peer_port
+        Who and where the process is.
+    seeds
+        Control addresses of the first nodes.
+    **fields
+        `folder`, `engine`, `front`, `ready`, `control` and `heartbeat_ms`
+        where they are not empty.
+
+    Returns
+    -------
+    str
+        TOML.
+    """
+    usual = dict.fromkeys(
+        ("folder", "engine", "front", "ready", "control"), ""
+    )
+    usual |= {"heartbeat_ms": 1200}
+    return SETTINGS.format(
+        name=name,
+        ip=ip,
+        peer=peer_port,
+        seeds=", ".join(f'"{seed}"' for seed in seeds),
+        **(usual | fields),
+    )
--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -2,53 +2,10 @@
 
 import json
 
+from bilberryramp.platform import standins
 
-def a_route(prefix="/talk/", service="svc-llm", **changes):
-    fields = {
-        "name": f"r{prefix}",
-        "host": "h.example",
-        "pathPrefix": prefix,
-        "kind": "streaming",
-        "timeoutMs": 6000,
-        "latencyTargetMs": 1000,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": 1,
-    }
-    return fields | changes
-
-
-def a_config(version=3, routes=None, **changes):
-    plain = {"name": "svc-app", "healthPath": "/h", "maxConns": 50}
-    engine = {
-        "slots": 8,
-        "kvCapacity": 100_000,
-        "models": [
-            {
-                "name": "m0",
-                "weightsMb": 1000.0,
-                "loadS": 1.0,
-                "adapters": 2,
-                "adapterMb": 10.0,
-            }
-        ],
-        "weightsMb": 4000.0,
-        "adapterSlots": 2,
-        "loadsPerS": 1.0,
-    }
-    llm = {"name": "svc-llm", "maxConns": 50, "engine": engine}
-    usual = [
-        a_route(),
-        a_route("/file/", "svc-app", kind="non_idempotent"),
-        a_route("/look/", "svc-app", kind="idempotent", maxAttempts=2),
-    ]
-    fields = {
-        "version": version,
-        "routes": usual if routes is None else routes,
-        "services": [llm, plain],
-        "limits": {"maxBodyBytes": 4096},
-    }
-    return json.dumps(fields | changes).encode()
+a_route = standins.make_route
+a_config = standins.make_config
 
 
 def a_heartbeat(**changes):
--- a/bilberryramp/platform/tests/test_whole_path.py
+++ b/bilberryramp/platform/tests/test_whole_path.py
@@ -9,32 +9,9 @@
 
 import aiohttp
 
-from bilberryramp.platform.tests import builders, engine_standin
-
-SETTINGS = """
-nodeName = "n1"
-ip = "127.0.0.1"
-zone = "a"
-internalPorts = [{peer}, {peer}]
-seeds = ["127.0.0.1:{control}"]
-bootstrap = true
-dataDir = "{folder}"
-heartbeatMs = 1200
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-control = "127.0.0.1:{control}"
-[limits]
-memoryMb = 300
-linkMbps = 1000.0
-[bounds]
-graceS = 8
-drainMs = 2000
-configApplyMs = 2000
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-budgetSlack = 60
-"""
+from bilberryramp.platform import standins
+from bilberryramp.platform.tests import builders
+
 NAMES = ("peer", "front", "ready", "control", "metrics")
 # Far more than a start takes, also on a busy machine.
 PATIENCE_S = 60
@@ -58,27 +35,38 @@
         self.ports = dict(zip(NAMES, free_ports(len(NAMES)), strict=True))
         path = pathlib.Path(folder.name, "node.toml")
         data = pathlib.Path(folder.name, "data")
-        path.write_text(SETTINGS.format(folder=data, **self.ports))
+        at = {name: f"127.0.0.1:{port}" for name, port in self.ports.items()}
+        text = standins.make_settings(
+            "n1",
+            "127.0.0.1",
+            self.ports["peer"],
+            [at["control"]],
+            folder=data,
+            front=at["front"],
+            ready=at["ready"],
+            control=at["control"],
+        )
+        path.write_text(text)
         self.proc = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "bilberryramp.programs.node",
             f"--metrics_port={self.ports['metrics']}",
-            env={**os.environ, "BILBERRYRAMP_SETTINGS": str(path)},
+            env={**os.environ, standins.VARIABLE: str(path)},
             stdout=asyncio.subprocess.DEVNULL,
         )
         self.session = aiohttp.ClientSession()
-        self.llm = engine_standin.Engine("i-1", "svc-llm", models=MODELS)
-        self.app = engine_standin.Engine("i-2", "svc-app")
+        self.llm = standins.Engine("i-1", "svc-llm", models=MODELS)
+        self.app = standins.Engine("i-2", "svc-app")
         for engine in (self.llm, self.app):
-            await engine_standin.start(engine)
+            await standins.start(engine)
 
     async def asyncTearDown(self):
         if self.proc.returncode is None:
             self.proc.kill()
             await self.proc.wait()
         for engine in (self.llm, self.app):
-            await engine_standin.stop(engine)
+            await standins.stop(engine)
         await self.session.close()
 
     def at(self, name, path=""):
@@ -110,7 +98,7 @@
         await self.until(accepted)
         node = f"127.0.0.1:{self.ports['control']}"
         for engine in (self.llm, self.app):
-            status = await engine_standin.beat(engine, self.session, node)
+            status = await standins.beat(engine, self.session, node)
             self.assertEqual(status, 200)
         await self.until(self.is_ready)
         return node
@@ -138,7 +126,7 @@
         }
         resp = await self.call("/talk/x", "q2", **prompt)
         body = await resp.read()
-        self.assertEqual(body.count(b"data:"), engine_standin.PIECES)
+        self.assertEqual(body.count(b"data:"), standins.PIECES)
         self.assertNotIn("X-Bilberryramp-Hold", self.llm.headers)
         resp = await self.call("/none/x", "q3")
         self.assertEqual(resp.status, 404)
@@ -171,9 +159,7 @@
 
     async def test_an_upstream_that_drains_gets_no_more(self):
         node = await self.begin()
-        status = await engine_standin.beat(
-            self.app, self.session, node, "draining"
-        )
+        status = await standins.beat(self.app, self.session, node, "draining")
         self.assertEqual(status, 200)
         resp = await self.call(
             "/file/x", "q1", **{"X-Bilberryramp-Deadline-Ms": "300"}
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -65,6 +65,13 @@
 )
 
 
+PEER_BIND_FLAG = flags.DEFINE_string(
+    "peer_bind_ip",
+    "",
+    "Where to listen for other nodes, if not on the address that they use.",
+)
+
+
 @dataclasses.dataclass(slots=True)
 class NodeProcess:
     """All that runs in the process."""
@@ -135,7 +142,10 @@
     port = cfg.peer_ports[0]
     address = f"{cfg.ip}:{port}"
     register_box, gateway_box = mailbox.Mailbox(), mailbox.Mailbox()
-    mesh = peer_mesh.open_mesh(address, _sorter(register_box, gateway_box))
+    mesh = peer_mesh.open_mesh(
+        f"{PEER_BIND_FLAG.value or cfg.ip}:{port}",
+        _sorter(register_box, gateway_box),
+    )
     table = presence.Table(cfg.heartbeat_ms)
     gw = gateway_state.Gateway(
         address,
--- /dev/null
+++ b/bilberryramp/soak/checks.py
@@ -0,0 +1,180 @@
+"""Compares what was seen during a soak with the promises.
+
+Each check is a generator of violations. Those in `SAFETY` hold whatever the
+machine does; those in `TIMED` depend on its pace and are left out in CI.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+from bilberryramp.soak import observed
+
+__all__ = ["SAFETY", "TIMED", "Violation", "violations"]
+
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+# Time in which an accepted document must be in force (settings of the soak).
+APPLY_MS = 2000
+# Time in which requests to a leaving engine must end, and how long all must
+# have been calm for a time bound to hold.
+DRAIN_MS = 2000
+CALM_MS = 3000
+# A request that reached a node this long before its connection broke was read.
+READ_MS = 200
+# After the signal to stop, connections are accepted for this long.
+LISTENING_MS = 2500
+FAULTS_OF_NODES = frozenset(observed.FaultKind) - {
+    observed.FaultKind.ENGINE_DRAIN,
+    observed.FaultKind.ENGINE_CRASH,
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Violation:
+    """A promise that was not kept."""
+
+    check: str
+    what: str
+
+
+def violations(history: observed.History, checks) -> Iterator[Violation]:
+    """Run checks over a history.
+
+    Parameters
+    ----------
+    history
+        What was seen.
+    checks
+        `SAFETY`, or `SAFETY` and `TIMED`.
+
+    Yields
+    ------
+    Violation
+        In the order of the checks.
+    """
+    for check in checks:
+        for what in check(history):
+            yield Violation(check.__name__, what)
+
+
+def runs_at_most_once(history: observed.History) -> Iterator[str]:
+    """Check that a request that may not repeat runs at most once."""
+    once = {
+        s.request_id for s in history.of(observed.Sent) if not s.may_repeat
+    }
+    runs = collections.Counter(r.request_id for r in history.of(observed.Ran))
+    for request_id, count in runs.items():
+        if count > 1 and request_id in once:
+            yield f"{request_id} ran {count} times"
+
+
+def refusals_are_true(history: observed.History) -> Iterator[str]:
+    """Check that what was refused as not run never ran."""
+    ran = {r.request_id for r in history.of(observed.Ran)}
+    for answer in history.of(observed.Answer):
+        if answer.status in NOT_RUN and answer.request_id in ran:
+            yield f"{answer.request_id} got {answer.status} and ran"
+
+
+def answers_are_rightful(history: observed.History) -> Iterator[str]:
+    """Check that a success is whole and belongs to its request."""
+    ran = {r.request_id for r in history.of(observed.Ran)}
+    for answer in history.of(observed.Answer):
+        if answer.status != 200:
+            continue
+        if not answer.is_whole:
+            yield f"{answer.request_id} got a part that looked complete"
+        elif answer.owner != answer.request_id:
+            yield f"{answer.request_id} got the answer of {answer.owner}"
+        if answer.request_id not in ran:
+            yield f"{answer.request_id} got 200 and never ran"
+
+
+def documents_are_kept(history: observed.History) -> Iterator[str]:
+    """Check that no read is older than what was accepted before."""
+    accepted = history.of(observed.Accepted)
+    bodies = {a.version: a.body for a in accepted}
+    for read in history.of(observed.ReadBack):
+        bound_ms = read.sent_ms - (0 if read.is_last else APPLY_MS)
+        due = [a.version for a in accepted if a.at_ms < bound_ms]
+        if read.version < max(due, default=-1):
+            yield f"read {read.version} after {max(due)} was accepted"
+        if bodies.get(read.version, read.body) != read.body:
+            yield f"version {read.version} was read with other content"
+
+
+def orders_come_from_one_holder(history: observed.History) -> Iterator[str]:
+    """Check that the fences of an engine's orders never go back."""
+    newest: dict[str, observed.Ordered] = {}
+    for order in history.of(observed.Ordered):
+        last = newest.get(order.upstream_id)
+        if last is not None and order.fence < last.fence:
+            fences = f"{order.fence} after {last.fence}"
+            yield f"{order.upstream_id}: fence {fences}"
+        elif last is not None and (
+            order.fence == last.fence and order.holder != last.holder
+        ):
+            yield f"{order.upstream_id}: two holders with fence {order.fence}"
+        newest[order.upstream_id] = order
+
+
+def programs_stay_up(history: observed.History) -> Iterator[str]:
+    """Check that no program ends by itself, or badly when it is stopped."""
+    for ended in history.of(observed.Ended):
+        if not ended.was_asked or ended.code != 0:
+            yield f"{ended.name} ended with code {ended.code}"
+
+
+def drains_are_kept(history: observed.History) -> Iterator[str]:
+    """Check that an engine gets nothing more once it has left."""
+    acked = {d.upstream_id: d.at_ms for d in history.of(observed.DrainAcked)}
+    for run in history.of(observed.Ran):
+        at_ms = acked.get(run.upstream_id)
+        if at_ms is None or run.at_ms <= at_ms + DRAIN_MS:
+            continue
+        if _is_calm(history, at_ms - CALM_MS, run.at_ms):
+            after_ms = run.at_ms - at_ms
+            yield f"{run.request_id} ran {after_ms} ms after the drain's ack"
+
+
+def stops_cut_nothing(history: observed.History) -> Iterator[str]:
+    """Check that a planned stop breaks off no request that was read."""
+    answers = {a.request_id: a for a in history.of(observed.Answer)}
+    for stop in history.of(observed.Fault):
+        if stop.kind is not observed.FaultKind.STOP:
+            continue
+        until_ms = stop.from_ms + LISTENING_MS
+        for sent in history.of(observed.Sent):
+            answer = answers.get(sent.request_id)
+            if (
+                sent.node == stop.target
+                and stop.from_ms - CALM_MS < sent.at_ms < until_ms
+                and answer is not None
+                and answer.status == 0
+                and answer.at_ms > max(sent.at_ms + READ_MS, stop.from_ms)
+                and _is_calm(
+                    history, sent.at_ms - CALM_MS, answer.at_ms, but=stop
+                )
+            ):
+                yield f"{sent.request_id} was cut by the stop of {stop.target}"
+
+
+def _is_calm(history, from_ms: int, to_ms: int, but=None) -> bool:
+    kinds = FAULTS_OF_NODES if but is None else frozenset(observed.FaultKind)
+    return not any(
+        fault.kind in kinds and fault.from_ms < to_ms and fault.to_ms > from_ms
+        for fault in history.of(observed.Fault)
+        if fault != but
+    )
+
+
+SAFETY = (
+    runs_at_most_once,
+    refusals_are_true,
+    answers_are_rightful,
+    documents_are_kept,
+    orders_come_from_one_holder,
+    programs_stay_up,
+)
+TIMED = (drains_are_kept, stops_cut_nothing)
--- /dev/null
+++ b/bilberryramp/soak/fleet.py
@@ -0,0 +1,374 @@
+"""The soak's fleet: programs, links and engines, and faults on them."""
+
+import asyncio
+import dataclasses
+import pathlib
+import signal
+import time
+from collections.abc import Callable
+
+from bilberryramp.platform import standins
+from bilberryramp.soak import observed, processes, proxy
+
+__all__ = [
+    "CONTROL_PORT",
+    "FRONT_PORT",
+    "Fleet",
+    "Host",
+    "heal",
+    "inflict",
+    "make_fleet",
+    "now_ms",
+    "open_fleet",
+    "shut_fleet",
+]
+
+PEER_PORT, FRONT_PORT, READY_PORT, CONTROL_PORT, ENGINE_PORT = range(
+    7380, 7385
+)
+# The platform's heartbeats, shortened so that a soak sees more of them.
+BEAT_MS = 400
+MODELS = [{"name": "m0", "version": 1, "adapters": []}]
+_K = observed.FaultKind
+
+
+def now_ms() -> int:
+    """Return the steady time, one clock for all observations."""
+    return time.monotonic_ns() // 1_000_000
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """An instance: its program, the links to it and its engine, if any.
+
+    Attributes
+    ----------
+    address
+        Where others find it; links lead from there to where it listens.
+    is_leaving
+        Whether its engine has said that it drains.
+    """
+
+    name: str
+    address: str
+    program: processes.Program | None
+    links: list = dataclasses.field(default_factory=list)
+    engine: standins.Engine | None = None
+    boots: int = 0
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """All hosts by name, and where observations go."""
+
+    nodes: dict[str, Host]
+    engines: dict[str, Host]
+    note: Callable
+    is_over: bool = False
+
+
+def make_fleet(
+    slot: int, folder: pathlib.Path, note: Callable, core: int, others: int
+) -> Fleet:
+    """Lay a fleet out without starting it.
+
+    Parameters
+    ----------
+    slot
+        Picks the addresses on the loopback, so that soaks can run at once.
+    folder
+        For settings, data and logs.
+    note
+        Called with each observation.
+    core, others
+        Nodes with and without a disk.
+
+    Returns
+    -------
+    Fleet
+        With two model engines and two plain upstreams.
+    """
+
+    def ip(group: int, number: int) -> str:
+        return f"127.{20 + slot}.{group}.{number}"
+
+    seeds = [f"{ip(1, k)}:{CONTROL_PORT}" for k in range(1, min(core, 3) + 1)]
+    nodes = {}
+    for number in range(1, core + others + 1):
+        name = f"n{number}"
+        near, far = ip(1, number), ip(3, number)
+        data = folder / f"{name}-data" if number <= core else None
+        program = _program(
+            folder,
+            name,
+            "node",
+            (f"--peer_bind_ip={far}",),
+            data,
+            standins.make_settings(
+                name,
+                near,
+                PEER_PORT,
+                seeds,
+                folder=data or "",
+                front=f"{far}:{FRONT_PORT}",
+                ready=f"{far}:{READY_PORT}",
+                control=f"{far}:{CONTROL_PORT}",
+                heartbeat_ms=BEAT_MS,
+            ),
+        )
+        links = [
+            proxy.Link((near, port), (far, port))
+            for port in (PEER_PORT, FRONT_PORT, CONTROL_PORT)
+        ]
+        nodes[name] = Host(name, near, program, links)
+    engines = {}
+    for number in range(1, 5):
+        name, near, far = f"e{number}", ip(2, number), ip(4, number)
+        program = None
+        if number <= 2:
+            program = _program(
+                folder,
+                f"a{number}",
+                "agent",
+                (),
+                None,
+                standins.make_settings(
+                    f"a{number}",
+                    near,
+                    PEER_PORT,
+                    seeds,
+                    engine=f"{far}:{ENGINE_PORT}",
+                    heartbeat_ms=BEAT_MS,
+                ),
+            )
+        link = proxy.Link((near, ENGINE_PORT), (far, ENGINE_PORT))
+        engines[name] = Host(name, near, program, [link])
+    return Fleet(nodes, engines, note)
+
+
+def _program(folder, name, module, args, data, settings) -> processes.Program:
+    path = folder / f"{name}.toml"
+    path.write_text(settings)
+    return processes.Program(
+        name,
+        f"bilberryramp.programs.{module}",
+        args,
+        standins.VARIABLE,
+        path,
+        data,
+        folder / f"{name}.log",
+    )
+
+
+def _hosts(fleet: Fleet) -> list[Host]:
+    return [*fleet.nodes.values(), *fleet.engines.values()]
+
+
+async def open_fleet(fleet: Fleet) -> None:
+    """Start all links, engines and programs.
+
+    Parameters
+    ----------
+    fleet
+        Laid out before.
+    """
+    for host in _hosts(fleet):
+        for link in host.links:
+            await proxy.open_link(link)
+        if host.name in fleet.engines:
+            await _start_engine(fleet, host)
+        if host.program is not None:
+            await processes.start(host.program)
+
+
+async def shut_fleet(fleet: Fleet) -> None:
+    """Stop all programs as planned, then what is around them.
+
+    Parameters
+    ----------
+    fleet
+        Without faults.
+    """
+    programs = [h.program for h in _hosts(fleet) if h.program is not None]
+    await asyncio.gather(*(_end(fleet, program) for program in programs))
+    for host in _hosts(fleet):
+        for link in host.links:
+            await proxy.shut(link)
+        if host.engine is not None:
+            await standins.stop(host.engine)
+
+
+async def _end(fleet: Fleet, program: processes.Program) -> None:
+    if program.proc.returncode is None:
+        code = await processes.end(program)
+        if code != -signal.SIGKILL:
+            fleet.note(observed.Ended(program.name, code, True, now_ms()))
+    elif program.proc.returncode != -signal.SIGKILL:
+        code = program.proc.returncode
+        fleet.note(observed.Ended(program.name, code, False, now_ms()))
+
+
+async def _start_engine(fleet: Fleet, host: Host) -> None:
+    """Start an engine as a new process: another id, and nothing held."""
+    host.boots += 1
+    host.is_leaving = False
+    upstream_id = f"{host.name}-{host.boots}"
+    is_plain = host.program is None
+    link = host.links[0]
+    first = host.boots == 1 and not is_plain
+    engine = standins.Engine(
+        upstream_id,
+        "svc-app" if is_plain else "svc-llm",
+        advertised=f"{host.address}:{ENGINE_PORT}",
+        models=list(MODELS) if first else [],
+        work_s=0.04,
+        born_ms=time.time_ns() // 1_000_000,
+        on_run=lambda request_id: fleet.note(
+            observed.Ran(request_id, upstream_id, now_ms())
+        ),
+        on_order=lambda fields: fleet.note(
+            observed.Ordered(
+                upstream_id, fields["holder"], fields["fence"], now_ms()
+            )
+        ),
+    )
+    await standins.start(engine, *link.far)
+    host.engine = engine
+
+
+# Faults.
+
+
+async def inflict(fleet: Fleet, fault: observed.Fault) -> None:
+    """Begin a fault and end it in time.
+
+    Parameters
+    ----------
+    fleet, fault
+        Where, and what; its times are on the clock of `now_ms`.
+    """
+    host = fleet.nodes.get(fault.target) or fleet.engines[fault.target]
+    fleet.note(fault)
+    await _FAULTS[fault.kind](fleet, host, fault)
+
+
+async def _wait(fault: observed.Fault) -> None:
+    await asyncio.sleep(max(fault.to_ms - now_ms(), 0) / 1000)
+
+
+async def _kill(_fleet, host, fault) -> None:
+    await processes.kill(host.program)
+    await _wait(fault)
+    await processes.start(host.program)
+
+
+async def _pause(_fleet, host, fault) -> None:
+    processes.send(host.program, signal.SIGSTOP)
+    await _wait(fault)
+    processes.send(host.program, signal.SIGCONT)
+
+
+async def _stop(fleet, host, _fault) -> None:
+    await _end(fleet, host.program)
+    await processes.start(host.program)
+
+
+async def _wipe(_fleet, host, fault) -> None:
+    await processes.kill(host.program)
+    processes.refuse_writes(host.program, False)
+    processes.wipe(host.program)
+    await _wait(fault)
+    await processes.start(host.program)
+
+
+async def _kill_all(fleet, _host, fault) -> None:
+    programs = [host.program for host in fleet.nodes.values()]
+    await asyncio.gather(*(processes.kill(p) for p in programs))
+    await _wait(fault)
+    await asyncio.gather(*(processes.start(p) for p in programs))
+
+
+async def _disk(_fleet, host, fault) -> None:
+    processes.refuse_writes(host.program, True)
+    await _wait(fault)
+    processes.refuse_writes(host.program, False)
+
+
+def _on_links(**changes) -> Callable:
+    """Make the fault that changes a host's links for a time."""
+
+    async def play(_fleet, host, fault) -> None:
+        usual = {name: type(value)() for name, value in changes.items()}
+        _change(host, changes)
+        await _wait(fault)
+        _change(host, usual)
+
+    return play
+
+
+def _change(host: Host, changes: dict) -> None:
+    for link in host.links:
+        for name, value in changes.items():
+            setattr(link, name, value)
+
+
+async def _reset(_fleet, host, _fault) -> None:
+    for link in host.links:
+        proxy.reset(link)
+
+
+async def _crash(fleet, host, fault) -> None:
+    if host.engine is None:
+        return
+    engine, host.engine = host.engine, None
+    await standins.stop(engine)
+    await _wait(fault)
+    if not fleet.is_over:
+        await _start_engine(fleet, host)
+
+
+async def _drain(fleet, host, fault) -> None:
+    host.is_leaving = True
+    await _wait(fault)
+    await _crash(fleet, host, fault)
+
+
+_FAULTS = {
+    _K.KILL: _kill,
+    _K.PAUSE: _pause,
+    _K.STOP: _stop,
+    _K.WIPE: _wipe,
+    _K.KILL_ALL: _kill_all,
+    _K.DISK: _disk,
+    _K.DELAY: _on_links(delay_s=0.15),
+    _K.RESET: _reset,
+    _K.SILENT: _on_links(swallows_in=True, swallows_out=True),
+    _K.ONE_WAY: _on_links(swallows_in=True),
+    _K.ENGINE_CRASH: _crash,
+    _K.ENGINE_DRAIN: _drain,
+}
+
+
+async def heal(fleet: Fleet) -> None:
+    """End what faults that overlapped may have left behind.
+
+    Parameters
+    ----------
+    fleet
+        No fault is in progress any more.
+    """
+    for host in _hosts(fleet):
+        _change(
+            host,
+            {"delay_s": 0.0, "swallows_in": False, "swallows_out": False},
+        )
+        for link in host.links:
+            proxy.reset(link)
+        if host.program is not None:
+            processes.send(host.program, signal.SIGCONT)
+            if host.program.folder is not None:
+                processes.refuse_writes(host.program, False)
+            await processes.start(host.program)
+        if host.name in fleet.engines and host.engine is None:
+            await _start_engine(fleet, host)
--- /dev/null
+++ b/bilberryramp/soak/schedule.py
@@ -0,0 +1,81 @@
+"""Draws the faults of a soak from its seed."""
+
+import random
+from collections.abc import Iterator
+
+from bilberryramp.soak import observed
+
+__all__ = ["draw"]
+
+# Mean pause between two faults; shorter than most faults last, so that they
+# overlap.
+MEAN_PAUSE_MS = 1300
+# After a data folder was emptied no other core node is harmed for this long:
+# the time in which a node must have caught up, and some to start.
+CATCH_UP_MS = 7000
+_K = observed.FaultKind
+# How often each kind is drawn, and how long it lasts at least and at most.
+NODE_FAULTS = (
+    (_K.KILL, 4, 300, 2500),
+    (_K.PAUSE, 4, 400, 5000),
+    (_K.STOP, 4, 0, 0),
+    (_K.WIPE, 2, 500, 2000),
+    (_K.KILL_ALL, 1, 300, 1500),
+    (_K.DISK, 2, 500, 4000),
+)
+NEEDS_DISK = frozenset({_K.WIPE, _K.DISK})
+LINK_FAULTS = (
+    (_K.DELAY, 3, 500, 4000),
+    (_K.RESET, 3, 0, 0),
+    (_K.SILENT, 3, 500, 5000),
+    (_K.ONE_WAY, 3, 500, 4000),
+)
+ENGINE_FAULTS = (
+    (_K.ENGINE_CRASH, 4, 500, 3000),
+    (_K.ENGINE_DRAIN, 2, 2500, 4000),
+)
+# A planned stop has ended after the grace period.
+STOP_MS = 8000
+
+
+def draw(
+    seed: int, length_ms: int, core: list, nodes: list, engines: list
+) -> Iterator[observed.Fault]:
+    """Draw faults in order of time.
+
+    Parameters
+    ----------
+    seed, length_ms
+        The soak's seed and the time in which faults begin.
+    core, nodes, engines
+        Names of the nodes with a disk, of all nodes and of the engines.
+
+    Yields
+    ------
+    Fault
+        Overlapping; at most one core node at a time is without its data.
+    """
+    rng = random.Random(seed)
+    now_ms = 0
+    calm_until_ms = 0
+    while True:
+        now_ms += int(rng.expovariate(1 / MEAN_PAUSE_MS))
+        if now_ms >= length_ms:
+            return
+        rows = rng.choice((NODE_FAULTS, LINK_FAULTS, ENGINE_FAULTS))
+        kind, _, least, most = rng.choices(rows, [row[1] for row in rows])[0]
+        to_ms = now_ms + rng.randint(least, most)
+        if rows is ENGINE_FAULTS:
+            target = rng.choice(engines)
+        elif rows is LINK_FAULTS:
+            target = rng.choice([*nodes, *engines])
+        else:
+            target = rng.choice(core if kind in NEEDS_DISK else nodes)
+        harms_core = target in core or kind is _K.KILL_ALL
+        if harms_core and now_ms < calm_until_ms:
+            continue
+        if kind is _K.WIPE:
+            calm_until_ms = to_ms + CATCH_UP_MS
+        if kind is _K.STOP:
+            to_ms = now_ms + STOP_MS
+        yield observed.Fault(kind, target, now_ms, to_ms)
--- /dev/null
+++ b/bilberryramp/soak/tests/builders.py
@@ -0,0 +1,43 @@
+"""Builders of what a soak saw."""
+
+from bilberryramp.soak import observed
+
+DEFAULT_MS = 10_000
+
+
+def a_history(*seen):
+    return observed.History(list(seen))
+
+
+def sent(request_id="q1", node="n1", may_repeat=False, at_ms=DEFAULT_MS):
+    return observed.Sent(request_id, node, may_repeat, at_ms)
+
+
+def answer(request_id="q1", status=200, **changes):
+    fields = {
+        "was_sent": True,
+        "is_whole": status == 200,
+        "owner": request_id if status == 200 else "",
+        "at_ms": DEFAULT_MS + 500,
+    }
+    return observed.Answer(request_id, status, **(fields | changes))
+
+
+def ran(request_id="q1", upstream_id="e1-1", at_ms=DEFAULT_MS + 20):
+    return observed.Ran(request_id, upstream_id, at_ms)
+
+
+def accepted(version, at_ms=DEFAULT_MS, body=b"x"):
+    return observed.Accepted(version, body, at_ms)
+
+
+def read_back(version, sent_ms, body=b"x", is_last=False):
+    return observed.ReadBack(version, body, sent_ms, is_last)
+
+
+def ordered(holder, fence, upstream_id="e1-1"):
+    return observed.Ordered(upstream_id, holder, fence, DEFAULT_MS)
+
+
+def fault(kind, target="n1", from_ms=DEFAULT_MS, to_ms=DEFAULT_MS + 8000):
+    return observed.Fault(kind, target, from_ms, to_ms)
--- /dev/null
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -0,0 +1,103 @@
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from bilberryramp.soak import checks, observed, proxy, run, schedule
+
+NODES = ["n1", "n2", "n3", "n4"]
+CORE = NODES[:3]
+ENGINES = ["e1", "e2"]
+
+
+class ScheduleTest(unittest.TestCase):
+    def draw(self, seed):
+        return list(schedule.draw(seed, 300_000, CORE, NODES, ENGINES))
+
+    def test_a_seed_draws_the_same_faults(self):
+        self.assertEqual(self.draw(4), self.draw(4))
+        self.assertNotEqual(self.draw(4), self.draw(5))
+
+    def test_all_kinds_come_and_overlap(self):
+        faults = self.draw(1)
+        self.assertEqual({f.kind for f in faults}, set(observed.FaultKind))
+        self.assertTrue(
+            any(
+                later.from_ms < earlier.to_ms
+                for earlier, later in zip(faults, faults[1:], strict=False)
+            )
+        )
+
+    def test_no_core_node_is_harmed_while_another_has_lost_its_data(self):
+        for seed in range(20):
+            calm_until_ms = 0
+            for fault in self.draw(seed):
+                if fault.target in CORE and fault.target not in ENGINES:
+                    self.assertGreaterEqual(fault.from_ms, calm_until_ms)
+                if fault.kind is observed.FaultKind.WIPE:
+                    calm_until_ms = fault.to_ms + schedule.CATCH_UP_MS
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+
+        far = await asyncio.start_server(echo, "127.0.0.1", 0)
+        self.addCleanup(far.close)
+        self.link = proxy.Link(
+            ("127.0.0.1", 0), far.sockets[0].getsockname()[:2]
+        )
+        await proxy.open_link(self.link)
+        self.at = self.link.server.sockets[0].getsockname()[:2]
+
+    async def asyncTearDown(self):
+        await proxy.shut(self.link)
+
+    async def test_bytes_pass_both_ways(self):
+        reader, writer = await asyncio.open_connection(*self.at)
+        writer.write(b"there")
+        self.assertEqual(await reader.readexactly(5), b"there")
+        writer.close()
+
+    async def test_a_reset_ends_open_connections(self):
+        reader, writer = await asyncio.open_connection(*self.at)
+        writer.write(b"there")
+        await reader.readexactly(5)
+        proxy.reset(self.link)
+        with self.assertRaises(ConnectionResetError):
+            await reader.readexactly(1)
+        writer.close()
+
+    async def test_what_is_swallowed_does_not_arrive(self):
+        self.link.swallows_in = True
+        reader, writer = await asyncio.open_connection(*self.at)
+        writer.write(b"lost")
+        writer.write_eof()
+        read = asyncio.create_task(reader.read())
+        done, _ = await asyncio.wait([read], timeout=0.2)
+        self.assertFalse(done)
+        read.cancel()
+        writer.close()
+
+
+class ShortSoakTest(unittest.IsolatedAsyncioTestCase):
+    """Plays real programs for some seconds; nothing timed is checked."""
+
+    SEED = 7
+    LENGTH_MS = 6000
+
+    async def test_the_promises_hold(self):
+        with tempfile.TemporaryDirectory() as folder:
+            plan = run.Plan(self.SEED, 0, self.LENGTH_MS)
+            history = await run.play(plan, pathlib.Path(folder))
+        found = list(checks.violations(history, checks.SAFETY))
+        self.assertEqual(found, [])
+        served = [a for a in history.of(observed.Answer) if a.status == 200]
+        self.assertTrue(served)
+
+
+if __name__ == "__main__":
+    unittest.main()
