--- a/bilberryramp/programs/fleet_launch.py
+++ b/bilberryramp/programs/fleet_launch.py
@@ -1,5 +1,6 @@
 """What the programs of a fleet share: their settings and how they start."""
 
+import faulthandler
 import os
 import sys
 
@@ -46,6 +47,8 @@
     NodeSettings
         Checked.
     """
+    # A crash inside a library leaves the stacks of all threads in the log.
+    faulthandler.enable()
     try:
         cfg = platform_settings.read(settings_path())
     except platform_settings.MalformedSettingsError as exc:
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -8,7 +8,12 @@
 from aiohttp import hdrs, web
 
 from bilberryramp.decisions.fleet import calls, documents
-from bilberryramp.tasks import gateway_task, mailbox, upstream_exchange
+from bilberryramp.tasks import (
+    gateway_task,
+    http_requests,
+    mailbox,
+    upstream_exchange,
+)
 
 __all__ = ["Frontend", "close_idle", "handle", "make_server"]
 
@@ -73,19 +78,9 @@
         finally:
             front.busy.discard(conn)
 
-    def make_request(message, payload, protocol, writer, task):
-        loop = asyncio.get_running_loop()
-        limits = _limits(front)
-        return web.BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            loop,
-            client_max_size=limits.body_bytes,
-        )
-
+    make_request = http_requests.make_factory(
+        lambda: _limits(front).body_bytes
+    )
     idle_s = documents.CallLimits().idle_timeout_ms / 1000 + IDLE_SLACK_S
     return web.Server(
         serve,
--- a/bilberryramp/tasks/fleet_operator.py
+++ b/bilberryramp/tasks/fleet_operator.py
@@ -9,7 +9,12 @@
 
 from bilberryramp.decisions.fleet import operator_calls as asked
 from bilberryramp.decisions.fleet import register
-from bilberryramp.tasks import gateway_task, mailbox, register_task
+from bilberryramp.tasks import (
+    gateway_task,
+    http_requests,
+    mailbox,
+    register_task,
+)
 from bilberryramp.telemetry import events
 
 __all__ = [
@@ -76,18 +81,7 @@
                 return _plain(400, call.reason)
         return _plain(404, "no such call")
 
-    def make_request(message, payload, protocol, writer, task):
-        loop = asyncio.get_running_loop()
-        return web.BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            loop,
-            client_max_size=MAX_BODY_BYTES,
-        )
-
+    make_request = http_requests.make_factory(lambda: MAX_BODY_BYTES)
     return web.Server(serve, request_factory=make_request, access_log=None)
 
 
