Find a leader and fill empty engines sooner after a start of everything

The planner then filled empty engines with models that nobody asked for, which kept them from those that calls waited for, and knew demand only after seconds of averaging.

Ruled out: the connections between nodes (they stood by then).

Change: a canvass that found no majority is held again after 150 to 300 ms; free memory is filled only without waiting calls and 4 s into a leadership; the average of demand counts from its beginning.

--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -29,6 +29,9 @@
 # Time constant of the moving average of demand: short against the seconds in
 # which demand moves to other models, long against the time between calls.
 DEMAND_MS = 3000
+# Time of observation below which demand is not told: one call would pass for
+# a stream of them.
+LEAST_AGE_MS = 1000
 # What a load costs, in tokens a second for each copy that it must relieve:
 # about a fifteenth of what an engine reads (38.7 prompt tokens in one
 # millisecond, data sheet).
@@ -80,6 +83,8 @@
     rates
         Work asked for by model, tokens a second, and when that was; models
         and engines are keyed as of `sharing.short_key`.
+    since_ms
+        When the first work was noted; None before.
     """
 
     used_ms: dict[tuple[int, str], int] = dataclasses.field(
@@ -88,6 +93,7 @@
     rates: dict[int, tuple[float, int]] = dataclasses.field(
         default_factory=dict
     )
+    since_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -146,6 +152,7 @@
     now_ms: int
     copies: collections.Counter
     rates: dict[str, float]
+    fills: bool
 
 
 def note_use(
@@ -178,6 +185,8 @@
     model_key, tokens, now_ms
         The model, as of `sharing.short_key`, the work and the present.
     """
+    if demand.since_ms is None:
+        demand.since_ms = now_ms
     before = _decayed(demand, model_key, now_ms)
     added = 1000 * tokens / DEMAND_MS
     demand.rates[model_key] = (before + added, now_ms)
@@ -194,9 +203,14 @@
     Returns
     -------
     float
-        Tokens a second, a moving average.
+        Tokens a second, a moving average; while less than its time constant
+        has been seen, over what was.
     """
-    return _decayed(demand, sharing.short_key(model), now_ms)
+    if demand.since_ms is None:
+        return 0.0
+    age_ms = max(now_ms - demand.since_ms, LEAST_AGE_MS)
+    seen = 1 - math.exp(-age_ms / DEMAND_MS)
+    return _decayed(demand, sharing.short_key(model), now_ms) / seen
 
 
 def _decayed(demand: Demand, model_key: int, now_ms: int) -> float:
@@ -301,6 +315,7 @@
     waited_for: frozenset[str],
     store_loads: int,
     now_ms: int,
+    fills: bool = True,
 ) -> Iterator[Move]:
     """Plan copies of models where demand for them has outgrown the others.
 
@@ -318,6 +333,8 @@
         Loads that the weight store still allows.
     now_ms
         The present.
+    fills
+        Whether free memory is filled with models that nobody asks for.
 
     Yields
     ------
@@ -331,6 +348,7 @@
         now_ms,
         _count_copies(sites),
         {name: rate(demand, name, now_ms) for name in engine.models},
+        fills and not waited_for,
     )
     open_sites = [s for s in sites if not s.coming and not s.leaving]
     for _ in range(MOST_MOVES):
@@ -407,7 +425,7 @@
     victims = _victims(plan, losses, spec.weights_mb - site.free_mb)
     is_waited_for = model in plan.waited_for
     is_spare = not plan.copies[model] and not is_waited_for
-    if victims is None or is_spare and victims:
+    if victims is None or is_spare and (victims or not plan.fills):
         return
     load_s = spec.load_s * (1.0 if from_store else AT_HAND_SHARE)
     lost = sum(loss for loss, held in losses if held in victims)
--- a/bilberryramp/decisions/fleet/planner.py
+++ b/bilberryramp/decisions/fleet/planner.py
@@ -29,6 +29,10 @@
 RESEND_MS = 60
 MOST_RESEND_MS = 800
 GIVE_UP_MS = 4000
+# A new leader fills free memory only after this long: an engine that loads
+# a model for nobody cannot take one that calls wait for, and after a restart
+# of everything all engines are empty and demand is not yet known.
+LEARN_MS = 4000
 # Window of the weight store's ceiling and the part of it that is used; a
 # new leader, who does not know its predecessor's loads, uses half of that.
 CEILING_WINDOW_MS = 5000
@@ -174,6 +178,7 @@
         _waited_for(planner, service, sites, now_ms),
         _store_loads(planner, engine, now_ms),
         now_ms,
+        now_ms - planner.leading_since_ms >= LEARN_MS,
     )
     for move in moves:
         yield from _begin(planner, engine, move, now_ms)
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -52,6 +52,10 @@
 LEASE_MS = 520
 ELECTION_MS = 650
 ELECTION_SPREAD_MS = 400
+# A canvass that found no majority is held again after this long, and as much
+# again at random: it raises no term, and voters that started a little later
+# were still bound by their start.
+CANVASS_AGAIN_MS = 150
 # A record is sent again when it was not acknowledged for this long.
 RESEND_MS = 400
 # A node that was not heard for this long counts as gone for its roster.
@@ -389,6 +393,8 @@
 
 def _ask_prevotes(node: Node, now_ms: int, _payload) -> Iterator:
     node.leader = ""
+    again_ms = CANVASS_AGAIN_MS + node.rng.randrange(CANVASS_AGAIN_MS)
+    node.election_due_ms = now_ms + again_ms
     yield from _canvass(node, now_ms, node.term + 1, pre=True)
 
 
--- a/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
+++ b/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
@@ -7,15 +7,15 @@
 
 
 def asked(rates, now_ms=NOW):
-    """Build demand in tokens a second by model."""
-    demand = placement.Demand()
+    """Build demand in tokens a second by model, seen for a long time."""
+    demand = placement.Demand(since_ms=now_ms - 100 * placement.DEMAND_MS)
     for model, tokens_per_s in rates.items():
         tokens = tokens_per_s * placement.DEMAND_MS // 1000
         placement.note_asked(demand, sharing.short_key(model), tokens, now_ms)
     return demand
 
 
-def plan(sites, demand, waited_for=(), store_loads=9, **engine):
+def plan(sites, demand, waited_for=(), store_loads=9, fills=True, **engine):
     moves = placement.plan_moves(
         builders.an_engine(**engine),
         sites,
@@ -23,6 +23,7 @@
         frozenset(waited_for),
         store_loads,
         NOW,
+        fills,
     )
     return builders.drain(moves)
 
@@ -54,6 +55,14 @@
         rate = placement.rate(gw.demand, "m3", 10_200)
         self.assertGreater(rate, 9 * 9000 * 0.9 / 3)
 
+    def test_demand_is_known_soon_after_a_start(self):
+        demand = placement.Demand()
+        key = sharing.short_key("m3")
+        for at_ms in range(NOW, NOW + 1000, 100):
+            placement.note_asked(demand, key, 5000, at_ms)
+        found = placement.rate(demand, "m3", NOW + 1000)
+        self.assertAlmostEqual(found, 50_000, delta=10_000)
+
     def test_old_demand_is_forgotten(self):
         """Replays a model that stayed crowded for ever once it was gone."""
         demand = asked({"m3": 100_000}, NOW - 20_000)
@@ -146,6 +155,13 @@
         (move,) = plan(sites, placement.Demand())
         self.assertEqual((move.model, move.victims), ("m4", ()))
 
+    def test_empty_engines_wait_for_demand_after_a_restart(self):
+        """They took models for nobody while calls waited for others."""
+        sites = [builders.a_site(f"u{i}", ()) for i in range(3)]
+        self.assertEqual(plan(sites, placement.Demand(), fills=False), [])
+        moves = plan(sites, placement.Demand(), {"m4"})
+        self.assertEqual([move.model for move in moves], ["m4"])
+
     def test_several_give_way_to_a_large_one(self):
         small = ("m0", "m1", "m2")
         sites = [builders.a_site("u1", small)]
--- a/bilberryramp/decisions/fleet/tests/test_restart.py
+++ b/bilberryramp/decisions/fleet/tests/test_restart.py
@@ -60,6 +60,20 @@
         beats(node, NOW + 600)
         self.assertFalse(beats(node, NOW + 800))
 
+    def test_a_canvass_without_a_majority_is_held_again_soon(self):
+        """Voters that started 0.3 s later were bound by their start."""
+        node = a_restarted_voter(("x1",))
+        asked = []
+        for now_ms in range(NOW, NOW + 2000, 50):
+            sent = builders.drain(register.step(node, now_ms, register.Tick()))
+            if any(
+                isinstance(effect.message, register_messages.RequestVote)
+                for effect in builders.only(sent, effects.Send)
+            ):
+                asked.append(now_ms)
+        self.assertGreaterEqual(asked[0] - NOW, register.ELECTION_MS)
+        self.assertLessEqual(asked[1] - asked[0], 350)
+
 
 class ReadinessTest(unittest.TestCase):
     def node(self, *upstreams):
