--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -28,7 +28,7 @@
 
 # Time constant of the moving average of demand: short against the seconds in
 # which demand moves to other models, long against the time between calls.
-DEMAND_MS = 3000
+DEMAND_MS = 2000
 # Time of observation below which demand is not told: one call would pass for
 # a stream of them.
 LEAST_AGE_MS = 1000
@@ -61,7 +61,7 @@
 BALANCE = 0.1
 # Part of the demand for a model with adapters that is held up by a load at
 # its engine.
-ADAPTERS_HELD_UP = 0.5
+ADAPTERS_HELD_UP = 0.1
 # Moves that are begun at one look.
 MOST_MOVES = 8
 # An adapter to which no call was sent this long may be unloaded if none is in
