Group the decisions by role: moves alone

decisions/ held 43 modules on one level and its tests in one folder. Now control/, entry/, upstream/ and shared/ each hold their modules with a line on what they decide and their tests beside them; fleet/ stays. Imports follow; nothing else changes. The builders of test data are still one module.

--- a/bilberryramp/charts/loader.py
+++ b/bilberryramp/charts/loader.py
@@ -6,7 +6,7 @@
 import msgspec
 import yaml
 
-from bilberryramp.decisions import charting
+from bilberryramp.decisions.shared import charting
 
 __all__ = ["ChartFileError", "load", "names", "parse"]
 
--- /dev/null
+++ b/bilberryramp/decisions/control/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of control: the replicated log, tables, placement, records."""
--- a/bilberryramp/decisions/control_state.py
+++ b/bilberryramp/decisions/control/control_state.py
@@ -2,14 +2,8 @@
 
 import dataclasses
 
-from bilberryramp.decisions import (
-    commands,
-    idempotency,
-    placement,
-    quarantine,
-    tables,
-    views,
-)
+from bilberryramp.decisions.control import idempotency, placement, quarantine
+from bilberryramp.decisions.shared import commands, tables, views
 
 __all__ = [
     "MAX_SUBMISSIONS",
--- a/bilberryramp/decisions/demand.py
+++ b/bilberryramp/decisions/control/demand.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Mapping
 
-from bilberryramp.decisions import tables
+from bilberryramp.decisions.shared import tables
 
 __all__ = ["DemandSettings", "ModelDemand", "Watch", "observe"]
 
--- a/bilberryramp/decisions/feed.py
+++ b/bilberryramp/decisions/control/feed.py
@@ -12,14 +12,9 @@
 import dataclasses
 from collections.abc import Callable, Iterator
 
-from bilberryramp.decisions import (
-    commands,
-    control_state,
-    effects,
-    tables,
-    views,
-)
-from bilberryramp.decisions import feed_messages as msgs
+from bilberryramp.decisions.control import control_state
+from bilberryramp.decisions.shared import commands, effects, tables, views
+from bilberryramp.decisions.shared import feed_messages as msgs
 
 __all__ = [
     "MAX_HISTORY",
--- a/bilberryramp/decisions/idempotency.py
+++ b/bilberryramp/decisions/control/idempotency.py
@@ -11,7 +11,7 @@
 import uuid
 from collections.abc import Iterator
 
-from bilberryramp.decisions import commands, errors
+from bilberryramp.decisions.shared import commands, errors
 
 __all__ = [
     "MAX_ANSWER_BYTES",
--- a/bilberryramp/decisions/log_entries.py
+++ b/bilberryramp/decisions/control/log_entries.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Sequence
 
-from bilberryramp.decisions import control_state
+from bilberryramp.decisions.control import control_state
 
 __all__ = [
     "LogTail",
--- a/bilberryramp/decisions/membership.py
+++ b/bilberryramp/decisions/control/membership.py
@@ -4,14 +4,8 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
-    commands,
-    demand,
-    feed_messages,
-    placement,
-    placement_board,
-    views,
-)
+from bilberryramp.decisions.control import demand, placement, placement_board
+from bilberryramp.decisions.shared import commands, feed_messages, views
 
 __all__ = [
     "FORGET_MS",
--- a/bilberryramp/decisions/placement.py
+++ b/bilberryramp/decisions/control/placement.py
@@ -10,13 +10,8 @@
 import types
 from collections.abc import Iterator, Mapping
 
-from bilberryramp.decisions import (
-    commands,
-    placement_board,
-    placement_surplus,
-    tables,
-    views,
-)
+from bilberryramp.decisions.control import placement_board, placement_surplus
+from bilberryramp.decisions.shared import commands, tables, views
 
 __all__ = ["Shortfall", "plan", "shortfalls"]
 
--- a/bilberryramp/decisions/placement_board.py
+++ b/bilberryramp/decisions/control/placement_board.py
@@ -8,7 +8,7 @@
 import dataclasses
 from collections.abc import Iterator, Mapping, Set
 
-from bilberryramp.decisions import tables, views
+from bilberryramp.decisions.shared import tables, views
 
 __all__ = [
     "Board",
--- a/bilberryramp/decisions/placement_surplus.py
+++ b/bilberryramp/decisions/control/placement_surplus.py
@@ -7,7 +7,8 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
-from bilberryramp.decisions import placement_board, tables, views
+from bilberryramp.decisions.control import placement_board
+from bilberryramp.decisions.shared import tables, views
 
 __all__ = ["Surplus", "make_room", "put", "ready", "start"]
 
--- a/bilberryramp/decisions/quarantine.py
+++ b/bilberryramp/decisions/control/quarantine.py
@@ -1,6 +1,6 @@
 """Requests that took down upstreams, and when to refuse them."""
 
-from bilberryramp.decisions import commands, views
+from bilberryramp.decisions.shared import commands, views
 
 __all__ = [
     "MAX_RECORDS",
--- a/bilberryramp/decisions/replica_state.py
+++ b/bilberryramp/decisions/control/replica_state.py
@@ -4,7 +4,8 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions import charting, control_state, log_entries
+from bilberryramp.decisions.control import control_state, log_entries
+from bilberryramp.decisions.shared import charting
 
 __all__ = [
     "GENESIS",
--- a/bilberryramp/decisions/replication.py
+++ b/bilberryramp/decisions/control/replication.py
@@ -15,16 +15,13 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
-    charting,
-    commands,
+from bilberryramp.decisions.control import (
     control_state,
-    effects,
-    errors,
     log_entries,
     replica_state,
 )
-from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.control import replication_messages as msgs
+from bilberryramp.decisions.shared import charting, commands, effects, errors
 
 __all__ = [
     "TermRegressedError",
--- a/bilberryramp/decisions/replication_messages.py
+++ b/bilberryramp/decisions/control/replication_messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from bilberryramp.decisions import control_state
+from bilberryramp.decisions.control import control_state
 
 __all__ = [
     "Answer",
--- a/bilberryramp/decisions/tests/control_driver.py
+++ b/bilberryramp/decisions/control/tests/control_driver.py
@@ -10,14 +10,9 @@
 import dataclasses
 import random
 
-from bilberryramp.decisions import (
-    commands,
-    effects,
-    replica_state,
-    replication,
-    views,
-)
-from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.control import replica_state, replication
+from bilberryramp.decisions.control import replication_messages as msgs
+from bilberryramp.decisions.shared import commands, effects, views
 from bilberryramp.decisions.tests import builders
 
 CHART = builders.bound("replica", replication)
--- a/bilberryramp/decisions/tests/test_control_state.py
+++ b/bilberryramp/decisions/control/tests/test_control_state.py
@@ -1,14 +1,8 @@
 import unittest
 
-from bilberryramp.decisions import (
-    commands,
-    demand,
-    errors,
-    idempotency,
-    membership,
-    tables,
-)
-from bilberryramp.decisions import feed_messages as msgs
+from bilberryramp.decisions.control import demand, idempotency, membership
+from bilberryramp.decisions.shared import commands, errors, tables
+from bilberryramp.decisions.shared import feed_messages as msgs
 from bilberryramp.decisions.tests import builders
 
 CODE = errors.FailureCode
--- a/bilberryramp/decisions/tests/test_feed.py
+++ b/bilberryramp/decisions/control/tests/test_feed.py
@@ -3,13 +3,8 @@
 import unittest
 from unittest import mock
 
-from bilberryramp.decisions import (
-    commands,
-    control_state,
-    feed,
-    feed_messages,
-    subscription,
-)
+from bilberryramp.decisions.control import control_state, feed
+from bilberryramp.decisions.shared import commands, feed_messages, subscription
 from bilberryramp.decisions.tests import builders
 
 IN_FORCE_LIMIT_MS = 15_000
--- a/bilberryramp/decisions/tests/test_idempotency.py
+++ b/bilberryramp/decisions/control/tests/test_idempotency.py
@@ -2,7 +2,8 @@
 import unittest
 from unittest import mock
 
-from bilberryramp.decisions import commands, errors, idempotency
+from bilberryramp.decisions.control import idempotency
+from bilberryramp.decisions.shared import commands, errors
 from bilberryramp.decisions.tests import builders
 
 CODE = errors.FailureCode
--- a/bilberryramp/decisions/tests/test_placement.py
+++ b/bilberryramp/decisions/control/tests/test_placement.py
@@ -1,11 +1,8 @@
 import unittest
 from unittest import mock
 
-from bilberryramp.decisions import (
-    commands,
-    placement,
-    placement_board,
-)
+from bilberryramp.decisions.control import placement, placement_board
+from bilberryramp.decisions.shared import commands
 from bilberryramp.decisions.tests import builders
 
 
--- a/bilberryramp/decisions/tests/test_replication_fuzz.py
+++ b/bilberryramp/decisions/control/tests/test_replication_fuzz.py
@@ -7,15 +7,15 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from bilberryramp.decisions import (
-    commands,
+from bilberryramp.decisions.control import (
     control_state,
     idempotency,
     replica_state,
     replication,
 )
-from bilberryramp.decisions import replication_messages as msgs
-from bilberryramp.decisions.tests import control_driver
+from bilberryramp.decisions.control import replication_messages as msgs
+from bilberryramp.decisions.control.tests import control_driver
+from bilberryramp.decisions.shared import commands
 
 NAMES = st.sampled_from(("c1", "c2", "c3"))
 AT = st.integers(0, 199)
--- /dev/null
+++ b/bilberryramp/decisions/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an entry: callers' requests, routing and attempts."""
--- a/bilberryramp/decisions/entry_attempts.py
+++ b/bilberryramp/decisions/entry/entry_attempts.py
@@ -2,17 +2,14 @@
 
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
-    call_messages,
-    effects,
+from bilberryramp.decisions.control import quarantine
+from bilberryramp.decisions.entry import (
     entry_refusals,
     entry_state,
-    errors,
-    quarantine,
     route_index,
     routing,
-    views,
 )
+from bilberryramp.decisions.shared import call_messages, effects, errors, views
 
 __all__ = ["actions", "choose", "end_attempt"]
 
--- a/bilberryramp/decisions/entry_calls.py
+++ b/bilberryramp/decisions/entry/entry_calls.py
@@ -8,20 +8,22 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
-    call_messages,
-    charting,
-    commands,
-    effects,
+from bilberryramp.decisions.entry import (
     entry_attempts,
     entry_messages,
     entry_records,
     entry_refusals,
     entry_replies,
     entry_state,
+    route_index,
+)
+from bilberryramp.decisions.shared import (
+    call_messages,
+    charting,
+    commands,
+    effects,
     errors,
     role_messages,
-    route_index,
     unconfirmed,
 )
 
--- a/bilberryramp/decisions/entry_messages.py
+++ b/bilberryramp/decisions/entry/entry_messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from bilberryramp.decisions import errors
+from bilberryramp.decisions.shared import errors
 
 __all__ = [
     "CallArrived",
--- a/bilberryramp/decisions/entry_records.py
+++ b/bilberryramp/decisions/entry/entry_records.py
@@ -7,13 +7,13 @@
 
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.control import idempotency
+from bilberryramp.decisions.entry import entry_state
+from bilberryramp.decisions.shared import (
     call_messages,
     commands,
     effects,
-    entry_state,
     errors,
-    idempotency,
     role_messages,
     unconfirmed,
 )
--- a/bilberryramp/decisions/entry_refusals.py
+++ b/bilberryramp/decisions/entry/entry_refusals.py
@@ -2,13 +2,9 @@
 
 import dataclasses
 
-from bilberryramp.decisions import (
-    entry_messages,
-    entry_state,
-    errors,
-    quarantine,
-    tables,
-)
+from bilberryramp.decisions.control import quarantine
+from bilberryramp.decisions.entry import entry_messages, entry_state
+from bilberryramp.decisions.shared import errors, tables
 
 __all__ = ["early_failure", "quarantined", "without_record"]
 
--- a/bilberryramp/decisions/entry_replies.py
+++ b/bilberryramp/decisions/entry/entry_replies.py
@@ -3,13 +3,13 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.control import idempotency
+from bilberryramp.decisions.entry import (
     entry_messages,
     entry_refusals,
     entry_state,
-    errors,
-    idempotency,
 )
+from bilberryramp.decisions.shared import errors
 
 __all__ = ["actions"]
 
--- a/bilberryramp/decisions/entry_state.py
+++ b/bilberryramp/decisions/entry/entry_state.py
@@ -3,13 +3,11 @@
 import dataclasses
 import random
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.entry import entry_messages, route_index, routing
+from bilberryramp.decisions.shared import (
     call_messages,
     charting,
-    entry_messages,
     errors,
-    route_index,
-    routing,
     tables,
     unconfirmed,
     views,
--- a/bilberryramp/decisions/links.py
+++ b/bilberryramp/decisions/entry/links.py
@@ -8,11 +8,8 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
-    call_messages,
-    charting,
-    entry_messages,
-)
+from bilberryramp.decisions.entry import entry_messages
+from bilberryramp.decisions.shared import call_messages, charting
 
 __all__ = [
     "Link",
--- a/bilberryramp/decisions/route_index.py
+++ b/bilberryramp/decisions/entry/route_index.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 
-from bilberryramp.decisions import tables, views
+from bilberryramp.decisions.shared import tables, views
 
 __all__ = ["RouteIndex", "candidates", "model_route", "service_route"]
 
--- a/bilberryramp/decisions/routing.py
+++ b/bilberryramp/decisions/entry/routing.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Callable, Sequence
 
-from bilberryramp.decisions import call_messages, errors
+from bilberryramp.decisions.shared import call_messages, errors
 
 __all__ = [
     "POLICIES",
--- a/bilberryramp/decisions/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/entry/tests/test_entry_calls.py
@@ -1,13 +1,12 @@
 import unittest
 from unittest import mock
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.entry import entry_calls, entry_messages
+from bilberryramp.decisions.shared import (
     call_messages,
     charting,
     commands,
     effects,
-    entry_calls,
-    entry_messages,
     errors,
     role_messages,
     tables,
--- a/bilberryramp/decisions/fleet/agent.py
+++ b/bilberryramp/decisions/fleet/agent.py
@@ -11,9 +11,9 @@
 import enum
 from collections.abc import Iterator
 
-from bilberryramp.decisions import charting
 from bilberryramp.decisions.fleet import documents, presence
 from bilberryramp.decisions.fleet.traces import Trace
+from bilberryramp.decisions.shared import charting
 
 __all__ = [
     "Agent",
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions import charting
 from bilberryramp.decisions.fleet import (
     calls,
     documents,
@@ -15,6 +14,7 @@
     retry_budget,
     sharing,
 )
+from bilberryramp.decisions.shared import charting
 
 __all__ = [
     "Gateway",
--- a/bilberryramp/decisions/fleet/health.py
+++ b/bilberryramp/decisions/fleet/health.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from bilberryramp.decisions import charting
+from bilberryramp.decisions.shared import charting
 
 __all__ = ["Health", "actions", "guards", "is_avoided", "note_end", "review"]
 
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -16,9 +16,9 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions import charting, effects
 from bilberryramp.decisions.fleet import electorate
 from bilberryramp.decisions.fleet import register_messages as msgs
+from bilberryramp.decisions.shared import charting, effects
 
 __all__ = [
     "GENESIS",
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -3,7 +3,6 @@
 import random
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import charting
 from bilberryramp.decisions.fleet import (
     agent,
     calls,
@@ -18,6 +17,7 @@
     retry_budget,
     sharing,
 )
+from bilberryramp.decisions.shared import charting
 
 
 def bound(name, module):
--- a/bilberryramp/decisions/fleet/tests/register_driver.py
+++ b/bilberryramp/decisions/fleet/tests/register_driver.py
@@ -4,9 +4,9 @@
 import heapq
 import random
 
-from bilberryramp.decisions import effects
 from bilberryramp.decisions.fleet import register
 from bilberryramp.decisions.fleet.tests import builders
+from bilberryramp.decisions.shared import effects
 
 TICK_MS = 50
 
--- a/bilberryramp/decisions/fleet/tests/test_restart.py
+++ b/bilberryramp/decisions/fleet/tests/test_restart.py
@@ -3,7 +3,6 @@
 import random
 import unittest
 
-from bilberryramp.decisions import effects
 from bilberryramp.decisions.fleet import (
     calls,
     gateway,
@@ -14,6 +13,7 @@
     register_messages,
 )
 from bilberryramp.decisions.fleet.tests import builders
+from bilberryramp.decisions.shared import effects
 
 NOW = 50_000
 VOTERS = ("v1", "v2", "v3")
--- /dev/null
+++ b/bilberryramp/decisions/shared/__init__.py
@@ -0,0 +1,1 @@
+"""What several roles share: charts, types of messages, tables and views."""
--- a/bilberryramp/decisions/call_messages.py
+++ b/bilberryramp/decisions/shared/call_messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from bilberryramp.decisions import errors, tables
+from bilberryramp.decisions.shared import errors, tables
 
 __all__ = [
     "AnswerBroken",
--- a/bilberryramp/decisions/charting.py
+++ b/bilberryramp/decisions/shared/charting.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Callable, Iterator, Mapping
 
-from bilberryramp.decisions import effects, errors
+from bilberryramp.decisions.shared import effects, errors
 
 __all__ = [
     "Chart",
--- a/bilberryramp/decisions/commands.py
+++ b/bilberryramp/decisions/shared/commands.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from bilberryramp.decisions import errors, tables, views
+from bilberryramp.decisions.shared import errors, tables, views
 
 __all__ = [
     "ChangeTables",
--- a/bilberryramp/decisions/feed_messages.py
+++ b/bilberryramp/decisions/shared/feed_messages.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from bilberryramp.decisions import control_state, views
+from bilberryramp.decisions.control import control_state
+from bilberryramp.decisions.shared import views
 
 __all__ = [
     "Ask",
--- a/bilberryramp/decisions/shutdown.py
+++ b/bilberryramp/decisions/shared/shutdown.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable, Iterator
 
-from bilberryramp.decisions import charting
+from bilberryramp.decisions.shared import charting
 
 __all__ = [
     "NewWorkRefused",
--- a/bilberryramp/decisions/subscription.py
+++ b/bilberryramp/decisions/shared/subscription.py
@@ -7,8 +7,9 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import charting, control_state, effects, views
-from bilberryramp.decisions import feed_messages as msgs
+from bilberryramp.decisions.control import control_state
+from bilberryramp.decisions.shared import charting, effects, views
+from bilberryramp.decisions.shared import feed_messages as msgs
 
 __all__ = [
     "ANSWER_WAIT_MS",
--- a/bilberryramp/decisions/tests/test_charting.py
+++ b/bilberryramp/decisions/shared/tests/test_charting.py
@@ -2,22 +2,17 @@
 import unittest
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import (
-    charting,
-    entry_calls,
-    links,
-    model_orders,
-    replication,
-    shutdown,
-    subscription,
-)
+from bilberryramp.decisions.control import replication
+from bilberryramp.decisions.entry import entry_calls, links
 from bilberryramp.decisions.fleet import (
     agent,
     gateway_state,
     health,
     register,
 )
+from bilberryramp.decisions.shared import charting, shutdown, subscription
 from bilberryramp.decisions.tests import builders
+from bilberryramp.decisions.upstream import model_orders
 
 TEXT = """
 name: door
--- a/bilberryramp/decisions/tests/test_event_trail.py
+++ b/bilberryramp/decisions/shared/tests/test_event_trail.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from bilberryramp.decisions import event_trail
+from bilberryramp.decisions.shared import event_trail
 
 EVENTS = [
     f"id: {number}\ndata: w{number}\n\n".encode() for number in range(20)
--- a/bilberryramp/decisions/unconfirmed.py
+++ b/bilberryramp/decisions/shared/unconfirmed.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import commands, effects, role_messages
+from bilberryramp.decisions.shared import commands, effects, role_messages
 
 __all__ = ["Unconfirmed", "confirm", "is_empty", "remind", "tell"]
 
--- a/bilberryramp/decisions/views.py
+++ b/bilberryramp/decisions/shared/views.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 
-from bilberryramp.decisions import tables
+from bilberryramp.decisions.shared import tables
 
 __all__ = [
     "Placement",
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -4,26 +4,30 @@
 import uuid
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import (
-    admission,
-    call_messages,
-    charting,
-    commands,
-    control_state,
+from bilberryramp.decisions.control import control_state
+from bilberryramp.decisions.entry import (
     entry_calls,
     entry_messages,
     entry_state,
-    errors,
-    ledger,
-    model_orders,
     route_index,
     routing,
+)
+from bilberryramp.decisions.shared import (
+    call_messages,
+    charting,
+    commands,
+    errors,
     shutdown,
     subscription,
     tables,
+    views,
+)
+from bilberryramp.decisions.upstream import (
+    admission,
+    ledger,
+    model_orders,
     upstream_messages,
     upstream_work,
-    views,
 )
 
 
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -11,31 +11,37 @@
 import heapq
 import random
 
-from bilberryramp.decisions import (
-    call_messages,
-    commands,
+from bilberryramp.decisions.control import (
     control_state,
     demand,
-    effects,
+    feed,
+    membership,
+)
+from bilberryramp.decisions.entry import (
     entry_calls,
     entry_messages,
     entry_state,
+    links,
+)
+from bilberryramp.decisions.shared import (
+    call_messages,
+    commands,
+    effects,
     errors,
-    feed,
     feed_messages,
-    ledger,
-    links,
-    membership,
-    model_orders,
     role_messages,
     shutdown,
     subscription,
     tables,
-    upstream_messages,
-    upstream_work,
     views,
 )
 from bilberryramp.decisions.tests import builders
+from bilberryramp.decisions.upstream import (
+    ledger,
+    model_orders,
+    upstream_messages,
+    upstream_work,
+)
 
 CHARTS = {
     "config": builders.bound("config", subscription),
--- a/bilberryramp/decisions/tests/test_path_fuzz.py
+++ b/bilberryramp/decisions/tests/test_path_fuzz.py
@@ -7,17 +7,15 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from bilberryramp.decisions import (
-    call_messages,
-    entry_calls,
-    entry_messages,
-    errors,
+from bilberryramp.decisions.entry import entry_calls, entry_messages
+from bilberryramp.decisions.shared import call_messages, errors
+from bilberryramp.decisions.tests import path_driver
+from bilberryramp.decisions.upstream import (
     ledger,
     run_records,
     upstream_messages,
     upstream_work,
 )
-from bilberryramp.decisions.tests import path_driver
 
 ENTRIES = st.sampled_from(("e1", "e2"))
 UPSTREAMS = st.sampled_from(("u1", "u2", "u3", "p1", "p2"))
--- /dev/null
+++ b/bilberryramp/decisions/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an upstream process: queue, memory, orders and runs."""
--- a/bilberryramp/decisions/admission.py
+++ b/bilberryramp/decisions/upstream/admission.py
@@ -15,7 +15,7 @@
 import dataclasses
 import heapq
 
-from bilberryramp.decisions import tables
+from bilberryramp.decisions.shared import tables
 
 __all__ = [
     "ACTIVE_ARRIVALS",
--- a/bilberryramp/decisions/ledger.py
+++ b/bilberryramp/decisions/upstream/ledger.py
@@ -8,7 +8,7 @@
 import dataclasses
 from collections.abc import Iterable
 
-from bilberryramp.decisions import errors, views
+from bilberryramp.decisions.shared import errors, views
 
 __all__ = [
     "Ledger",
--- a/bilberryramp/decisions/model_orders.py
+++ b/bilberryramp/decisions/upstream/model_orders.py
@@ -9,7 +9,8 @@
 import enum
 from collections.abc import Iterator
 
-from bilberryramp.decisions import charting, errors, ledger, views
+from bilberryramp.decisions.shared import charting, errors, views
+from bilberryramp.decisions.upstream import ledger
 
 __all__ = [
     "EngineOrder",
--- a/bilberryramp/decisions/run_records.py
+++ b/bilberryramp/decisions/upstream/run_records.py
@@ -9,15 +9,15 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.shared import (
     call_messages,
     commands,
     effects,
     errors,
     role_messages,
     unconfirmed,
-    upstream_messages,
 )
+from bilberryramp.decisions.upstream import upstream_messages
 
 __all__ = [
     "SETTLE_KEY",
--- a/bilberryramp/decisions/tests/test_model_orders.py
+++ b/bilberryramp/decisions/upstream/tests/test_model_orders.py
@@ -1,13 +1,8 @@
 import unittest
 
-from bilberryramp.decisions import (
-    charting,
-    effects,
-    ledger,
-    model_orders,
-    views,
-)
+from bilberryramp.decisions.shared import charting, effects, views
 from bilberryramp.decisions.tests import builders
+from bilberryramp.decisions.upstream import ledger, model_orders
 
 KIND = model_orders.OrderKind
 OUTCOME = model_orders.OrderOutcome
--- a/bilberryramp/decisions/tests/test_run_records.py
+++ b/bilberryramp/decisions/upstream/tests/test_run_records.py
@@ -1,16 +1,15 @@
 import unittest
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.shared import (
     call_messages,
     commands,
     effects,
     errors,
     role_messages,
-    run_records,
     unconfirmed,
-    upstream_messages,
 )
 from bilberryramp.decisions.tests import builders
+from bilberryramp.decisions.upstream import run_records, upstream_messages
 
 ANSWER = commands.KeptAnswer(200, "text/plain", b"done")
 
--- a/bilberryramp/decisions/tests/test_upstream_work.py
+++ b/bilberryramp/decisions/upstream/tests/test_upstream_work.py
@@ -1,7 +1,6 @@
 import unittest
 
-from bilberryramp.decisions import (
-    admission,
+from bilberryramp.decisions.shared import (
     call_messages,
     commands,
     effects,
@@ -9,10 +8,13 @@
     role_messages,
     shutdown,
     tables,
+)
+from bilberryramp.decisions.tests import builders
+from bilberryramp.decisions.upstream import (
+    admission,
     upstream_messages,
     upstream_work,
 )
-from bilberryramp.decisions.tests import builders
 
 CODE = errors.FailureCode
 
--- a/bilberryramp/decisions/upstream_messages.py
+++ b/bilberryramp/decisions/upstream/upstream_messages.py
@@ -2,12 +2,8 @@
 
 import dataclasses
 
-from bilberryramp.decisions import (
-    call_messages,
-    commands,
-    errors,
-    model_orders,
-)
+from bilberryramp.decisions.shared import call_messages, commands, errors
+from bilberryramp.decisions.upstream import model_orders
 
 __all__ = [
     "CancelRun",
--- a/bilberryramp/decisions/upstream_work.py
+++ b/bilberryramp/decisions/upstream/upstream_work.py
@@ -9,20 +9,22 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
-    admission,
+from bilberryramp.decisions.shared import (
     call_messages,
     effects,
     errors,
-    model_orders,
     role_messages,
-    run_records,
     shutdown,
     tables,
     unconfirmed,
-    upstream_messages,
     views,
 )
+from bilberryramp.decisions.upstream import (
+    admission,
+    model_orders,
+    run_records,
+    upstream_messages,
+)
 
 __all__ = [
     "QUEUE_WAIT_KEY",
--- a/bilberryramp/loadgen/deployment.py
+++ b/bilberryramp/loadgen/deployment.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from bilberryramp.decisions import demand, tables
+from bilberryramp.decisions.control import demand
+from bilberryramp.decisions.shared import tables
 
 __all__ = ["Deployment", "EngineGroup", "EngineSpeed"]
 
--- a/bilberryramp/loadgen/scenarios.py
+++ b/bilberryramp/loadgen/scenarios.py
@@ -5,7 +5,8 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions import demand, tables
+from bilberryramp.decisions.control import demand
+from bilberryramp.decisions.shared import tables
 from bilberryramp.loadgen import deployment, virtual, workload
 from bilberryramp.settings import reader, schema
 
--- a/bilberryramp/loadgen/tests/builders.py
+++ b/bilberryramp/loadgen/tests/builders.py
@@ -1,6 +1,6 @@
 """Builders of workloads and deployments."""
 
-from bilberryramp.decisions import tables
+from bilberryramp.decisions.shared import tables
 from bilberryramp.decisions.tests import builders
 from bilberryramp.loadgen import deployment, workload
 
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -13,26 +13,28 @@
 from collections.abc import Callable
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import (
-    admission,
+from bilberryramp.decisions.control import control_state, demand, placement
+from bilberryramp.decisions.entry import (
+    entry_calls,
+    entry_messages,
+    entry_state,
+    route_index,
+    routing,
+)
+from bilberryramp.decisions.shared import (
     call_messages,
     charting,
     commands,
-    control_state,
-    demand,
     effects,
-    entry_calls,
-    entry_messages,
-    entry_state,
     errors,
-    placement,
     role_messages,
-    route_index,
-    routing,
     tables,
+    views,
+)
+from bilberryramp.decisions.upstream import (
+    admission,
     upstream_messages,
     upstream_work,
-    views,
 )
 from bilberryramp.loadgen import (
     deployment,
--- a/bilberryramp/loadgen/virtual_engine.py
+++ b/bilberryramp/loadgen/virtual_engine.py
@@ -8,7 +8,7 @@
 import dataclasses
 import heapq
 
-from bilberryramp.decisions import upstream_messages, upstream_work
+from bilberryramp.decisions.upstream import upstream_messages, upstream_work
 from bilberryramp.loadgen import deployment, workload
 
 __all__ = ["Engine", "Job", "advance", "catch_up", "next_due_ms", "start"]
--- a/bilberryramp/platform/announcements.py
+++ b/bilberryramp/platform/announcements.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from bilberryramp.decisions import errors
 from bilberryramp.decisions.fleet import presence
+from bilberryramp.decisions.shared import errors
 
 __all__ = ["MalformedHeartbeatError", "farewell", "heartbeat", "held_models"]
 
--- a/bilberryramp/platform/operator_calls.py
+++ b/bilberryramp/platform/operator_calls.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from bilberryramp.decisions import errors
 from bilberryramp.decisions.fleet import operator_calls as calls
 from bilberryramp.decisions.fleet import presence
+from bilberryramp.decisions.shared import errors
 from bilberryramp.platform import announcements, service_documents
 
 __all__ = ["decode", "next_address_body"]
--- a/bilberryramp/platform/service_documents.py
+++ b/bilberryramp/platform/service_documents.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from bilberryramp.decisions import errors
 from bilberryramp.decisions.fleet import documents
+from bilberryramp.decisions.shared import errors
 
 __all__ = ["MalformedDocumentError", "decode"]
 
--- a/bilberryramp/platform/settings.py
+++ b/bilberryramp/platform/settings.py
@@ -3,7 +3,7 @@
 import pathlib
 import tomllib
 
-from bilberryramp.decisions import errors
+from bilberryramp.decisions.shared import errors
 from bilberryramp.settings import fleet
 
 __all__ = ["MalformedSettingsError", "VARIABLE", "read"]
--- a/bilberryramp/programs/control.py
+++ b/bilberryramp/programs/control.py
@@ -6,10 +6,7 @@
 
 from absl import flags
 
-from bilberryramp.decisions import (
-    replica_state,
-    replication,
-)
+from bilberryramp.decisions.control import replica_state, replication
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
 from bilberryramp.storage import journal
--- a/bilberryramp/programs/ctl.py
+++ b/bilberryramp/programs/ctl.py
@@ -17,7 +17,7 @@
 from absl import app, flags
 from returns import result
 
-from bilberryramp.decisions import tables
+from bilberryramp.decisions.shared import tables
 from bilberryramp.settings import reader, schema
 from bilberryramp.tasks import operator_api
 from bilberryramp.telemetry import explain
--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -4,15 +4,14 @@
 import random
 import uuid
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.entry import (
     entry_calls,
     entry_state,
     links,
     route_index,
     routing,
-    shutdown,
-    subscription,
 )
+from bilberryramp.decisions.shared import shutdown, subscription
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
 from bilberryramp.tasks import (
--- a/bilberryramp/programs/fleet_launch.py
+++ b/bilberryramp/programs/fleet_launch.py
@@ -7,7 +7,7 @@
 from absl import flags
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import charting
+from bilberryramp.decisions.shared import charting
 from bilberryramp.platform import settings as platform_settings
 from bilberryramp.settings import fleet
 from bilberryramp.telemetry import events
--- a/bilberryramp/programs/launch.py
+++ b/bilberryramp/programs/launch.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import charting, errors
+from bilberryramp.decisions.shared import charting, errors
 from bilberryramp.settings import reader, schema
 from bilberryramp.telemetry import events, tracing
 
--- a/bilberryramp/programs/load.py
+++ b/bilberryramp/programs/load.py
@@ -10,7 +10,7 @@
 import msgspec
 from absl import app, flags
 
-from bilberryramp.decisions import routing
+from bilberryramp.decisions.entry import routing
 from bilberryramp.loadgen import (
     http_run,
     report,
--- a/bilberryramp/programs/standin.py
+++ b/bilberryramp/programs/standin.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from bilberryramp.decisions import views
+from bilberryramp.decisions.shared import views
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
 from bilberryramp.standins import engine, plain_service
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -7,16 +7,18 @@
 import zmq.asyncio
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import (
-    admission,
+from bilberryramp.decisions.shared import (
     charting,
-    ledger,
-    model_orders,
     shutdown,
     subscription,
+    views,
+)
+from bilberryramp.decisions.upstream import (
+    admission,
+    ledger,
+    model_orders,
     upstream_messages,
     upstream_work,
-    views,
 )
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
--- a/bilberryramp/settings/reader.py
+++ b/bilberryramp/settings/reader.py
@@ -10,7 +10,7 @@
 import yaml
 from returns import result
 
-from bilberryramp.decisions import errors
+from bilberryramp.decisions.shared import errors
 
 __all__ = ["SettingsError", "SettingsProblem", "read", "read_or_raise"]
 
--- a/bilberryramp/settings/reference.py
+++ b/bilberryramp/settings/reference.py
@@ -6,7 +6,8 @@
 import typing
 from collections.abc import Iterator
 
-from bilberryramp.decisions import demand, tables
+from bilberryramp.decisions.control import demand
+from bilberryramp.decisions.shared import tables
 from bilberryramp.settings import schema
 
 __all__ = ["page"]
--- a/bilberryramp/settings/schema.py
+++ b/bilberryramp/settings/schema.py
@@ -4,11 +4,8 @@
 
 import dataclasses
 
-from bilberryramp.decisions import (
-    demand,
-    tables,
-    views,
-)
+from bilberryramp.decisions.control import demand
+from bilberryramp.decisions.shared import tables, views
 
 __all__ = [
     "ControlReplica",
--- a/bilberryramp/settings/tests/test_reader.py
+++ b/bilberryramp/settings/tests/test_reader.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from bilberryramp.decisions import tables
+from bilberryramp.decisions.shared import tables
 from bilberryramp.settings import reader, reference, schema
 from bilberryramp.settings.tests import builders
 
--- a/bilberryramp/standins/engine.py
+++ b/bilberryramp/standins/engine.py
@@ -16,7 +16,8 @@
 import msgspec
 from aiohttp import web
 
-from bilberryramp.decisions import model_orders, views
+from bilberryramp.decisions.shared import views
+from bilberryramp.decisions.upstream import model_orders
 from bilberryramp.settings import schema
 from bilberryramp.standins import engine_streams
 from bilberryramp.tasks import upstream_engine
--- a/bilberryramp/standins/local_cluster.py
+++ b/bilberryramp/standins/local_cluster.py
@@ -14,7 +14,7 @@
 import urllib.error
 import urllib.request
 
-from bilberryramp.decisions import errors, views
+from bilberryramp.decisions.shared import errors, views
 from bilberryramp.programs import launch
 from bilberryramp.settings import schema
 
--- a/bilberryramp/standins/tests/builders.py
+++ b/bilberryramp/standins/tests/builders.py
@@ -7,7 +7,7 @@
 import urllib.error
 import urllib.request
 
-from bilberryramp.decisions import views
+from bilberryramp.decisions.shared import views
 from bilberryramp.settings import schema
 from bilberryramp.standins import local_cluster
 
--- a/bilberryramp/standins/tests/test_whole_path.py
+++ b/bilberryramp/standins/tests/test_whole_path.py
@@ -7,7 +7,7 @@
 
 import openai
 
-from bilberryramp.decisions import views
+from bilberryramp.decisions.shared import views
 from bilberryramp.settings import schema
 from bilberryramp.standins import local_cluster
 from bilberryramp.standins.tests import builders
--- a/bilberryramp/storage/journal.py
+++ b/bilberryramp/storage/journal.py
@@ -16,12 +16,9 @@
 import zlib
 from collections.abc import Iterator
 
-from bilberryramp.decisions import (
-    control_state,
-    errors,
-    replica_state,
-)
-from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.control import control_state, replica_state
+from bilberryramp.decisions.control import replication_messages as msgs
+from bilberryramp.decisions.shared import errors
 from bilberryramp.wire import codec
 
 __all__ = [
--- a/bilberryramp/storage/tests/builders.py
+++ b/bilberryramp/storage/tests/builders.py
@@ -3,8 +3,9 @@
 import pathlib
 import tempfile
 
-from bilberryramp.decisions import commands, control_state
-from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.control import control_state
+from bilberryramp.decisions.control import replication_messages as msgs
+from bilberryramp.decisions.shared import commands
 from bilberryramp.storage import journal
 
 
--- a/bilberryramp/storage/tests/test_journal.py
+++ b/bilberryramp/storage/tests/test_journal.py
@@ -1,9 +1,7 @@
 import unittest
 
-from bilberryramp.decisions import (
-    replica_state,
-)
-from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.control import replica_state
+from bilberryramp.decisions.control import replication_messages as msgs
 from bilberryramp.storage import journal
 from bilberryramp.storage.tests import builders
 
--- a/bilberryramp/tasks/control_link.py
+++ b/bilberryramp/tasks/control_link.py
@@ -7,7 +7,7 @@
 import zmq
 import zmq.asyncio
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.shared import (
     feed_messages,
     role_messages,
     subscription,
--- a/bilberryramp/tasks/control_node.py
+++ b/bilberryramp/tasks/control_node.py
@@ -8,17 +8,15 @@
 import zmq
 import zmq.asyncio
 
-from bilberryramp.decisions import (
-    commands,
+from bilberryramp.decisions.control import (
     control_state,
-    effects,
     feed,
-    feed_messages,
     membership,
     replica_state,
     replication,
 )
-from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.control import replication_messages as msgs
+from bilberryramp.decisions.shared import commands, effects, feed_messages
 from bilberryramp.settings import schema
 from bilberryramp.storage import journal
 from bilberryramp.tasks import clock, mailbox
--- a/bilberryramp/tasks/engine_run.py
+++ b/bilberryramp/tasks/engine_run.py
@@ -6,14 +6,14 @@
 
 import aiohttp
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.control import idempotency
+from bilberryramp.decisions.shared import (
     call_messages,
     commands,
     errors,
     event_trail,
-    idempotency,
-    upstream_messages,
 )
+from bilberryramp.decisions.upstream import upstream_messages
 from bilberryramp.tasks import mailbox
 from bilberryramp.telemetry import events, tracing
 
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -10,12 +10,8 @@
 from aiohttp import web
 from returns import result
 
-from bilberryramp.decisions import (
-    entry_messages,
-    errors,
-    tables,
-    views,
-)
+from bilberryramp.decisions.entry import entry_messages
+from bilberryramp.decisions.shared import errors, tables, views
 from bilberryramp.settings import schema
 from bilberryramp.tasks import clock, entry_router, mailbox
 from bilberryramp.telemetry import metrics, tracing
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -9,15 +9,17 @@
 import zmq.asyncio
 import zmq.utils.monitor
 
-from bilberryramp.decisions import (
-    call_messages,
-    charting,
-    effects,
+from bilberryramp.decisions.entry import (
     entry_calls,
     entry_messages,
     entry_state,
-    feed_messages,
     links,
+)
+from bilberryramp.decisions.shared import (
+    call_messages,
+    charting,
+    effects,
+    feed_messages,
     role_messages,
     shutdown,
     subscription,
--- a/bilberryramp/tasks/mailbox.py
+++ b/bilberryramp/tasks/mailbox.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from bilberryramp.decisions import effects
+from bilberryramp.decisions.shared import effects
 from bilberryramp.tasks import clock
 
 __all__ = ["Mailbox", "arm", "post", "post_now", "take_all"]
--- a/bilberryramp/tasks/operator_api.py
+++ b/bilberryramp/tasks/operator_api.py
@@ -7,7 +7,8 @@
 import msgspec
 from aiohttp import web
 
-from bilberryramp.decisions import commands, ledger, tables, views
+from bilberryramp.decisions.shared import commands, tables, views
+from bilberryramp.decisions.upstream import ledger
 from bilberryramp.tasks import control_node, mailbox
 
 __all__ = [
--- a/bilberryramp/tasks/register_task.py
+++ b/bilberryramp/tasks/register_task.py
@@ -3,8 +3,8 @@
 import asyncio
 import dataclasses
 
-from bilberryramp.decisions import effects
 from bilberryramp.decisions.fleet import operator_calls, register
+from bilberryramp.decisions.shared import effects
 from bilberryramp.storage import slots
 from bilberryramp.tasks import clock, mailbox, peer_mesh
 from bilberryramp.telemetry import events
--- a/bilberryramp/tasks/tests/builders.py
+++ b/bilberryramp/tasks/tests/builders.py
@@ -1,6 +1,6 @@
 """Builders of frames."""
 
-from bilberryramp.decisions import call_messages
+from bilberryramp.decisions.shared import call_messages
 
 
 def chunk(number: int) -> call_messages.AnswerChunk:
--- a/bilberryramp/tasks/tests/test_entry_router.py
+++ b/bilberryramp/tasks/tests/test_entry_router.py
@@ -5,7 +5,8 @@
 import zmq
 import zmq.asyncio
 
-from bilberryramp.decisions import call_messages, links
+from bilberryramp.decisions.entry import links
+from bilberryramp.decisions.shared import call_messages
 from bilberryramp.tasks import entry_router, mailbox
 from bilberryramp.tasks.tests import builders
 from bilberryramp.wire import codec
--- a/bilberryramp/tasks/upstream_engine.py
+++ b/bilberryramp/tasks/upstream_engine.py
@@ -6,11 +6,8 @@
 import aiohttp
 import msgspec
 
-from bilberryramp.decisions import (
-    model_orders,
-    upstream_messages,
-    views,
-)
+from bilberryramp.decisions.shared import views
+from bilberryramp.decisions.upstream import model_orders, upstream_messages
 from bilberryramp.tasks import clock, mailbox
 
 __all__ = ["EngineState", "OrderBody", "order", "watch"]
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -8,13 +8,15 @@
 import zmq
 import zmq.asyncio
 
-from bilberryramp.decisions import (
+from bilberryramp.decisions.shared import (
     effects,
     feed_messages,
-    model_orders,
     role_messages,
     shutdown,
     subscription,
+)
+from bilberryramp.decisions.upstream import (
+    model_orders,
     upstream_messages,
     upstream_work,
 )
--- a/bilberryramp/wire/codec.py
+++ b/bilberryramp/wire/codec.py
@@ -15,18 +15,20 @@
 
 import msgspec
 
-from bilberryramp.decisions import (
-    admission,
+from bilberryramp.decisions.control import (
+    control_state,
+    idempotency,
+    replication_messages,
+)
+from bilberryramp.decisions.shared import (
     call_messages,
     commands,
-    control_state,
     errors,
     feed_messages,
-    idempotency,
-    replication_messages,
     tables,
     views,
 )
+from bilberryramp.decisions.upstream import admission
 from bilberryramp.wire.errors import MalformedMessageError
 
 __all__ = ["MalformedMessageError", "decode", "encode"]
--- a/bilberryramp/wire/errors.py
+++ b/bilberryramp/wire/errors.py
@@ -1,6 +1,6 @@
 """Failures of the codecs."""
 
-from bilberryramp.decisions import errors
+from bilberryramp.decisions.shared import errors
 
 __all__ = ["MalformedMessageError"]
 
--- a/bilberryramp/wire/tests/test_codec.py
+++ b/bilberryramp/wire/tests/test_codec.py
@@ -1,8 +1,9 @@
 import random
 import unittest
 
-from bilberryramp.decisions import commands, control_state, feed_messages
-from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.control import control_state
+from bilberryramp.decisions.control import replication_messages as msgs
+from bilberryramp.decisions.shared import commands, feed_messages
 from bilberryramp.decisions.tests import builders
 from bilberryramp.wire import codec
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -20,7 +20,7 @@
 import zmq.asyncio
 from absl import app, flags
 
-from bilberryramp.decisions import feed_messages, tables, views
+from bilberryramp.decisions.shared import feed_messages, tables, views
 from bilberryramp.standins import local_cluster
 from bilberryramp.standins.tests import builders
 from bilberryramp.tasks import operator_api
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -8,7 +8,7 @@
 
 from absl import app, flags
 
-from bilberryramp.decisions import views
+from bilberryramp.decisions.shared import views
 from bilberryramp.settings import schema
 from bilberryramp.standins import local_cluster
 
--- a/tools/experiments.py
+++ b/tools/experiments.py
@@ -8,7 +8,7 @@
 
 from absl import app, flags
 
-from bilberryramp.decisions import demand
+from bilberryramp.decisions.control import demand
 from bilberryramp.loadgen import outcomes, scenarios, virtual
 
 _SEEDS = flags.DEFINE_integer("seeds", 3, "How many seeds.")
--- a/tools/measure_charts.py
+++ b/tools/measure_charts.py
@@ -10,7 +10,7 @@
 import statemachine
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import charting
+from bilberryramp.decisions.shared import charting
 
 EVENTS = 20_000
 MACHINES = 5_000
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -9,15 +9,13 @@
 import numpy
 from absl import app
 
-from bilberryramp.decisions import (
-    commands,
+from bilberryramp.decisions.control import (
     control_state,
-    entry_calls,
-    feed_messages,
     idempotency,
     placement,
-    tables,
 )
+from bilberryramp.decisions.entry import entry_calls
+from bilberryramp.decisions.shared import commands, feed_messages, tables
 from bilberryramp.decisions.tests import builders
 from bilberryramp.wire import codec
 
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -15,7 +15,7 @@
 import aiohttp
 from absl import app, flags
 
-from bilberryramp.decisions import views
+from bilberryramp.decisions.shared import views
 from bilberryramp.settings import schema
 from bilberryramp.standins import local_cluster
 
--- a/tools/measure_recovery.py
+++ b/tools/measure_recovery.py
@@ -10,14 +10,13 @@
 from absl import app
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions import (
-    charting,
-    commands,
+from bilberryramp.decisions.control import (
     control_state,
     replica_state,
     replication,
 )
-from bilberryramp.decisions import replication_messages as msgs
+from bilberryramp.decisions.control import replication_messages as msgs
+from bilberryramp.decisions.shared import charting, commands
 from bilberryramp.standins import local_cluster
 from bilberryramp.standins.tests import builders
 from bilberryramp.storage import journal
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,7 +12,8 @@
 
 from absl import app, flags
 
-from bilberryramp.decisions.tests import control_driver, path_driver
+from bilberryramp.decisions.control.tests import control_driver
+from bilberryramp.decisions.tests import path_driver
 
 _SEED = flags.DEFINE_integer("seed", 1, "The first run's seed.")
 _MINUTES = flags.DEFINE_float("minutes", 1.0, "Time for all machines.")
