Wait for a crashed stand-in's end before starting it again

Traced with the logs kept: the test before it crashes the ledger's stand-in and starts it again only if its process had ended by then; beside load it had not, so no ledger ran any more (one program.started in its log).

Ruled out: the path itself; the upstream process logged engine.lost and, with no engine there, never found one.

--- a/bilberryramp/standins/tests/test_failures.py
+++ b/bilberryramp/standins/tests/test_failures.py
@@ -10,6 +10,8 @@
 from bilberryramp.standins.tests import builders
 
 SERVICE = "/services/corrections"
+# Far more than the end of a process takes, also on a busy machine.
+ENDS_WITHIN_S = 60
 
 
 class ControlFailureTest(unittest.TestCase):
@@ -122,9 +124,9 @@
 
     def restart(self, *names):
         for name in names:
-            child = self.cluster.processes[name].child
-            if child.poll() is not None:
-                local_cluster.start_again(self.cluster, name)
+            # A program that crashes answers nothing some time before it ends.
+            self.cluster.processes[name].child.wait(ENDS_WITHIN_S)
+            local_cluster.start_again(self.cluster, name)
 
     def begin_stream(self, port, words):
         """Starts a streamed answer and reads its first part."""
