Keep prefix caches in a module of their own; drop the cost of pauses

sharing.py held loads, reports, keys and prefix caches: keys.py and prefix_cache.py take the last two.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from bilberryramp.decisions.fleet import documents, sharing
+from bilberryramp.decisions.fleet import documents, prefix_cache
 
 __all__ = [
     "AnswerBegun",
@@ -82,7 +82,7 @@
     adapter: str
     tokens_in: int
     tokens_out: int
-    parts: tuple[sharing.Part, ...]
+    parts: tuple[prefix_cache.Part, ...]
 
     @property
     def weights(self) -> str:
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import documents, presence, sharing
+from bilberryramp.decisions.fleet import documents, keys, presence, sharing
 
 __all__ = [
     "AT_HAND_SHARE",
@@ -82,7 +82,7 @@
         Last use by engine and weights.
     rates
         Work asked for by model, tokens a second, and when that was; models
-        and engines are keyed as of `sharing.short_key`.
+        and engines are keyed as of `keys.short_key`.
     since_ms
         When the first work was noted; None before.
     """
@@ -165,7 +165,7 @@
     demand
         Changed in place.
     upstream_key, weights, now_ms
-        Where it went, as of `sharing.short_key`, with which model and
+        Where it went, as of `keys.short_key`, with which model and
         adapter, and when.
     """
     model = weights.partition("/")[0]
@@ -183,7 +183,7 @@
     demand
         Changed in place.
     model_key, tokens, now_ms
-        The model, as of `sharing.short_key`, the work and the present.
+        The model, as of `keys.short_key`, the work and the present.
     """
     if demand.since_ms is None:
         demand.since_ms = now_ms
@@ -210,7 +210,7 @@
         return 0.0
     age_ms = max(now_ms - demand.since_ms, LEAST_AGE_MS)
     seen = 1 - math.exp(-age_ms / DEMAND_MS)
-    return _decayed(demand, sharing.short_key(model), now_ms) / seen
+    return _decayed(demand, keys.short_key(model), now_ms) / seen
 
 
 def _decayed(demand: Demand, model_key: int, now_ms: int) -> float:
@@ -266,7 +266,7 @@
         Model and adapter, idle longest first.
     """
     upstream_id = upstream.last.upstream_id
-    upstream_key = sharing.short_key(upstream_id)
+    upstream_key = keys.short_key(upstream_id)
     idle = []
     for model, adapters in upstream.models.items():
         for adapter in adapters:
@@ -402,7 +402,7 @@
     asked = plan.rates.get(model, 0.0)
     copies = plan.copies[model]
     lost = _relief(asked, copies - 1) if copies > 1 else asked + LAST_COPY
-    key = (sharing.short_key(site.upstream_id), model)
+    key = (keys.short_key(site.upstream_id), model)
     used_ms = plan.demand.used_ms.get(key)
     if used_ms is not None and plan.now_ms - used_ms < IN_USE_MS:
         lost += IN_USE
--- a/bilberryramp/decisions/fleet/scheduling.py
+++ b/bilberryramp/decisions/fleet/scheduling.py
@@ -14,6 +14,7 @@
 from bilberryramp.decisions.fleet import (
     calls,
     documents,
+    prefix_cache,
     presence,
     sharing,
 )
@@ -50,12 +51,6 @@
 LEAST_WORK = 1500
 # Time kept for the way to the engine and back.
 BEGIN_MARGIN_MS = 60
-# Unread tokens from which on streams pause for too long: four pieces, read at
-# some 130 ms each (data sheet), against the pauses of 600 ms that routes
-# allow. What each such stream counts, in prompt tokens: as much as a short
-# prompt that is late.
-STALL_TOKENS = 16_384
-STALL_COST = 1500
 # A call whose spare time is less than this goes out of turn: news of a read
 # prompt takes up to a look at the queue (50 ms) and a report.
 TURN_SPARE_MS = 120
@@ -227,14 +222,12 @@
         has_room = load.tokens + need <= MEMORY_SHARE * engine.kv_tokens
         if load.calls and not has_room or load.calls >= engine.slots:
             continue
-        cached = sharing.cached_tokens(
-            loads, upstream_id, prompt.weights, prompt.parts
+        cached = prefix_cache.cached_tokens(
+            loads.caches, upstream_id, prompt.weights, prompt.parts
         )
         work = begin_work(load, prompt, cached, urgency)
         is_near = upstream.last.failure_domain == failure_domain
-        cost = work + _stall_cost(load, prompt.tokens_in - cached)
-        if not is_near:
-            cost += FAR_TOKENS
+        cost = work if is_near else work + FAR_TOKENS
         if cost < least:
             least = cost
             best = Choice(
@@ -243,19 +236,6 @@
     return best
 
 
-def _stall_cost(load: sharing.Load, own: int) -> float:
-    """Return what it counts that streams of an engine pause for too long.
-
-    They do while the engine reads some pieces of prompts without a break,
-    be these of one prompt or of several.
-    """
-    if sum(load.unread) + own < STALL_TOKENS:
-        return 0.0
-    return STALL_COST * (
-        load.calls if own >= sharing.LONG_PROMPT_TOKENS else 1
-    )
-
-
 def may_begin(call: calls.Call, choice: Choice, now_ms: int) -> bool:
     """Tell whether a call should go to its best engine now.
 
--- a/bilberryramp/decisions/fleet/sharing.py
+++ b/bilberryramp/decisions/fleet/sharing.py
@@ -7,17 +7,13 @@
 
 import collections
 import dataclasses
-import functools
-import zlib
+
+from bilberryramp.decisions.fleet import keys, prefix_cache
 
 __all__ = [
     "Load",
     "Loads",
-    "Part",
-    "PrefixCache",
     "Report",
-    "SentPrompt",
-    "cached_tokens",
     "is_adapter_used",
     "level",
     "note_adapter",
@@ -27,7 +23,6 @@
     "note_sent",
     "own_load",
     "report_due",
-    "short_key",
     "total",
 ]
 
@@ -51,14 +46,6 @@
 ADAPTERS_FROM = 3 + LEVELS
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Part:
-    """A piece of a prompt that other prompts may share."""
-
-    part_id: str
-    tokens: int
-
-
 @dataclasses.dataclass(slots=True)
 class Load:
     """Calls in flight at one upstream.
@@ -84,25 +71,6 @@
     )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SentPrompt:
-    """A prompt that was sent to an engine.
-
-    Attributes
-    ----------
-    upstream_key
-        The engine, as of `short_key`.
-    weights
-        Model and adapter; caches are kept for both together.
-    parts
-        Key and tokens of each part.
-    """
-
-    upstream_key: int
-    weights: str
-    parts: tuple[tuple[int, int], ...]
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Report:
     """One entry's load, and the prompts that it sent since the last.
@@ -132,16 +100,6 @@
     is_whole: bool = True
 
 
-@dataclasses.dataclass(slots=True)
-class PrefixCache:
-    """Prompt parts that an engine probably keeps, oldest first."""
-
-    parts: collections.OrderedDict = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-    tokens: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class Loads:
     """Own and others' load by upstream.
@@ -160,8 +118,12 @@
     others: dict[str, tuple[int, dict[int, tuple[int, ...]]]] = (
         dataclasses.field(default_factory=dict)
     )
-    caches: dict[int, PrefixCache] = dataclasses.field(default_factory=dict)
-    unreported: list[SentPrompt] = dataclasses.field(default_factory=list)
+    caches: dict[int, prefix_cache.PrefixCache] = dataclasses.field(
+        default_factory=dict
+    )
+    unreported: list[prefix_cache.SentPrompt] = dataclasses.field(
+        default_factory=list
+    )
     asked: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -171,25 +133,6 @@
     reported_whole_ms: int = 0
 
 
-@functools.lru_cache(maxsize=4096)
-def short_key(name: str) -> int:
-    """Return a short key for an id, equal on all nodes.
-
-    Two ids with one key mix up estimates of load, never requests.
-
-    Parameters
-    ----------
-    name
-        Any id.
-
-    Returns
-    -------
-    int
-        32 bits.
-    """
-    return zlib.crc32(name.encode())
-
-
 def level(urgency: int) -> int:
     """Return the level of a rank of urgency.
 
@@ -238,7 +181,7 @@
     Load
         A new object.
     """
-    key = short_key(upstream_id)
+    key = keys.short_key(upstream_id)
     own = loads.own.get(upstream_id)
     summed = Load(upstream_id)
     if own is not None:
@@ -284,7 +227,7 @@
     change
         1 or -1.
     """
-    key = short_key(weights)
+    key = keys.short_key(weights)
     load.using[key] += change
     if load.using[key] <= 0:
         load.using.pop(key)
@@ -308,10 +251,10 @@
         As far as this entry and the others' fresh reports tell.
     """
     own = loads.own.get(upstream_id)
-    key = short_key(weights)
+    key = keys.short_key(weights)
     if own is not None and key in own.using:
         return True
-    upstream_key = short_key(upstream_id)
+    upstream_key = keys.short_key(upstream_id)
     return any(
         key in by_key.get(upstream_key, ())[ADAPTERS_FROM:]
         for heard_ms, by_key in loads.others.values()
@@ -341,14 +284,16 @@
         rows = before | rows
     loads.others[report.sender] = (now_ms, rows)
     for sent in report.sent:
-        _keep(loads, SentPrompt(*sent), cache_tokens)
+        prefix_cache.keep(
+            loads.caches, prefix_cache.SentPrompt(*sent), cache_tokens
+        )
 
 
 def note_sent(
     loads: Loads,
     upstream_id: str,
     weights: str,
-    parts: tuple[Part, ...],
+    parts: tuple[prefix_cache.Part, ...],
     cache_tokens: int,
 ) -> None:
     """Record a prompt that this entry sends.
@@ -362,9 +307,13 @@
     cache_tokens
         As for `note_report`.
     """
-    keyed = tuple((short_key(part.part_id), part.tokens) for part in parts)
-    prompt = SentPrompt(short_key(upstream_id), weights, keyed)
-    _keep(loads, prompt, cache_tokens)
+    keyed = tuple(
+        (keys.short_key(part.part_id), part.tokens) for part in parts
+    )
+    prompt = prefix_cache.SentPrompt(
+        keys.short_key(upstream_id), weights, keyed
+    )
+    prefix_cache.keep(loads.caches, prompt, cache_tokens)
     loads.unreported.append(prompt)
 
 
@@ -378,49 +327,7 @@
     model, tokens
         The model, and the work.
     """
-    loads.asked[short_key(model)] += tokens
-
-
-def _keep(loads: Loads, prompt: SentPrompt, cache_tokens: int) -> None:
-    cache = loads.caches.setdefault(prompt.upstream_key, PrefixCache())
-    for part_key, tokens in prompt.parts:
-        key = (prompt.weights, part_key)
-        if key in cache.parts:
-            cache.parts.move_to_end(key)
-        else:
-            cache.parts[key] = tokens
-            cache.tokens += tokens
-    while cache.tokens > cache_tokens and cache.parts:
-        _, tokens = cache.parts.popitem(last=False)
-        cache.tokens -= tokens
-
-
-def cached_tokens(
-    loads: Loads, upstream_id: str, weights: str, parts: tuple[Part, ...]
-) -> int:
-    """Estimate how much of a prompt an engine need not read again.
-
-    Parameters
-    ----------
-    loads, upstream_id
-        Where to look.
-    weights, parts
-        The prompt.
-
-    Returns
-    -------
-    int
-        Tokens of the leading parts that its cache probably holds.
-    """
-    cache = loads.caches.get(short_key(upstream_id))
-    if cache is None:
-        return 0
-    found = 0
-    for part in parts:
-        if (weights, short_key(part.part_id)) not in cache.parts:
-            break
-        found += part.tokens
-    return found
+    loads.asked[keys.short_key(model)] += tokens
 
 
 def report_due(loads: Loads, sender: str, now_ms: int) -> Report | None:
@@ -472,7 +379,7 @@
 
 def _row(load: Load) -> tuple[int, ...]:
     return (
-        short_key(load.upstream_id),
+        keys.short_key(load.upstream_id),
         load.calls,
         load.tokens,
         *load.unread,
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -11,11 +11,11 @@
     gateway_state,
     health,
     placement,
+    prefix_cache,
     presence,
     register,
     register_messages,
     retry_budget,
-    sharing,
 )
 from bilberryramp.decisions.shared import charting
 
@@ -97,7 +97,7 @@
 
 
 def a_prompt(tokens_in=2000, tokens_out=50, model="m0", adapter="", parts=()):
-    made = tuple(sharing.Part(name, tokens) for name, tokens in parts)
+    made = tuple(prefix_cache.Part(name, tokens) for name, tokens in parts)
     return calls.Prompt(model, adapter, tokens_in, tokens_out, made)
 
 
--- a/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
+++ b/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
@@ -1,6 +1,6 @@
 import unittest
 
-from bilberryramp.decisions.fleet import placement, sharing
+from bilberryramp.decisions.fleet import keys, placement
 from bilberryramp.decisions.fleet.tests import builders
 
 NOW = 100_000
@@ -11,7 +11,7 @@
     demand = placement.Demand(since_ms=now_ms - 100 * placement.DEMAND_MS)
     for model, tokens_per_s in rates.items():
         tokens = tokens_per_s * placement.DEMAND_MS // 1000
-        placement.note_asked(demand, sharing.short_key(model), tokens, now_ms)
+        placement.note_asked(demand, keys.short_key(model), tokens, now_ms)
     return demand
 
 
@@ -57,7 +57,7 @@
 
     def test_demand_is_known_soon_after_a_start(self):
         demand = placement.Demand()
-        key = sharing.short_key("m3")
+        key = keys.short_key("m3")
         for at_ms in range(NOW, NOW + 1000, 100):
             placement.note_asked(demand, key, 5000, at_ms)
         found = placement.rate(demand, "m3", NOW + 1000)
--- a/bilberryramp/decisions/fleet/tests/test_sharing.py
+++ b/bilberryramp/decisions/fleet/tests/test_sharing.py
@@ -1,8 +1,8 @@
 import unittest
 
-from bilberryramp.decisions.fleet import sharing
+from bilberryramp.decisions.fleet import keys, prefix_cache, sharing
 
-PARTS = (sharing.Part("aa", 100), sharing.Part("bb", 50))
+PARTS = (prefix_cache.Part("aa", 100), prefix_cache.Part("bb", 50))
 
 
 class SharingTest(unittest.TestCase):
@@ -16,12 +16,12 @@
         summed = sharing.total(mine, "u1", 5002)
         self.assertEqual((summed.calls, summed.tokens), (2, 900))
         self.assertEqual(summed.unread, [0, 400, 0, 0])
-        cached = sharing.cached_tokens(mine, "u1", "m0", PARTS)
+        cached = prefix_cache.cached_tokens(mine.caches, "u1", "m0", PARTS)
         self.assertEqual(cached, 150)
 
     def test_an_old_report_counts_no_longer(self):
         loads = sharing.Loads()
-        key = sharing.short_key("u1")
+        key = keys.short_key("u1")
         report = sharing.Report("n2", ((key, 2, 900, 0, 0, 0, 0),), ())
         sharing.note_report(loads, report, 1000, 0)
         late = sharing.REPORT_VALID_MS + 1
@@ -30,15 +30,19 @@
     def test_a_cache_forgets_what_was_used_longest_ago(self):
         loads = sharing.Loads()
         sharing.note_sent(loads, "u1", "m0", PARTS, 160)
-        newer = (sharing.Part("cc", 60),)
+        newer = (prefix_cache.Part("cc", 60),)
         sharing.note_sent(loads, "u1", "m0", newer, 160)
-        self.assertEqual(sharing.cached_tokens(loads, "u1", "m0", PARTS), 0)
-        self.assertEqual(sharing.cached_tokens(loads, "u1", "m0", newer), 60)
+        self.assertEqual(
+            prefix_cache.cached_tokens(loads.caches, "u1", "m0", PARTS), 0
+        )
+        self.assertEqual(
+            prefix_cache.cached_tokens(loads.caches, "u1", "m0", newer), 60
+        )
 
     def test_weights_do_not_share_a_cache(self):
         loads = sharing.Loads()
         sharing.note_sent(loads, "u1", "m0", PARTS, 1000)
-        found = sharing.cached_tokens(loads, "u1", "m0/a1", PARTS)
+        found = prefix_cache.cached_tokens(loads.caches, "u1", "m0/a1", PARTS)
         self.assertEqual(found, 0)
 
 
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from bilberryramp.decisions.fleet import calls, sharing
+from bilberryramp.decisions.fleet import calls, prefix_cache
 
 __all__ = [
     "REQUEST_ID",
@@ -108,7 +108,7 @@
     for item in text.split(","):
         part_id, colon, tokens = item.strip().partition(":")
         if colon:
-            yield sharing.Part(part_id, _whole(tokens, 0))
+            yield prefix_cache.Part(part_id, _whole(tokens, 0))
 
 
 def _whole(text: str | None, otherwise: int) -> int:
