--- a/bilberryramp/soak/fleet.py
+++ b/bilberryramp/soak/fleet.py
@@ -15,6 +15,7 @@
     "FRONT_PORT",
     "Fleet",
     "Host",
+    "abandon",
     "heal",
     "inflict",
     "make_fleet",
@@ -199,6 +200,19 @@
             await standins.stop(host.engine)
 
 
+async def abandon(fleet: Fleet) -> None:
+    """Kill what still runs, so that a soak that fails leaves no process.
+
+    Parameters
+    ----------
+    fleet
+        In any state.
+    """
+    for host in _hosts(fleet):
+        if host.program is not None:
+            await processes.kill(host.program)
+
+
 async def _end(fleet: Fleet, program: processes.Program) -> None:
     if program.proc.returncode is None:
         code = await processes.end(program)
@@ -313,6 +327,14 @@
             setattr(link, name, value)
 
 
+async def _cut(_fleet, host, fault) -> None:
+    # The first link of a node is the one for other nodes.
+    link = host.links[0]
+    link.swallows_in = link.swallows_out = True
+    await _wait(fault)
+    link.swallows_in = link.swallows_out = False
+
+
 async def _reset(_fleet, host, _fault) -> None:
     for link in host.links:
         proxy.reset(link)
@@ -345,6 +367,7 @@
     _K.RESET: _reset,
     _K.SILENT: _on_links(swallows_in=True, swallows_out=True),
     _K.ONE_WAY: _on_links(swallows_in=True),
+    _K.CUT: _cut,
     _K.ENGINE_CRASH: _crash,
     _K.ENGINE_DRAIN: _drain,
 }
--- a/bilberryramp/soak/observed.py
+++ b/bilberryramp/soak/observed.py
@@ -41,6 +41,8 @@
     """The link swallows bytes both ways; new connections hang."""
     ONE_WAY = "one_way"
     """The link swallows what goes to the node, not what comes from it."""
+    CUT = "cut"
+    """Other nodes' messages do not reach a node; all others do."""
     ENGINE_CRASH = "engine_crash"
     """An engine's connections break; it is back, empty, at the end."""
     ENGINE_DRAIN = "engine_drain"
--- a/bilberryramp/soak/processes.py
+++ b/bilberryramp/soak/processes.py
@@ -34,6 +34,8 @@
         Its data folder; None without a disk.
     log
         File that gets its standard output.
+    starting
+        Held during a start, since faults that overlap may ask for two.
     """
 
     name: str
@@ -45,6 +47,7 @@
     log: pathlib.Path
     proc: asyncio.subprocess.Process | None = None
     is_first: bool = True
+    starting: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
 
 async def start(program: Program) -> None:
@@ -55,8 +58,12 @@
     program
         From the second start on its settings say that the system exists.
     """
-    if program.proc is not None and program.proc.returncode is None:
-        return
+    async with program.starting:
+        if program.proc is None or program.proc.returncode is not None:
+            await _start(program)
+
+
+async def _start(program: Program) -> None:
     if not program.is_first:
         text = program.settings.read_text()
         program.settings.write_text(
--- a/bilberryramp/soak/run.py
+++ b/bilberryramp/soak/run.py
@@ -67,6 +67,14 @@
     made = fleet.make_fleet(
         plan.slot, folder, history.seen.append, plan.core, plan.others
     )
+    try:
+        await _play_all(made, plan, rng)
+    finally:
+        await fleet.abandon(made)
+    return history
+
+
+async def _play_all(made: fleet.Fleet, plan: Plan, rng) -> None:
     await fleet.open_fleet(made)
     async with aiohttp.ClientSession() as session:
         world = [
@@ -86,7 +94,6 @@
         await asyncio.gather(*world)
         await _read_last(made, session)
     await fleet.shut_fleet(made)
-    return history
 
 
 async def _play_faults(made: fleet.Fleet, plan: Plan) -> None:
--- a/bilberryramp/soak/schedule.py
+++ b/bilberryramp/soak/schedule.py
@@ -29,6 +29,7 @@
     (_K.RESET, 3, 0, 0),
     (_K.SILENT, 3, 500, 5000),
     (_K.ONE_WAY, 3, 500, 4000),
+    (_K.CUT, 4, 2500, 6000),
 )
 ENGINE_FAULTS = (
     (_K.ENGINE_CRASH, 4, 500, 3000),
@@ -68,7 +69,9 @@
         if rows is ENGINE_FAULTS:
             target = rng.choice(engines)
         elif rows is LINK_FAULTS:
-            target = rng.choice([*nodes, *engines])
+            target = rng.choice(
+                nodes if kind is _K.CUT else [*nodes, *engines]
+            )
         else:
             target = rng.choice(core if kind in NEEDS_DISK else nodes)
         harms_core = target in core or kind is _K.KILL_ALL
--- a/bilberryramp/soak/tests/test_soak.py
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -2,8 +2,16 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
-from bilberryramp.soak import checks, observed, proxy, run, schedule
+from bilberryramp.soak import (
+    checks,
+    observed,
+    processes,
+    proxy,
+    run,
+    schedule,
+)
 
 NODES = ["n1", "n2", "n3", "n4"]
 CORE = NODES[:3]
@@ -83,6 +91,28 @@
         writer.close()
 
 
+class ProgramTest(unittest.IsolatedAsyncioTestCase):
+    async def test_faults_that_overlap_start_one_process(self):
+        """Replays a second process of a node that found its address taken."""
+        started = []
+
+        async def create(*_args, **_kwargs):
+            started.append(mock.Mock(returncode=None))
+            await asyncio.sleep(0)
+            return started[-1]
+
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "node.toml")
+            program = processes.Program(
+                "n1", "none", (), "X", path, None, path.with_suffix(".log")
+            )
+            with mock.patch("asyncio.create_subprocess_exec", create):
+                await asyncio.gather(
+                    processes.start(program), processes.start(program)
+                )
+        self.assertEqual(len(started), 1)
+
+
 class ShortSoakTest(unittest.IsolatedAsyncioTestCase):
     """Plays real programs for some seconds; nothing timed is checked."""
 
