Drop what the soak recorded and no check read

An answer of the soak kept whether its node may have read the request; no check uses it. A connection that could not be made is a status of 0 like any broken one.

--- a/bilberryramp/soak/observed.py
+++ b/bilberryramp/soak/observed.py
@@ -77,8 +77,6 @@
     ----------
     status
         0 when the connection broke or could not be made.
-    was_sent
-        Whether the node may have read the request.
     is_whole, owner
         Whether the body was complete, and the id of the request that its
         content names.
@@ -86,7 +84,6 @@
 
     request_id: str
     status: int
-    was_sent: bool
     is_whole: bool
     owner: str
     at_ms: int
--- a/bilberryramp/soak/run.py
+++ b/bilberryramp/soak/run.py
@@ -242,18 +242,14 @@
     session, node: fleet.Host, path: str, request_id: str, model: str
 ) -> observed.Answer:
     at = f"{node.address}:{fleet.FRONT_PORT}"
-    status, was_sent, is_whole, owner = 0, True, False, ""
+    status, is_whole, owner = 0, False, ""
     try:
         async with asyncio.timeout(CALL_TIMEOUT_S):
             reply = await standins.call(
                 session, at, path, request_id, DEADLINE_MS, model
             )
         status, is_whole, owner = reply.status, reply.is_whole, reply.owner
-    except aiohttp.ClientConnectorError:
-        was_sent = False
     except (TimeoutError, aiohttp.ClientError, OSError):
         # A broken connection promises nothing; the checks look at the rest.
         pass
-    return observed.Answer(
-        request_id, status, was_sent, is_whole, owner, fleet.now_ms()
-    )
+    return observed.Answer(request_id, status, is_whole, owner, fleet.now_ms())
--- a/bilberryramp/soak/tests/builders.py
+++ b/bilberryramp/soak/tests/builders.py
@@ -15,7 +15,6 @@
 
 def answer(request_id="q1", status=200, **changes):
     fields = {
-        "was_sent": True,
         "is_whole": status == 200,
         "owner": request_id if status == 200 else "",
         "at_ms": DEFAULT_MS + 500,
