Refuse a control log whose damage loses entries

A folder that could not be opened also kept its lock until the process ended. Ruled out: one frame for each synced batch, which could not tell damage in the first record of a batch from an incomplete write; the existing test demands an error there. Change: frames with a marker and a checksum over marker, length and body's checksum. A damaged frame with a whole one after it is refused and says what to do; only a damaged last frame is truncated. Logs without frames are rewritten when they are opened.

--- a/bilberryramp/storage/journal.py
+++ b/bilberryramp/storage/journal.py
@@ -5,12 +5,16 @@
 - ``identity``: the replica's name and the incarnation of its storage.
 - ``hard-state``: the current term and vote.
 - ``snapshot-N``: the state machine after entry N.
-- ``log-N``: the records written since the file was created, with snapshot N
-  or, for ``log-0``, with the folder. A record is its length, its CRC-32 and
-  an encoded message.
-
-A write is durable only after it has been synced. An incomplete record at the
-end of the log, as a crash leaves it, is truncated when the folder is opened.
+- ``log-N``: the frames written since the file was created, with snapshot N
+  or, for ``log-0``, with the folder. A frame is a marker, the length and
+  CRC-32 of its body, the CRC-32 of these three, and the body, which is an
+  encoded message.
+
+A write is durable only after it has been synced. An incomplete frame at the
+end of the log, as a crash leaves it, is truncated when the folder is opened. A
+damaged frame with a whole frame after it means that entries are lost, and the
+folder is refused. Logs of earlier versions have no frames, only a length and
+a CRC-32 before each message; opening such a log rewrites it.
 """
 
 import dataclasses
@@ -40,9 +44,16 @@
     "write",
 ]
 
-# Length and CRC-32 of a record's body.
-_HEADER = struct.Struct("<II")
-# A longer length is damage, and ends the log like an incomplete record.
+# Marker of a frame, and the part of its header that the header's CRC-32
+# covers: marker, length and CRC-32 of the body.
+_FRAME_MARKER = b"BLF2"
+_FRAME_FIELDS = struct.Struct("<4sII")
+_CHECKSUM = struct.Struct("<I")
+_FRAME_HEADER_BYTES = _FRAME_FIELDS.size + _CHECKSUM.size
+# Length and CRC-32 of a record's body in a log without frames.
+_UNFRAMED_HEADER = struct.Struct("<II")
+# A longer length is damage, and ends a log without frames like an incomplete
+# record.
 _MAX_RECORD_BYTES = 256 * 1024 * 1024
 
 
@@ -91,7 +102,7 @@
     entries
         Log entries in order of their index; some may precede the snapshot.
     truncated_bytes
-        Size of the incomplete record that was truncated, in bytes; usually 0.
+        Size of the incomplete frame that was truncated, in bytes; usually 0.
     """
 
     identity: Identity
@@ -185,6 +196,17 @@
     """
     _ensure_writable_folder(folder)
     lock_fd = _lock_folder(folder)
+    try:
+        return _open_locked(folder, replica_id, lock_fd)
+    except BaseException:
+        os.close(lock_fd)
+        raise
+
+
+def _open_locked(
+    folder: pathlib.Path, replica_id: str, lock_fd: int
+) -> tuple[Journal, Recovered]:
+    """Recover the contents of a locked data folder."""
     identity = _read_identity(folder)
     if identity is None:
         identity = Identity(replica_id, uuid.uuid4().hex)
@@ -226,7 +248,7 @@
     for effect in effects:
         if isinstance(effect, msgs.PersistEntries):
             _track_entries(journal, effect.entries)
-            buffer += _encode_record(effect)
+            buffer += _encode_frame(effect)
         elif isinstance(effect, msgs.PersistHardState):
             path = journal.folder / "hard-state"
             _replace_file(path, codec.encode(effect.hard_state))
@@ -342,9 +364,10 @@
 
 
 def _read_log(folder: pathlib.Path, snapshot) -> tuple:
-    """Read the newest log file and truncate an incomplete last record.
+    """Read the newest log file and truncate an incomplete last frame.
 
-    Return its path, its valid entries and the size of the truncated record.
+    A log without frames is rewritten as one frame. Return the path of the
+    log, its valid entries and the size of the truncated frame.
     """
     files = _numbered_files(folder, "log-")
     path = files[-1][1] if files else folder / "log-0"
@@ -352,12 +375,17 @@
     truncated_bytes = 0
     if path.exists():
         data = path.read_bytes()
+        has_frames = _find_frame(data, 0) >= 0
+        decode = _decode_frames if has_frames else _decode_unframed
         valid_size = 0
-        for effect, end in _decode_records(path, data):
+        for effect, end in decode(path, data):
             _merge_entries(entries, effect.entries)
             valid_size = end
         truncated_bytes = len(data) - valid_size
-        if truncated_bytes:
+        if entries and not has_frames:
+            effect = msgs.PersistEntries(tuple(entries))
+            _replace_file(path, _encode_frame(effect))
+        elif truncated_bytes:
             os.truncate(path, valid_size)
     base = snapshot.index if snapshot else 0
     if entries and entries[0].index > base + 1:
@@ -368,16 +396,65 @@
     return path, tuple(entries), truncated_bytes
 
 
-def _decode_records(path: pathlib.Path, data: bytes) -> Iterator[tuple]:
-    """Yield each complete record and the offset of its end.
+def _decode_frames(path: pathlib.Path, data: bytes) -> Iterator[tuple]:
+    """Yield the message of each frame, and the offset of the frame's end.
+
+    A damaged last frame is an incomplete write, and ends the log.
+    """
+    offset = 0
+    while offset < len(data):
+        body = _frame_body(data, offset)
+        if body is None:
+            later = _find_frame(data, offset + 1)
+            if later >= 0:
+                raise CorruptFileError(
+                    f"{path}: the frame at byte {offset} is damaged, but the "
+                    f"one at byte {later} is whole, so entries are lost. Move "
+                    "the data folder away and restart with an empty one; the "
+                    "other replicas then readmit this one."
+                )
+            return
+        offset += _FRAME_HEADER_BYTES + len(body)
+        yield codec.decode(body), offset
+
+
+def _frame_body(data: bytes, offset: int) -> bytes | None:
+    """Return the body of the frame at an offset; None if it is not whole."""
+    start = offset + _FRAME_HEADER_BYTES
+    if start > len(data):
+        return None
+    fields = data[offset : offset + _FRAME_FIELDS.size]
+    marker, length, body_checksum = _FRAME_FIELDS.unpack(fields)
+    (header_checksum,) = _CHECKSUM.unpack_from(
+        data, offset + _FRAME_FIELDS.size
+    )
+    if marker != _FRAME_MARKER or zlib.crc32(fields) != header_checksum:
+        return None
+    body = data[start : start + length]
+    is_whole = len(body) == length and zlib.crc32(body) == body_checksum
+    return body if is_whole else None
+
+
+def _find_frame(data: bytes, offset: int) -> int:
+    """Return the offset of the first whole frame from an offset on, or -1."""
+    while (offset := data.find(_FRAME_MARKER, offset)) >= 0:
+        if _frame_body(data, offset) is not None:
+            return offset
+        offset += 1
+    return -1
+
+
+def _decode_unframed(path: pathlib.Path, data: bytes) -> Iterator[tuple]:
+    """Yield each complete record of a log without frames, and its end.
 
     A wrong checksum in the last record is an incomplete write, and ends the
     log. Before the last record, it is damage.
     """
     offset = 0
-    while offset + _HEADER.size <= len(data):
-        length, checksum = _HEADER.unpack_from(data, offset)
-        start, end = offset + _HEADER.size, offset + _HEADER.size + length
+    while offset + _UNFRAMED_HEADER.size <= len(data):
+        length, checksum = _UNFRAMED_HEADER.unpack_from(data, offset)
+        start = offset + _UNFRAMED_HEADER.size
+        end = start + length
         body = data[start:end]
         if end > len(data) or length > _MAX_RECORD_BYTES:
             return
@@ -402,9 +479,10 @@
     _merge_entries(journal.log_entries, entries)
 
 
-def _encode_record(effect: msgs.PersistEntries) -> bytes:
+def _encode_frame(effect: msgs.PersistEntries) -> bytes:
     body = codec.encode(effect)
-    return _HEADER.pack(len(body), zlib.crc32(body)) + body
+    fields = _FRAME_FIELDS.pack(_FRAME_MARKER, len(body), zlib.crc32(body))
+    return fields + _CHECKSUM.pack(zlib.crc32(fields)) + body
 
 
 def _append_synced(journal: Journal, buffer: bytearray) -> None:
@@ -418,12 +496,12 @@
     folder = journal.folder
     kept = [e for e in journal.log_entries if e.index >= effect.first_kept]
     path = folder / f"log-{index}"
-    record = _encode_record(msgs.PersistEntries(tuple(kept)))
+    frame = _encode_frame(msgs.PersistEntries(tuple(kept)))
     # After a crash between the two writes, the old log is read together with
     # the new snapshot. This is safe, because entries that the snapshot covers
     # are skipped.
     _replace_file(folder / f"snapshot-{index}", codec.encode(effect.snapshot))
-    _replace_file(path, record if kept else b"")
+    _replace_file(path, frame if kept else b"")
     os.close(journal.log_fd)
     journal.log_path, journal.log_entries = path, kept
     journal.log_fd = os.open(path, os.O_RDWR | os.O_APPEND)
--- a/bilberryramp/storage/tests/builders.py
+++ b/bilberryramp/storage/tests/builders.py
@@ -1,12 +1,15 @@
 """Builders of log entries and data folders for tests."""
 
 import pathlib
+import struct
 import tempfile
+import zlib
 
 from bilberryramp.decisions.control import control_state
 from bilberryramp.decisions.control import replication_messages as msgs
 from bilberryramp.decisions.shared import commands
 from bilberryramp.storage import journal
+from bilberryramp.wire import codec
 
 
 def data_folder(case) -> pathlib.Path:
@@ -32,6 +35,12 @@
     return msgs.PersistSnapshot(msgs.Snapshot(index, 1, state), first_kept)
 
 
+def unframed_record(effect) -> bytes:
+    """Encode a record as logs of earlier versions have it."""
+    body = codec.encode(effect)
+    return struct.pack("<II", len(body), zlib.crc32(body)) + body
+
+
 def write_and_close(path, *effects):
     opened, _ = journal.open_folder(path, "c1")
     journal.write(opened, list(effects))
--- a/bilberryramp/storage/tests/test_journal.py
+++ b/bilberryramp/storage/tests/test_journal.py
@@ -59,6 +59,38 @@
         with self.assertRaises(journal.CorruptFileError):
             builders.read(path)
 
+    def test_a_flipped_byte_never_loses_entries_before_the_last_record(self):
+        path = builders.data_folder(self)
+        builders.write_and_close(path, builders.persist(1, 2))
+        log = path / "log-0"
+        last_start = len(log.read_bytes())
+        builders.write_and_close(path, builders.persist(3, 4))
+        intact = log.read_bytes()
+        for offset in range(len(intact)):
+            with self.subTest(offset=offset):
+                damaged = bytearray(intact)
+                damaged[offset] ^= 0xFF
+                log.write_bytes(damaged)
+                if offset < last_start:
+                    with self.assertRaises(journal.CorruptFileError):
+                        builders.read(path)
+                else:
+                    read = builders.read(path)
+                    self.assertEqual(read.entries, builders.entries(1, 2))
+                    self.assertGreater(read.truncated_bytes, 0)
+
+    def test_a_log_without_frames_is_read_and_rewritten(self):
+        path = builders.data_folder(self)
+        builders.write_and_close(path, builders.persist(1, 2))
+        log = path / "log-0"
+        log.write_bytes(
+            builders.unframed_record(builders.persist(1, 2))
+            + builders.unframed_record(builders.persist(3, 4))
+        )
+        self.assertEqual(builders.read(path).entries, builders.entries(1, 4))
+        builders.write_and_close(path, builders.persist(5, 5))
+        self.assertEqual(builders.read(path).entries, builders.entries(1, 5))
+
     def test_snapshot_discards_older_log_entries(self):
         path = builders.data_folder(self)
         builders.write_and_close(
