--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -44,12 +44,12 @@
         router.metrics,
         lambda: router.entry.fresh and not router.entry.stopping,
     )
-    runner, port = await launch.listen(
-        api, cfg.host, cfg.port, cfg.max_header_bytes
-    )
     launch.on_stop_signal(
         lambda: mailbox.post_now(router.inbox, entry_router.StopRouter())
     )
+    runner, port = await launch.listen(
+        api, cfg.host, cfg.port, cfg.max_header_bytes
+    )
     events.emit(events.STARTED, host=cfg.host, port=port)
     await entry_router.run(router)
     # The port stays open until the load balancer has seen the readiness check
