Decode every outer message totally

Found beside: numbers beyond 64 bits and model names that are not UTF-8 could not be encoded in reports to other nodes, which also ended the task; JSON nested too deeply raised RecursionError. Change: numbers have bounds, lone surrogates are replaced, the documented error is the only one that leaves a decoder.

--- a/bilberryramp/platform/announcements.py
+++ b/bilberryramp/platform/announcements.py
@@ -12,6 +12,19 @@
     "decode_resident_models",
 ]
 
+# Upper bound of counters and times; larger ones cannot be encoded in messages
+# to other nodes.
+_MAX_NUMBER = 2**53
+# Errors that decoding a body raises whose JSON is valid, or too deep.
+_INVALID_FIELD_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
 
 class MalformedHeartbeatError(errors.BilberryError):
     """Raised when the body of a heartbeat is invalid.
@@ -51,7 +64,7 @@
         return _decode_announcement(upstream_id, raw, state == "draining")
     except msgspec.MsgspecError as exc:
         raise MalformedHeartbeatError(str(exc)) from exc
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except _INVALID_FIELD_ERRORS as exc:
         raise MalformedHeartbeatError(f"invalid field: {exc!r}") from exc
 
 
@@ -79,7 +92,8 @@
     try:
         raw = msgspec.json.decode(body) if body else {}
         return _decode_announcement(upstream_id, raw, True, gone=True)
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+    except (msgspec.MsgspecError, *_INVALID_FIELD_ERRORS):
+        # The last announcement describes the upstream instead.
         pass
     if last is None:
         return None
@@ -120,7 +134,7 @@
         seq=_read_int(raw, "seq"),
         leaving=leaving,
         gone=gone,
-        remaining_ms=int(raw.get("remainingMs", -1)),
+        remaining_ms=_bounded(int(raw.get("remainingMs", -1)), minimum=-1),
         held=decode_resident_models(models),
         copies=tuple(_decode_local_copies(raw.get("atHand"))),
     )
@@ -153,7 +167,7 @@
 def _decode_resident_model(raw: dict) -> presence.ResidentModel:
     return presence.ResidentModel(
         model=_read_str(raw, "name"),
-        version=int(raw.get("version", 0)),
+        version=_bounded(int(raw.get("version", 0))),
         adapters=tuple(_adapter_name(row) for row in raw.get("adapters", ())),
     )
 
@@ -173,4 +187,11 @@
     value = raw[field]
     if not isinstance(value, int) or isinstance(value, bool):
         raise TypeError(f"{field} is not an integer: {value!r}")
+    return _bounded(value)
+
+
+def _bounded(value: int, minimum: int = 0) -> int:
+    """Return the value if it is in the range that messages can carry."""
+    if not minimum <= value <= _MAX_NUMBER:
+        raise ValueError(f"{value} is not from {minimum} to {_MAX_NUMBER}")
     return value
--- a/bilberryramp/platform/engine_orders.py
+++ b/bilberryramp/platform/engine_orders.py
@@ -18,6 +18,7 @@
 REPORT_PATH = "/report"
 EXPECTED_INSTANCE_HEADER = "X-Bilberryramp-Expected-Instance"
 
+_MAX_ORDER_COUNT = 2**53
 _ANSWERS = {
     200: agent.OrderAnswer.DONE,
     202: agent.OrderAnswer.ACCEPTED,
@@ -91,15 +92,30 @@
         raw = msgspec.json.decode(body)
         return agent.EngineReport(
             # Number of orders that the engine has accepted.
-            int(raw["seq"]),
+            _decode_order_count(raw["seq"]),
             announcements.decode_resident_models(raw.get("models") or ()),
             tuple(_decode_loading(row) for row in raw.get("coming") or ()),
             bool(raw["busy"]),
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+    except (
+        msgspec.MsgspecError,
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ):
         return agent.EngineReport(-1)
 
 
+def _decode_order_count(raw) -> int:
+    count = int(raw)
+    if not 0 <= count <= _MAX_ORDER_COUNT:
+        raise ValueError(f"{count} is not a number of orders")
+    return count
+
+
 def _decode_loading(row: str) -> tuple[str, str]:
     # The format is model/adapter@version.
     model, _, adapter = str(row).partition("@")[0].partition("/")
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -54,6 +54,10 @@
     }
 )
 
+# Upper bound of numbers in headers. A larger one is treated as missing; no
+# real number of tokens or milliseconds comes near it.
+_MAX_NUMBER = 10**9
+
 
 class RunState(enum.Enum):
     """Whether an upstream ran a request, as its answer says."""
@@ -94,7 +98,7 @@
 
 
 def _decode_prompt(headers) -> calls.Prompt | None:
-    name = headers.get(_MODEL_HEADER)
+    name = _replace_surrogates(headers.get(_MODEL_HEADER, ""))
     if not name:
         return None
     # The formats are model/adapter and tokens_in,tokens_out.
@@ -116,14 +120,31 @@
     for item in text.split(","):
         part_id, colon, tokens = item.strip().partition(":")
         if colon:
-            yield prefix_cache.PromptPart(part_id, _int_or_default(tokens, 0))
+            yield prefix_cache.PromptPart(
+                _replace_surrogates(part_id), _int_or_default(tokens, 0)
+            )
+
+
+def _replace_surrogates(text: str) -> str:
+    """Return a header's text without bytes that are not UTF-8.
+
+    The HTTP library decodes such bytes to lone surrogates, which cannot be
+    encoded in messages to other nodes.
+    """
+    if text.isascii():
+        return text
+    return text.encode("utf-8", "replace").decode("utf-8")
 
 
 def _int_or_default(text: str | None, default: int) -> int:
+    """Decode a number from 0 to `_MAX_NUMBER`, or return the default."""
+    if not text or not text.isascii():
+        return default
     try:
-        return int(float(text)) if text else default
-    except ValueError:
+        value = int(float(text))
+    except (ValueError, OverflowError):
         return default
+    return value if 0 <= value <= _MAX_NUMBER else default
 
 
 def upstream_request_headers(raw_headers, send_call: calls.SendCall) -> list:
--- a/bilberryramp/platform/service_documents.py
+++ b/bilberryramp/platform/service_documents.py
@@ -43,7 +43,13 @@
         raise MalformedDocumentError(str(exc)) from exc
     except KeyError as exc:
         raise MalformedDocumentError(f"missing field {exc}") from exc
-    except (TypeError, ValueError, AttributeError) as exc:
+    except (
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise MalformedDocumentError(f"invalid field: {exc!r}") from exc
     _check_document(doc)
     return doc
--- a/bilberryramp/platform/settings.py
+++ b/bilberryramp/platform/settings.py
@@ -40,7 +40,14 @@
         return _decode(raw)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
         raise MalformedSettingsError(f"{path}: {exc}") from exc
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise MalformedSettingsError(
             f"{path}: missing or invalid field: {exc!r}"
         ) from exc
--- a/bilberryramp/settings/reader.py
+++ b/bilberryramp/settings/reader.py
@@ -149,6 +149,10 @@
         )
     except yaml.YAMLError as exc:
         return _fail(file, "", str(exc), "valid YAML")
+    except (ValueError, TypeError, OverflowError, RecursionError) as exc:
+        # YAML that names an impossible value, such as a date in month 13, or
+        # that uses a list as a key.
+        return _fail(file, "", str(exc), "values that YAML can represent")
 
 
 def _convert(file: str, raw, cls: type) -> result.Result:
--- a/bilberryramp/wire/codec.py
+++ b/bilberryramp/wire/codec.py
@@ -72,7 +72,12 @@
         return _unpack(msgspec.msgpack.decode(data))
     except (msgspec.MsgspecError, TypeError, ValueError) as exc:
         raise MalformedMessageError(str(exc)) from exc
-    except (LookupError, AttributeError) as exc:
+    except (
+        LookupError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise MalformedMessageError(repr(exc)) from exc
 
 
--- a/bilberryramp/wire/fleet_codec.py
+++ b/bilberryramp/wire/fleet_codec.py
@@ -89,5 +89,11 @@
             data = _inflate(data)
         name, body = _ENVELOPE.decode(data)
         return _DECODERS[name].decode(body)
-    except (msgspec.MsgspecError, KeyError, zlib.error) as exc:
+    except (
+        msgspec.MsgspecError,
+        KeyError,
+        RecursionError,
+        UnicodeDecodeError,
+        zlib.error,
+    ) as exc:
         raise errors.MalformedMessageError(repr(exc)) from exc
