Compute the costs of an engine once for all models

Cause: a review of placement sorted the evictions of each engine once for each model and move; with 168 models and 60 engines that is some 80,000 times every 0.3 s on the leader. Each request to an agent carried the sizes of all models. Usable upstreams were listed anew for each waiting call. Change: costs by engine, models that no engine may load are left out before, sizes of the engine's own models only, usable upstreams kept for a time and revision of the table. The plans are the same.

--- a/bilberryramp/decisions/fleet/documents.py
+++ b/bilberryramp/decisions/fleet/documents.py
@@ -1,6 +1,7 @@
 """Types of the service document, which configures routes and services."""
 
 import dataclasses
+from collections.abc import Iterable
 
 __all__ = [
     "CallLimits",
@@ -147,20 +148,29 @@
     adapter_mb: dict[str, float]
 
 
-def capacity(engine: EngineSpec) -> EngineCapacity:
+def capacity(
+    engine: EngineSpec, names: Iterable[str] | None = None
+) -> EngineCapacity:
     """Extract from an engine's description what its agent needs.
 
     Parameters
     ----------
     engine
         Description of the service's engines.
+    names
+        Models whose sizes are needed; None for all. An agent regards a
+        resident model of unknown size as filling the memory.
 
     Returns
     -------
     EngineCapacity
         Memory limits, and sizes by model name.
     """
-    models = engine.models.values()
+    models = [
+        engine.models[name]
+        for name in (engine.models if names is None else names)
+        if name in engine.models
+    ]
     return EngineCapacity(
         engine.weights_mb,
         engine.adapter_slots,
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -182,6 +182,32 @@
     fill_free_memory: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _EngineCosts:
+    """Costs of loading another model at an engine, in tokens per second.
+
+    They are the same for each model that could be loaded, so they are
+    computed once for all models. The new model shares the engine's batch, and
+    the engine can load no adapter until the load has ended.
+
+    Attributes
+    ----------
+    state
+        State of the engine.
+    evictions
+        Cost of evicting each resident model, and its name, cheapest first.
+    colocation
+        Cost of sharing the engine's batch with the resident models.
+    blocking_per_s
+        Cost of a second of loading for calls that wait for adapters.
+    """
+
+    state: EngineState
+    evictions: list[tuple[float, str]]
+    colocation: float
+    blocking_per_s: float
+
+
 def record_use(
     demand: Demand, upstream_key: int, weights: str, now_ms: int
 ) -> None:
@@ -413,13 +439,14 @@
     )
     available = [s for s in states if not s.loading and not s.evicting]
     for _ in range(MAX_MOVES_PER_REVIEW):
+        costs = [_engine_costs(plan, state) for state in available]
         options = (
             move
             for model in plan.engine.models
-            if _copy_value(plan, model) > MIN_GAIN_TOKENS_PER_S
-            for state in available
+            if _is_worth_a_copy(plan, model)
+            for engine_costs in costs
             for move in _candidate_moves(
-                plan, state, model, allowed_store_loads
+                plan, engine_costs, model, allowed_store_loads
             )
         )
         best = max(options, key=_move_sort_key, default=None)
@@ -432,6 +459,17 @@
         available = [s for s in available if s.upstream_id != best.upstream_id]
 
 
+def _is_worth_a_copy(plan: _Plan, model: str) -> bool:
+    """Return whether any engine might load a copy of a model."""
+    if _copy_value(plan, model) <= MIN_GAIN_TOKENS_PER_S:
+        return False
+    return (
+        plan.copies[model] > 0
+        or model in plan.awaited
+        or plan.fill_free_memory
+    )
+
+
 def _move_sort_key(move: Move) -> tuple:
     """Return a key by which the move with the highest gain is the largest.
 
@@ -490,20 +528,38 @@
     return cost
 
 
+def _engine_costs(plan: _Plan, state: EngineState) -> _EngineCosts:
+    colocation, blocking = 0.0, 0.0
+    for resident in state.models:
+        served_rate = plan.rates.get(resident, 0.0) / max(
+            plan.copies[resident], 1
+        )
+        colocation += COLOCATION_WEIGHT * served_rate
+        spec = plan.engine.models.get(resident)
+        if spec is not None and spec.adapters:
+            blocking += BLOCKED_ADAPTER_DEMAND_RATIO * served_rate
+    evictions = sorted(
+        (_eviction_cost(plan, state, resident), resident)
+        for resident in state.models
+        if resident in plan.engine.models
+    )
+    return _EngineCosts(
+        state, evictions, colocation, blocking / PLANNING_HORIZON_S
+    )
+
+
 def _candidate_moves(
-    plan: _Plan, state: EngineState, model: str, allowed_store_loads: int
+    plan: _Plan, costs: _EngineCosts, model: str, allowed_store_loads: int
 ) -> Iterator[Move]:
     """Yield the move of a model to an engine if its gain is sufficient."""
+    state = costs.state
     from_store = model not in state.local_models
     if model in state.models or from_store and allowed_store_loads < 1:
         return
     spec = plan.engine.models[model]
-    costs = sorted(
-        (_eviction_cost(plan, state, resident), resident)
-        for resident in state.models
-        if resident in plan.engine.models
+    victims = _choose_victims(
+        plan, costs.evictions, spec.weights_mb - state.free_mb
     )
-    victims = _choose_victims(plan, costs, spec.weights_mb - state.free_mb)
     is_awaited = model in plan.awaited
     is_unrequested = not plan.copies[model] and not is_awaited
     if (
@@ -513,43 +569,17 @@
     ):
         return
     load_s = spec.load_s * (1.0 if from_store else LOCAL_LOAD_TIME_RATIO)
-    cost = sum(c for c, resident in costs if resident in victims)
+    cost = sum(c for c, resident in costs.evictions if resident in victims)
     gain = (
         _copy_value(plan, model) * max(1 - load_s / PLANNING_HORIZON_S, 0.1)
         - EVICTION_HYSTERESIS * cost
-        - _interference_cost(plan, state, load_s)
+        - costs.colocation
+        - costs.blocking_per_s * load_s
     )
     if gain > (0 if is_awaited else MIN_GAIN_TOKENS_PER_S):
         yield Move(state.upstream_id, model, victims, from_store, gain)
 
 
-def _interference_cost(
-    plan: _Plan, state: EngineState, load_s: float
-) -> float:
-    """Return the cost of a load for the models that an engine already serves.
-
-    The new model shares the engine's batch, and the engine can load no adapter
-    until the load has ended.
-    """
-    cost = 0.0
-    for resident in state.models:
-        served_rate = plan.rates.get(resident, 0.0) / max(
-            plan.copies[resident], 1
-        )
-        cost += COLOCATION_WEIGHT * served_rate
-        if (
-            resident in plan.engine.models
-            and plan.engine.models[resident].adapters
-        ):
-            cost += (
-                BLOCKED_ADAPTER_DEMAND_RATIO
-                * served_rate
-                * load_s
-                / PLANNING_HORIZON_S
-            )
-    return cost
-
-
 def _choose_victims(
     plan: _Plan, costs: list[tuple[float, str]], missing_mb: float
 ) -> tuple[str, ...] | None:
--- a/bilberryramp/decisions/fleet/presence.py
+++ b/bilberryramp/decisions/fleet/presence.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-from collections.abc import Iterator
 
 __all__ = [
     "Announcement",
@@ -169,10 +168,19 @@
         Upstreams by id.
     by_address
         Id of the newest upstream at each address.
+    revision
+        Number of changes of the table.
+    usable
+        Result of `usable_upstreams` by service, with the time and the
+        revision for which it was computed.
     """
 
     heartbeat_ms: int
     last_joined_ms: int = 0
+    revision: int = 0
+    usable: dict[str, tuple[int, int, tuple[Upstream, ...]]] = (
+        dataclasses.field(default_factory=dict)
+    )
     upstreams: dict[str, Upstream] = dataclasses.field(default_factory=dict)
     by_address: dict[str, str] = dataclasses.field(default_factory=dict)
 
@@ -219,6 +227,7 @@
     }
     _apply_observations(upstream, now_ms)
     table.by_address[announcement.address] = announcement.upstream_id
+    table.revision += 1
     return True
 
 
@@ -385,8 +394,8 @@
 
 def usable_upstreams(
     table: Table, service: str, now_ms: int
-) -> Iterator[Upstream]:
-    """Iterate over the upstreams of a service that may receive requests.
+) -> tuple[Upstream, ...]:
+    """Return the upstreams of a service that may receive requests.
 
     Parameters
     ----------
@@ -397,16 +406,21 @@
     now_ms
         Current time in milliseconds.
 
-    Yields
-    ------
-    Upstream
+    Returns
+    -------
+    tuple of Upstream
         Usable upstreams in unspecified order.
     """
-    for upstream_id, upstream in table.upstreams.items():
-        if upstream.announcement.service == service and is_usable(
-            table, upstream_id, now_ms
-        ):
-            yield upstream
+    computed_ms, revision, usable = table.usable.get(service, (-1, -1, ()))
+    if (computed_ms, revision) != (now_ms, table.revision):
+        usable = tuple(
+            upstream
+            for upstream_id, upstream in table.upstreams.items()
+            if upstream.announcement.service == service
+            and is_usable(table, upstream_id, now_ms)
+        )
+        table.usable[service] = (now_ms, table.revision, usable)
+    return usable
 
 
 def remove_silent_upstreams(table: Table, now_ms: int) -> None:
@@ -422,6 +436,7 @@
     for upstream_id, upstream in list(table.upstreams.items()):
         if now_ms - upstream.heard_ms > UPSTREAM_EXPIRY_MS:
             table.upstreams.pop(upstream_id)
+            table.revision += 1
             address = upstream.announcement.address
             if table.by_address.get(address) == upstream_id:
                 table.by_address.pop(address)
