Reuse a connection only after an answer that named its request

Cause: aiohttp keeps bytes that arrive on an idle connection and reads them as the next answer. Through bilberry-upstream, 19 of 60 callers of a service that writes answers twice got the one before theirs. The node took an answer without a request id, also a refusal, as its own, and collected bodies without a limit. Ruled out: closing every connection; comparing ids alone (a copy without an id passes); peeking alone (a copy that comes after the next request is missed). Answers without the request's id are of unknown outcome; bodies have a limit; an unforeseen answer ends its run only. Measured: test_faulty_upstreams.py in tasks/ and platform/, 13 faults of a server, both paths: no foreign answer, no false refusal, endless answers end within the deadline with less than 8 MB.

--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -1,8 +1,18 @@
 """Builders of messages in the platform's formats."""
 
+import asyncio
 import json
 
-from bilberryramp.platform import standins
+from bilberryramp.decisions.fleet import gateway
+from bilberryramp.platform import exchanges, standins
+from bilberryramp.standins import faulty_server
+from bilberryramp.tasks import (
+    fleet_frontend,
+    gateway_task,
+    register_task,
+    upstream_exchange,
+)
+from bilberryramp.tasks.tests import builders as task_builders
 
 make_route_fields = standins.make_route_fields
 make_document_body = standins.make_document_body
@@ -23,3 +33,47 @@
         "atHand": {"inMemory": ["m1"], "onDisk": ["m2"]},
     }
     return json.dumps(fields | changes).encode()
+
+
+def platform_answer(request: faulty_server.Request) -> bytes:
+    """Answer like an upstream of the platform, with the request's id."""
+    request_id = request.headers.get("x-bilberryramp-request-id", "")
+    return task_builders.answer_bytes(
+        request.body,
+        X_Bilberryramp_Request_Id=request_id,
+        X_Bilberryramp_Server_Signature="sig",
+    )
+
+
+async def start_frontend(case, addresses, **changes):
+    """Start a gateway and its HTTP server; return the front end and port."""
+    task = task_builders.make_gateway_task(addresses)
+    ticks = register_task.post_ticks(task.inbox, gateway.Tick())
+    for coroutine in (gateway_task.run(task), ticks):
+        case.addCleanup(asyncio.create_task(coroutine).cancel)
+    session = upstream_exchange.open_session(exchanges.REQUEST_ID_HEADER)
+    case.addAsyncCleanup(session.http.close)
+    front = fleet_frontend.Frontend(task, session, exchanges, **changes)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        fleet_frontend.make_server(front), "127.0.0.1", 0
+    )
+    case.addCleanup(server.close)
+    return front, server.sockets[0].getsockname()[1]
+
+
+async def call_frontend(session, port, request_id, path="/once/x", **headers):
+    """Send a request; return the status, the body and the answered id."""
+    defaults = {
+        "Host": task_builders.HOST,
+        "X-Bilberryramp-Request-Id": request_id,
+        "X-Bilberryramp-Deadline-Ms": "3000",
+    }
+    async with session.post(
+        f"http://127.0.0.1:{port}{path}",
+        data=request_id.encode(),
+        headers=defaults | headers,
+    ) as resp:
+        body = await resp.read()
+        answered_id = resp.headers.get("X-Bilberryramp-Request-Id", "")
+        return resp.status, body, answered_id
--- /dev/null
+++ b/bilberryramp/platform/tests/test_faulty_upstreams.py
@@ -0,0 +1,145 @@
+"""Tests of upstreams that send a node wrong, repeated or endless answers."""
+
+import asyncio
+import tracemalloc
+import unittest
+
+import aiohttp
+
+from bilberryramp.platform.tests import builders
+from bilberryramp.standins import faulty_server
+from bilberryramp.tasks.tests import builders as task_builders
+
+ENDLESS_FAULTS = [
+    name for name in faulty_server.FAULTS if name.startswith("endless")
+]
+COPY_FAULTS = ("copy_late", "copy_at_once", "half_copy", "longer_than_said")
+# Growth of memory that an answer without end may cause: the limit of a body in
+# these tests, twice, and the buffers of one connection.
+MAX_ANSWER_BYTES = 2**20
+MAX_GROWTH_BYTES = 8 * 2**20
+# Far longer than the deadline of the requests in these tests.
+TEST_TIMEOUT_S = 60
+
+
+class FrontendTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of the path from a fleet's node to an upstream."""
+
+    async def asyncSetUp(self):
+        self.client = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.client.close)
+
+    async def start(self, answer=builders.platform_answer, fault="none"):
+        self.server = await task_builders.start_faulty_server(self, answer)
+        self.server.fault = fault
+        self.front, self.port = await builders.start_frontend(
+            self,
+            [f"127.0.0.1:{self.server.port}"],
+            max_answer_bytes=MAX_ANSWER_BYTES,
+        )
+
+    async def call(self, request_id, path="/once/x", **headers):
+        return await builders.call_frontend(
+            self.client, self.port, request_id, path, **headers
+        )
+
+    async def test_no_client_gets_an_answer_written_once_more(self):
+        for fault in COPY_FAULTS:
+            await self.start(fault=fault)
+            for number in range(40):
+                request_id = f"q{number}"
+                with self.subTest(fault=fault, number=number):
+                    status, body, answered_id = await self.call(request_id)
+                    if status == 200:
+                        self.assertEqual(
+                            (body, answered_id),
+                            (request_id.encode(), request_id),
+                        )
+                    await asyncio.sleep(0.003)
+
+    async def test_connections_are_kept(self):
+        await self.start()
+        for number in range(20):
+            self.assertEqual((await self.call(f"q{number}"))[0], 200)
+        self.assertEqual(self.server.connections, 1)
+
+    async def test_an_answer_without_the_requests_id_is_not_delivered(self):
+        def answer(request):
+            return task_builders.answer_bytes(
+                request.body, X_Bilberryramp_Server_Signature="sig"
+            )
+
+        await self.start(answer)
+        status, body, _ = await self.call("q1")
+        self.assertEqual(status, 502)
+        self.assertNotIn(b"q1", body)
+
+    async def test_a_refusal_written_once_more_is_no_promise(self):
+        """A refusal of `q0` is repeated while later requests run.
+
+        Whatever the client is told, it is told 503, which promises that the
+        request was not run, only if the engine did not run it.
+        """
+        ran = []
+
+        def answer(request):
+            request_id = request.headers["x-bilberryramp-request-id"]
+            if len(self.server.requests) % 3 == 1:
+                return task_builders.answer_bytes(
+                    b"",
+                    "503 Busy",
+                    X_Bilberryramp_Request_Id=request_id,
+                    X_Bilberryramp_Not_Executed="1",
+                )
+            ran.append(request_id)
+            return builders.platform_answer(request)
+
+        for fault in COPY_FAULTS:
+            await self.start(answer, fault)
+            for path in ("/once/x", "/again/x"):
+                for number in range(20):
+                    # Ids repeat, so a repeated refusal may name the id of
+                    # the request that runs.
+                    request_id = f"q{number % 4}"
+                    ran.clear()
+                    status, _, _ = await self.call(
+                        request_id,
+                        path,
+                        **{"X-Bilberryramp-Deadline-Ms": "300"},
+                    )
+                    with self.subTest(fault=fault, path=path, number=number):
+                        if status in (408, 421, 429, 503):
+                            self.assertEqual(ran, [])
+                        if path == "/once/x":
+                            self.assertLessEqual(len(ran), 1)
+                    await asyncio.sleep(0.003)
+
+    async def test_an_endless_answer_is_bounded_in_time_and_memory(self):
+        for fault in ENDLESS_FAULTS:
+            await self.start(fault=fault)
+            with self.subTest(fault=fault):
+                tracemalloc.start()
+                before, _ = tracemalloc.get_traced_memory()
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    status, _, _ = await self.call(
+                        "q1", **{"X-Bilberryramp-Deadline-Ms": "1500"}
+                    )
+                _, peak = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertIn(status, (502, 504))
+                self.assertLess(peak - before, MAX_GROWTH_BYTES)
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    while not self.server.closed_by_client:
+                        await asyncio.sleep(0.01)
+
+    async def test_garbage_before_an_answer_is_not_delivered(self):
+        await self.start(fault="garbage_first")
+        self.assertEqual((await self.call("q1"))[0], 502)
+
+    async def test_a_cut_answer_is_not_delivered(self):
+        await self.start(fault="cut_in_half")
+        self.assertEqual((await self.call("q1234"))[0], 502)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -22,7 +22,13 @@
 )
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
-from bilberryramp.tasks import clock, control_link, mailbox, upstream_node
+from bilberryramp.tasks import (
+    clock,
+    control_link,
+    engine_run,
+    mailbox,
+    upstream_node,
+)
 from bilberryramp.telemetry import events
 
 __all__ = ["run"]
@@ -80,8 +86,9 @@
         inbox=mailbox.Mailbox(limit=8192),
         listener=listener,
         control=control_link.open_link(name, cfg.controls),
-        session=aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        session=engine_run.open_session(),
+        order_session=aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True)
         ),
     )
 
--- /dev/null
+++ b/bilberryramp/standins/faulty_server.py
@@ -0,0 +1,247 @@
+"""Simulated HTTP server that breaks the protocol in one of several ways.
+
+Each fault is a function by name in `FAULTS`. It takes the connection, the
+request and the well-formed answer to it, and writes what the faulty server
+sends. Endless faults write until the client closes the connection.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Callable
+
+__all__ = ["FAULTS", "FaultyServer", "Request", "start", "stop"]
+
+# Time after which a late copy of an answer is written.
+LATE_S = 0.02
+# Pause between two writes of an endless answer, and size of a large one.
+PAUSE_S = 0.002
+PIECE_BYTES = 16 * 1024
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Request:
+    """A request that the server has read.
+
+    Attributes
+    ----------
+    line
+        Request line.
+    headers
+        Values by name in lower case.
+    body
+        Body.
+    """
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class FaultyServer:
+    """A running faulty server.
+
+    Attributes
+    ----------
+    answer
+        Function that takes a `Request` and returns the bytes of the
+        well-formed answer.
+    fault
+        Name of the current fault, a key of `FAULTS`.
+    requests
+        Requests that it has read.
+    connections
+        Number of connections that it has accepted.
+    closed_by_client
+        Number of connections that the client has closed.
+    port
+        Port on loopback; `start` sets it.
+    server, writers
+        Listening server, and open connections.
+    """
+
+    answer: Callable[[Request], bytes]
+    fault: str = "none"
+    requests: list[Request] = dataclasses.field(default_factory=list)
+    connections: int = 0
+    closed_by_client: int = 0
+    port: int = 0
+    server: asyncio.Server | None = None
+    writers: set = dataclasses.field(default_factory=set)
+
+
+async def start(server: FaultyServer) -> None:
+    """Start to listen on a free port of the loopback interface.
+
+    Parameters
+    ----------
+    server
+        Server to start. Modified in place.
+    """
+
+    async def serve(reader, writer) -> None:
+        server.connections += 1
+        server.writers.add(writer)
+        try:
+            while (request := await _read_request(reader)) is not None:
+                server.requests.append(request)
+                fault = FAULTS[server.fault]
+                await fault(reader, writer, request, server.answer(request))
+                await writer.drain()
+            server.closed_by_client += 1
+        except (ConnectionError, TimeoutError):
+            server.closed_by_client += 1
+        finally:
+            server.writers.discard(writer)
+            writer.close()
+
+    server.server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    server.port = server.server.sockets[0].getsockname()[1]
+
+
+async def stop(server: FaultyServer) -> None:
+    """Stop listening and abort all connections.
+
+    Parameters
+    ----------
+    server
+        Server that `start` has started.
+    """
+    server.server.close()
+    for writer in list(server.writers):
+        writer.transport.abort()
+    await server.server.wait_closed()
+
+
+async def _read_request(reader) -> Request | None:
+    """Read a request; None if the client has closed the connection."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except asyncio.IncompleteReadError:
+        return None
+    line, *rows = head.split("\r\n")
+    pairs = (row.partition(":") for row in rows if row)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    length = int(headers.get("content-length", "0"))
+    return Request(line, headers, await reader.readexactly(length))
+
+
+async def _write(writer, data: bytes) -> None:
+    writer.write(data)
+    await writer.drain()
+
+
+async def _write_endlessly(writer, head: bytes, piece: bytes) -> None:
+    await _write(writer, head)
+    while True:
+        await _write(writer, piece)
+        await asyncio.sleep(PAUSE_S)
+
+
+async def _none(_reader, writer, _request, answer) -> None:
+    await _write(writer, answer)
+
+
+async def _copy_late(_reader, writer, _request, answer) -> None:
+    """Write the answer once more on the idle or reused connection."""
+    await _write(writer, answer)
+    loop = asyncio.get_running_loop()
+    loop.call_later(LATE_S, _write_if_open, writer, answer)
+
+
+def _write_if_open(writer, data: bytes) -> None:
+    if not writer.is_closing():
+        with contextlib.suppress(ConnectionError):
+            writer.write(data)
+
+
+async def _copy_at_once(_reader, writer, _request, answer) -> None:
+    await _write(writer, answer + answer)
+
+
+async def _half_copy(_reader, writer, _request, answer) -> None:
+    """Write the first half of the answer's head once more."""
+    head_bytes = answer.index(b"\r\n\r\n")
+    await _write(writer, answer + answer[: head_bytes // 2])
+
+
+async def _longer_than_said(_reader, writer, _request, answer) -> None:
+    await _write(writer, answer + b"x" * PIECE_BYTES)
+
+
+async def _garbage_first(_reader, writer, _request, answer) -> None:
+    await _write(writer, b"\x00\xff garbage\r\n" + answer)
+
+
+async def _endless_head(_reader, writer, _request, _answer) -> None:
+    await _write_endlessly(
+        writer, b"HTTP/1.1 200 OK\r\n", b"x-filler: y\r\n" * 100
+    )
+
+
+async def _endless_line(_reader, writer, _request, _answer) -> None:
+    await _write_endlessly(
+        writer, b"HTTP/1.1 200 OK\r\nx-filler: ", b"y" * PIECE_BYTES
+    )
+
+
+async def _endless_informational(_reader, writer, _request, _answer) -> None:
+    await _write_endlessly(
+        writer, b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20
+    )
+
+
+def _head_without_length(answer: bytes) -> bytes:
+    head = answer.partition(b"\r\n\r\n")[0]
+    rows = head.split(b"\r\n")
+    return b"\r\n".join(
+        row for row in rows if not row.lower().startswith(b"content-length")
+    )
+
+
+async def _endless_body(_reader, writer, _request, answer) -> None:
+    """Write a body that only the end of the connection would end."""
+    head = _head_without_length(answer) + b"\r\n\r\n"
+    await _write_endlessly(writer, head, b"x" * PIECE_BYTES)
+
+
+async def _endless_chunks(_reader, writer, _request, answer) -> None:
+    head = _head_without_length(answer)
+    head += b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+    await _write_endlessly(writer, head, b"1\r\nx\r\n" * 500)
+
+
+async def _endless_chunk_extension(_reader, writer, _request, answer) -> None:
+    head = _head_without_length(answer)
+    head += b"\r\nTransfer-Encoding: chunked\r\n\r\n1;"
+    await _write_endlessly(writer, head, b"x" * PIECE_BYTES)
+
+
+async def _endless_trailers(_reader, writer, _request, answer) -> None:
+    head = _head_without_length(answer)
+    head += b"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+    await _write_endlessly(writer, head, b"x-filler: y\r\n" * 100)
+
+
+async def _cut_in_half(_reader, writer, _request, answer) -> None:
+    await _write(writer, answer[: len(answer) - 2])
+    writer.close()
+
+
+FAULTS: dict[str, Callable] = {
+    "none": _none,
+    "copy_late": _copy_late,
+    "copy_at_once": _copy_at_once,
+    "half_copy": _half_copy,
+    "longer_than_said": _longer_than_said,
+    "garbage_first": _garbage_first,
+    "endless_head": _endless_head,
+    "endless_line": _endless_line,
+    "endless_informational": _endless_informational,
+    "endless_body": _endless_body,
+    "endless_chunks": _endless_chunks,
+    "endless_chunk_extension": _endless_chunk_extension,
+    "endless_trailers": _endless_trailers,
+    "cut_in_half": _cut_in_half,
+}
--- a/bilberryramp/tasks/engine_run.py
+++ b/bilberryramp/tasks/engine_run.py
@@ -14,10 +14,16 @@
     stream_progress,
 )
 from bilberryramp.decisions.upstream import upstream_messages
-from bilberryramp.tasks import mailbox
+from bilberryramp.tasks import mailbox, upstream_connections
 from bilberryramp.telemetry import events, tracing
 
-__all__ = ["Run", "run"]
+__all__ = ["ATTEMPT_ID_HEADER", "EngineSession", "Run", "open_session", "run"]
+
+# Names the attempt. An engine that repeats it, or the usual X-Request-Id, in
+# its answers lets its connections be reused.
+ATTEMPT_ID_HEADER = "Bilberry-Attempt-Id"
+_COMMON_ID_HEADER = "X-Request-Id"
+_DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 MAX_CHUNK_BYTES = 64 * 1024
 MAX_RESUMES = 3
@@ -25,6 +31,44 @@
 _EVENT_STREAM = "text/event-stream"
 
 
+class ForeignAnswerError(aiohttp.ClientError):
+    """Raised when an answer names another attempt than the one sent."""
+
+
+@dataclasses.dataclass(slots=True)
+class EngineSession:
+    """Client session for the runs of one engine.
+
+    Attributes
+    ----------
+    http
+        HTTP client session.
+    conns
+        State of its connections.
+    """
+
+    http: aiohttp.ClientSession
+    conns: upstream_connections.Connections
+
+
+def open_session() -> EngineSession:
+    """Open the client session for the runs of an engine.
+
+    Returns
+    -------
+    EngineSession
+        Session that reuses a connection only after an answer that named its
+        attempt.
+    """
+    connector = aiohttp.TCPConnector(limit=0)
+    conns = upstream_connections.guard(connector, ATTEMPT_ID_HEADER)
+    http = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    # By default, aiohttp repeats some requests whose connection was closed,
+    # although they may have run.
+    http._retry_connection = False
+    return EngineSession(http, conns)
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """Run of a request on the engine.
@@ -78,7 +122,7 @@
 
 
 async def run(
-    session: aiohttp.ClientSession,
+    session: EngineSession,
     url: str,
     job: Run,
     max_answer_bytes: int,
@@ -90,7 +134,7 @@
     Parameters
     ----------
     session
-        HTTP client session.
+        Session from `open_session`.
     url
         Base URL of the engine.
     job
@@ -123,6 +167,15 @@
     except aiohttp.ClientConnectorError:
         code = errors.FailureCode.NO_UPSTREAM
         failure = errors.call_failure(code, "the engine cannot be reached")
+    except ForeignAnswerError as exc:
+        events.emit(
+            events.ENGINE_ANSWER_FOREIGN,
+            attempt_id=dispatch.attempt_id,
+            reason=str(exc),
+        )
+        failure = _unknown_outcome(
+            errors.FailureCode.ENGINE_CRASHED, "the engine sent a wrong answer"
+        )
     except (aiohttp.ClientError, TimeoutError):
         failure = _unknown_outcome(
             errors.FailureCode.ENGINE_CRASHED, "the engine went down"
@@ -130,6 +183,16 @@
         crashed = True
     except asyncio.CancelledError:
         failure = _unknown_outcome(errors.FailureCode.CALLER_LEFT, "cancelled")
+    except Exception as exc:
+        # An unforeseen answer ends this run only.
+        events.emit(
+            events.RUN_FAILED,
+            attempt_id=dispatch.attempt_id,
+            reason=repr(exc),
+        )
+        failure = _unknown_outcome(
+            errors.FailureCode.ENGINE_CRASHED, "the answer cannot be handled"
+        )
     ended = upstream_messages.RunEnded(
         dispatch.attempt_id,
         job.chunks_sent,
@@ -142,13 +205,14 @@
 
 async def _exchange(session, url, job, max_answer_bytes, send, headers):
     dispatch = job.start.dispatch
-    async with session.request(
+    async with session.http.request(
         dispatch.method,
         url + dispatch.path,
         data=dispatch.body,
         headers=headers,
         timeout=_RUN_TIMEOUT,
     ) as resp:
+        _check_answer_id(session, dispatch.attempt_id, resp)
         await _send_head(job, resp, send)
         try:
             return await _relay_body(job, resp, max_answer_bytes, send)
@@ -172,11 +236,12 @@
             last_id=job.progress.last_id,
         )
         try:
-            async with session.get(
+            async with session.http.get(
                 f"{url}{dispatch.path}/{dispatch.attempt_id}",
                 headers=headers | {"Last-Event-ID": job.progress.last_id},
                 timeout=_RUN_TIMEOUT,
             ) as resp:
+                _check_answer_id(session, dispatch.attempt_id, resp)
                 if resp.status != 200 or not _is_event_stream(resp):
                     break
                 return await _relay_body(job, resp, max_answer_bytes, send)
@@ -188,9 +253,30 @@
     )
 
 
+def _check_answer_id(session: EngineSession, attempt_id: str, resp) -> None:
+    """Confirm the connection if the answer names the attempt.
+
+    An answer without an id is accepted only on a connection that has carried
+    no other request. As it is not confirmed, its connection is not reused.
+    """
+    answered_id = resp.headers.get(
+        ATTEMPT_ID_HEADER, resp.headers.get(_COMMON_ID_HEADER)
+    )
+    if answered_id == attempt_id:
+        upstream_connections.confirm(session.conns, attempt_id)
+    elif (
+        ATTEMPT_ID_HEADER in resp.headers
+        or not upstream_connections.is_first_request(session.conns, attempt_id)
+    ):
+        raise ForeignAnswerError(
+            f"the answer names attempt {answered_id!r}, expected "
+            f"{attempt_id!r}"
+        )
+
+
 async def _send_head(job: Run, resp, send) -> None:
     job.status = resp.status
-    job.content_type = resp.headers["Content-Type"]
+    job.content_type = resp.headers.get("Content-Type", _DEFAULT_CONTENT_TYPE)
     head = call_messages.AnswerHead(
         job.start.dispatch.attempt_id, job.status, job.content_type
     )
@@ -255,7 +341,8 @@
     headers = {
         "Content-Type": "application/json",
         "Bilberry-Request-Id": dispatch.request_id,
-        "Bilberry-Attempt-Id": dispatch.attempt_id,
+        ATTEMPT_ID_HEADER: dispatch.attempt_id,
+        _COMMON_ID_HEADER: dispatch.attempt_id,
     }
     if traceparent:
         headers["traceparent"] = traceparent
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -12,8 +12,10 @@
     gateway_task,
     http_requests,
     mailbox,
+    upstream_connections,
     upstream_exchange,
 )
+from bilberryramp.telemetry import events
 
 __all__ = ["Frontend", "close_connections", "handle", "make_server"]
 
@@ -24,6 +26,8 @@
 # headers.
 MAX_HEADER_LINE_BYTES = 16384
 MAX_HEADERS = 128
+# Default of the largest answer that is not a stream.
+MAX_ANSWER_BYTES = 8 * 2**20
 
 _STATUS = {
     calls.Refusal.NO_ROUTE: 404,
@@ -46,6 +50,9 @@
     wire
         Module that decodes requests' headers and makes the headers of
         forwarded requests and answers.
+    max_answer_bytes
+        Maximum size of the body of an answer that is not a stream, in bytes;
+        the attempt of a larger one fails.
     is_stopping
         Whether a planned stop has begun, after which each answer closes its
         connection.
@@ -57,8 +64,9 @@
     """
 
     gateway: gateway_task.GatewayTask
-    session: aiohttp.ClientSession
+    session: upstream_exchange.Session
     wire: ModuleType
+    max_answer_bytes: int = MAX_ANSWER_BYTES
     is_stopping: bool = False
     is_closing: bool = False
     busy: set = dataclasses.field(default_factory=set)
@@ -266,24 +274,33 @@
 async def _relay_answer(attempt: _Attempt, exchange) -> calls.AttemptOutcome:
     wire = attempt.front.wire
     resp = exchange.resp
-    echoed_id = resp.headers.get(
-        wire.REQUEST_ID_HEADER, attempt.req.request_id
-    )
-    # An answer with the id of another request, or without a signature, need
-    # not come from this attempt, whose request may still have run. Without a
-    # signature it is accepted only if it says that the request was not run.
-    if echoed_id != attempt.req.request_id or not wire.has_upstream_signature(
-        resp.headers
+    request_id = attempt.req.request_id
+    echoed_id = resp.headers.get(wire.REQUEST_ID_HEADER, "")
+    # An answer without the id of this request may belong to another one, so
+    # even a refusal does not tell whether this request runs.
+    if echoed_id != request_id:
+        events.emit(
+            events.ANSWER_UNMATCHED,
+            request_id=request_id,
+            upstream=attempt.send_call.upstream_id,
+            answered_id=echoed_id,
+            status=resp.status,
+        )
+        return calls.AttemptOutcome.BROKEN
+    upstream_connections.confirm(attempt.front.session.conns, request_id)
+    # Without a signature, an answer counts only if it says that the request
+    # was not run.
+    if (
+        not wire.has_upstream_signature(resp.headers)
+        and wire.decode_run_state(resp.status, resp.headers)
+        is wire.RunState.RAN
     ):
-        run_state = wire.decode_run_state(resp.status, resp.headers)
-        if (
-            echoed_id != attempt.req.request_id
-            or run_state is wire.RunState.RAN
-        ):
-            return calls.AttemptOutcome.BROKEN
+        return calls.AttemptOutcome.BROKEN
     if resp.status < 300 and _is_stream(resp):
         return await _relay_stream(attempt, exchange)
-    answer = await upstream_exchange.read_answer(exchange)
+    answer = await upstream_exchange.read_answer(
+        exchange, attempt.front.max_answer_bytes
+    )
     if isinstance(answer, calls.AttemptOutcome):
         return answer
     resp.release()
--- a/bilberryramp/tasks/http_requests.py
+++ b/bilberryramp/tasks/http_requests.py
@@ -1,11 +1,50 @@
-"""Request objects of HTTP servers that run without an application."""
+"""Helpers for HTTP servers without an application, and for HTTP clients."""
 
 import asyncio
 from collections.abc import Callable
 
+import aiohttp
 from aiohttp import web
 
-__all__ = ["make_factory"]
+__all__ = ["AnswerTooLargeError", "make_factory", "read_limited"]
+
+
+class AnswerTooLargeError(aiohttp.ClientError):
+    """Raised when the body of an answer exceeds its limit."""
+
+
+async def read_limited(
+    resp: aiohttp.ClientResponse, max_body_bytes: int
+) -> bytes:
+    """Read the body of an answer.
+
+    Parameters
+    ----------
+    resp
+        Answer whose body has not been read. Its connection is closed if the
+        body exceeds the limit.
+    max_body_bytes
+        Maximum size of the body in bytes.
+
+    Returns
+    -------
+    bytes
+        Complete body.
+
+    Raises
+    ------
+    AnswerTooLargeError
+        When the body exceeds the limit.
+    """
+    body = bytearray()
+    async for chunk in resp.content.iter_any():
+        body += chunk
+        if len(body) > max_body_bytes:
+            resp.close()
+            raise AnswerTooLargeError(
+                f"the answer exceeds {max_body_bytes} bytes"
+            )
+    return bytes(body)
 
 
 def make_factory(max_body_bytes: Callable[[], int]) -> Callable:
--- a/bilberryramp/tasks/tests/builders.py
+++ b/bilberryramp/tasks/tests/builders.py
@@ -1,7 +1,165 @@
-"""Builders of frames for tests."""
+"""Builders of frames, servers and tasks for tests."""
 
-from bilberryramp.decisions.shared import call_messages
+import random
+
+from bilberryramp.charts import loader
+from bilberryramp.decisions.fleet import (
+    documents,
+    gateway,
+    gateway_state,
+    health,
+    placement,
+    planner,
+    presence,
+    retry_budget,
+)
+from bilberryramp.decisions.shared import call_messages, charting, tables
+from bilberryramp.decisions.upstream import upstream_messages
+from bilberryramp.standins import faulty_server
+from bilberryramp.tasks import (
+    engine_run,
+    gateway_task,
+    mailbox,
+)
+
+SERVICE = "svc"
+HOST = "h.example"
 
 
 def chunk(number: int) -> call_messages.AnswerChunk:
     return call_messages.AnswerChunk("r1.1", number, b"x" * 200)
+
+
+def answer_bytes(body, status="200 OK", **headers) -> bytes:
+    """Build an HTTP answer; underscores in header names become hyphens."""
+    rows = {"Content-Length": str(len(body)), "Content-Type": "text/plain"}
+    rows |= {name.replace("_", "-"): value for name, value in headers.items()}
+    head = "".join(f"{name}: {value}\r\n" for name, value in rows.items())
+    return f"HTTP/1.1 {status}\r\n{head}\r\n".encode() + body
+
+
+def plain_answer(request: faulty_server.Request) -> bytes:
+    """Answer like a service that knows no request ids."""
+    return answer_bytes(request.body)
+
+
+def echoing_answer(request: faulty_server.Request) -> bytes:
+    """Answer like an engine that repeats the attempt's id."""
+    attempt_id = request.headers["bilberry-attempt-id"]
+    return answer_bytes(request.body, Bilberry_Attempt_Id=attempt_id)
+
+
+async def start_faulty_server(case, answer) -> faulty_server.FaultyServer:
+    """Start a faulty server that is stopped after the test."""
+    server = faulty_server.FaultyServer(answer)
+    await faulty_server.start(server)
+    case.addAsyncCleanup(faulty_server.stop, server)
+    return server
+
+
+def bind_chart(name, module):
+    return charting.bind(loader.load(name), module.guards, module.actions)
+
+
+def make_dispatch(attempt_id, body=b"body", **changes):
+    fields = {
+        "attempt_id": attempt_id,
+        "request_id": f"req-{attempt_id}",
+        "incarnation": "i1",
+        "view_index": 0,
+        "route": "r1",
+        "pool": "p1",
+        "weight": 1,
+        "priority": tables.Priority.NORMAL,
+        "model": "",
+        "method": "POST",
+        "path": "/call",
+        "body": body,
+        "idempotency_key": "",
+        "suspect": False,
+        "budget_ms": 60_000,
+        "first_token_in_ms": 1000,
+        "tokens": 10,
+        "credit": 1_000_000,
+        "traceparent": "",
+    }
+    return call_messages.Dispatch(**(fields | changes))
+
+
+async def run_dispatch(session, port, dispatch, max_answer_bytes=2**20):
+    """Run a dispatch at a server; return its frames and the `RunEnded`."""
+    frames, inbox = [], mailbox.Mailbox()
+
+    async def send(_entry, frame):
+        frames.append(frame)
+
+    job = engine_run.Run(
+        upstream_messages.StartRun("entry", dispatch), dispatch.credit
+    )
+    url = f"http://127.0.0.1:{port}"
+    await engine_run.run(session, url, job, max_answer_bytes, send, inbox)
+    (ended,) = await mailbox.receive_all(inbox)
+    return frames, ended
+
+
+def body_of(frames) -> bytes:
+    return b"".join(
+        frame.data
+        for frame in frames
+        if isinstance(frame, call_messages.AnswerChunk)
+    )
+
+
+def make_fleet_route(prefix, **changes):
+    fields = {
+        "name": f"r{prefix}",
+        "host": HOST,
+        "prefix": prefix,
+        "shares": (documents.Share(SERVICE, 1.0),),
+        "repeatable": False,
+        "streaming": False,
+        "resumable": False,
+        "timeout_ms": 20_000,
+        "target_ms": 20_000,
+        "urgency": 1,
+        "max_attempts": 1,
+    }
+    return documents.Route(**(fields | changes))
+
+
+def make_gateway_task(addresses) -> gateway_task.GatewayTask:
+    """Make the task of a gateway that knows plain upstreams and has routes.
+
+    Requests to ``/once/`` may not be repeated, those to ``/again/`` may.
+    """
+    routes = (
+        make_fleet_route("/once/"),
+        make_fleet_route("/again/", repeatable=True, max_attempts=2),
+    )
+    services = {SERVICE: documents.Service(SERVICE, 100, None)}
+    doc = documents.Document(1, routes, services, documents.CallLimits())
+    table = presence.Table(60_000)
+    gw = gateway_state.Gateway(
+        "127.0.0.1:1",
+        bind_chart("exchange", gateway_state),
+        bind_chart("upstream_health", health),
+        random.Random(1),
+        table,
+        retry_budget.Limits(0.2, 60, 10_000),
+    )
+    node_planner = planner.Planner(
+        gw.address, table, gw.loads, placement.Demand()
+    )
+    task = gateway_task.GatewayTask(
+        gw, node_planner, mailbox.Mailbox(), None, lambda _: doc, 1
+    )
+    mailbox.post_now(task.inbox, gateway.DocumentInForce(doc))
+    for number, address in enumerate(addresses):
+        mailbox.post_now(task.inbox, make_announcement(number, address))
+    return task
+
+
+def make_announcement(number, address):
+    return presence.Announcement(
+        f"u{number}", SERVICE, address, "", 6, 1, 1, False, False, -1, ()
+    )
--- /dev/null
+++ b/bilberryramp/tasks/tests/test_faulty_upstreams.py
@@ -0,0 +1,98 @@
+"""Tests of engines that send wrong, repeated or endless answers."""
+
+import asyncio
+import unittest
+
+from bilberryramp.decisions.shared import errors
+from bilberryramp.tasks import engine_run
+from bilberryramp.tasks.tests import builders
+
+COPY_FAULTS = ("copy_late", "copy_at_once", "half_copy", "longer_than_said")
+MAX_ANSWER_BYTES = 2**20
+# Far longer than the deadline of the requests in these tests.
+TEST_TIMEOUT_S = 60
+
+
+class EngineRunTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of the path from an upstream process to its engine."""
+
+    async def asyncSetUp(self):
+        self.session = engine_run.open_session()
+        self.addAsyncCleanup(self.session.http.close)
+
+    async def start(self, answer, fault="none"):
+        server = await builders.start_faulty_server(self, answer)
+        server.fault = fault
+        return server
+
+    async def run_one(self, server, number):
+        dispatch = builders.make_dispatch(f"a{number}", b"%d" % number)
+        return await builders.run_dispatch(
+            self.session, server.port, dispatch, MAX_ANSWER_BYTES
+        )
+
+    async def test_no_caller_gets_an_answer_written_once_more(self):
+        """Of 60 callers of such a service, 19 got the one before theirs."""
+        for answer in (builders.plain_answer, builders.echoing_answer):
+            for fault in COPY_FAULTS:
+                server = await self.start(answer, fault)
+                for number in range(60):
+                    with self.subTest(fault=fault, number=number):
+                        frames, ended = await self.run_one(server, number)
+                        if ended.failure is None:
+                            self.assertEqual(
+                                builders.body_of(frames), b"%d" % number
+                            )
+                        await asyncio.sleep(0.003)
+
+    async def test_a_connection_is_kept_if_the_engine_names_the_attempt(self):
+        server = await self.start(builders.echoing_answer)
+        for number in range(20):
+            await self.run_one(server, number)
+        self.assertEqual(server.connections, 1)
+
+    async def test_a_connection_is_not_kept_without_the_attempts_id(self):
+        server = await self.start(builders.plain_answer)
+        for number in range(5):
+            frames, ended = await self.run_one(server, number)
+            self.assertIsNone(ended.failure)
+        self.assertEqual(server.connections, 5)
+
+    async def test_an_answer_to_another_attempt_is_not_forwarded(self):
+        def answer(request):
+            return builders.answer_bytes(
+                request.body, Bilberry_Attempt_Id="another"
+            )
+
+        server = await self.start(answer)
+        frames, ended = await self.run_one(server, 1)
+        self.assertEqual(frames, [])
+        self.assertIs(ended.failure.outcome, errors.Outcome.UNKNOWN)
+
+    async def test_an_answer_without_a_content_type_is_forwarded(self):
+        """Such an answer ended the task of the run without a `RunEnded`."""
+
+        def answer(request):
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+        server = await self.start(answer)
+        frames, ended = await self.run_one(server, 1)
+        self.assertIsNone(ended.failure)
+        self.assertEqual(builders.body_of(frames), b"ok")
+
+    async def test_a_cut_answer_is_not_complete(self):
+        server = await self.start(builders.plain_answer, "cut_in_half")
+        _, ended = await self.run_one(server, 123456)
+        self.assertIs(ended.failure.outcome, errors.Outcome.UNKNOWN)
+
+    async def test_an_endless_body_ends_at_the_limit(self):
+        for fault in ("endless_body", "endless_chunks", "endless_head"):
+            server = await self.start(builders.plain_answer, fault)
+            with self.subTest(fault=fault):
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    _, ended = await self.run_one(server, 1)
+                self.assertIs(ended.failure.outcome, errors.Outcome.UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/bilberryramp/tasks/tests/test_gateway_task.py
@@ -0,0 +1,47 @@
+"""Tests of the task that runs a gateway."""
+
+import asyncio
+import unittest
+
+from bilberryramp.decisions.fleet import calls
+from bilberryramp.tasks import gateway_task, mailbox
+from bilberryramp.tasks.tests import builders
+
+TIMEOUT_S = 20
+
+
+def make_request(path):
+    return calls.Request("q1", builders.HOST, path, 1000, None)
+
+
+class GatewayTaskTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.task = builders.make_gateway_task(["127.0.0.1:9"])
+        running = asyncio.create_task(gateway_task.run(self.task))
+        self.addCleanup(running.cancel)
+
+    async def decide(self, call_id, req):
+        fut = gateway_task.next_decision(self.task, call_id)
+        mailbox.post_now(self.task.inbox, calls.CallArrived(call_id, req))
+        return await asyncio.wait_for(fut, TIMEOUT_S)
+
+    async def test_an_unexpected_error_ends_one_call_only(self):
+        """An error in a call's handling ended the process of the node."""
+        decision = await self.decide(1, make_request(path=None))
+        self.assertEqual(decision, calls.Fail(1, calls.Failure.BROKEN))
+        decision = await self.decide(2, make_request("/once/x"))
+        self.assertIsInstance(decision, calls.SendCall)
+
+    async def test_an_unexpected_error_leaves_no_load_behind(self):
+        await self.decide(1, make_request("/once/x"))
+        fut = gateway_task.next_decision(self.task, 1)
+        broken = calls.AttemptEnded(1, outcome=None)
+        mailbox.post_now(self.task.inbox, broken)
+        decision = await asyncio.wait_for(fut, TIMEOUT_S)
+        self.assertIsInstance(decision, calls.Fail)
+        self.assertEqual(self.task.gw.loads.own["u0"].calls, 0)
+        self.assertFalse(self.task.gw.active)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/bilberryramp/tasks/upstream_exchange.py
+++ b/bilberryramp/tasks/upstream_exchange.py
@@ -11,10 +11,12 @@
 from aiohttp import hdrs, web
 
 from bilberryramp.decisions.fleet import calls
+from bilberryramp.tasks import upstream_connections
 
 __all__ = [
     "Answer",
     "Exchange",
+    "Session",
     "send_request",
     "open_session",
     "read_chunk",
@@ -30,7 +32,23 @@
 # Time for which idle connections are kept open; shorter than that of the
 # upstreams, so that no upstream closes one while a request is in transit.
 KEEPALIVE_S = 0.9
-READ_BYTES = 2**16
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """Client session for requests to upstreams.
+
+    Attributes
+    ----------
+    http
+        Session that keeps no cookies, decodes no bodies and does not retry
+        requests.
+    conns
+        State of its connections, for `upstream_connections.confirm`.
+    """
+
+    http: aiohttp.ClientSession
+    conns: upstream_connections.Connections
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,14 +93,18 @@
     has_framing: bool
 
 
-def open_session() -> aiohttp.ClientSession:
+def open_session(request_id_header: str) -> Session:
     """Open the client session that all attempts share.
 
+    Parameters
+    ----------
+    request_id_header
+        Header that names a request and that upstreams repeat in the answer.
+
     Returns
     -------
-    aiohttp.ClientSession
-        Session that keeps no cookies, decodes no bodies and does not retry
-        requests.
+    Session
+        Session whose connections carry one exchange at a time.
     """
     connector = aiohttp.TCPConnector(
         limit=0,
@@ -90,7 +112,8 @@
         socket_factory=_make_socket,
         use_dns_cache=False,
     )
-    session = aiohttp.ClientSession(
+    conns = upstream_connections.guard(connector, request_id_header)
+    http = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -106,8 +129,8 @@
     )
     # By default, aiohttp retries a request whose connection was closed.
     # Whether a request may run twice is decided by the gateway instead.
-    session._retry_connection = False
-    return session
+    http._retry_connection = False
+    return Session(http, conns)
 
 
 def _make_socket(addr_info) -> socket.socket:
@@ -126,7 +149,7 @@
 
 
 async def send_request(
-    session: aiohttp.ClientSession,
+    session: Session,
     request: web.BaseRequest,
     body: bytes,
     send_call: calls.SendCall,
@@ -159,7 +182,7 @@
         f"http://{send_call.address}{request.raw_path}", encoded=True
     )
     try:
-        resp = await session.request(
+        resp = await session.http.request(
             request.method,
             url,
             headers=multidict.CIMultiDict(headers),
@@ -215,23 +238,31 @@
     return protocol is not None and protocol.exception() is not None
 
 
-async def read_answer(exchange: Exchange) -> Answer | calls.AttemptOutcome:
+async def read_answer(
+    exchange: Exchange, max_body_bytes: int
+) -> Answer | calls.AttemptOutcome:
     """Read the rest of the response.
 
     Parameters
     ----------
     exchange
         Exchange from `send_request`.
+    max_body_bytes
+        Maximum size of the body in bytes.
 
     Returns
     -------
     Answer or AttemptOutcome
-        `BROKEN` if the body was truncated.
+        `BROKEN` if the body was truncated or is larger than
+        `max_body_bytes`.
     """
-    chunks = []
+    chunks, remaining_bytes = [], max_body_bytes
     while chunk := await read_chunk(exchange):
         if isinstance(chunk, calls.AttemptOutcome):
             return chunk
+        remaining_bytes -= len(chunk)
+        if remaining_bytes < 0:
+            return calls.AttemptOutcome.BROKEN
         chunks.append(chunk)
     resp = exchange.resp
     return Answer(
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -75,7 +75,10 @@
     control
         Sockets to the control replicas.
     session
-        HTTP client session for the engine.
+        Client session for the engine's runs.
+    order_session
+        Client session for orders and for the engine's state. It keeps no
+        connection open, because these answers name no request.
     group
         Group of the background tasks and runs; None until `run` starts.
     runs
@@ -93,7 +96,8 @@
     inbox: mailbox.Mailbox
     listener: zmq.asyncio.Socket
     control: control_link.ControlLink
-    session: aiohttp.ClientSession
+    session: engine_run.EngineSession
+    order_session: aiohttp.ClientSession
     group: asyncio.TaskGroup | None = None
     runs: dict[str, engine_run.Run] = dataclasses.field(default_factory=dict)
     last_heard_ms: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -126,7 +130,8 @@
         for background_task in background:
             background_task.cancel()
     node.listener.close()
-    await node.session.close()
+    await node.session.http.close()
+    await node.order_session.close()
 
 
 def _handle_all(node: UpstreamNode, batch: list) -> Iterator:
@@ -298,7 +303,7 @@
     )
     node.group.create_task(
         upstream_engine.send_order(
-            node.session, node.cfg.engine_url, order, node.inbox
+            node.order_session, node.cfg.engine_url, order, node.inbox
         )
     )
 
@@ -327,7 +332,7 @@
 
 async def _poll_engine(node: UpstreamNode) -> None:
     await upstream_engine.poll_state(
-        node.session, node.cfg.engine_url, node.inbox
+        node.order_session, node.cfg.engine_url, node.inbox
     )
 
 
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -82,6 +82,12 @@
     "A received message could not be decoded and was dropped. Check that "
     "all processes run compatible versions.",
 )
+PROFILE = _declare(
+    1006,
+    "program.profile",
+    "The functions that took the most processor time since the last such "
+    "line. Written only if profiling was requested by a flag.",
+)
 ROLE_CHANGED = _declare(
     2001,
     "control.role",
@@ -185,6 +191,19 @@
     "The stream of an answer broke, and reading resumed at the engine after"
     " the last event received. The request is not run again.",
 )
+ENGINE_ANSWER_FOREIGN = _declare(
+    4006,
+    "engine.answer_foreign",
+    "The engine sent an answer that belongs to another attempt. It was not "
+    "forwarded, the connection was closed and the attempt's outcome is "
+    "unknown. Check the engine.",
+)
+RUN_FAILED = _declare(
+    4007,
+    "run.failed",
+    "An unexpected exception ended one run; its outcome is unknown and other "
+    "runs go on. Report the `reason` as a defect.",
+)
 REGISTER_LEADER = _declare(
     5001,
     "register.leader",
@@ -242,6 +261,13 @@
     "The metrics address could not be bound, and the node runs without a "
     "metrics endpoint. Free the address and restart the node.",
 )
+GATEWAY_MESSAGE_FAILED = _declare(
+    5011,
+    "gateway.message_failed",
+    "An unexpected exception ended the handling of one message of the type "
+    "`message`; its call, if any, failed with an unknown outcome and other "
+    "calls go on. Report the `reason` as a defect.",
+)
 UPSTREAM_ANNOUNCED = _declare(
     5101,
     "upstream.seen",
@@ -280,10 +306,23 @@
     "call.left",
     "A client closed its connection before its answer was complete.",
 )
+ANSWER_UNMATCHED = _declare(
+    5108,
+    "answer.unmatched",
+    "An upstream's answer does not carry the id of the request that was sent, "
+    "so it may belong to another one. It was discarded, the connection was "
+    "closed and the attempt's outcome is unknown.",
+)
+HOLDERS_CHANGED = _declare(
+    5204,
+    "holders.changed",
+    "The nodes that order engines changed. A node waits for the order lease "
+    "before it orders an engine that another node held.",
+)
 FLEET_ORDER_SENT = _declare(
     5201,
     "order.sent_to_engine",
-    "An agent sent an order to load or unload a model to its engine.",
+    "A holder or an agent sent an order to load or unload a model.",
 )
 PLACEMENT_PLANNED = _declare(
     5203,
