--- a/bilberryramp/decisions/fleet/agent.py
+++ b/bilberryramp/decisions/fleet/agent.py
@@ -1,9 +1,13 @@
 """Order an engine to load and unload models and adapters.
 
-The agent runs on the same instance as its engine and is the only process that
-sends orders to it. Gateways request adapters, and the planner requests models.
-The agent reads the engine's own report, which is current and cheap to obtain
-locally, and sends one order at a time.
+The agent is the only one that sends orders to its engine. Gateways request
+adapters, and the planner requests models. The agent sends one order at a time.
+
+A local agent runs on the instance of its engine. It reads the engine's own
+report, which is current and cheap to obtain locally, between any two orders.
+A remote agent runs on another instance, where reports are old and cost more.
+It counts the accepted orders itself, assumes what they change, and reads the
+engine only if it does not know the count or while a model changes.
 
 Each order states how many orders the engine must have accepted before, so the
 engine refuses an order that arrives late. Each order also carries a fencing
@@ -26,12 +30,14 @@
     "OrderEnded",
     "OrderInFlight",
     "ReadEngine",
+    "ResidencyAnnounced",
     "ResidencyReport",
     "ResidencyRequest",
     "SendOrder",
     "Tick",
     "actions",
     "guards",
+    "needs_tick",
     "new_agent",
     "step",
 ]
@@ -54,8 +60,28 @@
 # Delay before the engine is read after an order without an answer; a report
 # read earlier might describe the state before the order.
 UNANSWERED_PAUSE_MS = 500
+# Interval between a remote agent's reports while a model is loaded or
+# unloaded, and its delay before a report that must show its last order:
+# remote reports are some hundred milliseconds old.
+REMOTE_READ_INTERVAL_MS = 700
+REMOTE_READ_DELAY_MS = 700
+# Time after which a remote agent assumes that an adapter is loaded. A load
+# takes up to ten milliseconds.
+ADAPTER_LOAD_MS = 15
+# Time after its last order for which a remote agent ignores the adapters in
+# announcements, which may describe the state before the order.
+ANNOUNCEMENT_AGE_MS = 3000
 # Increment of the fencing token when the engine has seen a higher one.
 FENCING_TOKEN_STEP = 1_000_000
+# The same for a remote agent, whose tokens grow by this with each term of the
+# register, and the pause before the next order. Tokens start anew if all nodes
+# lose their state.
+REMOTE_FENCING_TOKEN_STEP = 2**31
+REMOTE_FENCED_PAUSE_MS = 5000
+# Minimum age of an adapter's load, and interval, for a remote agent to read
+# the engine because a node asks for what it assumes to be resident.
+DOUBT_AGE_MS = 500
+DOUBT_INTERVAL_MS = 2000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -115,6 +141,19 @@
     held: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ResidencyAnnounced:
+    """The engine announced its resident models, for a remote agent.
+
+    Attributes
+    ----------
+    resident
+        Resident models with their adapters.
+    """
+
+    resident: tuple[presence.ResidentModel, ...]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Tick:
     """Periodic message that lets the agent act on elapsed time."""
@@ -297,6 +336,17 @@
         Whether a report was requested and has not arrived.
     paused_until_ms
         Time before which no order is sent.
+    is_remote
+        Whether the agent runs on another instance than the engine.
+    may_order
+        Whether the agent may send orders now.
+    changing
+        Model that the last order loads or unloads, and whether it loads;
+        None if no such order is in progress. Used by a remote agent only.
+    ordered_ms
+        When the last order ended.
+    verified_ms
+        When the engine was last read because of a doubtful assumption.
     key, phase, timer
         State of the chart: key of its timers, current state, and token of
         the current timer.
@@ -321,9 +371,16 @@
     read_due_ms: int = 0
     is_reading: bool = False
     paused_until_ms: int = 0
+    is_remote: bool = False
+    may_order: bool = True
+    changing: tuple[str, bool] | None = None
+    ordered_ms: int = -(10**9)
+    verified_ms: int = -(10**9)
 
 
-def new_agent(chart: charting.Chart, fence: int) -> Agent:
+def new_agent(
+    chart: charting.Chart, fence: int, is_remote: bool = False
+) -> Agent:
     """Create an agent.
 
     Parameters
@@ -332,6 +389,8 @@
         Bound ``engine_order`` chart.
     fence
         First fencing token, which must exceed those of earlier processes.
+    is_remote
+        Whether the agent runs on another instance than the engine.
 
     Returns
     -------
@@ -339,7 +398,29 @@
         Agent in the initial state; it sends no order before it has received
         a report of its engine.
     """
-    return Agent(chart, fence, phase=chart.spec.initial)
+    return Agent(chart, fence, phase=chart.spec.initial, is_remote=is_remote)
+
+
+def needs_tick(agent: Agent) -> bool:
+    """Return whether a tick can have an effect on an agent.
+
+    Parameters
+    ----------
+    agent
+        State of the agent.
+
+    Returns
+    -------
+    bool
+        False for a remote agent without work.
+    """
+    return bool(
+        not agent.is_remote
+        or agent.pending
+        or agent.loading
+        or agent.changing
+        or agent.phase != "idle"
+    )
 
 
 def step(agent: Agent, now_ms: int, message) -> Iterator:
@@ -352,7 +433,8 @@
     now_ms
         Current time in milliseconds.
     message
-        `ResidencyRequest`, `EngineReport`, `OrderEnded` or `Tick`.
+        `ResidencyRequest`, `EngineReport`, `OrderEnded`,
+        `ResidencyAnnounced` or `Tick`.
 
     Yields
     ------
@@ -366,6 +448,7 @@
     key = (req.model, req.adapter)
     if _is_satisfied(agent, req):
         yield Notify(req.sender, _report_for(req))
+        yield from _verify_assumption(agent, now_ms, key)
         return
     pending = agent.pending.get(key)
     if pending is None or pending.req.load != req.load:
@@ -376,26 +459,111 @@
     yield from _send_next_order(agent, now_ms)
 
 
+def _verify_assumption(
+    agent: Agent, now_ms: int, key: tuple[str, str]
+) -> Iterator:
+    """Read the engine if a node misses what a remote agent assumes."""
+    loaded_ms = agent.loaded_ms.get(key, -DOUBT_AGE_MS)
+    if (
+        agent.is_remote
+        and agent.phase == "idle"
+        and agent.changing is None
+        and now_ms - max(loaded_ms, agent.ordered_ms) >= DOUBT_AGE_MS
+        and now_ms - agent.verified_ms >= DOUBT_INTERVAL_MS
+    ):
+        agent.verified_ms = now_ms
+        agent.is_reading = True
+        yield ReadEngine()
+
+
 def _on_tick(agent: Agent, now_ms: int, _message) -> Iterator:
     for key, pending in list(agent.pending.items()):
         if now_ms >= pending.expires_ms:
             agent.pending.pop(key)
-    if now_ms >= agent.read_due_ms and not agent.is_reading:
+    if agent.is_remote:
+        yield from _assume_adapters_loaded(agent, now_ms)
+    if _is_report_due(agent, now_ms):
         agent.is_reading = True
         yield ReadEngine()
     yield from _send_next_order(agent, now_ms)
 
 
+def _is_report_due(agent: Agent, now_ms: int) -> bool:
+    if agent.is_reading or now_ms < agent.read_due_ms:
+        return False
+    # A remote agent that may not order yet would read in vain.
+    return not agent.is_remote or (
+        agent.may_order
+        and (agent.phase == "unread" or agent.changing is not None)
+    )
+
+
+def _assume_adapters_loaded(agent: Agent, now_ms: int) -> Iterator:
+    if agent.loading and now_ms - agent.ordered_ms >= ADAPTER_LOAD_MS:
+        for model, adapter in agent.loading:
+            agent.resident.setdefault(model, set()).add(adapter)
+        agent.loading = set()
+        yield from _notify_satisfied(agent)
+
+
+def _on_residency_announced(
+    agent: Agent, now_ms: int, announced: ResidencyAnnounced
+) -> Iterator:
+    """Take the end of a model's load or unload from an announcement.
+
+    Adapters, and models that no order concerned, are taken from it only if
+    the last order is long past.
+    """
+    if agent.phase != "idle":
+        return
+    resident = {
+        entry.model: set(entry.adapters) for entry in announced.resident
+    }
+    if agent.changing is not None:
+        model, is_load = agent.changing
+        if (model in resident) != is_load:
+            return
+        _end_model_change(agent, resident.get(model, set()))
+    elif now_ms - agent.ordered_ms >= ANNOUNCEMENT_AGE_MS:
+        agent.resident = resident
+    yield from _notify_satisfied(agent)
+    yield from _send_next_order(agent, now_ms)
+
+
+def _end_model_change(agent: Agent, adapters: set[str]) -> None:
+    model, is_load = agent.changing
+    agent.changing, agent.is_changing_model = None, False
+    if is_load:
+        agent.resident[model] = adapters
+    else:
+        agent.resident.pop(model, None)
+
+
 def _on_engine_report(
     agent: Agent, now_ms: int, report: EngineReport
 ) -> Iterator:
     agent.is_reading = False
+    if agent.is_remote:
+        agent.read_due_ms = now_ms + REMOTE_READ_INTERVAL_MS
+        if -1 < report.order_count < agent.order_count:
+            # The report describes the engine before its last order.
+            return
+        yield from _adopt_report(agent, now_ms, report)
+        return
     is_read_often = (
         agent.phase != "idle" or agent.is_changing_model or agent.loading
     )
     agent.read_due_ms = now_ms + (
         READ_INTERVAL_BUSY_MS if is_read_often else READ_INTERVAL_IDLE_MS
     )
+    yield from _adopt_report(agent, now_ms, report)
+    if agent.loading and agent.phase != "sent" and not agent.is_reading:
+        agent.is_reading = True
+        yield ReadEngine(READ_DELAY_LOADING_MS)
+
+
+def _adopt_report(agent: Agent, now_ms: int, report: EngineReport) -> Iterator:
+    """Replace what is known of the engine, unless an order is in flight."""
     if agent.phase == "sent":
         return
     if report.order_count < 0:
@@ -407,12 +575,11 @@
     }
     agent.loading = set(report.loading)
     agent.is_changing_model = report.is_changing_model
+    if not report.is_changing_model:
+        agent.changing = None
     yield from _fire_event(agent, "report_received", now_ms)
     yield from _notify_satisfied(agent)
     yield from _send_next_order(agent, now_ms)
-    if agent.loading and agent.phase != "sent":
-        agent.is_reading = True
-        yield ReadEngine(READ_DELAY_LOADING_MS)
 
 
 def _notify_satisfied(agent: Agent) -> Iterator:
@@ -445,6 +612,8 @@
     """Send the first order that a pending request needs and allows."""
     if agent.phase != "idle" or now_ms < agent.paused_until_ms:
         return
+    if not agent.may_order:
+        return
     if agent.is_changing_model:
         return
     for pending in agent.pending.values():
@@ -573,20 +742,76 @@
             "took_ms": now_ms - in_flight.sent_ms,
         },
     )
+    agent.ordered_ms = now_ms
     if order_end.answer in (OrderAnswer.ACCEPTED, OrderAnswer.DONE):
         if order.load and order.adapter:
             agent.loaded_ms[(order.model, order.adapter)] = now_ms
-        yield from _fire_event(agent, "order_accepted", now_ms)
+        if agent.is_remote and _assume_order(agent, order, order_end.answer):
+            yield from _fire_event(agent, "order_assumed", now_ms)
+            yield from _notify_satisfied(agent)
+            yield from _send_next_order(agent, now_ms)
+        else:
+            yield from _fire_event(agent, "order_accepted", now_ms)
     elif order_end.answer == OrderAnswer.NONE:
         yield from _fire_event(agent, "unanswered", now_ms)
     else:
         if order_end.answer == OrderAnswer.FENCED:
-            agent.fence += FENCING_TOKEN_STEP
+            _raise_fence(agent, now_ms)
         elif order_end.answer == OrderAnswer.REFUSED:
             agent.pending.pop((order.model, order.adapter), None)
         yield from _fire_event(agent, "order_refused", now_ms)
 
 
+def _raise_fence(agent: Agent, now_ms: int) -> None:
+    """Use a higher token after the engine has seen one that exceeds it.
+
+    A remote agent first waits until it would know of a successor.
+    """
+    if agent.is_remote:
+        agent.fence += REMOTE_FENCING_TOKEN_STEP
+        agent.paused_until_ms = now_ms + REMOTE_FENCED_PAUSE_MS
+    else:
+        agent.fence += FENCING_TOKEN_STEP
+
+
+def _assume_order(agent: Agent, order: SendOrder, answer: str) -> bool:
+    """Update what is known of the engine after a successful order.
+
+    Return False if only a report can show the effect of the order.
+    """
+    is_accepted = answer == OrderAnswer.ACCEPTED
+    if order.adapter:
+        return _assume_adapter_order(agent, order, is_accepted)
+    if is_accepted:
+        agent.order_count += 1
+        agent.changing = (order.model, order.load)
+        agent.is_changing_model = True
+        agent.read_due_ms = agent.ordered_ms + REMOTE_READ_INTERVAL_MS
+    elif order.load:
+        agent.resident.setdefault(order.model, set())
+    else:
+        agent.resident.pop(order.model, None)
+    return True
+
+
+def _assume_adapter_order(
+    agent: Agent, order: SendOrder, is_accepted: bool
+) -> bool:
+    adapters = agent.resident.setdefault(order.model, set())
+    if order.load and is_accepted:
+        agent.order_count += 1
+        agent.loading.add((order.model, order.adapter))
+    elif order.load:
+        adapters.add(order.adapter)
+    elif is_accepted:
+        # The engine unloads it after the last call that uses it.
+        return False
+    else:
+        agent.order_count += 1
+        adapters.discard(order.adapter)
+    return True
+
+
 def _fire_event(agent: Agent, event: str, now_ms: int) -> Iterator:
     yield from charting.fire(agent.chart, agent, event, now_ms, None)
 
@@ -596,22 +821,40 @@
 
 def _read_engine_now(agent: Agent, now_ms: int, _payload) -> Iterator:
     agent.in_flight = None
-    if not agent.is_reading:
+    if agent.is_remote:
+        agent.order_count = -1
+        agent.read_due_ms = now_ms + REMOTE_READ_DELAY_MS
+    elif not agent.is_reading:
         agent.is_reading = True
         yield ReadEngine()
 
 
+def _end_flight(agent: Agent, _now_ms: int, _payload) -> Iterator:
+    agent.in_flight = None
+    yield from ()
+
+
 def _pause_orders(agent: Agent, now_ms: int, _payload) -> Iterator:
     agent.in_flight = None
-    agent.paused_until_ms = now_ms + REFUSED_PAUSE_MS
+    agent.paused_until_ms = max(
+        agent.paused_until_ms, now_ms + REFUSED_PAUSE_MS
+    )
     agent.read_due_ms = now_ms + READ_INTERVAL_BUSY_MS
+    if agent.is_remote:
+        # The count of orders may be wrong.
+        agent.order_count = -1
+        agent.read_due_ms = now_ms + REMOTE_READ_DELAY_MS // 2
     yield from ()
 
 
 def _pause_reading(agent: Agent, now_ms: int, _payload) -> Iterator:
     agent.in_flight = None
     agent.order_count = -1
-    agent.read_due_ms = now_ms + UNANSWERED_PAUSE_MS
+    agent.read_due_ms = now_ms + (
+        UNANSWERED_PAUSE_MS
+        if not agent.is_remote
+        else UNANSWERED_PAUSE_MS + REMOTE_READ_DELAY_MS
+    )
     yield from ()
 
 
@@ -619,11 +862,13 @@
     agent.order_count = -1
     agent.resident = {}
     agent.loading = set()
+    agent.changing = None
     yield from ()
 
 
 guards: dict = {}
 actions = {
+    "end_flight": _end_flight,
     "read_engine_now": _read_engine_now,
     "pause_orders": _pause_orders,
     "pause_reading": _pause_reading,
@@ -634,5 +879,6 @@
     ResidencyRequest: _on_request,
     Tick: _on_tick,
     EngineReport: _on_engine_report,
+    ResidencyAnnounced: _on_residency_announced,
     OrderEnded: _on_order_ended,
 }
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -195,7 +195,7 @@
         prompt.model,
         prompt.adapter,
         spec.adapter_mb if spec is not None else 0.0,
-        documents.capacity(engine),
+        documents.capacity(engine, (prompt.model, *upstream.models)),
         placement.idle_adapters(gw.demand, gw.loads, upstream, now_ms),
     )
     yield planner.SendResidencyRequest(upstream.announcement.address, request)
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -28,6 +28,7 @@
     "DocumentInForce",
     "ShutdownStarted",
     "Tick",
+    "abandon_call",
     "is_idle",
     "is_ready",
     "step",
@@ -48,6 +49,10 @@
 # Upstreams announce themselves one by one; a node that has just started
 # regards discovery as complete after this time without a new upstream.
 DISCOVERY_QUIET_MS = 250
+# Minimum time since the queue was last served after which a report of a peer
+# has it served again; in a large fleet, several hundred reports arrive a
+# second.
+REPORT_SERVE_INTERVAL_MS = 10
 # Limit on the waiting calls examined each time capacity may be available.
 MAX_QUEUE_SCAN_CALLS = 64
 
@@ -109,6 +114,25 @@
     return not gw.active
 
 
+def abandon_call(gw: gateway_state.Gateway, call_id: int, now_ms: int) -> None:
+    """Remove a call whose handling failed, with its load.
+
+    Parameters
+    ----------
+    gw
+        State of the gateway. Modified in place.
+    call_id
+        Id of the call; an unknown id is ignored.
+    now_ms
+        Current time in milliseconds.
+    """
+    call = gw.active.get(call_id)
+    if call is not None:
+        # The chart has no effects for this event other than on the state.
+        for _ in _end_call(gw, call, "disconnected", now_ms):
+            pass
+
+
 def step(gw: gateway_state.Gateway, now_ms: int, message) -> Iterator:
     """Handle one message.
 
@@ -125,10 +149,10 @@
     Yields
     ------
     effect
-        Effects of `calls` and `planner`, `Trace`, and `Report` to the peers.
+        Effects of `calls` and `planner`, `Trace`, and `ReportTo`.
     """
     yield from _HANDLERS[type(message)](gw, now_ms, message)
-    if gw.loads.is_report_urgent:
+    if sharing.is_report_urgent(gw.loads):
         yield from _report_load(gw, now_ms)
 
 
@@ -192,7 +216,7 @@
         gw.loads, report, gateway_state.cache_capacity_tokens(gw), now_ms
     )
     _record_demand(gw, report, now_ms)
-    if gw.queue:
+    if now_ms - gw.served_ms >= REPORT_SERVE_INTERVAL_MS:
         yield from _serve_queue(gw, now_ms)
 
 
@@ -210,10 +234,14 @@
 
 
 def _report_load(gw: gateway_state.Gateway, now_ms: int) -> Iterator:
-    report = sharing.build_due_report(gw.loads, gw.address, now_ms)
-    if report is not None:
-        _record_demand(gw, report, now_ms)
-        yield report
+    for audience in sharing.Audience:
+        report = sharing.build_due_report(
+            gw.loads, gw.address, now_ms, audience
+        )
+        if report is not None:
+            if audience is sharing.Audience.NEAR:
+                _record_demand(gw, report, now_ms)
+            yield sharing.ReportTo(audience, report)
 
 
 def _record_demand(
@@ -479,6 +507,7 @@
 def _serve_queue(gw: gateway_state.Gateway, now_ms: int) -> Iterator:
     if not gw.queue:
         return
+    gw.served_ms = now_ms
     waiting = sorted(
         gw.queue.values(),
         key=lambda call: scheduling.queue_sort_key(call, now_ms),
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -76,6 +76,8 @@
         Number of gateways that share the retry budget, including this one.
     is_shutting_down
         Whether the process is about to end, so that no call may wait.
+    served_ms
+        When the queue was last served.
     """
 
     address: str
@@ -107,6 +109,7 @@
     discovery_deadline_ms: int = 0
     node_count: int = 1
     is_shutting_down: bool = False
+    served_ms: int = 0
 
 
 def engine_spec(gw: Gateway, service: str) -> documents.EngineSpec | None:
--- a/bilberryramp/decisions/fleet/operator_calls.py
+++ b/bilberryramp/decisions/fleet/operator_calls.py
@@ -139,7 +139,13 @@
         Addresses of the other nodes.
     leader
         Address of the leader; empty if unknown.
+    holders
+        Addresses of the nodes that order engines; empty if agents do.
+    domains
+        Failure domain of each of the other nodes, in order of `addresses`.
     """
 
     addresses: tuple[str, ...]
     leader: str
+    holders: tuple[str, ...] = ()
+    domains: tuple[str, ...] = ()
--- a/bilberryramp/decisions/fleet/planner.py
+++ b/bilberryramp/decisions/fleet/planner.py
@@ -329,7 +329,7 @@
         move.model,
         "",
         spec.weights_mb,
-        documents.capacity(engine),
+        documents.capacity(engine, (move.model, *upstream.models)),
         tuple((victim, "") for victim in move.victims),
     )
     expires_ms = now_ms + int(1000 * spec.load_s) + MOVE_GRACE_MS
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -20,7 +20,7 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import electorate
+from bilberryramp.decisions.fleet import electorate, order_holders
 from bilberryramp.decisions.fleet import register_messages as msgs
 from bilberryramp.decisions.shared import charting, effects
 
@@ -40,6 +40,7 @@
     "leads",
     "new_node",
     "recent_leader_address",
+    "standing",
     "step",
 ]
 
@@ -71,6 +72,17 @@
 # Time without a heartbeat after which a peer is removed from the roster.
 # Its address is kept, and heartbeats go to it, for three times as long.
 PEER_EXPIRY_MS = 10_000
+# Limits on the heartbeats that a node sends at a time, and on the addresses
+# that they mention together, so that their cost does not grow with the square
+# of the number of nodes. In larger fleets, targets and mentioned addresses
+# take turns. With 400 nodes, each peer still gets a heartbeat well within
+# PEER_EXPIRY_MS.
+MAX_HEARTBEAT_TARGETS = 48
+MAX_MENTIONS = 2048
+MIN_MENTIONS_PER_HEARTBEAT = 8
+# Bits of an `AppendReply.echo` that hold a time in milliseconds; the bits
+# above them identify the process.
+ECHO_TIME_BITS = 42
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -224,6 +236,8 @@
         heartbeat.
     store_id
         Store id in the node's last reply.
+    echo
+        Newest echo in the node's replies; -1 if there is none.
     """
 
     acked_id: tuple[int, int] = (-1, -1)
@@ -233,6 +247,7 @@
     last_heartbeat_ms: int = -(10**9)
     announced_ids: tuple = ()
     store_id: str = ""
+    echo: int = -1
 
 
 @dataclasses.dataclass(slots=True)
@@ -286,6 +301,18 @@
     pending_proposals
         Pairs of the sequence number that must be committed and the id of
         the request to answer then.
+    heartbeat_turn
+        Number of times that heartbeats were sent to the peers.
+    process_number
+        Random number that distinguishes this process from earlier ones.
+    chooses_holders
+        Whether this node, as the leader, chooses holders that order engines.
+    standing
+        Newest committed list of holders, and as of when it is proved.
+    standing_since_ms
+        When this process first had a proof of that list.
+    settled_holders_id
+        As in `PersistentState`.
     key, phase, timer
         State of the chart: key of its timers, current state, and token of
         the current timer.
@@ -318,6 +345,14 @@
     pending_proposals: list[tuple[int, int]] = dataclasses.field(
         default_factory=list
     )
+    heartbeat_turn: int = 0
+    process_number: int = 0
+    chooses_holders: bool = False
+    standing: order_holders.Standing = dataclasses.field(
+        default_factory=order_holders.Standing
+    )
+    standing_since_ms: int = 0
+    settled_holders_id: tuple[int, int] = order_holders.NO_LIST
     key: str = "member"
     phase: str = "learner"
     timer: int = 0
@@ -360,6 +395,8 @@
         node.term, node.voted_for = stored.term, stored.voted_for
         node.record = stored.record
         node.committed_document = stored.settled
+        node.settled_holders_id = stored.settled_holders_id
+        _restore_standing(node)
     if node.record is None and me.store_id == GENESIS:
         seed_members = tuple(
             msgs.Member(seed, GENESIS) for seed in sorted(seeds)
@@ -415,6 +452,62 @@
     return peer.operator_address if is_recent and peer is not None else ""
 
 
+def standing(node: Node, now_ms: int) -> order_holders.Standing:
+    """Return the newest list of holders that this node knows to be committed.
+
+    Parameters
+    ----------
+    node
+        State of the node. Modified in place on the leader, whose lease proves
+        the list as of now.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    Standing
+        The list, and the latest time as of which it is proved.
+    """
+    if leads(node, now_ms) and node.committed == _record_id(node):
+        _set_standing(node, now_ms)
+    return node.standing
+
+
+def _restore_standing(node: Node) -> None:
+    """Take a settled list of holders, without a proof, from the disk.
+
+    A holder that finds the same list in force has held its engines without a
+    gap, because no list ever returns.
+    """
+    record = node.record
+    if record is not None and record.holders_id == node.settled_holders_id:
+        node.standing = order_holders.Standing(
+            record.holders, record.holders_id, record.previous_holders_id
+        )
+
+
+def _settle_standing(node: Node, now_ms: int) -> Iterator:
+    list_id = node.standing.list_id
+    if (
+        list_id != node.settled_holders_id
+        and now_ms - node.standing_since_ms >= order_holders.SETTLED_AFTER_MS
+    ):
+        node.settled_holders_id = list_id
+        yield _persist_state(node)
+
+
+def _set_standing(node: Node, as_of_ms: int) -> None:
+    record = node.record
+    if node.standing.list_id != record.holders_id:
+        node.standing_since_ms = as_of_ms
+    node.standing = order_holders.Standing(
+        record.holders,
+        record.holders_id,
+        record.previous_holders_id,
+        as_of_ms,
+    )
+
+
 def step(node: Node, now_ms: int, message) -> Iterator:
     """Handle one message.
 
@@ -447,6 +540,7 @@
             PEER_HEARTBEAT_MS if node.leader else LEADERLESS_PEER_HEARTBEAT_MS
         )
         yield from _send_peer_heartbeats(node, now_ms)
+    yield from _settle_standing(node, now_ms)
     if node.phase == "leader":
         yield from _tick_leader(node, now_ms)
     elif now_ms >= node.election_due_ms:
@@ -458,15 +552,22 @@
     _drop_silent_peers(node, now_ms)
     heartbeat = _peer_heartbeat(node)
     voters = electorate.voters(node.record) if node.record else ()
-    targets = {
-        *node.seeds,
-        *node.address_seen_ms,
-        *(v.address for v in voters),
-    }
-    for address in sorted(targets - {node.me.address}):
+    always = {*node.seeds, *(v.address for v in voters)} - {node.me.address}
+    others = sorted(set(node.address_seen_ms) - always - {node.me.address})
+    in_turn = _take_turn(others, MAX_HEARTBEAT_TARGETS, node.heartbeat_turn)
+    node.heartbeat_turn += 1
+    for address in sorted((*always, *in_turn)):
         yield effects.Send(address, heartbeat)
 
 
+def _take_turn(addresses: list[str], count: int, turn: int) -> list[str]:
+    """Return up to `count` addresses, others in each turn."""
+    if len(addresses) <= count:
+        return addresses
+    start = turn * count % len(addresses)
+    return (addresses[start:] + addresses[:start])[:count]
+
+
 def _drop_silent_peers(node: Node, now_ms: int) -> None:
     """Remove peers and addresses that were silent for too long."""
     for address, heard_at_ms in list(node.heard_ms.items()):
@@ -495,9 +596,12 @@
 
 
 def _peer_heartbeat(node: Node) -> msgs.PeerHeartbeat:
-    return msgs.PeerHeartbeat(
-        node.me, tuple(node.peers), node.in_force_version
+    addresses = list(node.peers)
+    count = max(
+        MAX_MENTIONS // max(len(addresses), 1), MIN_MENTIONS_PER_HEARTBEAT
     )
+    mentioned = _take_turn(addresses, count, node.heartbeat_turn)
+    return msgs.PeerHeartbeat(node.me, tuple(mentioned), node.in_force_version)
 
 
 def _on_committed_document(node: Node, _now_ms: int, document) -> Iterator:
@@ -646,6 +750,7 @@
     if now_ms >= node.leader_heartbeat_due_ms:
         yield from _send_leader_heartbeats(node, now_ms)
     yield from _update_voters(node, now_ms)
+    yield from _update_holders(node, now_ms)
 
 
 def _has_lease(node: Node, now_ms: int) -> bool:
@@ -672,7 +777,8 @@
             _record_id(node),
             node.committed,
         )
-        if address in members or is_due or not is_announced:
+        is_often = address in members or address in node.record.holders
+        if is_often or is_due or not is_announced:
             progress.last_heartbeat_ms = now_ms
             progress.announced_ids = (_record_id(node), node.committed)
             yield _append_to(node, now_ms, address)
@@ -691,14 +797,20 @@
         record = node.record
         progress.sent_id, progress.sent_ms = record_id, now_ms
     message = msgs.Append(
-        _own_member(node), node.term, record_id, node.committed, record, now_ms
+        _own_member(node),
+        node.term,
+        record_id,
+        node.committed,
+        record,
+        now_ms,
+        progress.echo,
     )
     return effects.Send(address, message)
 
 
 def _on_append(node: Node, now_ms: int, message: msgs.Append) -> Iterator:
     if message.term < node.term:
-        yield _reply_to_append(node, message)
+        yield _reply_to_append(node, now_ms, message)
         return
     if message.term > node.term:
         node.term, node.voted_for = message.term, ""
@@ -721,12 +833,38 @@
         _update_voter_status(node, now_ms)
     node.committed = max(node.committed, message.committed)
     yield from _publish_committed(node)
-    yield _reply_to_append(node, message)
+    _confirm_standing(node, now_ms, message)
+    yield _reply_to_append(node, now_ms, message)
 
 
-def _reply_to_append(node: Node, message: msgs.Append) -> effects.Send:
+def _confirm_standing(node: Node, now_ms: int, message: msgs.Append) -> None:
+    """Prove the list of holders by the echo in a leader's heartbeat.
+
+    The leader sent the heartbeat after it had received the echo, and its
+    newest record was committed and is the one stored here.
+    """
+    process_number = message.echo >> ECHO_TIME_BITS
+    as_of_ms = message.echo & ((1 << ECHO_TIME_BITS) - 1)
+    if (
+        message.echo >= 0
+        and process_number == node.process_number
+        and as_of_ms <= now_ms
+        and message.last == message.committed == _record_id(node)
+    ):
+        is_same = node.record.holders_id == node.standing.list_id
+        earlier_ms = node.standing.as_of_ms if is_same else as_of_ms
+        _set_standing(node, max(as_of_ms, earlier_ms))
+
+
+def _reply_to_append(
+    node: Node, now_ms: int, message: msgs.Append
+) -> effects.Send:
     reply = msgs.AppendReply(
-        _own_member(node), node.term, _record_id(node), message.sent_ms
+        _own_member(node),
+        node.term,
+        _record_id(node),
+        message.sent_ms,
+        (node.process_number << ECHO_TIME_BITS) + now_ms,
     )
     return effects.Send(message.sender.address, reply)
 
@@ -745,6 +883,7 @@
         progress.store_id = reply.sender.store_id
     progress.acked_id = max(progress.acked_id, reply.held)
     progress.acked_sent_ms = max(progress.acked_sent_ms, reply.sent_ms)
+    progress.echo = reply.echo
     yield from _try_commit(node, now_ms)
 
 
@@ -852,6 +991,39 @@
         )
 
 
+def _update_holders(node: Node, now_ms: int) -> Iterator:
+    """Replace holders of engines that are lost, and fill free places."""
+    record = node.record
+    if (
+        not node.chooses_holders
+        or node.committed != _record_id(node)
+        or record.leaving
+        or not leads(node, now_ms)
+    ):
+        return
+    desired = order_holders.desired_holders(
+        record.holders,
+        node.me.address,
+        node.heard_ms,
+        frozenset(
+            peer.address
+            for peer in (node.me, *node.peers.values())
+            if peer.durable
+        ),
+        now_ms,
+        now_ms - node.led_since_ms,
+        now_ms - max(node.standing_since_ms, node.led_since_ms),
+    )
+    if desired != record.holders:
+        yield from _replace_record(
+            node,
+            now_ms,
+            holders=desired,
+            holders_id=(node.term, record.seq + 1),
+            previous_holders_id=record.holders_id,
+        )
+
+
 def _update_voter_status(node: Node, now_ms: int) -> None:
     """Admit or remove this node as a voter, as its record says."""
     is_voter = node.record is not None and _own_member(
@@ -882,6 +1054,7 @@
             node.voted_for,
             node.record,
             node.committed_document,
+            node.settled_holders_id,
         )
     )
 
--- a/bilberryramp/decisions/fleet/register_messages.py
+++ b/bilberryramp/decisions/fleet/register_messages.py
@@ -52,6 +52,8 @@
         Whether the store is on a disk.
     operator_address
         Address for calls of operators.
+    failure_domain
+        Failure domain of the node's instance.
     """
 
     address: str
@@ -59,6 +61,7 @@
     name: str
     durable: bool
     operator_address: str
+    failure_domain: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -79,6 +82,11 @@
         Version of the document, or -1 if there is none.
     body
         Document as it was submitted.
+    holders
+        Addresses of the nodes that order engines; see `order_holders`.
+    holders_id, previous_holders_id
+        Term and sequence number of the records that introduced these holders
+        and the ones before them; (-1, -1) if there were none.
     """
 
     term: int
@@ -87,6 +95,9 @@
     leaving: tuple[Member, ...] = ()
     version: int = -1
     body: bytes = b""
+    holders: tuple[str, ...] = ()
+    holders_id: tuple[int, int] = (-1, -1)
+    previous_holders_id: tuple[int, int] = (-1, -1)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -122,6 +133,9 @@
     settled
         Newest document known to be committed. After a restart the node
         serves it until it learns of a newer one.
+    settled_holders_id
+        Id of the newest list of holders that was committed for so long that
+        no earlier holder can still act; (-1, -1) if there is none.
     """
 
     store_id: str
@@ -129,6 +143,7 @@
     voted_for: str
     record: Record | None
     settled: CommittedDocument | None = None
+    settled_holders_id: tuple[int, int] = (-1, -1)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -214,6 +229,9 @@
         was sent a short time ago.
     sent_ms
         Sending time on the leader's clock, which the reply repeats.
+    echo
+        The newest ``echo`` of the receiver's replies, which proves to the
+        receiver how old this message can be; -1 if there is none.
     """
 
     sender: Member
@@ -222,6 +240,7 @@
     committed: tuple[int, int]
     record: Record | None
     sent_ms: int
+    echo: int = -1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -236,9 +255,13 @@
         Term and sequence number of the record in its store.
     sent_ms
         Sending time of the `Append` that is answered.
+    echo
+        Sending time of the reply, in a form that only this process of the
+        sender recognizes.
     """
 
     sender: Member
     term: int
     held: tuple[int, int]
     sent_ms: int
+    echo: int = -1
--- a/bilberryramp/decisions/fleet/sharing.py
+++ b/bilberryramp/decisions/fleet/sharing.py
@@ -4,25 +4,35 @@
 calls in flight exactly, and those of its peers as of their last reports.
 Reports also list the prompts sent to each upstream, from which every gateway
 estimates the contents of the engines' prefix caches.
+
+Peers in the same failure domain, which prefer the same engines, get reports
+soon. Those in other domains get them at intervals that grow with their number,
+so that the messages of one gateway are bounded in a fleet of any size.
 """
 
 import collections
 import dataclasses
+import enum
+import operator
 
 from bilberryramp.decisions.fleet import keys, prefix_cache
 
 __all__ = [
+    "Audience",
     "Load",
     "Loads",
     "Report",
+    "ReportTo",
     "apply_report",
     "build_due_report",
     "count_adapter_call",
     "is_adapter_in_use",
+    "is_report_urgent",
     "own_load",
     "record_demand",
     "record_load_change",
     "record_sent_prompt",
+    "set_audience_size",
     "total_load",
     "urgency_level",
 ]
@@ -39,6 +49,8 @@
 IDLE_REPORT_INTERVAL_MS = 900
 # Interval of reports that list all upstreams, for peers that missed reports.
 FULL_REPORT_INTERVAL_MS = 900
+# Limit on the messages with which one gateway reports to one audience.
+MAX_MESSAGES_PER_S = 120
 # Minimum size of a long prompt: half of what an engine reads in one step (4096
 # tokens, data sheet).
 LONG_PROMPT_TOKENS = 2048
@@ -48,6 +60,18 @@
 # Index of the first adapter key in a row of a report, after the upstream's
 # key, the number of calls, the reserved tokens and the unread tokens by level.
 ROW_ADAPTERS_START = 3 + URGENCY_LEVELS
+_NO_LOAD = (0,) * (ROW_ADAPTERS_START - 1)
+# Placeholder in sums, which do not count calls by adapter; never modified.
+_NO_ADAPTER_CALLS = collections.Counter()
+
+
+class Audience(enum.Enum):
+    """Peers that get the same reports of a gateway."""
+
+    NEAR = "near"
+    """Peers in the gateway's failure domain."""
+    FAR = "far"
+    """All other peers."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,21 +137,49 @@
     is_whole: bool = True
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportTo:
+    """Send a report to the peers of an audience.
+
+    Attributes
+    ----------
+    audience
+        Peers that get the report.
+    report
+        The report.
+    """
+
+    audience: Audience
+    report: Report
+
+
 @dataclasses.dataclass(slots=True)
-class Loads:
-    """Load by upstream, of this gateway and of its peers.
+class PeerLoad:
+    """Load of one peer as of its last report.
 
-    Upstream keys are those of `keys.short_key`.
+    Attributes
+    ----------
+    heard_ms
+        When the last report arrived.
+    rows
+        Rows of its reports by upstream key.
+    is_counted
+        Whether the rows are part of the sums in `Loads`.
+    """
+
+    heard_ms: int
+    rows: dict[int, tuple[int, ...]] = dataclasses.field(default_factory=dict)
+    is_counted: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Outbox:
+    """What one audience has not been told yet.
 
     Attributes
     ----------
-    own
-        Load of this gateway by upstream identifier.
-    peer_reports
-        For each peer by its address, when its last report arrived, and the
-        rows of its reports by upstream key.
-    caches
-        Estimated prefix caches by upstream key.
+    min_interval_ms
+        Minimum interval between two reports.
     unreported_prompts
         Prompts sent since the last report.
     unreported_demand
@@ -142,13 +194,7 @@
         When the last report with all upstreams was built.
     """
 
-    own: dict[str, Load] = dataclasses.field(default_factory=dict)
-    peer_reports: dict[str, tuple[int, dict[int, tuple[int, ...]]]] = (
-        dataclasses.field(default_factory=dict)
-    )
-    caches: dict[int, prefix_cache.PrefixCache] = dataclasses.field(
-        default_factory=dict
-    )
+    min_interval_ms: int = URGENT_REPORT_INTERVAL_MS
     unreported_prompts: list[prefix_cache.SentPrompt] = dataclasses.field(
         default_factory=list
     )
@@ -161,6 +207,75 @@
     full_report_ms: int = 0
 
 
+def _make_outboxes() -> dict[Audience, Outbox]:
+    return {audience: Outbox() for audience in Audience}
+
+
+@dataclasses.dataclass(slots=True)
+class Loads:
+    """Load by upstream, of this gateway and of its peers.
+
+    Upstream keys are those of `keys.short_key`.
+
+    Attributes
+    ----------
+    own
+        Load of this gateway by upstream identifier.
+    peers
+        Load of each peer by its address.
+    peer_totals
+        Sums over the valid reports of all peers by upstream key: calls,
+        reserved tokens, and unread tokens by urgency level.
+    peer_adapters
+        Number of peers that use an adapter, by upstream key and key of the
+        adapter.
+    next_expiry_ms
+        Time before which no peer's report expires.
+    caches
+        Estimated prefix caches by upstream key.
+    outboxes
+        What each audience has not been told yet.
+    """
+
+    own: dict[str, Load] = dataclasses.field(default_factory=dict)
+    peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
+    peer_totals: dict[int, list[int]] = dataclasses.field(default_factory=dict)
+    peer_adapters: dict[int, collections.Counter] = dataclasses.field(
+        default_factory=dict
+    )
+    next_expiry_ms: int = 0
+    caches: dict[int, prefix_cache.PrefixCache] = dataclasses.field(
+        default_factory=dict
+    )
+    outboxes: dict[Audience, Outbox] = dataclasses.field(
+        default_factory=_make_outboxes
+    )
+
+
+def set_audience_size(
+    loads: Loads, audience: Audience, peer_count: int
+) -> None:
+    """Adapt the interval of reports to the number of peers that get them.
+
+    Parameters
+    ----------
+    loads
+        Known loads. Modified in place.
+    audience
+        Peers that get the same reports.
+    peer_count
+        Number of these peers.
+    """
+    loads.outboxes[audience].min_interval_ms = max(
+        URGENT_REPORT_INTERVAL_MS, 1000 * peer_count // MAX_MESSAGES_PER_S
+    )
+
+
+def is_report_urgent(loads: Loads) -> bool:
+    """Return whether a long prompt was sent or read since the last report."""
+    return any(outbox.is_report_urgent for outbox in loads.outboxes.values())
+
+
 def urgency_level(urgency: int) -> int:
     """Return the urgency level of a rank.
 
@@ -215,30 +330,55 @@
     Load
         A new object, without `adapter_calls`.
     """
-    key = keys.short_key(upstream_id)
+    _expire_reports(loads, now_ms)
     own = loads.own.get(upstream_id)
-    summed = Load(upstream_id)
+    totals = loads.peer_totals.get(keys.short_key(upstream_id))
+    if totals is None:
+        calls, reserved_tokens, *unread_tokens = _NO_LOAD
+    else:
+        calls, reserved_tokens, *unread_tokens = totals
     if own is not None:
-        _add_load(summed, own.calls, own.reserved_tokens, own.unread_tokens)
-    for heard_ms, rows in loads.peer_reports.values():
-        if now_ms - heard_ms < REPORT_TTL_MS and key in rows:
-            _, calls, reserved_tokens, *levels_and_adapters = rows[key]
-            _add_load(
-                summed,
-                calls,
-                reserved_tokens,
-                levels_and_adapters[:URGENCY_LEVELS],
-            )
-    return summed
+        calls += own.calls
+        reserved_tokens += own.reserved_tokens
+        unread_tokens = list(
+            map(operator.add, unread_tokens, own.unread_tokens)
+        )
+    return Load(
+        upstream_id, calls, reserved_tokens, unread_tokens, _NO_ADAPTER_CALLS
+    )
 
 
-def _add_load(
-    summed: Load, calls: int, reserved_tokens: int, unread_tokens
-) -> None:
-    summed.calls += calls
-    summed.reserved_tokens += reserved_tokens
-    for index, level_tokens in enumerate(unread_tokens):
-        summed.unread_tokens[index] += level_tokens
+def _expire_reports(loads: Loads, now_ms: int) -> None:
+    """Take reports that are no longer valid out of the sums."""
+    if now_ms < loads.next_expiry_ms:
+        return
+    loads.next_expiry_ms = now_ms + REPORT_TTL_MS
+    for peer in loads.peers.values():
+        expiry_ms = peer.heard_ms + REPORT_TTL_MS
+        if peer.is_counted and now_ms >= expiry_ms:
+            peer.is_counted = False
+            _count_rows(loads, peer.rows.values(), -1)
+        elif peer.is_counted:
+            loads.next_expiry_ms = min(loads.next_expiry_ms, expiry_ms)
+
+
+def _count_rows(loads: Loads, rows, sign: int) -> None:
+    for row in rows:
+        _count_row(loads, row, sign)
+
+
+def _count_row(loads: Loads, row: tuple[int, ...], sign: int) -> None:
+    """Add a row of a peer's report to the sums, or subtract it."""
+    totals = loads.peer_totals.get(row[0])
+    if totals is None:
+        totals = loads.peer_totals[row[0]] = list(_NO_LOAD)
+    for index in range(ROW_ADAPTERS_START - 1):
+        totals[index] += sign * row[index + 1]
+    for adapter_key in row[ROW_ADAPTERS_START:]:
+        used = loads.peer_adapters.setdefault(row[0], collections.Counter())
+        used[adapter_key] += sign
+        if used[adapter_key] <= 0:
+            del used[adapter_key]
 
 
 def record_load_change(
@@ -256,9 +396,10 @@
         Prompt tokens that were added to or removed from the unread tokens at
         the upstream.
     """
-    loads.changed_upstreams.add(upstream_id)
-    if unread_tokens >= LONG_PROMPT_TOKENS:
-        loads.is_report_urgent = True
+    for outbox in loads.outboxes.values():
+        outbox.changed_upstreams.add(upstream_id)
+        if unread_tokens >= LONG_PROMPT_TOKENS:
+            outbox.is_report_urgent = True
 
 
 def count_adapter_call(load: Load, weights: str, change: int) -> None:
@@ -305,12 +446,8 @@
     key = keys.short_key(weights)
     if own is not None and key in own.adapter_calls:
         return True
-    upstream_key = keys.short_key(upstream_id)
-    return any(
-        key in rows.get(upstream_key, ())[ROW_ADAPTERS_START:]
-        for heard_ms, rows in loads.peer_reports.values()
-        if now_ms - heard_ms < REPORT_TTL_MS
-    )
+    _expire_reports(loads, now_ms)
+    return key in loads.peer_adapters.get(keys.short_key(upstream_id), ())
 
 
 def apply_report(
@@ -329,11 +466,23 @@
     now_ms
         Current time in milliseconds.
     """
-    rows_by_upstream = {row[0]: row for row in report.rows}
-    if not report.is_whole:
-        _, previous = loads.peer_reports.get(report.sender, (now_ms, {}))
-        rows_by_upstream = previous | rows_by_upstream
-    loads.peer_reports[report.sender] = (now_ms, rows_by_upstream)
+    peer = loads.peers.get(report.sender)
+    if peer is None:
+        peer = loads.peers[report.sender] = PeerLoad(now_ms)
+    if not peer.is_counted and not report.is_whole:
+        _count_rows(loads, peer.rows.values(), 1)
+    elif peer.is_counted and report.is_whole:
+        _count_rows(loads, peer.rows.values(), -1)
+    if report.is_whole:
+        peer.rows = {}
+    for row in report.rows:
+        previous = peer.rows.get(row[0])
+        if previous is not None:
+            _count_row(loads, previous, -1)
+        peer.rows[row[0]] = row
+        _count_row(loads, row, 1)
+    peer.heard_ms, peer.is_counted = now_ms, True
+    loads.next_expiry_ms = min(loads.next_expiry_ms, now_ms + REPORT_TTL_MS)
     for prompt_fields in report.sent:
         prefix_cache.record_prompt(
             loads.caches,
@@ -371,7 +520,8 @@
         keys.short_key(upstream_id), weights, keyed
     )
     prefix_cache.record_prompt(loads.caches, prompt, cache_capacity_tokens)
-    loads.unreported_prompts.append(prompt)
+    for outbox in loads.outboxes.values():
+        outbox.unreported_prompts.append(prompt)
 
 
 def record_demand(loads: Loads, model: str, tokens: int) -> None:
@@ -386,11 +536,17 @@
     tokens
         The work, in prompt tokens.
     """
-    loads.unreported_demand[keys.short_key(model)] += tokens
+    for outbox in loads.outboxes.values():
+        outbox.unreported_demand[keys.short_key(model)] += tokens
 
 
-def build_due_report(loads: Loads, sender: str, now_ms: int) -> Report | None:
-    """Build this gateway's next report if it is due.
+def build_due_report(
+    loads: Loads,
+    sender: str,
+    now_ms: int,
+    audience: Audience = Audience.NEAR,
+) -> Report | None:
+    """Build this gateway's next report to an audience if it is due.
 
     Parameters
     ----------
@@ -400,21 +556,24 @@
         Address of this gateway.
     now_ms
         Current time in milliseconds.
+    audience
+        Peers that get the report.
 
     Returns
     -------
     Report or None
         None when no report is due yet.
     """
-    if loads.is_report_urgent:
+    outbox = loads.outboxes[audience]
+    if outbox.is_report_urgent:
         interval_ms = URGENT_REPORT_INTERVAL_MS
-    elif loads.changed_upstreams or loads.unreported_demand:
+    elif outbox.changed_upstreams or outbox.unreported_demand:
         interval_ms = CHANGED_REPORT_INTERVAL_MS
     else:
         interval_ms = IDLE_REPORT_INTERVAL_MS
-    if now_ms - loads.reported_ms < interval_ms:
+    if now_ms - outbox.reported_ms < max(interval_ms, outbox.min_interval_ms):
         return None
-    is_whole = now_ms - loads.full_report_ms >= FULL_REPORT_INTERVAL_MS
+    is_whole = now_ms - outbox.full_report_ms >= FULL_REPORT_INTERVAL_MS
     report = Report(
         sender,
         tuple(
@@ -423,23 +582,23 @@
             if (
                 load.calls
                 if is_whole
-                else load.upstream_id in loads.changed_upstreams
+                else load.upstream_id in outbox.changed_upstreams
             )
         ),
         tuple(
             (p.upstream_key, p.weights, p.parts)
-            for p in loads.unreported_prompts
+            for p in outbox.unreported_prompts
         ),
-        tuple(loads.unreported_demand.items()),
+        tuple(outbox.unreported_demand.items()),
         is_whole,
     )
-    loads.reported_ms = now_ms
+    outbox.reported_ms = now_ms
     if is_whole:
-        loads.full_report_ms = now_ms
-    loads.is_report_urgent = False
-    loads.changed_upstreams.clear()
-    loads.unreported_prompts.clear()
-    loads.unreported_demand.clear()
+        outbox.full_report_ms = now_ms
+    outbox.is_report_urgent = False
+    outbox.changed_upstreams.clear()
+    outbox.unreported_prompts.clear()
+    outbox.unreported_demand.clear()
     return report
 
 
--- a/bilberryramp/programs/agent.py
+++ b/bilberryramp/programs/agent.py
@@ -4,7 +4,6 @@
 import signal
 import sys
 
-import aiohttp
 from absl import app
 
 from bilberryramp.decisions.fleet import agent
@@ -48,15 +47,20 @@
         f"{cfg.ip}:{cfg.peer_ports[0]}",
         lambda message: mailbox.post_now(inbox, message),
     )
-    async with aiohttp.ClientSession() as session:
+    async with order_task.open_session() as session:
+        start_call = order_task.make_engine_caller(
+            session, engine_orders, cfg.name
+        )
         task = agent_task.AgentTask(
             # Wall-clock time increases across restarts, so the fencing tokens
             # of earlier processes are lower.
             agent.new_agent(chart, clock.wall_ms()),
             inbox,
             mesh,
-            order_task.make_engine_caller(
-                session, inbox, engine_orders, cfg.engine_address, cfg.name
+            lambda call: start_call(
+                cfg.engine_address,
+                call,
+                lambda message: mailbox.post_now(inbox, message),
             ),
         )
         running = [
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -12,9 +12,11 @@
 from absl import app, flags
 
 from bilberryramp.decisions.fleet import (
+    agent,
     gateway,
     gateway_state,
     health,
+    order_holders,
     planner,
     presence,
     register,
@@ -22,6 +24,7 @@
     retry_budget,
 )
 from bilberryramp.platform import (
+    engine_orders,
     exchanges,
     operator_calls,
     service_documents,
@@ -35,12 +38,14 @@
     fleet_frontend,
     fleet_operator,
     gateway_task,
+    holder_task,
     mailbox,
     peer_mesh,
     register_task,
     upstream_exchange,
 )
-from bilberryramp.telemetry import events
+from bilberryramp.tasks import engine_orders as order_task
+from bilberryramp.telemetry import events, profiling
 
 __all__ = ["run"]
 
@@ -58,6 +63,8 @@
 # Number of heartbeat intervals within which a node that has just started
 # receives a heartbeat of every upstream.
 DISCOVERY_HEARTBEATS = 1.1
+# Size of the random number that distinguishes this process from earlier ones.
+PROCESS_NUMBER_BITS = 20
 
 
 METRICS_PORT_FLAG = flags.DEFINE_integer(
@@ -68,6 +75,34 @@
 )
 
 
+MAX_ANSWER_BYTES_FLAG = flags.DEFINE_integer(
+    "max_answer_bytes",
+    fleet_frontend.MAX_ANSWER_BYTES,
+    "Maximum size in bytes of an upstream's answer that is not a stream. The "
+    "attempt of a larger one fails, and its connection is closed.",
+    lower_bound=1,
+)
+
+
+PROFILE_FLAG = flags.DEFINE_float(
+    "profile_interval_s",
+    0,
+    "Interval in seconds at which the most expensive functions are logged. "
+    "Default: 0, which disables profiling.",
+    lower_bound=0,
+)
+
+
+ORDERS_FROM_FLAG = flags.DEFINE_enum(
+    "orders_from",
+    "nodes",
+    ["nodes", "agents"],
+    "Which processes order engines: this program's nodes, which share the "
+    "engines among them, or a `bilberry-agent` beside each engine. All nodes "
+    "of a fleet need the same value.",
+)
+
+
 PEER_BIND_FLAG = flags.DEFINE_string(
     "peer_bind_ip",
     "",
@@ -92,6 +127,8 @@
         State that all client requests share.
     mesh
         Sockets for messages between nodes.
+    holder
+        Task that orders engines; None if agents do.
     servers
         Pairs of a listening server and its protocol factory. The last pair
         is the one for clients, which a stopping node closes first.
@@ -107,6 +144,7 @@
     gateway: gateway_task.GatewayTask
     frontend: fleet_frontend.Frontend
     mesh: peer_mesh.Mesh
+    holder: holder_task.HolderTask | None = None
     servers: list = dataclasses.field(default_factory=list)
     stop_requested: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
@@ -137,8 +175,21 @@
         ),
         asyncio.create_task(_watch_settings(proc)),
     ]
-    await _listen(proc)
+    if PROFILE_FLAG.value:
+        tasks.append(
+            asyncio.create_task(profiling.log_profile(PROFILE_FLAG.value))
+        )
+    if proc.holder is not None:
+        tasks += [
+            asyncio.create_task(holder_task.run(proc.holder)),
+            asyncio.create_task(
+                register_task.post_ticks(
+                    proc.holder.inbox, order_holders.Tick()
+                )
+            ),
+        ]
     _handle_signals(proc)
+    await _listen(proc)
     node = proc.register.node
     events.emit(
         events.STARTED,
@@ -170,9 +221,11 @@
     port = cfg.peer_ports[0]
     address = f"{cfg.ip}:{port}"
     register_inbox, gateway_inbox = mailbox.Mailbox(), mailbox.Mailbox()
+    orders_engines = ORDERS_FROM_FLAG.value == "nodes"
+    holder_inbox = mailbox.Mailbox() if orders_engines else None
     mesh = peer_mesh.open_mesh(
         f"{PEER_BIND_FLAG.value or cfg.ip}:{port}",
-        _make_dispatcher(register_inbox, gateway_inbox),
+        _make_dispatcher(register_inbox, gateway_inbox, holder_inbox),
     )
     table = presence.Table(cfg.heartbeat_ms)
     gw = gateway_state.Gateway(
@@ -190,7 +243,7 @@
         DISCOVERY_HEARTBEATS * cfg.heartbeat_ms
     )
     node_planner = planner.Planner(address, table, gw.loads, gw.demand)
-    session = upstream_exchange.open_session()
+    session = upstream_exchange.open_session(exchanges.REQUEST_ID_HEADER)
     gateway_owner = gateway_task.GatewayTask(
         gw,
         node_planner,
@@ -198,13 +251,59 @@
         mesh,
         service_documents.decode,
         cfg.peer_ports[0],
+        holder_inbox=holder_inbox,
     )
     register_owner = _open_register(
         cfg, address, rng, now_ms, register_inbox, gateway_inbox, mesh
     )
-    frontend = fleet_frontend.Frontend(gateway_owner, session, exchanges)
+    register_owner.holder_inbox = holder_inbox
+    register_owner.node.chooses_holders = orders_engines
+    register_owner.node.process_number = rng.getrandbits(PROCESS_NUMBER_BITS)
+    frontend = fleet_frontend.Frontend(
+        gateway_owner, session, exchanges, MAX_ANSWER_BYTES_FLAG.value
+    )
     return NodeProcess(
-        cfg, settings_path, register_owner, gateway_owner, frontend, mesh
+        cfg,
+        settings_path,
+        register_owner,
+        gateway_owner,
+        frontend,
+        mesh,
+        _make_holder(
+            cfg, register_owner.node, holder_inbox, gateway_inbox, mesh
+        ),
+    )
+
+
+def _make_holder(
+    cfg, node: register.Node, holder_inbox, gateway_inbox, mesh
+) -> holder_task.HolderTask | None:
+    """Make the task that orders engines; None if agents order them."""
+    if holder_inbox is None:
+        return None
+    start_call = order_task.make_engine_caller(
+        order_task.open_session(), engine_orders, cfg.name
+    )
+
+    def call_engine(call: order_holders.EngineCall) -> None:
+        def post(message) -> None:
+            mailbox.post_now(
+                holder_inbox,
+                order_holders.EngineMessage(
+                    call.upstream_id, call.born_ms, message
+                ),
+            )
+
+        start_call(call.address, call.call, post)
+
+    holder = order_holders.new_holder(
+        node.me.address,
+        fleet_launch.bind_chart("engine_order", agent),
+        cfg.order_lease_ms,
+    )
+    holder.standing = node.standing
+    return holder_task.HolderTask(
+        holder, holder_inbox, gateway_inbox, mesh, call_engine
     )
 
 
@@ -221,6 +320,7 @@
         cfg.name,
         bool(cfg.data_folder),
         cfg.operator_address,
+        cfg.failure_domain,
     )
     seeds = tuple(f"{seed}:{cfg.peer_ports[0]}" for seed in cfg.seeds)
     node = register.new_node(
@@ -237,7 +337,9 @@
 
 
 def _make_dispatcher(
-    register_inbox: mailbox.Mailbox, gateway_inbox: mailbox.Mailbox
+    register_inbox: mailbox.Mailbox,
+    gateway_inbox: mailbox.Mailbox,
+    holder_inbox: mailbox.Mailbox | None,
 ):
     register_types = (
         register_messages.PeerHeartbeat,
@@ -249,6 +351,10 @@
     )
 
     def dispatch(message) -> None:
+        if isinstance(message, agent.ResidencyRequest):
+            if holder_inbox is not None:
+                mailbox.post_now(holder_inbox, message)
+            return
         is_for_register = isinstance(message, register_types)
         mailbox.post_now(
             register_inbox if is_for_register else gateway_inbox, message
--- a/bilberryramp/soak/checks.py
+++ b/bilberryramp/soak/checks.py
@@ -21,6 +21,9 @@
 # Limit for requests to a draining engine to end; equal to
 # `NodeSettings.drain_ms` in the soak.
 MAX_DRAIN_MS = 2000
+# Time during which only one node may order an engine; equal to
+# `NodeSettings.order_lease_ms` in the soak.
+ORDER_LEASE_MS = 3000
 # Time limits are checked only if no fault was active from this long before
 # the checked period until its end.
 FAULT_FREE_MS = 3000
@@ -143,7 +146,8 @@
 ) -> Iterator[str]:
     """Check that the fencing tokens of an engine's orders never decrease.
 
-    Orders with equal fencing tokens must come from the same holder.
+    Orders with equal fencing tokens must come from the same holder, and two
+    holders must not order an engine within the order lease.
     """
     last_orders: dict[str, observations.OrderAccepted] = {}
     for order in history.of_class(observations.OrderAccepted):
@@ -155,6 +159,14 @@
             order.fence == last.fence and order.holder != last.holder
         ):
             yield f"{order.upstream_id}: two holders with token {order.fence}"
+        elif last is not None and (
+            order.holder != last.holder
+            and order.at_ms - last.at_ms < ORDER_LEASE_MS
+        ):
+            yield (
+                f"{order.upstream_id}: ordered by {order.holder} "
+                f"{order.at_ms - last.at_ms} ms after {last.holder}"
+            )
         last_orders[order.upstream_id] = order
 
 
--- a/bilberryramp/tasks/engine_orders.py
+++ b/bilberryramp/tasks/engine_orders.py
@@ -1,4 +1,4 @@
-"""HTTP calls of an agent to its engine: orders and state reports."""
+"""HTTP calls to engines: orders and state reports."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,93 +7,117 @@
 import aiohttp
 
 from bilberryramp.decisions.fleet import agent
-from bilberryramp.tasks import mailbox
+from bilberryramp.tasks import http_requests, upstream_connections
 
-__all__ = ["make_engine_caller"]
+__all__ = ["make_engine_caller", "open_session"]
 
 # An engine accepts or refuses an order at once, so a later answer is regarded
 # as lost.
 ORDER_TIMEOUT_S = 1.0
+# Maximum size of an answer to an order and of a report.
+MAX_ANSWER_BYTES = 2**20
+# Time for which idle connections are kept open.
+KEEPALIVE_S = 0.9
 HTTP_OK = 200
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Open the client session for orders and reports.
+
+    Answers to these calls name no request. A connection is reused only if no
+    byte has arrived on it since the last answer, and an order states how many
+    orders the engine must have accepted before, so that a repeated answer can
+    delay an order but not misdirect it.
+
+    Returns
+    -------
+    aiohttp.ClientSession
+        Session for `make_engine_caller`.
+    """
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+    upstream_connections.guard(connector, "")
+    session = aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    )
+    # By default, aiohttp repeats a request whose connection was closed.
+    session._retry_connection = False
+    return session
+
+
 def make_engine_caller(
-    session: aiohttp.ClientSession,
-    inbox: mailbox.Mailbox,
-    wire: ModuleType,
-    engine_address: str,
-    holder: str,
+    session: aiohttp.ClientSession, wire: ModuleType, holder: str
 ) -> Callable:
-    """Return a function that starts a call to the engine.
+    """Return a function that starts a call to an engine.
 
     Parameters
     ----------
     session
-        HTTP client session.
-    inbox
-        Mailbox that receives an `OrderEnded` for each order and an
-        `EngineReport` for each reading.
+        Session from `open_session`.
     wire
         Module that encodes orders, decodes answers and reports, and names
         the paths and the header of these calls.
-    engine_address
-        Host and port of the engine on this instance.
     holder
         Name of this node, which is sent with each order.
 
     Returns
     -------
     callable
-        Function that takes a `SendOrder` or `ReadEngine`, starts the call
-        and returns at once.
+        Function that takes the engine's host and port, a `SendOrder` or
+        `ReadEngine`, and a function. It starts the call and returns at once;
+        the function is called with an `OrderEnded` or an `EngineReport`.
     """
     running_tasks: set[asyncio.Task] = set()
 
-    async def send_order(order: agent.SendOrder) -> None:
+    async def send_order(address: str, order: agent.SendOrder, post) -> None:
         outcome = agent.OrderAnswer.NONE
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                resp = await session.post(
-                    f"http://{engine_address}{wire.ORDER_PATH}",
+                async with session.post(
+                    f"http://{address}{wire.ORDER_PATH}",
                     data=wire.encode(order, holder),
                     headers={
                         "Content-Type": "application/json",
                         wire.EXPECTED_INSTANCE_HEADER: order.upstream_id,
                     },
-                )
-                await resp.read()
-                outcome = wire.decode_answer(resp.status)
+                    allow_redirects=False,
+                ) as resp:
+                    await http_requests.read_limited(resp, MAX_ANSWER_BYTES)
+                    outcome = wire.decode_answer(resp.status)
         except aiohttp.ClientConnectorError:
             # No connection was opened, so the order was not sent.
             outcome = agent.OrderAnswer.REFUSED
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
             # Whether the engine accepted the order is unknown; the agent
             # logs it.
             pass
-        mailbox.post_now(inbox, agent.OrderEnded(outcome))
+        post(agent.OrderEnded(outcome))
 
-    async def read_engine(req: agent.ReadEngine) -> None:
+    async def read_engine(address: str, req: agent.ReadEngine, post) -> None:
         report = agent.EngineReport(-1)
         await asyncio.sleep(req.delay_ms / 1000)
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                resp = await session.get(
-                    f"http://{engine_address}{wire.REPORT_PATH}"
-                )
-                body = await resp.read()
-                if resp.status == HTTP_OK:
-                    report = wire.decode_report(body)
-        except (TimeoutError, aiohttp.ClientError, OSError):
+                async with session.get(
+                    f"http://{address}{wire.REPORT_PATH}",
+                    allow_redirects=False,
+                ) as resp:
+                    body = await http_requests.read_limited(
+                        resp, MAX_ANSWER_BYTES
+                    )
+                    if resp.status == HTTP_OK:
+                        report = wire.decode_report(body)
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
             # A report with an order count of -1 counts as missing; the agent
             # reads the engine again until it has a valid one.
             pass
-        mailbox.post_now(inbox, report)
+        post(report)
 
-    def start_call(effect: agent.SendOrder | agent.ReadEngine) -> None:
-        is_read = isinstance(effect, agent.ReadEngine)
-        task = asyncio.create_task(
-            read_engine(effect) if is_read else send_order(effect)
-        )
+    def start_call(
+        address: str, call: agent.SendOrder | agent.ReadEngine, post: Callable
+    ) -> None:
+        is_read = isinstance(call, agent.ReadEngine)
+        perform = read_engine if is_read else send_order
+        task = asyncio.create_task(perform(address, call, post))
         running_tasks.add(task)
         task.add_done_callback(running_tasks.discard)
 
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -10,6 +10,7 @@
     gateway,
     gateway_state,
     operator_calls,
+    order_holders,
     planner,
     presence,
     register,
@@ -94,8 +95,14 @@
         Port on which agents listen, on the instances of their engines.
     peers
         Addresses of the other nodes.
+    audiences
+        Addresses of the peers that get the same load reports.
     leader
         Address of the leader; empty if unknown.
+    holders
+        Addresses of the nodes that order engines; empty if agents do.
+    holder_inbox
+        Mailbox of this node's holder task; None if it orders no engines.
     decisions
         Futures of the calls that wait for a decision, by call id.
     pending_relays
@@ -114,7 +121,12 @@
     decode_document: Callable
     agent_port: int
     peers: tuple[str, ...] = ()
+    audiences: dict[sharing.Audience, tuple[str, ...]] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(sharing.Audience, ())
+    )
     leader: str = ""
+    holders: tuple[str, ...] = ()
+    holder_inbox: mailbox.Mailbox | None = None
     decisions: dict[int, asyncio.Future] = dataclasses.field(
         default_factory=dict
     )
@@ -138,7 +150,31 @@
     """
     while True:
         for message in await mailbox.receive_all(task.inbox):
-            _handle(task, clock.boot_ms(), message)
+            now_ms = clock.boot_ms()
+            try:
+                _handle(task, now_ms, message)
+            except Exception as exc:
+                _abandon_message(task, now_ms, message, exc)
+
+
+def _abandon_message(task: GatewayTask, now_ms: int, message, exc) -> None:
+    """Log a failed message, and fail the call that it belongs to.
+
+    The gateway's state is rebuilt from later messages, so the failure of one
+    message need not end the process. The sender of an announcement gets no
+    acknowledgement and turns to another node.
+    """
+    events.emit(
+        events.GATEWAY_MESSAGE_FAILED,
+        message=type(message).__name__,
+        reason=repr(exc),
+    )
+    metrics.increment(task.task_metrics, "gateway_messages_failed_total")
+    call_id = getattr(message, "call_id", None)
+    if call_id is None:
+        return
+    gateway.abandon_call(task.gw, call_id, now_ms)
+    _perform(task, now_ms, calls.Fail(call_id, calls.Failure.BROKEN))
 
 
 def next_decision(task: GatewayTask, call_id: int) -> asyncio.Future:
@@ -172,8 +208,7 @@
             _send_known_upstreams(
                 task, now_ms, set(message.addresses) - set(task.peers)
             )
-            task.peers, task.leader = message.addresses, message.leader
-            task.gw.node_count = len(message.addresses) + 1
+            _apply_roster(task, message)
         case AnnouncementReceived():
             _handle_announcement(task, now_ms, message)
         case operator_calls.Relay():
@@ -205,6 +240,22 @@
             _step(task, now_ms, message)
 
 
+def _apply_roster(task: GatewayTask, roster: operator_calls.Roster) -> None:
+    task.peers, task.leader = roster.addresses, roster.leader
+    task.holders = roster.holders
+    task.gw.node_count = len(roster.addresses) + 1
+    own_domain = task.gw.failure_domain
+    domains = dict(zip(roster.addresses, roster.domains, strict=False))
+    near = tuple(a for a in task.peers if domains.get(a) == own_domain)
+    far = tuple(a for a in task.peers if domains.get(a) != own_domain)
+    task.audiences = {
+        sharing.Audience.NEAR: near,
+        sharing.Audience.FAR: far,
+    }
+    for audience, peers in task.audiences.items():
+        sharing.set_audience_size(task.gw.loads, audience, len(peers))
+
+
 def _send_known_upstreams(
     task: GatewayTask, now_ms: int, new_peers: set[str]
 ) -> None:
@@ -220,6 +271,21 @@
 def _step(task: GatewayTask, now_ms: int, message) -> None:
     for effect in gateway.step(task.gw, now_ms, message):
         _perform(task, now_ms, effect)
+    if task.holder_inbox is not None and isinstance(
+        message, presence.Announcement
+    ):
+        _report_engine(task, message)
+
+
+def _report_engine(
+    task: GatewayTask, announcement: presence.Announcement
+) -> None:
+    """Pass an engine's newest announcement to the holder's task."""
+    known = task.gw.table.upstreams.get(announcement.upstream_id)
+    if known is not None and known.announcement is announcement:
+        mailbox.post_now(
+            task.holder_inbox, order_holders.EngineSeen(announcement)
+        )
 
 
 def _plan_placement(task: GatewayTask, now_ms: int) -> None:
@@ -239,20 +305,34 @@
             fut = task.decisions.pop(effect.call_id, None)
             if fut is not None and not fut.done():
                 fut.set_result(effect)
-        case sharing.Report():
-            peer_mesh.broadcast(task.mesh, task.peers, effect)
+        case sharing.ReportTo():
+            peer_mesh.broadcast(
+                task.mesh, task.audiences[effect.audience], effect.report
+            )
         case planner.WantModel():
             _route_model_request(task, now_ms, effect)
         case planner.SendResidencyRequest():
-            host = effect.address.rpartition(":")[0]
-            peer_mesh.send(
-                task.mesh, f"{host}:{task.agent_port}", effect.request
-            )
+            _send_residency_request(task, effect)
         case Trace():
             _record_metrics(task, effect)
             events.trace(effect.name, effect.fields)
 
 
+def _send_residency_request(
+    task: GatewayTask, effect: planner.SendResidencyRequest
+) -> None:
+    """Send a request to the node that holds the engine, or to its agent."""
+    request = effect.request
+    holder = order_holders.assign(request.upstream_id, task.holders)
+    if holder and holder == task.gw.address:
+        mailbox.post_now(task.holder_inbox, request)
+        return
+    agent_host = effect.address.rpartition(":")[0]
+    peer_mesh.send(
+        task.mesh, holder or f"{agent_host}:{task.agent_port}", request
+    )
+
+
 def _record_metrics(task: GatewayTask, trace: Trace) -> None:
     """Record the count of a trace, and its durations if it has any."""
     fields = trace.fields
--- a/bilberryramp/tasks/register_task.py
+++ b/bilberryramp/tasks/register_task.py
@@ -41,6 +41,9 @@
     gateway_inbox
         Mailbox of the gateway's task, which receives `Committed`,
         `LeaderChanged` and `Roster`.
+    holder_inbox
+        Mailbox of the holder's task, which receives each `Standing`; None if
+        this node orders no engines.
     mesh
         Sockets to the peers.
     pending_requests
@@ -49,7 +52,9 @@
     next_request_id
         Id of the next operator's call.
     roster
-        Addresses of the peers and address of the leader, as last published.
+        Fields of the `Roster` that was last published.
+    published_as_of_ms
+        Time of the proof of the `Standing` that was last published.
     """
 
     node: register.Node
@@ -58,11 +63,13 @@
     inbox: mailbox.Mailbox
     gateway_inbox: mailbox.Mailbox
     mesh: peer_mesh.Mesh
+    holder_inbox: mailbox.Mailbox | None = None
     pending_requests: dict[int, asyncio.Future] = dataclasses.field(
         default_factory=dict
     )
     next_request_id: int = 1
     roster: tuple = ()
+    published_as_of_ms: int = -1
 
 
 async def run(task: RegisterTask) -> None:
@@ -79,6 +86,7 @@
             for effect in register.step(task.node, now_ms, message):
                 await _perform(task, effect)
         _publish_roster(task)
+        _publish_standing(task)
 
 
 async def post_ticks(inbox: mailbox.Mailbox, message) -> None:
@@ -166,9 +174,25 @@
             await asyncio.sleep(WRITE_RETRY_DELAY_S)
 
 
+def _publish_standing(task: RegisterTask) -> None:
+    if task.holder_inbox is None:
+        return
+    standing = register.standing(task.node, clock.boot_ms())
+    if standing.as_of_ms != task.published_as_of_ms:
+        task.published_as_of_ms = standing.as_of_ms
+        mailbox.post_now(task.holder_inbox, standing)
+
+
 def _publish_roster(task: RegisterTask) -> None:
     node = task.node
-    roster = (tuple(sorted(node.peers)), node.leader)
+    holders = node.record.holders if node.record is not None else ()
+    peers = sorted(node.peers.values(), key=lambda peer: peer.address)
+    roster = (
+        tuple(peer.address for peer in peers),
+        node.leader,
+        holders,
+        tuple(peer.failure_domain for peer in peers),
+    )
     if roster != task.roster:
         task.roster = roster
         mailbox.post_now(task.gateway_inbox, operator_calls.Roster(*roster))
