Leave the orders to agents where there are any

Cause: on sites with instances beside their engines, orders from nodes cost more service than the instances cost: reports of another instance are old, and a lost holder stops the orders to its engines for seconds. Ruled out: agents and nodes side by side by engine, whose hand-over no record decides; a setting alone, since one deploy file serves all sites. Change: agents make themselves known to the seeds, heartbeats carry on that one was heard, and a leader that hears of none for 5 s chooses holders. The list in the register decides for all nodes. An unload is followed by its load without a report; the planner leaves out engines whose holder is silent. An entry is ready only once it holds tables.

--- a/bilberryramp/decisions/fleet/agent.py
+++ b/bilberryramp/decisions/fleet/agent.py
@@ -24,6 +24,7 @@
 
 __all__ = [
     "Agent",
+    "AgentPresent",
     "EngineReport",
     "Notify",
     "OrderAnswer",
@@ -63,8 +64,12 @@
 # Interval between a remote agent's reports while a model is loaded or
 # unloaded, and its delay before a report that must show its last order:
 # remote reports are some hundred milliseconds old.
-REMOTE_READ_INTERVAL_MS = 700
+REMOTE_READ_INTERVAL_MS = 200
 REMOTE_READ_DELAY_MS = 700
+# Pause of a remote agent before the next order after an unload was accepted,
+# or was found to be still in progress. The engine refuses the next order until
+# the unload has ended, so trying is safe.
+UNLOAD_PAUSE_MS = 100
 # Time after which a remote agent assumes that an adapter is loaded. A load
 # takes up to ten milliseconds.
 ADAPTER_LOAD_MS = 15
@@ -119,6 +124,19 @@
     spare: tuple[tuple[str, str], ...] = ()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class AgentPresent:
+    """Periodic message of an agent to the seeds of its fleet.
+
+    Attributes
+    ----------
+    address
+        Address of the agent.
+    """
+
+    address: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ResidencyReport:
     """Report of an agent that a model or adapter is resident or absent.
@@ -754,6 +772,9 @@
             yield from _fire_event(agent, "order_accepted", now_ms)
     elif order_end.answer == OrderAnswer.NONE:
         yield from _fire_event(agent, "unanswered", now_ms)
+    elif _is_still_unloading(agent, order_end.answer):
+        agent.paused_until_ms = now_ms + UNLOAD_PAUSE_MS
+        yield from _fire_event(agent, "order_deferred", now_ms)
     else:
         if order_end.answer == OrderAnswer.FENCED:
             _raise_fence(agent, now_ms)
@@ -762,6 +783,16 @@
         yield from _fire_event(agent, "order_refused", now_ms)
 
 
+def _is_still_unloading(agent: Agent, answer: str) -> bool:
+    """Return whether an order was refused because a model is unloaded."""
+    return (
+        agent.is_remote
+        and answer == OrderAnswer.BUSY
+        and agent.changing is not None
+        and not agent.changing[1]
+    )
+
+
 def _raise_fence(agent: Agent, now_ms: int) -> None:
     """Use a higher token after the engine has seen one that exceeds it.
 
@@ -785,8 +816,11 @@
     if is_accepted:
         agent.order_count += 1
         agent.changing = (order.model, order.load)
-        agent.is_changing_model = True
+        agent.is_changing_model = order.load
         agent.read_due_ms = agent.ordered_ms + REMOTE_READ_INTERVAL_MS
+        if not order.load:
+            agent.resident.pop(order.model, None)
+            agent.paused_until_ms = agent.ordered_ms + UNLOAD_PAUSE_MS
     elif order.load:
         agent.resident.setdefault(order.model, set())
     else:
--- a/bilberryramp/decisions/fleet/order_holders.py
+++ b/bilberryramp/decisions/fleet/order_holders.py
@@ -39,6 +39,9 @@
 # any.
 REPLACE_SILENT_AFTER_MS = 4500
 LEADER_OBSERVATION_MS = 1000
+# Time for which a leader listens for agents before it chooses the first
+# holders; several times the interval at which agents make themselves known.
+AGENT_OBSERVATION_MS = 5000
 # A list with this many holders is extended only after REBALANCE_AFTER_MS
 # without a change, since each change moves engines, which then wait.
 MIN_HOLDERS = 2
@@ -340,13 +343,10 @@
     holder.standing = standing
     if standing.list_id == previous.list_id:
         return
-    # Engines that this node has held without a gap need no waiting time, nor
-    # do those of the first list ever, before which nobody gave orders.
+    # Engines that this node has held without a gap need no waiting time.
+    # Before the first list, agents may have given orders.
     is_next = standing.previous_id == previous.list_id
-    is_first = standing.previous_id == NO_LIST
-    holder.takeover_until_ms = (
-        now_ms if is_first else now_ms + holder.takeover_ms
-    )
+    holder.takeover_until_ms = now_ms + holder.takeover_ms
     for upstream_id, engine in holder.engines.items():
         was_held = assign(upstream_id, previous.holders) == holder.address
         if not (is_next and was_held):
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/placement.py
@@ -121,6 +121,8 @@
     evicting
         Models that are being evicted to free memory for `loading`. An engine
         that loads or evicts a model is not considered for another move.
+    is_orderable
+        Whether orders can reach the engine; if not, it gets no move.
     """
 
     upstream_id: str
@@ -129,6 +131,7 @@
     free_mb: float
     loading: str = ""
     evicting: tuple[str, ...] = ()
+    is_orderable: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -437,7 +440,11 @@
         {name: demand_rate(demand, name, now_ms) for name in engine.models},
         fill_free_memory and not awaited,
     )
-    available = [s for s in states if not s.loading and not s.evicting]
+    available = [
+        state
+        for state in states
+        if state.is_orderable and not state.loading and not state.evicting
+    ]
     for _ in range(MAX_MOVES_PER_REVIEW):
         costs = [_engine_costs(plan, state) for state in available]
         options = (
--- a/bilberryramp/decisions/fleet/planner.py
+++ b/bilberryramp/decisions/fleet/planner.py
@@ -11,6 +11,7 @@
 from bilberryramp.decisions.fleet import (
     agent,
     documents,
+    order_holders,
     placement,
     presence,
     sharing,
@@ -49,6 +50,9 @@
 # Time for which an engine is assumed to keep a local copy of a model that it
 # has unloaded; after that its heartbeats report whether it does.
 LOCAL_COPY_ASSUMED_MS = 3000
+# A holder whose last load report is older than this is regarded as lost; a
+# gateway sends several reports within it.
+HOLDER_SILENCE_MS = 1500
 # Stands for the time of an event that has not occurred.
 NEVER_MS = -(10**9)
 
@@ -143,6 +147,8 @@
         and model; the engine then keeps a local copy.
     reviewed_ms
         When placement was last reviewed.
+    holders
+        Addresses of the nodes that order engines; empty if agents do.
     """
 
     address: str
@@ -161,6 +167,7 @@
         default_factory=dict
     )
     reviewed_ms: int = 0
+    holders: tuple[str, ...] = ()
 
 
 def set_leading(planner: Planner, leads: bool, now_ms: int) -> None:
@@ -237,13 +244,16 @@
 def _review_service(planner, service, now_ms) -> Iterator:
     """Plan and start the moves of one service."""
     engine = service.engine
-    upstreams = list(
-        presence.usable_upstreams(planner.table, service.name, now_ms)
-    )
+    upstreams = presence.usable_upstreams(planner.table, service.name, now_ms)
     states = [_engine_state(planner, engine, u, now_ms) for u in upstreams]
     moves = placement.plan_moves(
         engine,
-        states,
+        [
+            dataclasses.replace(state, is_orderable=False)
+            if not _has_live_holder(planner, state.upstream_id, now_ms)
+            else state
+            for state in states
+        ],
         planner.demand,
         _awaited_models(planner, service, states, now_ms),
         _allowed_store_loads(planner, engine, now_ms),
@@ -254,6 +264,15 @@
         yield from _start_move(planner, engine, move, now_ms)
 
 
+def _has_live_holder(planner: Planner, upstream_id: str, now_ms: int) -> bool:
+    """Return whether the node that orders an engine seems to run."""
+    holder = order_holders.assign(upstream_id, planner.holders)
+    if holder in ("", planner.address):
+        return True
+    peer = planner.loads.peers.get(holder)
+    return peer is not None and now_ms - peer.heard_ms < HOLDER_SILENCE_MS
+
+
 def _awaited_models(planner, service, states, now_ms) -> frozenset[str]:
     """Return the requested models of a service that no engine holds."""
     resident = {model for state in states for model in state.models}
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -20,7 +20,7 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import electorate, order_holders
+from bilberryramp.decisions.fleet import agent, electorate, order_holders
 from bilberryramp.decisions.fleet import register_messages as msgs
 from bilberryramp.decisions.shared import charting, effects
 
@@ -307,6 +307,11 @@
         Random number that distinguishes this process from earlier ones.
     chooses_holders
         Whether this node, as the leader, chooses holders that order engines.
+    defers_to_agents
+        Whether it chooses the first holders only if no agent is heard within
+        `order_holders.AGENT_OBSERVATION_MS`.
+    hears_agents
+        Whether this node knows that the fleet has agents.
     standing
         Newest committed list of holders, and as of when it is proved.
     standing_since_ms
@@ -348,6 +353,8 @@
     heartbeat_turn: int = 0
     process_number: int = 0
     chooses_holders: bool = False
+    defers_to_agents: bool = False
+    hears_agents: bool = False
     standing: order_holders.Standing = dataclasses.field(
         default_factory=order_holders.Standing
     )
@@ -586,6 +593,7 @@
     is_new = address not in node.peers
     node.peers[address] = heartbeat.sender
     node.heard_ms[address] = now_ms
+    node.hears_agents |= heartbeat.hears_agents
     for mentioned in (address, *heartbeat.peers):
         if mentioned != node.me.address:
             node.address_seen_ms[mentioned] = now_ms
@@ -601,7 +609,9 @@
         MAX_MENTIONS // max(len(addresses), 1), MIN_MENTIONS_PER_HEARTBEAT
     )
     mentioned = _take_turn(addresses, count, node.heartbeat_turn)
-    return msgs.PeerHeartbeat(node.me, tuple(mentioned), node.in_force_version)
+    return msgs.PeerHeartbeat(
+        node.me, tuple(mentioned), node.in_force_version, node.hears_agents
+    )
 
 
 def _on_committed_document(node: Node, _now_ms: int, document) -> Iterator:
@@ -999,6 +1009,8 @@
         or node.committed != _record_id(node)
         or record.leaving
         or not leads(node, now_ms)
+        or not record.holders
+        and _may_have_agents(node, now_ms)
     ):
         return
     desired = order_holders.desired_holders(
@@ -1024,6 +1036,19 @@
         )
 
 
+def _may_have_agents(node: Node, now_ms: int) -> bool:
+    """Return whether agents order the engines, or may be about to do so."""
+    observed_ms = now_ms - node.led_since_ms
+    return node.defers_to_agents and (
+        node.hears_agents or observed_ms < order_holders.AGENT_OBSERVATION_MS
+    )
+
+
+def _on_agent_present(node: Node, _now_ms: int, _message) -> Iterator:
+    node.hears_agents = True
+    yield from ()
+
+
 def _update_voter_status(node: Node, now_ms: int) -> None:
     """Admit or remove this node as a voter, as its record says."""
     is_voter = node.record is not None and _own_member(
@@ -1075,6 +1100,7 @@
     Tick: _on_tick,
     Propose: _on_propose,
     Read: _on_read,
+    agent.AgentPresent: _on_agent_present,
     msgs.PeerHeartbeat: _on_peer_heartbeat,
     msgs.CommittedDocument: _on_committed_document,
     msgs.RequestVote: _on_request_vote,
--- a/bilberryramp/decisions/fleet/register_messages.py
+++ b/bilberryramp/decisions/fleet/register_messages.py
@@ -158,11 +158,14 @@
         Addresses of the nodes that the sender has heard from recently.
     version
         Version of the document in force at the sender, or -1.
+    hears_agents
+        Whether the sender knows that the fleet has agents.
     """
 
     sender: Peer
     peers: tuple[str, ...]
     version: int
+    hears_agents: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
+++ b/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
@@ -1,5 +1,6 @@
 """Tests of the placement of models on engines."""
 
+import dataclasses
 import unittest
 
 from bilberryramp.decisions.fleet import keys, placement
@@ -50,6 +51,14 @@
             for i in range(1, 6)
         ]
 
+    def test_an_engine_whose_orders_cannot_arrive_gets_no_move(self):
+        """A move to such an engine stayed pending for seconds."""
+        states = [
+            dataclasses.replace(state, is_orderable=False)
+            for state in self.engine_states()
+        ]
+        self.assertEqual(plan(states, make_demand({"m3": 60_000})), [])
+
     def test_copies_are_loaded_at_several_engines_at_once(self):
         """Loading copies one by one, seconds each, would take too long."""
         moves = plan(self.engine_states(), make_demand({"m3": 100_000}))
--- a/bilberryramp/programs/agent.py
+++ b/bilberryramp/programs/agent.py
@@ -21,6 +21,9 @@
 
 __all__ = ["run"]
 
+# Interval at which the agent makes itself known to the seeds.
+PRESENCE_INTERVAL_S = 1.5
+
 
 def run() -> None:
     """Run the program."""
@@ -66,6 +69,7 @@
         running = [
             asyncio.create_task(agent_task.run(task)),
             asyncio.create_task(register_task.post_ticks(inbox, agent.Tick())),
+            asyncio.create_task(_announce_presence(cfg, mesh)),
         ]
         stopped = asyncio.create_task(stop.wait())
         events.emit(events.STARTED, address=cfg.engine_address)
@@ -80,5 +84,15 @@
     return fleet_launch.EXIT_DEFECT
 
 
+async def _announce_presence(cfg, mesh: peer_mesh.Mesh) -> None:
+    """Tell the fleet's seeds at intervals that this agent exists."""
+    port = cfg.peer_ports[0]
+    message = agent.AgentPresent(f"{cfg.ip}:{port}")
+    while True:
+        seeds = [f"{seed}:{port}" for seed in cfg.seeds]
+        peer_mesh.broadcast(mesh, seeds, message)
+        await asyncio.sleep(PRESENCE_INTERVAL_S)
+
+
 if __name__ == "__main__":
     run()
--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -42,7 +42,7 @@
         router.inbox,
         router.entry.view,
         router.metrics,
-        lambda: router.entry.fresh and not router.entry.stopping,
+        lambda: _is_ready(router.entry),
     )
     launch.on_stop_signal(
         lambda: mailbox.post_now(router.inbox, entry_router.StopRouter())
@@ -60,6 +60,11 @@
     return 0
 
 
+def _is_ready(entry: entry_state.Entry) -> bool:
+    """Return whether the entry holds the tables in force and can serve."""
+    return entry.fresh and entry.view.version > 0 and not entry.stopping
+
+
 def _new_router(cfg: schema.EntryProgramSettings) -> entry_router.Router:
     chart = launch.bind_chart("config", subscription)
     # The random part makes a restarted entry a new sender to upstreams.
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -95,11 +95,12 @@
 
 ORDERS_FROM_FLAG = flags.DEFINE_enum(
     "orders_from",
-    "nodes",
-    ["nodes", "agents"],
+    "auto",
+    ["auto", "nodes", "agents"],
     "Which processes order engines: this program's nodes, which share the "
-    "engines among them, or a `bilberry-agent` beside each engine. All nodes "
-    "of a fleet need the same value.",
+    "engines among them, or a `bilberry-agent` beside each engine. With "
+    "`auto`, nodes do if no agent makes itself known. All nodes of a fleet "
+    "need the same value.",
 )
 
 
@@ -221,7 +222,7 @@
     port = cfg.peer_ports[0]
     address = f"{cfg.ip}:{port}"
     register_inbox, gateway_inbox = mailbox.Mailbox(), mailbox.Mailbox()
-    orders_engines = ORDERS_FROM_FLAG.value == "nodes"
+    orders_engines = ORDERS_FROM_FLAG.value != "agents"
     holder_inbox = mailbox.Mailbox() if orders_engines else None
     mesh = peer_mesh.open_mesh(
         f"{PEER_BIND_FLAG.value or cfg.ip}:{port}",
@@ -258,6 +259,7 @@
     )
     register_owner.holder_inbox = holder_inbox
     register_owner.node.chooses_holders = orders_engines
+    register_owner.node.defers_to_agents = ORDERS_FROM_FLAG.value == "auto"
     register_owner.node.process_number = rng.getrandbits(PROCESS_NUMBER_BITS)
     frontend = fleet_frontend.Frontend(
         gateway_owner, session, exchanges, MAX_ANSWER_BYTES_FLAG.value
@@ -342,6 +344,7 @@
     holder_inbox: mailbox.Mailbox | None,
 ):
     register_types = (
+        agent.AgentPresent,
         register_messages.PeerHeartbeat,
         register_messages.RequestVote,
         register_messages.VoteReply,
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -242,7 +242,7 @@
 
 def _apply_roster(task: GatewayTask, roster: operator_calls.Roster) -> None:
     task.peers, task.leader = roster.addresses, roster.leader
-    task.holders = roster.holders
+    task.holders = task.planner.holders = roster.holders
     task.gw.node_count = len(roster.addresses) + 1
     own_domain = task.gw.failure_domain
     domains = dict(zip(roster.addresses, roster.domains, strict=False))
--- a/bilberryramp/wire/outer_names.py
+++ b/bilberryramp/wire/outer_names.py
@@ -128,6 +128,7 @@
     presence.Keepalive: "Pulse",
     operator_calls.RelayedResidency: "Passed",
     planner.WantModel: "WantModel",
+    agent.AgentPresent: "AgentPresent",
     agent.ResidencyRequest: "Hold",
     agent.ResidencyReport: "Holding",
 }
--- a/bilberryramp/wire/tests/test_outer_names.py
+++ b/bilberryramp/wire/tests/test_outer_names.py
@@ -124,6 +124,7 @@
     "Append",
     "AppendReply",
     "Beat",
+    "AgentPresent",
     "Hold",
     "Holding",
     "Passed",
