Keep load reports valid until the next ones in a large fleet

Cause: with more than 240 nodes elsewhere, the interval of reports to them exceeded the 2 s for which a report is valid, so loads and holders would have seemed gone in between. Found by reading; no deployment so far has that size. Change: the time of validity follows the longest interval. Measured: test_fleet_size demands it for 400 nodes and failed before (2,000 ms against an interval of 2,500 ms).

--- a/bilberryramp/decisions/fleet/planner.py
+++ b/bilberryramp/decisions/fleet/planner.py
@@ -50,9 +50,6 @@
 # Time for which an engine is assumed to keep a local copy of a model that it
 # has unloaded; after that its heartbeats report whether it does.
 LOCAL_COPY_ASSUMED_MS = 3000
-# A holder whose last load report is older than this is regarded as lost; a
-# gateway sends several reports within it.
-HOLDER_SILENCE_MS = 1500
 # Stands for the time of an event that has not occurred.
 NEVER_MS = -(10**9)
 
@@ -270,7 +267,10 @@
     if holder in ("", planner.address):
         return True
     peer = planner.loads.peers.get(holder)
-    return peer is not None and now_ms - peer.heard_ms < HOLDER_SILENCE_MS
+    return (
+        peer is not None
+        and now_ms - peer.heard_ms < planner.loads.report_ttl_ms
+    )
 
 
 def _awaited_models(planner, service, states, now_ms) -> frozenset[str]:
--- a/bilberryramp/decisions/fleet/sharing.py
+++ b/bilberryramp/decisions/fleet/sharing.py
@@ -38,8 +38,10 @@
 ]
 
 # Time for which a peer's report is valid; a healthy gateway sends several
-# reports within it.
+# reports within it. In a large fleet, it is REPORTS_PER_TTL times the longest
+# interval of reports.
 REPORT_TTL_MS = 2000
+REPORTS_PER_TTL = 3
 # Minimum intervals between reports: after a long prompt was sent or read,
 # after other changes of the load, and without changes. Two gateways that send
 # long prompts to the same engine, each before it receives the other's report,
@@ -229,6 +231,8 @@
     peer_adapters
         Number of peers that use an adapter, by upstream key and key of the
         adapter.
+    report_ttl_ms
+        Time for which a peer's report is valid.
     next_expiry_ms
         Time before which no peer's report expires.
     caches
@@ -243,6 +247,7 @@
     peer_adapters: dict[int, collections.Counter] = dataclasses.field(
         default_factory=dict
     )
+    report_ttl_ms: int = REPORT_TTL_MS
     next_expiry_ms: int = 0
     caches: dict[int, prefix_cache.PrefixCache] = dataclasses.field(
         default_factory=dict
@@ -269,6 +274,10 @@
     loads.outboxes[audience].min_interval_ms = max(
         URGENT_REPORT_INTERVAL_MS, 1000 * peer_count // MAX_MESSAGES_PER_S
     )
+    longest_ms = max(
+        outbox.min_interval_ms for outbox in loads.outboxes.values()
+    )
+    loads.report_ttl_ms = max(REPORT_TTL_MS, REPORTS_PER_TTL * longest_ms)
 
 
 def is_report_urgent(loads: Loads) -> bool:
@@ -352,9 +361,9 @@
     """Take reports that are no longer valid out of the sums."""
     if now_ms < loads.next_expiry_ms:
         return
-    loads.next_expiry_ms = now_ms + REPORT_TTL_MS
+    loads.next_expiry_ms = now_ms + loads.report_ttl_ms
     for peer in loads.peers.values():
-        expiry_ms = peer.heard_ms + REPORT_TTL_MS
+        expiry_ms = peer.heard_ms + loads.report_ttl_ms
         if peer.is_counted and now_ms >= expiry_ms:
             peer.is_counted = False
             _count_rows(loads, peer.rows.values(), -1)
@@ -482,7 +491,9 @@
         peer.rows[row[0]] = row
         _count_row(loads, row, 1)
     peer.heard_ms, peer.is_counted = now_ms, True
-    loads.next_expiry_ms = min(loads.next_expiry_ms, now_ms + REPORT_TTL_MS)
+    loads.next_expiry_ms = min(
+        loads.next_expiry_ms, now_ms + loads.report_ttl_ms
+    )
     for prompt_fields in report.sent:
         prefix_cache.record_prompt(
             loads.caches,
--- a/bilberryramp/decisions/fleet/tests/test_fleet_size.py
+++ b/bilberryramp/decisions/fleet/tests/test_fleet_size.py
@@ -34,6 +34,9 @@
         }
         for audience, count in sizes.items():
             sharing.set_audience_size(loads, audience, count)
+        # Reports stay valid until the next ones arrive.
+        for outbox in loads.outboxes.values():
+            self.assertGreater(loads.report_ttl_ms, 2 * outbox.min_interval_ms)
         rng = random.Random(1)
         messages = 0
         for now_ms in range(0, DURATION_MS, 5):
