Play the model engines of the soak again on all seeds

Cause: made odd seeds play without agents. The soak takes an engine without a program for a plain service, so these seeds had no model engines, and every seed that an agent's fault had failed was weaker. Change: the fleet of the soak is as on; nodes hear its agents and leave the orders to them. Measured: tests of the soak pass.

--- a/bilberryramp/soak/local_fleet.py
+++ b/bilberryramp/soak/local_fleet.py
@@ -94,12 +94,7 @@
 
 
 def make_fleet(
-    slot: int,
-    folder: pathlib.Path,
-    record: Callable,
-    core: int,
-    others: int,
-    orders_from: str = "nodes",
+    slot: int, folder: pathlib.Path, record: Callable, core: int, others: int
 ) -> Fleet:
     """Create a fleet without starting it.
 
@@ -114,8 +109,6 @@
         Function called with each observation.
     core, others
         Number of nodes with and without a data folder.
-    orders_from
-        Which programs order engines: ``"nodes"`` or ``"agents"``.
 
     Returns
     -------
@@ -136,7 +129,7 @@
             folder,
             name,
             "node",
-            (f"--peer_bind_ip={bind_ip}", f"--orders_from={orders_from}"),
+            (f"--peer_bind_ip={bind_ip}",),
             data,
             standins.make_settings_text(
                 name,
@@ -159,7 +152,7 @@
     for number in range(1, 5):
         name, public_ip, bind_ip = f"e{number}", ip(2, number), ip(4, number)
         program = None
-        if number <= 2 and orders_from == "agents":
+        if number <= 2:
             program = _program(
                 folder,
                 f"a{number}",
--- a/bilberryramp/soak/run.py
+++ b/bilberryramp/soak/run.py
@@ -14,8 +14,6 @@
 
 __all__ = ["Plan", "execute"]
 
-# Programs that order engines, in turn by seed.
-ORDERING_PROGRAMS = ("agents", "nodes")
 CALLER_COUNT = 6
 CALL_PAUSE_S = 0.03
 DEADLINE_MS = 3000
@@ -74,12 +72,7 @@
     history = observations.History()
     rng = random.Random(plan.seed)
     fleet = local_fleet.make_fleet(
-        plan.slot,
-        folder,
-        history.events.append,
-        plan.core,
-        plan.others,
-        ORDERING_PROGRAMS[plan.seed % len(ORDERING_PROGRAMS)],
+        plan.slot, folder, history.events.append, plan.core, plan.others
     )
     try:
         await _execute_phases(fleet, plan, rng)
