--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that the scripts of the review share."""
