--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -13,6 +13,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -147,10 +148,14 @@
         timeout=aiohttp.ClientTimeout(total=20),
     )
     fleet = Fleet(nodes, folder, subnet, record, session)
-    for node in nodes:
-        await _open_cuttable_link(fleet, node)
-    for node in nodes:
-        await processes.start(node.program)
+    try:
+        for node in nodes:
+            await _open_cuttable_link(fleet, node)
+        for node in nodes:
+            await processes.start(node.program)
+    except BaseException:
+        await stop(fleet)
+        raise
     return fleet
 
 
@@ -239,7 +244,8 @@
     """End all processes of the case and remove its folder."""
     for node in fleet.nodes:
         await processes.kill(node.program)
-        node.link.server.close()
+        if node.link.server is not None:
+            node.link.server.close()
     for task in fleet.tasks:
         task.cancel()
     await asyncio.gather(*fleet.tasks, return_exceptions=True)
@@ -392,6 +398,10 @@
 
     async def main(record) -> int:
         fleet = None
+        main_task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, main_task.cancel
+        )
         try:
             async with asyncio.timeout(115):
                 fleet = await start(record, **options)
@@ -405,7 +415,12 @@
     with path.open("w") as record:
         try:
             code = asyncio.run(main(record))
-        except (CannotRunError, OSError, TimeoutError) as exc:
+        except (
+            CannotRunError,
+            OSError,
+            TimeoutError,
+            asyncio.CancelledError,
+        ) as exc:
             record.write(f"could not run: {exc!r}\n")
             code = 2
     print(path.read_text(), end="")
