--- a/review/5/case.py
+++ b/review/5/case.py
@@ -173,6 +173,8 @@
     await leaver.leave()
     await asyncio.sleep(max(cut_at_s + CUT_S - time.monotonic(), 0))
     fleets.heal(fleet)
+    cut_s = time.monotonic() - cut_at_s
+    fleet.note(f"the cut has ended, after {cut_s:.2f} s")
     traffic.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     late = [
@@ -222,4 +224,4 @@
 
 
 if __name__ == "__main__":
-    fleets.run(case, str(pathlib.Path(__file__).parent), core=3, others=1)
+    fleets.run(case, str(pathlib.Path(__file__).parent), core=3, others=4)
