Name the content and the record of each document in force in the log

Two documents under one version could not be told apart in the log: document.in_force named the version only.

The event now has a digest of the content and the term and sequence number of the record that committed it. Messages and stores carry that id with the document; it is (-1, -1) in those of earlier versions.

--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -189,10 +189,13 @@
         Version of the document.
     body
         Document as it was submitted.
+    record_id
+        Term and sequence number of the record that committed it.
     """
 
     version: int
     body: bytes
+    record_id: tuple[int, int] = (-1, -1)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -623,7 +626,7 @@
     if document.version > node.in_force_version:
         node.committed_document = document
         node.in_force_version = document.version
-        yield Committed(document.version, document.body)
+        yield Committed(document.version, document.body, document.record_id)
 
 
 # Elections.
--- a/bilberryramp/decisions/fleet/register_messages.py
+++ b/bilberryramp/decisions/fleet/register_messages.py
@@ -110,10 +110,15 @@
         Version of the document.
     body
         Document as it was submitted.
+    record_id
+        Term and sequence number of the record that committed it; (-1, -1) in
+        messages and stores of versions that did not state it. Those versions
+        could take a record for committed that never was.
     """
 
     version: int
     body: bytes
+    record_id: tuple[int, int] = (-1, -1)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -132,7 +137,7 @@
         Newest record, committed or not; None if there is none.
     settled
         Newest document known to be committed. After a restart the node
-        serves it until it learns of a newer one.
+        serves it until it learns of one that was committed later.
     settled_holders_id
         Id of the newest list of holders that was committed for so long that
         no earlier holder can still act; (-1, -1) if there is none.
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import hashlib
 import itertools
 from collections.abc import Callable
 
@@ -46,6 +47,8 @@
 # the suspects that have one.
 QUARANTINE_GAUGE = "request_quarantine_remaining_seconds"
 MAX_QUARANTINE_GAUGES = 64
+# Length of the digests by which the log names documents.
+DIGEST_CHARS = 12
 # Messages to the coordinator of the quarantine.
 _TO_COORDINATOR = (
     quarantine_messages.KnownSuspects,
@@ -516,7 +519,12 @@
 
 def _apply_document(task: GatewayTask, now_ms: int, committed) -> None:
     message = gateway.DocumentInForce(task.decode_document(committed.body))
-    events.emit(events.DOCUMENT_IN_FORCE, version=committed.version)
+    events.emit(
+        events.DOCUMENT_IN_FORCE,
+        version=committed.version,
+        digest=hashlib.sha256(committed.body).hexdigest()[:DIGEST_CHARS],
+        record=list(committed.record_id),
+    )
     _step(task, now_ms, message)
 
 
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -225,7 +225,9 @@
 DOCUMENT_IN_FORCE = _declare(
     5004,
     "document.in_force",
-    "A version of the document is now in force on this node.",
+    "A version of the document is now in force on this node. `digest` tells "
+    "documents of one version apart, and `record` is the term and sequence "
+    "number of the record that committed it.",
 )
 DOCUMENT_SUBMITTED = _declare(
     5005,
