Put only the record in force that the leader names as committed

Cause: a node regarded its own record as committed if its id was not above the committed one. The ids of a record that no quorum stored and of the record that replaced it are in that order. The first heartbeat after a cut mostly comes without the record, so the node put its own content in force, wrote it down as settled and told it to nodes that start without a document; the right content then had no higher version.

Ruled out: a wrong document from a peer (no other node has the content, and the unit test needs no peer), and a node that never learned (it put the version in force).

Change: a record counts as committed only if its id equals the committed one. Documents between nodes and on disk name the record that committed them; one that names none, as earlier versions wrote, may never have been committed and is not obeyed, so that an upgraded node heals by its leader.

The fuzz had never let two contents meet under one version and did not compare with what a quorum had stored; both are new.

--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -393,7 +393,9 @@
         `ELECTION_MS` later, since a leader may hold a lease that the node
         acknowledged before it restarted.
     stored
-        State read from disk; None if the store is empty.
+        State read from disk; None if the store is empty. A settled document
+        without a record id is not used, since it may never have been
+        committed.
 
     Returns
     -------
@@ -404,7 +406,8 @@
     if stored is not None:
         node.term, node.voted_for = stored.term, stored.voted_for
         node.record = stored.record
-        node.committed_document = stored.settled
+        if _is_proved(stored.settled):
+            node.committed_document = stored.settled
         node.settled_holders_id = stored.settled_holders_id
         _restore_standing(node)
     if node.record is None and me.store_id == GENESIS:
@@ -618,7 +621,13 @@
 
 
 def _on_committed_document(node: Node, _now_ms: int, document) -> Iterator:
-    yield from _put_in_force(node, document)
+    if _is_proved(document):
+        yield from _put_in_force(node, document)
+
+
+def _is_proved(document: msgs.CommittedDocument | None) -> bool:
+    """Return whether a document names the record that committed it."""
+    return document is not None and document.record_id >= (0, 0)
 
 
 def _put_in_force(node: Node, document: msgs.CommittedDocument) -> Iterator:
@@ -934,16 +943,21 @@
 
 
 def _publish_committed(node: Node) -> Iterator:
-    """Put the document of the record in force once it is committed."""
+    """Put the document of the record in force once it is committed.
+
+    The record stored here may lack a quorum although a later one is
+    committed: a leader that was cut off still holds its own. So only the
+    committed record itself counts.
+    """
     record_id = _record_id(node)
-    if node.record is None or node.committed < record_id:
+    if node.record is None or node.committed != record_id:
         return
     if record_id == node.published_id:
         return
     node.published_id = record_id
     if node.record.version > node.in_force_version:
         document = msgs.CommittedDocument(
-            node.record.version, node.record.body
+            node.record.version, node.record.body, record_id
         )
         yield from _put_in_force(node, document)
         yield _persist_state(node)
--- a/bilberryramp/decisions/fleet/tests/register_driver.py
+++ b/bilberryramp/decisions/fleet/tests/register_driver.py
@@ -9,7 +9,11 @@
 import heapq
 import random
 
-from bilberryramp.decisions.fleet import register
+from bilberryramp.decisions.fleet import (
+    electorate,
+    register,
+    register_messages,
+)
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.shared import effects
 
@@ -78,6 +82,10 @@
         Version of the next proposal.
     body_by_version
         Content of each version that came into force.
+    storers
+        Members that have stored each record, by its term and sequence number.
+    quorum_documents
+        Version and content of each record that a quorum has stored.
     loss_probability, crash_probability
         Probability that a message is lost, and that a process stops before
         it writes its state.
@@ -94,6 +102,8 @@
     accepted_version: int = -1
     next_version: int = 1
     body_by_version: dict = dataclasses.field(default_factory=dict)
+    storers: dict = dataclasses.field(default_factory=dict)
+    quorum_documents: set = dataclasses.field(default_factory=set)
     loss_probability: float = 0.02
     crash_probability: float = 0.001
 
@@ -199,8 +209,10 @@
             if cluster.rng.random() < cluster.crash_probability:
                 # The process crashes before it writes.
                 stop(cluster, instance.address)
-            elif instance.durable:
+                return
+            if instance.durable:
                 instance.persisted = effect.stored
+            note_stored(cluster, instance, effect.stored)
         case register.Committed():
             record_in_force(cluster, instance, effect)
         case register.Proposed() | register.ReadAnswer():
@@ -218,8 +230,27 @@
     post(cluster, delay_ms, effect.to, None, effect.message)
 
 
+def note_stored(cluster, instance, stored):
+    """Note the document of a record once a quorum has stored the record."""
+    record = stored.record
+    if record is None:
+        return
+    storers = cluster.storers.setdefault((record.term, record.seq), set())
+    storers.add(register_messages.Member(instance.address, stored.store_id))
+    if electorate.is_quorum(record, storers):
+        cluster.quorum_documents.add((record.version, record.body))
+
+
 def record_in_force(cluster, instance, effect):
-    """Check that a version has one content and that none is older."""
+    """Check a document that comes into force.
+
+    Its version has no other content, a quorum has stored it, and it is not
+    older than the one before.
+    """
+    if (effect.version, effect.body) not in cluster.quorum_documents:
+        raise InvariantViolationError(
+            f"{instance.address} obeys {effect.body}, which no quorum stored"
+        )
     earlier_body = cluster.body_by_version.setdefault(
         effect.version, effect.body
     )
@@ -261,6 +292,63 @@
     post(cluster, 1, name, cluster.instances[name].incarnation, message)
 
 
+def leaders(cluster):
+    """Return the addresses of the running nodes that regard themselves so."""
+    return [
+        name
+        for name in running(cluster)
+        if cluster.instances[name].node.phase == "leader"
+    ]
+
+
+def race_operators(cluster):
+    """Propose two contents of a version on the two sides of a cut.
+
+    One side is the leader alone or with a node without a disk. Each operator
+    repeats its proposal, as it gets no clear answer at first. The node that
+    led may restart during the cut, and all nodes after it.
+    """
+    rng = cluster.rng
+    cut_off = leaders(cluster)
+    if not cut_off:
+        return
+    cut_off += memory_only(cluster)[: rng.randrange(2)]
+    version = cluster.next_version
+    cluster.next_version += 1 + rng.randrange(3)
+    others = sorted(set(running(cluster)) - set(cut_off))
+    cut_links_of(cluster, cut_off)
+    for turn in range(12):
+        propose(cluster, cut_off[0], version, b"first")
+        if others:
+            propose(cluster, others[turn % len(others)], version, b"second")
+        run(cluster, 100 + rng.randrange(100))
+    if rng.random() < 0.3:
+        restart(cluster, cut_off)
+        run(cluster, rng.randrange(600))
+    restore_links(cluster)
+    run(cluster, rng.randrange(1200))
+    if rng.random() < 0.3:
+        restart(cluster, sorted(cluster.instances))
+    run(cluster, 1500)
+
+
+def memory_only(cluster):
+    """Return the addresses of the running instances without a disk."""
+    return [
+        name
+        for name in running(cluster)
+        if not cluster.instances[name].durable
+    ]
+
+
+def restart(cluster, names):
+    """Stop instances and start them again one after another."""
+    for name in names:
+        stop(cluster, name)
+        run(cluster, cluster.rng.randrange(100))
+        start(cluster, name)
+
+
 def read(cluster, name):
     """Request the newest document from one node."""
     cluster.sequence += 1
--- a/bilberryramp/decisions/fleet/tests/test_register_fuzz.py
+++ b/bilberryramp/decisions/fleet/tests/test_register_fuzz.py
@@ -6,6 +6,7 @@
 
 SEED_COUNT = 12
 STEPS_PER_HISTORY = 40
+RACES_PER_HISTORY = 4
 
 
 def apply_random_event(cluster):
@@ -52,7 +53,37 @@
     return cluster
 
 
+def run_races(seed):
+    """Let operators race under one version, round after round."""
+    cluster = driver.make_cluster(
+        seed, durable_count=3 + 2 * (seed % 2), memory_only_count=seed % 3
+    )
+    driver.run(cluster, 3000)
+    for _ in range(RACES_PER_HISTORY):
+        driver.race_operators(cluster)
+        for name in sorted(cluster.instances):
+            if cluster.instances[name].node is None:
+                driver.start(cluster, name)
+        driver.run(cluster, cluster.rng.randrange(3000))
+    driver.recover(cluster)
+    return cluster
+
+
 class RegisterFuzzTest(unittest.TestCase):
+    def test_operators_that_race_across_a_cut_bring_one_content_in_force(
+        self,
+    ):
+        # Guards against a node that led, was cut off and then obeyed its own
+        # record of a version that the others committed with other content.
+        for seed in range(SEED_COUNT):
+            with self.subTest(seed=seed):
+                cluster = run_races(seed)
+                bodies = {
+                    cluster.instances[name].node.committed_document.body
+                    for name in driver.running(cluster)
+                }
+                self.assertEqual(len(bodies), 1)
+
     def test_reads_never_miss_an_accepted_version(self):
         for seed in range(SEED_COUNT):
             with self.subTest(seed=seed):
@@ -116,12 +147,7 @@
 
 def leader(cluster):
     """Return the address of a running node in the phase ``leader``."""
-    leaders = [
-        name
-        for name in driver.running(cluster)
-        if cluster.instances[name].node.phase == "leader"
-    ]
-    return leaders[0]
+    return driver.leaders(cluster)[0]
 
 
 class MutationTest(unittest.TestCase):
--- a/bilberryramp/storage/tests/test_slots.py
+++ b/bilberryramp/storage/tests/test_slots.py
@@ -2,6 +2,8 @@
 import tempfile
 import unittest
 
+import msgspec
+
 from bilberryramp.decisions.fleet import register_messages as msgs
 from bilberryramp.storage import slots
 from bilberryramp.storage.tests import builders
@@ -39,6 +41,15 @@
         path.write_bytes(content[:20] + b"\x00" * (len(content) - 20))
         self.assertEqual(slots.read(self.folder), (2, stored_state(2)))
 
+    def test_settled_document_of_an_earlier_version_names_no_record(self):
+        # Guards against trusting a document that an earlier version stored as
+        # settled although it was never committed.
+        state = msgspec.to_builtins(stored_state(1), builtin_types=(bytes,))
+        del state["settled"]["record_id"]
+        slots.write(self.folder, 1, state)
+        _, stored = slots.read(self.folder)
+        self.assertEqual(stored.settled.record_id, (-1, -1))
+
     def test_writes_go_on_after_no_space_at_any_byte(self):
         for room_bytes in range(200):
             for room_syncs in (0, 1000):
--- a/bilberryramp/wire/tests/test_fleet_codec.py
+++ b/bilberryramp/wire/tests/test_fleet_codec.py
@@ -1,5 +1,7 @@
 import unittest
 
+import msgspec
+
 from bilberryramp.decisions.fleet import presence, register_messages
 from bilberryramp.wire import errors, fleet_codec
 
@@ -22,6 +24,14 @@
         self.assertLess(len(data), len(BODY) / 8)
         self.assertEqual(fleet_codec.decode(data), document)
 
+    def test_document_of_an_earlier_version_names_no_record(self):
+        fields = {"version": 4, "body": BODY}
+        data = msgspec.msgpack.encode(("Settled", fields))
+        self.assertEqual(
+            fleet_codec.decode(data),
+            register_messages.CommittedDocument(4, BODY, (-1, -1)),
+        )
+
     def test_damaged_bytes_raise_malformed_message_error(self):
         data = fleet_codec.encode(register_messages.CommittedDocument(4, BODY))
         for damaged in (data[:-5], data[:1], b"\xc1nonsense", b"", b"\x93a"):
