Send no requests to an engine that says in an answer that it leaves

Cause: nothing read the header. A node learned of a departure from check-ins alone, which other nodes relay, so a node that is cut off, or an engine that never reports draining, left it ignorant.

Ruled out: a departure that a later heartbeat undoes (the table keeps a departure for the whole life of the process) and a choice that bypasses the table.

Change: any answer to a request, order or report with the header marks that start of the engine (id and born) as leaving at the node that got it, before the answer is passed on. Later check-ins of the same start do not undo it, a later start under the id gets requests. Peers are told once, so the leader also counts its models as leaving. Streams in progress go on.

The soak's engines never sent the header; they do now, some leave by their answers alone, and leaving_answers_end_requests checks it from callers' records.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -332,6 +332,8 @@
         Identifier of the call.
     upstream_id, address
         Identifier and address of the upstream.
+    born_ms
+        Start of the upstream's process, as in `presence.Announcement`.
     allowed_ms
         Time that the upstream may take, in milliseconds.
     urgency
@@ -346,6 +348,7 @@
     allowed_ms: int
     urgency: int
     send: int
+    born_ms: int = -1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -386,6 +386,7 @@
         max(call.deadline_ms - now_ms, 1),
         _urgency(call, now_ms),
         call.send_count,
+        upstream.announcement.born_ms,
     )
 
 
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -32,7 +32,9 @@
 __all__ = [
     "CoordinatorChanged",
     "DocumentInForce",
+    "LeavingSeen",
     "ShutdownStarted",
+    "TellPeers",
     "Tick",
     "abandon_call",
     "is_idle",
@@ -89,6 +91,32 @@
     address: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeavingSeen:
+    """An answer to this node said that its upstream is leaving.
+
+    Attributes
+    ----------
+    notice
+        The upstream and its process.
+    """
+
+    notice: presence.LeavingNotice
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TellPeers:
+    """Effect: send a message to all other nodes.
+
+    Attributes
+    ----------
+    message
+        Message of a type that the nodes exchange.
+    """
+
+    message: presence.LeavingNotice
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ShutdownStarted:
     """The process is about to end, so waiting calls must be refused."""
@@ -163,14 +191,14 @@
         Current time in milliseconds.
     message
         A message of this module or of `calls`, an `Announcement`, a
-        `ResidencyReport`, a `Report`, or a message of the coordinator of the
-        quarantine.
+        `LeavingNotice` of a peer, a `ResidencyReport`, a `Report`, or a
+        message of the coordinator of the quarantine.
 
     Yields
     ------
     effect
-        Effects of `calls` and `planner`, `Trace`, `ReportTo` and
-        `ToCoordinator`.
+        Effects of `calls` and `planner`, `Trace`, `ReportTo`, `TellPeers`
+        and `ToCoordinator`.
     """
     yield from _HANDLERS[type(message)](gw, now_ms, message)
     if sharing.is_report_urgent(gw.loads):
@@ -200,20 +228,50 @@
     upstream = gw.table.upstreams[announcement.upstream_id]
     is_leaving = upstream.leaving_since_ms >= 0
     if was_available == is_leaving or upstream.announcement.seq == 1:
-        yield Trace(
-            "upstream.leaving" if is_leaving else "upstream.seen",
-            {
-                "upstream": announcement.upstream_id,
-                "service": announcement.service,
-                "address": announcement.address,
-                "seq": announcement.seq,
-                "born_ms": announcement.born_ms,
-            },
-        )
+        yield _trace_presence(announcement, is_leaving, "announcement")
     if gw.queue:
         yield from _serve_queue(gw, now_ms)
 
 
+def _on_leaving_seen(
+    gw: gateway_state.Gateway, now_ms: int, message: LeavingSeen
+) -> Iterator:
+    """Stop using an upstream, and tell the peers unless they know."""
+    is_new = False
+    for effect in _on_leaving_notice(gw, now_ms, message.notice):
+        is_new = True
+        yield effect
+    if is_new:
+        yield TellPeers(message.notice)
+
+
+def _on_leaving_notice(
+    gw: gateway_state.Gateway, now_ms: int, notice: presence.LeavingNotice
+) -> Iterator:
+    if not presence.record_leaving(gw.table, notice, now_ms):
+        return
+    announcement = gw.table.upstreams[notice.upstream_id].announcement
+    yield _trace_presence(announcement, True, "answer")
+    # Calls that waited for this upstream go to others or are refused.
+    yield from _serve_queue(gw, now_ms)
+
+
+def _trace_presence(
+    announcement: presence.Announcement, is_leaving: bool, source: str
+) -> Trace:
+    return Trace(
+        "upstream.leaving" if is_leaving else "upstream.seen",
+        {
+            "upstream": announcement.upstream_id,
+            "service": announcement.service,
+            "address": announcement.address,
+            "seq": announcement.seq,
+            "born_ms": announcement.born_ms,
+            "source": source,
+        },
+    )
+
+
 def _on_residency_report(
     gw: gateway_state.Gateway, now_ms: int, report: agent.ResidencyReport
 ) -> Iterator:
@@ -743,6 +801,8 @@
 _HANDLERS = {
     CoordinatorChanged: _on_coordinator_changed,
     DocumentInForce: _on_document_in_force,
+    LeavingSeen: _on_leaving_seen,
+    presence.LeavingNotice: _on_leaving_notice,
     msgs.SuspectDigest: _on_suspect_digest,
     msgs.SuspectList: _on_suspect_list,
     msgs.TrialGrant: _on_trial_grant,
--- a/bilberryramp/decisions/fleet/presence.py
+++ b/bilberryramp/decisions/fleet/presence.py
@@ -12,11 +12,13 @@
     "Announcement",
     "ResidentModel",
     "Keepalive",
+    "LeavingNotice",
     "Table",
     "Upstream",
     "remove_silent_upstreams",
     "is_usable",
     "record_announcement",
+    "record_leaving",
     "record_residency",
     "record_keepalive",
     "keepalive_for",
@@ -124,6 +126,22 @@
     seq: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeavingNotice:
+    """Notice that an answer of an upstream said that it is leaving.
+
+    Attributes
+    ----------
+    upstream_id
+        Id of the upstream.
+    born_ms
+        As in `Announcement`; the notice concerns only this process.
+    """
+
+    upstream_id: str
+    born_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class Upstream:
     """Entry of the table for one process of an upstream.
@@ -136,7 +154,8 @@
         When this node last received a heartbeat of the upstream, directly or
         relayed.
     leaving_since_ms
-        When the upstream was first known to be leaving; -1 if it is not.
+        When the upstream was first known to be leaving, from an announcement
+        or from an answer; -1 if it is not.
     models
         Names of resident adapters by model, from the last announcement and
         from newer observations.
@@ -285,6 +304,37 @@
         )
 
 
+def record_leaving(table: Table, notice: LeavingNotice, now_ms: int) -> bool:
+    """Record that a process of an upstream is leaving.
+
+    Later announcements of the process do not undo this.
+
+    Parameters
+    ----------
+    table
+        Table of upstreams. Modified in place.
+    notice
+        Notice from an answer, received by this node or relayed.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    bool
+        True if the process is in the table and was not known to be leaving.
+    """
+    upstream = table.upstreams.get(notice.upstream_id)
+    if (
+        upstream is None
+        or upstream.announcement.born_ms != notice.born_ms
+        or upstream.leaving_since_ms >= 0
+    ):
+        return False
+    upstream.leaving_since_ms = now_ms
+    table.revision += 1
+    return True
+
+
 def _is_older(announcement: Announcement, last: Announcement) -> bool:
     if (announcement.born_ms, announcement.seq) <= (last.born_ms, last.seq):
         # An announced departure may come without a newer counter.
@@ -458,11 +508,14 @@
     -------
     tuple of Announcement
         Announcements of the upstreams that were heard from recently or
-        that have left.
+        that have left. Those of upstreams that are leaving say so, even if
+        only an answer did.
     """
     silence_limit_ms = MISSED_HEARTBEATS * table.heartbeat_ms
     return tuple(
-        upstream.announcement
+        dataclasses.replace(upstream.announcement, leaving=True)
+        if upstream.leaving_since_ms >= 0
+        else upstream.announcement
         for upstream in table.upstreams.values()
         if upstream.leaving_since_ms >= 0
         or now_ms - upstream.heard_ms < silence_limit_ms
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -23,6 +23,35 @@
     return builders.collect(gateway.step(gw, now_ms, message))
 
 
+class LeavingAnswerTest(unittest.TestCase):
+    def see(self, gw, upstream_id, born_ms=1000):
+        notice = presence.LeavingNotice(upstream_id, born_ms)
+        message = gateway.LeavingSeen(notice)
+        return builders.collect(gateway.step(gw, NOW_MS, message))
+
+    def test_peers_are_told_once(self):
+        gw = builders.make_gateway(upstreams=[builders.make_announcement()])
+        notice = presence.LeavingNotice("u1", 1000)
+        told = builders.of_type(self.see(gw, "u1"), gateway.TellPeers)
+        self.assertEqual(told, [gateway.TellPeers(notice)])
+        told = builders.of_type(self.see(gw, "u1"), gateway.TellPeers)
+        self.assertEqual(told, [])
+
+    def test_a_notice_of_a_peer_is_not_passed_on(self):
+        gw = builders.make_gateway(upstreams=[builders.make_announcement()])
+        notice = presence.LeavingNotice("u1", 1000)
+        effects = builders.collect(gateway.step(gw, NOW_MS, notice))
+        self.assertFalse(builders.of_type(effects, gateway.TellPeers))
+        self.assertFalse(presence.is_usable(gw.table, "u1", NOW_MS))
+
+    def test_a_call_names_the_process_that_it_is_sent_to(self):
+        gw = builders.make_gateway(upstreams=[builders.make_announcement()])
+        (sent,) = builders.of_type(
+            builders.submit(gw, 1, builders.make_request()), calls.SendCall
+        )
+        self.assertEqual(sent.born_ms, 1000)
+
+
 class ArrivalTest(unittest.TestCase):
     def test_request_without_document_is_refused_for_retry(self):
         gw = builders.make_gateway()
--- a/bilberryramp/decisions/fleet/tests/test_presence.py
+++ b/bilberryramp/decisions/fleet/tests/test_presence.py
@@ -6,6 +6,42 @@
 from bilberryramp.decisions.fleet.tests import builders
 
 
+class LeavingTest(unittest.TestCase):
+    def setUp(self):
+        self.table = presence.Table(1200)
+        self.announce(seq=1)
+
+    def announce(self, **changes):
+        announcement = builders.make_announcement(**changes)
+        presence.record_announcement(self.table, announcement, 0)
+
+    def leave(self, born_ms=1000):
+        notice = presence.LeavingNotice("u1", born_ms)
+        return presence.record_leaving(self.table, notice, 100)
+
+    def test_a_later_announcement_does_not_undo_it(self):
+        self.assertTrue(self.leave())
+        self.assertFalse(self.leave())
+        self.announce(seq=2)
+        self.assertFalse(presence.is_usable(self.table, "u1", 200))
+        self.assertEqual(
+            presence.usable_upstreams(self.table, "engines", 200), ()
+        )
+
+    def test_it_concerns_one_process(self):
+        self.assertFalse(self.leave(born_ms=999))
+        self.assertTrue(presence.is_usable(self.table, "u1", 200))
+        self.leave()
+        self.announce(born_ms=2000, seq=1)
+        self.assertTrue(presence.is_usable(self.table, "u1", 200))
+        self.assertFalse(self.leave())
+
+    def test_a_node_that_starts_is_told(self):
+        self.leave()
+        (told,) = presence.recent_announcements(self.table, 200)
+        self.assertTrue(told.leaving)
+
+
 class KeepaliveTest(unittest.TestCase):
     def test_a_changed_announcement_is_relayed_in_full(self):
         table = presence.Table(1200)
--- a/bilberryramp/platform/engine_orders.py
+++ b/bilberryramp/platform/engine_orders.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from bilberryramp.decisions.fleet import agent
-from bilberryramp.platform import announcements
+from bilberryramp.platform import announcements, exchanges
 
 __all__ = [
     "EXPECTED_INSTANCE_HEADER",
@@ -12,12 +12,15 @@
     "decode_answer",
     "encode",
     "decode_report",
+    "is_leaving",
 ]
 
 ORDER_PATH = "/order"
 REPORT_PATH = "/report"
 EXPECTED_INSTANCE_HEADER = "X-Bilberryramp-Expected-Instance"
 
+is_leaving = exchanges.is_leaving
+
 _MAX_ORDER_COUNT = 2**53
 _ANSWERS = {
     200: agent.OrderAnswer.DONE,
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -10,6 +10,7 @@
     "client_answer_headers",
     "upstream_request_headers",
     "has_upstream_signature",
+    "is_leaving",
     "decode_request",
     "decode_run_state",
 ]
@@ -23,6 +24,7 @@
 _EXPECTED_INSTANCE_HEADER = "X-Bilberryramp-Expected-Instance"
 _PRIORITY_HEADER = "X-Bilberryramp-Request-Priority"
 _SIGNATURE_HEADER = "X-Bilberryramp-Server-Signature"
+_LEAVING_HEADER = "Server-Leaving"
 _NOT_EXECUTED_HEADER = "X-Bilberryramp-Not-Executed"
 
 # Hop-by-hop headers, and those that the HTTP library writes itself.
@@ -229,6 +231,22 @@
     )
 
 
+def is_leaving(headers) -> bool:
+    """Return whether an answer says that its upstream is leaving.
+
+    Parameters
+    ----------
+    headers
+        Case-insensitive mapping of the answer's headers.
+
+    Returns
+    -------
+    bool
+        True if the header is present with any value but 0.
+    """
+    return headers.get(_LEAVING_HEADER, "0").strip() != "0"
+
+
 def has_upstream_signature(headers) -> bool:
     """Return whether an answer carries the signature header of an upstream.
 
--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -47,6 +47,9 @@
 # Id of the part with which each prompt begins.
 FIRST_PART = "aa"
 _REQUEST_ID_HEADER = "X-Bilberryramp-Request-Id"
+_SIGNATURE_HEADER = "X-Bilberryramp-Server-Signature"
+_SIGNATURE_PREFIX = "sig-"
+_LEAVING_HEADER = "Server-Leaving"
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,6 +84,8 @@
         Duration of a plain request, or of each chunk of a stream, in seconds.
     born_ms
         Start of the process in milliseconds of wall-clock time.
+    is_leaving
+        Whether its answers say that it is leaving.
     heartbeat_count, order_count
         Number of heartbeats sent and of orders accepted.
     highest_fence
@@ -109,6 +114,7 @@
     unframed_every: int = 0
     service_time_s: float = 0.0
     born_ms: int = 1000
+    is_leaving: bool = False
     heartbeat_count: int = 0
     order_count: int = 0
     highest_fence: int = -1
@@ -136,10 +142,14 @@
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
         match request.path:
             case "/report":
-                return _serve_report(engine)
+                response = _serve_report(engine)
             case "/order":
-                return _serve_order(engine, await request.read())
-        return await _serve_call(engine, request)
+                response = _serve_order(engine, await request.read())
+            case _:
+                return await _serve_call(engine, request)
+        if engine.is_leaving:
+            response.headers[_LEAVING_HEADER] = "1"
+        return response
 
     engine.protocol_factory = web.Server(serve, access_log=None)
     engine.server = await loop.create_server(
@@ -217,8 +227,10 @@
     engine.last_headers = dict(request.headers)
     headers = {
         _REQUEST_ID_HEADER: request_id,
-        "X-Bilberryramp-Server-Signature": f"sig-{engine.upstream_id}",
+        _SIGNATURE_HEADER: f"{_SIGNATURE_PREFIX}{engine.upstream_id}",
     }
+    if engine.is_leaving:
+        headers[_LEAVING_HEADER] = "1"
     expected = request.headers.get("X-Bilberryramp-Expected-Instance")
     model = request.headers.get("X-Bilberryramp-Model")
     resident = {row["name"] for row in engine.models}
@@ -376,12 +388,15 @@
         incomplete stream or another body.
     error
         Code of the failure that the node reports; empty for a success.
+    leaving_id
+        Id of the engine, if its answer says that it is leaving; else empty.
     """
 
     status: int
     is_whole: bool
     echoed_id: str
     error: str = ""
+    leaving_id: str = ""
 
 
 async def send_request(
@@ -441,12 +456,15 @@
         url, data=content or request_id.encode(), headers=headers
     ) as resp:
         body = await resp.read()
+    leaving_id = _leaving_id(resp.headers)
     if resp.status != 200:
-        return ClientAnswer(resp.status, False, "", _error_code(body))
+        error = _error_code(body)
+        return ClientAnswer(resp.status, False, "", error, leaving_id)
     answered_id = resp.headers.get(_REQUEST_ID_HEADER, "")
     if not model:
         echo = body.removeprefix(b"did ")
-        return ClientAnswer(200, True, _owner(echo, content, answered_id))
+        owner = _owner(echo, content, answered_id)
+        return ClientAnswer(200, True, owner, leaving_id=leaving_id)
     echoes = {
         line.removeprefix(b"data: ")
         for line in body.splitlines()
@@ -457,9 +475,17 @@
         200,
         is_whole,
         _owner(echoes.pop(), content, answered_id) if is_whole else "",
+        leaving_id=leaving_id,
     )
 
 
+def _leaving_id(headers) -> str:
+    """Return the id of an engine whose answer says that it is leaving."""
+    if _LEAVING_HEADER not in headers:
+        return ""
+    return headers.get(_SIGNATURE_HEADER, "").removeprefix(_SIGNATURE_PREFIX)
+
+
 def _owner(echo: bytes, content: bytes, answered_id: str) -> str:
     """Return the id of the request that an answer belongs to."""
     if not content:
--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -60,6 +60,54 @@
     )
 
 
+def _with_leaving(answer: bytes) -> bytes:
+    """Add the header of an upstream that is leaving to an answer."""
+    line, _, rest = answer.partition(b"\r\n")
+    return line + b"\r\nServer-Leaving: 1\r\n" + rest
+
+
+def leaving_answer(request: faulty_server.Request) -> bytes:
+    return _with_leaving(platform_answer(request))
+
+
+def leaving_stream(request: faulty_server.Request) -> bytes:
+    return _with_leaving(platform_stream(request))
+
+
+def _leaving_refusal(request, status: str, **headers) -> bytes:
+    request_id = request.headers.get("x-bilberryramp-request-id", "")
+    return _with_leaving(
+        task_builders.answer_bytes(
+            b"", status, X_Bilberryramp_Request_Id=request_id, **headers
+        )
+    )
+
+
+def leaving_full(request: faulty_server.Request) -> bytes:
+    return _leaving_refusal(
+        request, "503 Busy", X_Bilberryramp_Not_Executed="1"
+    )
+
+
+def leaving_other(request: faulty_server.Request) -> bytes:
+    return _leaving_refusal(request, "421 Misdirected Request")
+
+
+def leaving_failure(request: faulty_server.Request) -> bytes:
+    return _leaving_refusal(
+        request, "500 Failed", X_Bilberryramp_Server_Signature="sig"
+    )
+
+
+LEAVING_ANSWERS = (
+    leaving_answer,
+    leaving_stream,
+    leaving_full,
+    leaving_other,
+    leaving_failure,
+)
+
+
 async def start_frontend(case, addresses, **changes):
     """Start a gateway and its HTTP server; return the front end and port."""
     task = task_builders.make_gateway_task(addresses)
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -309,7 +309,11 @@
                 ),
             )
 
-        start_call(call.address, call.call, post)
+        def note_leaving() -> None:
+            notice = presence.LeavingNotice(call.upstream_id, call.born_ms)
+            mailbox.post_now(gateway_inbox, gateway.LeavingSeen(notice))
+
+        start_call(call.address, call.call, post, note_leaving)
 
     holder = order_holders.new_holder(
         node.me.address,
--- a/bilberryramp/soak/checks.py
+++ b/bilberryramp/soak/checks.py
@@ -44,9 +44,21 @@
 QUARANTINED = "quarantined"
 NODE_OR_LINK_FAULTS = frozenset(observations.FaultKind) - {
     observations.FaultKind.ENGINE_DRAIN,
+    observations.FaultKind.ENGINE_LEAVE,
     observations.FaultKind.ENGINE_CRASH,
 }
 
+# Faults after which a node may have forgotten what it knew.
+INTERRUPTIONS = frozenset(
+    {
+        observations.FaultKind.KILL,
+        observations.FaultKind.PAUSE,
+        observations.FaultKind.STOP,
+        observations.FaultKind.WIPE,
+        observations.FaultKind.KILL_ALL,
+    }
+)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Violation:
@@ -207,6 +219,54 @@
             yield f"{run.request_id} ran {after_ms} ms after the drain"
 
 
+def leaving_answers_end_requests(
+    history: observations.History,
+) -> Iterator[str]:
+    """Check that an engine gets no requests after it said that it leaves.
+
+    It says so in an answer that a node passes on. Requests that callers send
+    to that node later than `MAX_DRAIN_MS` after it must not reach the engine,
+    unless the node was restarted or suspended since.
+    """
+    sent = {
+        s.request_id: s for s in history.of_class(observations.RequestSent)
+    }
+    passed_ms: dict[tuple[str, str], int] = {}
+    for answer in history.of_class(observations.AnswerReceived):
+        if answer.leaving_id:
+            key = sent[answer.request_id].node, answer.leaving_id
+            passed_ms.setdefault(key, answer.at_ms)
+    for run in history.of_class(observations.RunStarted):
+        request = sent.get(run.request_id)
+        if request is None:
+            continue
+        at_ms = passed_ms.get((request.node, run.upstream_id))
+        if (
+            at_ms is not None
+            and request.at_ms > at_ms + MAX_DRAIN_MS
+            and not _was_interrupted(history, request.node, at_ms, run.at_ms)
+        ):
+            yield (
+                f"{run.request_id} was sent to {request.node} "
+                f"{request.at_ms - at_ms} ms after an answer of "
+                f"{run.upstream_id} that it leaves, and ran there"
+            )
+
+
+def _was_interrupted(history, node: str, from_ms: int, to_ms: int) -> bool:
+    """Return whether a node was stopped or suspended in a period."""
+    return any(
+        fault.kind in INTERRUPTIONS
+        and (
+            fault.target == node
+            or fault.kind is observations.FaultKind.KILL_ALL
+        )
+        and fault.from_ms < to_ms
+        and fault.to_ms > from_ms
+        for fault in history.of_class(observations.Fault)
+    )
+
+
 def fatal_requests_stop_arriving(
     history: observations.History,
 ) -> Iterator[str]:
@@ -312,6 +372,7 @@
     orders_come_from_one_holder,
     programs_stay_up,
     sound_requests_pass,
+    leaving_answers_end_requests,
 )
 TIMING = (
     drained_engines_stay_idle,
--- a/bilberryramp/soak/local_fleet.py
+++ b/bilberryramp/soak/local_fleet.py
@@ -433,6 +433,12 @@
 
 async def _drain_engine(fleet, host, fault) -> None:
     host.is_leaving = True
+    await _leave(fleet, host, fault)
+
+
+async def _leave(fleet, host, fault) -> None:
+    if host.engine is not None:
+        host.engine.is_leaving = True
     await _wait_until_end(fault)
     await _crash_engine(fleet, host, fault)
 
@@ -451,6 +457,7 @@
     _Kind.CUT: _cut_off_from_nodes,
     _Kind.ENGINE_CRASH: _crash_engine,
     _Kind.ENGINE_DRAIN: _drain_engine,
+    _Kind.ENGINE_LEAVE: _leave,
 }
 
 
--- a/bilberryramp/soak/observations.py
+++ b/bilberryramp/soak/observations.py
@@ -51,6 +51,8 @@
     """An engine's connections break; it restarts without models."""
     ENGINE_DRAIN = "engine_drain"
     """An engine announces that it drains, then stops and restarts."""
+    ENGINE_LEAVE = "engine_leave"
+    """As before, but only the engine's answers say so, not its heartbeats."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -115,6 +117,8 @@
         When the answer or the failure was seen.
     error
         Code of the failure that the node reports; empty if there is none.
+    leaving_id
+        Id of the engine, if its answer says that it is leaving; else empty.
     """
 
     request_id: str
@@ -123,6 +127,7 @@
     owner: str
     at_ms: int
     error: str = ""
+    leaving_id: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/soak/run.py
+++ b/bilberryramp/soak/run.py
@@ -68,6 +68,8 @@
         Groups of faults to draw from, as in `schedule.draw`.
     faults
         Further faults, with times from the start of the schedule.
+    has_departures
+        Whether engines leave by their answers alone, besides the faults.
     """
 
     seed: int
@@ -79,6 +81,7 @@
     deadly_count: int = 1
     fault_groups: tuple = schedule.ALL_GROUPS
     faults: tuple[observations.Fault, ...] = ()
+    has_departures: bool = False
 
 
 async def execute(plan: Plan, folder: pathlib.Path) -> observations.History:
@@ -155,7 +158,14 @@
         list(fleet.engines),
         plan.fault_groups,
     )
-    faults = sorted((*faults, *plan.faults), key=lambda f: f.from_ms)
+    departures = ()
+    if plan.has_departures:
+        departures = schedule.draw_departures(
+            plan.seed, plan.length_ms, list(fleet.engines)
+        )
+    faults = sorted(
+        (*faults, *departures, *plan.faults), key=lambda f: f.from_ms
+    )
     started_ms = local_fleet.now_ms()
     async with asyncio.TaskGroup() as group:
         for drawn in faults:
@@ -377,7 +387,7 @@
     session, node: local_fleet.Host, path, request_id, model, content, parts
 ) -> observations.AnswerReceived:
     endpoint = f"{node.address}:{local_fleet.FRONT_PORT}"
-    status, is_whole, owner, error = 0, False, "", ""
+    status, is_whole, owner, error, leaving_id = 0, False, "", "", ""
     try:
         async with asyncio.timeout(CALL_TIMEOUT_S):
             reply = await standins.send_request(
@@ -392,10 +402,17 @@
             )
         status, is_whole = reply.status, reply.is_whole
         owner, error = reply.echoed_id, reply.error
+        leaving_id = reply.leaving_id
     except (TimeoutError, aiohttp.ClientError, OSError):
         # Recorded with status 0: after a broken connection or a timeout the
         # request may have run or not, and the checks allow both.
         pass
     return observations.AnswerReceived(
-        request_id, status, is_whole, owner, local_fleet.now_ms(), error
+        request_id,
+        status,
+        is_whole,
+        owner,
+        local_fleet.now_ms(),
+        error,
+        leaving_id,
     )
--- a/bilberryramp/soak/schedule.py
+++ b/bilberryramp/soak/schedule.py
@@ -5,7 +5,7 @@
 
 from bilberryramp.soak import observations
 
-__all__ = ["ALL_GROUPS", "ENGINE_FAULTS", "draw"]
+__all__ = ["ALL_GROUPS", "ENGINE_FAULTS", "draw", "draw_departures"]
 
 # Mean time between the starts of two faults. Most faults last longer, so that
 # they overlap.
@@ -36,6 +36,10 @@
     (_Kind.ENGINE_CRASH, 4, 500, 3000),
     (_Kind.ENGINE_DRAIN, 2, 2500, 4000),
 )
+# Mean time between two engines that leave by their answers alone, and the
+# shortest and longest time for which they serve on.
+MEAN_DEPARTURE_INTERVAL_MS = 5000
+DEPARTURE_MS = (2500, 4500)
 # A graceful stop takes at most the grace period, `NodeSettings.grace_ms` in
 # the soak.
 MAX_STOP_MS = 8000
@@ -45,6 +49,41 @@
 ALL_GROUPS = (NODE_FAULTS, LINK_FAULTS, ENGINE_FAULTS)
 
 
+def draw_departures(
+    seed: int, length_ms: int, engines: list
+) -> Iterator[observations.Fault]:
+    """Draw engines that leave by their answers alone, in order of time.
+
+    They do not change the faults that `draw` yields for the same seed.
+
+    Parameters
+    ----------
+    seed
+        Seed of the random generator.
+    length_ms
+        Period in which departures begin, in milliseconds.
+    engines
+        Names of the engines.
+
+    Yields
+    ------
+    Fault
+        Departures, with times from the start of the schedule.
+    """
+    rng = random.Random(f"departures {seed}")
+    now_ms = 0
+    while True:
+        now_ms += int(rng.expovariate(1 / MEAN_DEPARTURE_INTERVAL_MS))
+        if now_ms >= length_ms:
+            return
+        yield observations.Fault(
+            _Kind.ENGINE_LEAVE,
+            rng.choice(engines),
+            now_ms,
+            now_ms + rng.randint(*DEPARTURE_MS),
+        )
+
+
 def draw(
     seed: int,
     length_ms: int,
--- a/bilberryramp/soak/tests/test_checks.py
+++ b/bilberryramp/soak/tests/test_checks.py
@@ -105,6 +105,35 @@
         self.assertFalse(failed_checks(builders.crashed(), refused))
 
 
+class LeavingTest(unittest.TestCase):
+    LATE_MS = NOW_MS + 600 + checks.MAX_DRAIN_MS
+
+    def late_run(self, *observed, node="n1", at_ms=LATE_MS):
+        """Return the checks that fail for a request after such an answer."""
+        return failed_checks(
+            builders.sent(),
+            builders.ran(),
+            builders.answer(leaving_id="e1-1"),
+            builders.sent("q2", node, at_ms=at_ms),
+            builders.ran("q2", at_ms=at_ms + 10),
+            *observed,
+        )
+
+    def test_a_late_request_is_reported(self):
+        expected = {"leaving_answers_end_requests"}
+        self.assertEqual(self.late_run(), expected)
+        cut = builders.fault(observations.FaultKind.CUT)
+        self.assertEqual(self.late_run(cut), expected)
+
+    def test_other_nodes_and_early_requests_are_not(self):
+        self.assertFalse(self.late_run(node="n2"))
+        self.assertFalse(self.late_run(at_ms=NOW_MS + 600))
+
+    def test_a_restart_or_suspension_of_the_node_excuses_it(self):
+        for kind in checks.INTERRUPTIONS:
+            self.assertFalse(self.late_run(builders.fault(kind)))
+
+
 class TimingTest(unittest.TestCase):
     def test_arrivals_of_a_fatal_request_are_reported(self):
         from_ms = NOW_MS + 10_000
--- a/bilberryramp/soak/tests/test_soak.py
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -29,7 +29,11 @@
 
     def test_all_kinds_are_drawn_and_overlap(self):
         faults = self.draw(1)
-        self.assertEqual({f.kind for f in faults}, set(observations.FaultKind))
+        departures = schedule.draw_departures(1, 300_000, ENGINES)
+        self.assertEqual(
+            {f.kind for f in (*faults, *departures)},
+            set(observations.FaultKind),
+        )
         self.assertTrue(
             any(
                 later.from_ms < earlier.to_ms
@@ -137,7 +141,13 @@
 
     async def test_safety_checks_pass(self):
         with tempfile.TemporaryDirectory() as folder:
-            plan = run.Plan(self.SEED, 0, self.LENGTH_MS, deadly_count=0)
+            plan = run.Plan(
+                self.SEED,
+                0,
+                self.LENGTH_MS,
+                deadly_count=0,
+                has_departures=True,
+            )
             history = await run.execute(plan, pathlib.Path(folder))
         violations = list(checks.find_violations(history, checks.SAFETY))
         self.assertEqual(violations, [])
--- a/bilberryramp/tasks/engine_orders.py
+++ b/bilberryramp/tasks/engine_orders.py
@@ -63,12 +63,20 @@
     -------
     callable
         Function that takes the engine's host and port, a `SendOrder` or
-        `ReadEngine`, and a function. It starts the call and returns at once;
-        the function is called with an `OrderEnded` or an `EngineReport`.
+        `ReadEngine`, and two functions. It starts the call and returns at
+        once. The first function is called with an `OrderEnded` or an
+        `EngineReport`; before it the second one, without arguments, if the
+        answer says that the engine is leaving.
     """
     running_tasks: set[asyncio.Task] = set()
 
-    async def send_order(address: str, order: agent.SendOrder, post) -> None:
+    def check_leaving(resp: aiohttp.ClientResponse, note_leaving) -> None:
+        if wire.is_leaving(resp.headers):
+            note_leaving()
+
+    async def send_order(
+        address: str, order: agent.SendOrder, post, note_leaving
+    ) -> None:
         outcome = agent.OrderAnswer.NONE
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
@@ -81,6 +89,7 @@
                     },
                     allow_redirects=False,
                 ) as resp:
+                    check_leaving(resp, note_leaving)
                     await http_requests.read_limited(resp, MAX_ANSWER_BYTES)
                     outcome = wire.decode_answer(resp.status)
         except aiohttp.ClientConnectorError:
@@ -92,7 +101,9 @@
             pass
         post(agent.OrderEnded(outcome))
 
-    async def read_engine(address: str, req: agent.ReadEngine, post) -> None:
+    async def read_engine(
+        address: str, req: agent.ReadEngine, post, note_leaving
+    ) -> None:
         report = agent.EngineReport(-1)
         await asyncio.sleep(req.delay_ms / 1000)
         try:
@@ -101,6 +112,7 @@
                     f"http://{address}{wire.REPORT_PATH}",
                     allow_redirects=False,
                 ) as resp:
+                    check_leaving(resp, note_leaving)
                     body = await http_requests.read_limited(
                         resp, MAX_ANSWER_BYTES
                     )
@@ -113,11 +125,14 @@
         post(report)
 
     def start_call(
-        address: str, call: agent.SendOrder | agent.ReadEngine, post: Callable
+        address: str,
+        call: agent.SendOrder | agent.ReadEngine,
+        post: Callable,
+        note_leaving: Callable = lambda: None,
     ) -> None:
         is_read = isinstance(call, agent.ReadEngine)
         perform = read_engine if is_read else send_order
-        task = asyncio.create_task(perform(address, call, post))
+        task = asyncio.create_task(perform(address, call, post, note_leaving))
         running_tasks.add(task)
         task.add_done_callback(running_tasks.discard)
 
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import hdrs, web
 
-from bilberryramp.decisions.fleet import calls, documents
+from bilberryramp.decisions.fleet import calls, documents, gateway, presence
 from bilberryramp.decisions.shared import stream_progress
 from bilberryramp.tasks import (
     gateway_task,
@@ -318,6 +318,8 @@
 async def _relay_answer(attempt: _Attempt, exchange) -> calls.AttemptOutcome:
     wire = attempt.front.wire
     resp = exchange.resp
+    if wire.is_leaving(resp.headers):
+        _note_leaving(attempt)
     request_id = attempt.req.request_id
     echoed_id = resp.headers.get(wire.REQUEST_ID_HEADER, "")
     # An answer without the id of this request may belong to another one, so
@@ -351,6 +353,17 @@
     return _outcome_of_answer(attempt, answer)
 
 
+def _note_leaving(attempt: _Attempt) -> None:
+    """Tell the gateway that the upstream of an attempt is leaving.
+
+    The connection belongs to the process that the attempt was sent to, so
+    this holds even if the answer belongs to an earlier request.
+    """
+    send_call = attempt.send_call
+    notice = presence.LeavingNotice(send_call.upstream_id, send_call.born_ms)
+    mailbox.post_now(attempt.front.gateway.inbox, gateway.LeavingSeen(notice))
+
+
 def _is_stream(resp: aiohttp.ClientResponse) -> bool:
     return resp.content_type == "text/event-stream"
 
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -394,6 +394,8 @@
         case coordinator_state.Publish():
             peer_mesh.broadcast(task.mesh, task.peers, effect.message)
             _send(task, task.gw.address, effect.message)
+        case gateway.TellPeers():
+            peer_mesh.broadcast(task.mesh, task.peers, effect.message)
         case planner.WantModel():
             _route_model_request(task, now_ms, effect)
         case planner.SendResidencyRequest():
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -280,7 +280,8 @@
 UPSTREAM_LEAVING = _declare(
     5102,
     "upstream.leaving",
-    "An upstream drains and gets no new requests, or has left.",
+    "An upstream drains and gets no new requests, or has left. `source` says "
+    "whether an announcement or an answer said so.",
 )
 CALL_PLACED = _declare(
     5103,
--- a/bilberryramp/wire/outer_names.py
+++ b/bilberryramp/wire/outer_names.py
@@ -128,6 +128,7 @@
     operator_calls.RelayAck: "RelayAck",
     sharing.Report: "Report",
     presence.Keepalive: "Pulse",
+    presence.LeavingNotice: "LeavingNotice",
     operator_calls.RelayedResidency: "Passed",
     planner.WantModel: "WantModel",
     agent.AgentPresent: "AgentPresent",
--- a/bilberryramp/wire/tests/test_outer_names.py
+++ b/bilberryramp/wire/tests/test_outer_names.py
@@ -129,6 +129,7 @@
     "Hold",
     "Holding",
     "KnownSuspects",
+    "LeavingNotice",
     "LiftSuspect",
     "ListRequest",
     "LossReport",
--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -22,6 +22,10 @@
 _CORE = flags.DEFINE_integer("core", 3, "Number of nodes with a disk.")
 _OTHERS = flags.DEFINE_integer("others", 2, "Nodes without a disk.")
 
+_DEPARTURES = flags.DEFINE_bool(
+    "departures", True, "Let engines leave by their answers alone, too."
+)
+
 SOAKS_DIR = pathlib.Path(__file__).parent.parent / "var" / "soak"
 
 
@@ -32,7 +36,14 @@
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     duration_ms = int(60_000 * _MINUTES.value)
-    plan = run.Plan(seed, slot, duration_ms, _CORE.value, _OTHERS.value)
+    plan = run.Plan(
+        seed,
+        slot,
+        duration_ms,
+        _CORE.value,
+        _OTHERS.value,
+        has_departures=_DEPARTURES.value,
+    )
     try:
         history = await run.execute(plan, folder)
     except (OSError, TimeoutError, ExceptionGroup) as exc:
