Bound what an upstream process reads of its engine's state and of orders

Reported by operators of similar systems: a faulty engine sent bytes that were no answer, without end, and the process that had called it kept them all.

Cause: bilberry-upstream read the state of its engine (twice a second, for up to 2 s) and the answers to its orders (4 s) without a limit.

The faulty server now writes at full speed, without a pause, and has more forms: a long name, reason, garbage, a body with a length, events.

Change: both read at most 1 MiB. The session for these calls is opened beside them.

--- a/bilberryramp/platform/tests/test_faulty_upstreams.py
+++ b/bilberryramp/platform/tests/test_faulty_upstreams.py
@@ -7,13 +7,9 @@
 import aiohttp
 
 from bilberryramp.platform.tests import builders
-from bilberryramp.standins import faulty_server
 from bilberryramp.tasks import fleet_frontend
 from bilberryramp.tasks.tests import builders as task_builders
 
-ENDLESS_FAULTS = [
-    name for name in faulty_server.FAULTS if name.startswith("endless")
-]
 COPY_FAULTS = ("copy_late", "copy_at_once", "half_copy", "longer_than_said")
 # Growth of memory that an answer without end may cause: the limit of a body in
 # these tests, twice, and the buffers of one connection.
@@ -116,7 +112,7 @@
                     await asyncio.sleep(0.003)
 
     async def test_an_endless_answer_is_bounded_in_time_and_memory(self):
-        for fault in ENDLESS_FAULTS:
+        for fault in task_builders.ENDLESS_FAULTS:
             await self.start(fault=fault)
             with self.subTest(fault=fault):
                 tracemalloc.start()
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -2,7 +2,6 @@
 
 import uuid
 
-import aiohttp
 import zmq
 import zmq.asyncio
 
@@ -28,6 +27,7 @@
     control_link,
     engine_run,
     mailbox,
+    upstream_engine,
     upstream_node,
 )
 from bilberryramp.telemetry import events
@@ -94,9 +94,7 @@
         listener=listener,
         control=control_link.open_link(name, cfg.controls),
         session=engine_run.open_session(),
-        order_session=aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True)
-        ),
+        order_session=upstream_engine.open_session(),
     )
 
 
--- a/bilberryramp/standins/faulty_server.py
+++ b/bilberryramp/standins/faulty_server.py
@@ -16,8 +16,7 @@
 
 # Time after which a late copy of an answer is written.
 LATE_S = 0.02
-# Pause between two writes of an endless answer, and size of a large one.
-PAUSE_S = 0.002
+# Size of the pieces of an endless answer.
 PIECE_BYTES = 16 * 1024
 
 
@@ -136,9 +135,11 @@
 
 async def _write_endlessly(writer, head: bytes, piece: bytes) -> None:
     await _write(writer, head)
+    piece *= max(PIECE_BYTES // len(piece), 1)
     while True:
         await _write(writer, piece)
-        await asyncio.sleep(PAUSE_S)
+        # A drained writer does not let other tasks run.
+        await asyncio.sleep(0)
 
 
 async def _none(_reader, writer, _request, answer) -> None:
@@ -177,9 +178,7 @@
 
 
 async def _endless_head(_reader, writer, _request, _answer) -> None:
-    await _write_endlessly(
-        writer, b"HTTP/1.1 200 OK\r\n", b"x-filler: y\r\n" * 100
-    )
+    await _write_endlessly(writer, b"HTTP/1.1 200 OK\r\n", b"x-filler: y\r\n")
 
 
 async def _endless_line(_reader, writer, _request, _answer) -> None:
@@ -188,12 +187,24 @@
     )
 
 
-async def _endless_informational(_reader, writer, _request, _answer) -> None:
+async def _endless_name(_reader, writer, _request, _answer) -> None:
     await _write_endlessly(
-        writer, b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20
+        writer, b"HTTP/1.1 200 OK\r\nx-", b"y" * PIECE_BYTES
     )
 
 
+async def _endless_reason(_reader, writer, _request, _answer) -> None:
+    await _write_endlessly(writer, b"HTTP/1.1 200 ", b"y" * PIECE_BYTES)
+
+
+async def _endless_garbage(_reader, writer, _request, _answer) -> None:
+    await _write_endlessly(writer, b"", b"\x00\xff garbage\r\n")
+
+
+async def _endless_informational(_reader, writer, _request, _answer) -> None:
+    await _write_endlessly(writer, b"", b"HTTP/1.1 103 Early Hints\r\n\r\n")
+
+
 def _head_without_length(answer: bytes) -> bytes:
     head = answer.partition(b"\r\n\r\n")[0]
     rows = head.split(b"\r\n")
@@ -208,10 +219,25 @@
     await _write_endlessly(writer, head, b"x" * PIECE_BYTES)
 
 
+async def _endless_sized_body(_reader, writer, _request, answer) -> None:
+    """Write a body with a length that is never reached."""
+    head = _head_without_length(answer)
+    head += b"\r\nContent-Length: %d\r\n\r\n" % 2**62
+    await _write_endlessly(writer, head, b"x" * PIECE_BYTES)
+
+
+async def _endless_events(_reader, writer, _request, answer) -> None:
+    head = _head_without_length(answer).replace(
+        b"text/plain", b"text/event-stream"
+    )
+    head += b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+    await _write_endlessly(writer, head, b"11\r\nid: 1\ndata: abc\n\n\r\n")
+
+
 async def _endless_chunks(_reader, writer, _request, answer) -> None:
     head = _head_without_length(answer)
     head += b"\r\nTransfer-Encoding: chunked\r\n\r\n"
-    await _write_endlessly(writer, head, b"1\r\nx\r\n" * 500)
+    await _write_endlessly(writer, head, b"1\r\nx\r\n")
 
 
 async def _endless_chunk_extension(_reader, writer, _request, answer) -> None:
@@ -223,7 +249,7 @@
 async def _endless_trailers(_reader, writer, _request, answer) -> None:
     head = _head_without_length(answer)
     head += b"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
-    await _write_endlessly(writer, head, b"x-filler: y\r\n" * 100)
+    await _write_endlessly(writer, head, b"x-filler: y\r\n")
 
 
 async def _cut_in_half(_reader, writer, _request, answer) -> None:
@@ -274,8 +300,13 @@
     "garbage_first": _garbage_first,
     "endless_head": _endless_head,
     "endless_line": _endless_line,
+    "endless_name": _endless_name,
+    "endless_reason": _endless_reason,
+    "endless_garbage": _endless_garbage,
     "endless_informational": _endless_informational,
     "endless_body": _endless_body,
+    "endless_sized_body": _endless_sized_body,
+    "endless_events": _endless_events,
     "endless_chunks": _endless_chunks,
     "endless_chunk_extension": _endless_chunk_extension,
     "endless_trailers": _endless_trailers,
--- a/bilberryramp/tasks/tests/builders.py
+++ b/bilberryramp/tasks/tests/builders.py
@@ -1,6 +1,9 @@
 """Builders of frames, servers and tasks for tests."""
 
 import random
+from unittest import mock
+
+from aiohttp import client_proto
 
 from bilberryramp.charts import loader
 from bilberryramp.decisions.fleet import (
@@ -30,6 +33,14 @@
 
 SERVICE = "svc"
 HOST = "h.example"
+# Faults that write without end, but for a stream of events, and those of them
+# that write a body, which ends at its limit.
+ENDLESS_FAULTS = tuple(
+    name
+    for name in faulty_server.FAULTS
+    if name.startswith("endless") and name != "endless_events"
+)
+ENDLESS_BODIES = ("endless_body", "endless_sized_body")
 # A stream of three events, and the length of each.
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(3))
 EVENT_BYTES = len(EVENTS) // 3
@@ -54,7 +65,7 @@
 
 def echoing_answer(request: faulty_server.Request) -> bytes:
     """Answer like an engine that repeats the attempt's id."""
-    attempt_id = request.headers["bilberry-attempt-id"]
+    attempt_id = request.headers.get("bilberry-attempt-id", "")
     return answer_bytes(request.body, Bilberry_Attempt_Id=attempt_id)
 
 
@@ -69,6 +80,26 @@
     )
 
 
+def count_parsed_bytes(case) -> list[int]:
+    """Count what HTTP clients parse until the end of a test.
+
+    The result is a list with the number of bytes.
+    """
+    counts = [0]
+    parse = client_proto.ResponseHandler.data_received
+
+    def count_and_parse(protocol, data):
+        counts[0] += len(data)
+        parse(protocol, data)
+
+    patch = mock.patch.object(
+        client_proto.ResponseHandler, "data_received", count_and_parse
+    )
+    patch.start()
+    case.addCleanup(patch.stop)
+    return counts
+
+
 async def start_faulty_server(case, answer) -> faulty_server.FaultyServer:
     """Start a faulty server that is stopped after the test."""
     server = faulty_server.FaultyServer(answer)
--- a/bilberryramp/tasks/upstream_engine.py
+++ b/bilberryramp/tasks/upstream_engine.py
@@ -8,13 +8,21 @@
 
 from bilberryramp.decisions.shared import views
 from bilberryramp.decisions.upstream import model_orders, upstream_messages
-from bilberryramp.tasks import clock, mailbox
+from bilberryramp.tasks import clock, http_requests, mailbox
 
-__all__ = ["EngineState", "OrderBody", "send_order", "poll_state"]
+__all__ = [
+    "EngineState",
+    "OrderBody",
+    "open_session",
+    "poll_state",
+    "send_order",
+]
 
 ORDER_TIMEOUT_S = 4.0
 STATE_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 0.5
+# Maximum size of an engine's state and of an answer to an order.
+MAX_ANSWER_BYTES = 2**20
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -58,6 +66,19 @@
     models: tuple[views.ReplicaPlace, ...] = ()
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Open the client session for an engine's state and orders.
+
+    Returns
+    -------
+    aiohttp.ClientSession
+        Session that uses a connection once, so that no answer can be taken
+        for that to a later call.
+    """
+    connector = aiohttp.TCPConnector(force_close=True)
+    return aiohttp.ClientSession(connector=connector)
+
+
 async def poll_state(
     session: aiohttp.ClientSession, url: str, inbox: mailbox.Mailbox
 ) -> None:
@@ -80,7 +101,7 @@
             async with session.get(
                 f"{url}/engine/state", timeout=timeout
             ) as resp:
-                body = await resp.read()
+                body = await http_requests.read_limited(resp, MAX_ANSWER_BYTES)
             state = msgspec.json.decode(body, type=EngineState)
             report = model_orders.EngineReport(
                 state.boot_id, state.models, requested_ms
@@ -129,7 +150,7 @@
             data=msgspec.json.encode(body),
             timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
         ) as resp:
-            await resp.read()
+            await http_requests.read_limited(resp, MAX_ANSWER_BYTES)
             if resp.status == 200:
                 outcome = model_orders.OrderOutcome.CONFIRMED
             elif resp.status == 409:
