Bound the work that answers without end cause beside them

Seen by callers: while one faulty engine sent informational responses or chunks of one byte without end, a tenth of the requests to other services failed and the rest took 1.5 s instead of 23 ms; answers came 1.6 s after their deadline.

Cause: limits bounded what is kept, not what is parsed. The HTTP library drops informational responses, chunk sizes and extensions uncounted, and the event loop hands it up to 256 KiB at a time, so one connection took the time of all. Ruled out: memory (it grew by 22 MB at most).

Change: on every connection to an engine, bytes of heads, the number of informational responses and framing for each byte of body are bounded and parsed in small pieces, and bytes after an answer are not parsed; beyond a bound the connection closes at once. An upstream that does so three times without a success gets no calls for 3 s even if it is the only one, and requests for it are refused at once. Streams far ahead of any stream of tokens share a rate.

Tests that failed before, on, at full speed and by the bytes that are parsed: requests beside informational responses, one-byte chunks and a chunk extension (504 instead of 200), orders and reports (131 MB of a chunk extension parsed), a stream without end. test_endless_answers for each form and path.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -68,6 +68,8 @@
     """Not in use."""
     UPSTREAM_FULL = "upstream_full"
     """No attempt ran the request, and no further attempt is allowed."""
+    UPSTREAM_FAULTY = "upstream_faulty"
+    """Each upstream sends answers without end, and gets no calls for now."""
     SUSPECTED = "suspected"
     """Upstreams were lost under the request; whether it ended them is open."""
     QUARANTINED = "quarantined"
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -20,7 +20,7 @@
 )
 from bilberryramp.decisions.fleet.traces import Trace
 
-__all__ = ["try_dispatch"]
+__all__ = ["all_barred_until_ms", "try_dispatch"]
 
 # Minimum interval between two requests of a call for the same model.
 MODEL_REQUEST_INTERVAL_MS = 120
@@ -70,7 +70,11 @@
     engine = gateway_state.engine_spec(gw, call.service)
     candidates = _candidates(gw, call, now_ms)
     if not candidates:
-        call.wait_reason = calls.Refusal.NO_UPSTREAM
+        call.wait_reason = (
+            calls.Refusal.UPSTREAM_FAULTY
+            if all_barred_until_ms(gw, call.service, now_ms) > now_ms
+            else calls.Refusal.NO_UPSTREAM
+        )
         return
     if engine is None or call.request.prompt is None:
         upstream = scheduling.pick_plain(
@@ -307,11 +311,11 @@
 def _healthy_candidates(
     gw: gateway_state.Gateway, call: calls.Call, now_ms: int
 ) -> list:
-    usable = list(presence.usable_upstreams(gw.table, call.service, now_ms))
     untried = [
         u
-        for u in usable
-        if u.announcement.upstream_id not in call.tried_upstreams
+        for u in presence.usable_upstreams(gw.table, call.service, now_ms)
+        if not _is_barred(gw, u, now_ms)
+        and u.announcement.upstream_id not in call.tried_upstreams
     ]
     accepting = [
         u
@@ -329,6 +333,41 @@
     return healthy or accepting or untried
 
 
+def all_barred_until_ms(
+    gw: gateway_state.Gateway, service: str, now_ms: int
+) -> int:
+    """Return until when no upstream of a service gets calls.
+
+    Parameters
+    ----------
+    gw
+        State of the gateway.
+    service
+        Name of the service.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    int
+        When the first upstream that is barred for excessive answers gets
+        calls again; 0 if one is not barred, or if there is none.
+    """
+    breakers = [
+        gw.upstream_health.get(upstream.announcement.upstream_id)
+        for upstream in presence.usable_upstreams(gw.table, service, now_ms)
+    ]
+    if not all(health.is_barred(breaker, now_ms) for breaker in breakers):
+        return 0
+    return min((b.barred_until_ms for b in breakers), default=0)
+
+
+def _is_barred(gw: gateway_state.Gateway, upstream, now_ms: int) -> bool:
+    return health.is_barred(
+        gw.upstream_health.get(upstream.announcement.upstream_id), now_ms
+    )
+
+
 def _is_avoided(gw: gateway_state.Gateway, upstream, now_ms: int) -> bool:
     return health.is_avoided(
         gw.upstream_health.get(upstream.announcement.upstream_id), now_ms
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -32,6 +32,7 @@
 __all__ = [
     "CoordinatorChanged",
     "DocumentInForce",
+    "ExcessSeen",
     "LeavingSeen",
     "ShutdownStarted",
     "TellPeers",
@@ -63,6 +64,8 @@
 REPORT_SERVE_INTERVAL_MS = 10
 # Limit on the waiting calls examined each time capacity may be available.
 MAX_QUEUE_SCAN_CALLS = 64
+# Reasons for which a call is refused at once, since waiting does not help.
+_HOPELESS = (calls.Refusal.QUARANTINED, calls.Refusal.UPSTREAM_FAULTY)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -91,6 +94,19 @@
     address: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ExcessSeen:
+    """An answer to this node held more than any answer can need.
+
+    Attributes
+    ----------
+    address
+        Host and port of the upstream.
+    """
+
+    address: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LeavingSeen:
     """An answer to this node said that its upstream is leaving.
@@ -233,6 +249,15 @@
         yield from _serve_queue(gw, now_ms)
 
 
+def _on_excess_seen(
+    gw: gateway_state.Gateway, now_ms: int, message: ExcessSeen
+) -> Iterator:
+    upstream_id = gw.table.by_address.get(message.address)
+    if upstream_id is not None:
+        health.record_excess(_breaker(gw, upstream_id), now_ms)
+    yield from ()
+
+
 def _on_leaving_seen(
     gw: gateway_state.Gateway, now_ms: int, message: LeavingSeen
 ) -> Iterator:
@@ -602,13 +627,20 @@
     if outcome is calls.AttemptOutcome.NOT_RUN:
         gw.full_until_ms[call.upstream_id] = now_ms + FULL_PAUSE_MS
         return
-    breaker = gw.upstream_health.get(call.upstream_id)
-    if breaker is None:
-        breaker = health.Health(gw.health_chart, call.upstream_id)
-        gw.upstream_health[call.upstream_id] = breaker
     succeeded = outcome is calls.AttemptOutcome.DELIVERED
     unreachable = outcome is calls.AttemptOutcome.UNREACHABLE
-    health.record_call_end(breaker, succeeded, unreachable, now_ms)
+    health.record_call_end(
+        _breaker(gw, call.upstream_id), succeeded, unreachable, now_ms
+    )
+
+
+def _breaker(gw: gateway_state.Gateway, upstream_id: str) -> health.Health:
+    """Return the circuit breaker of an upstream, creating it if needed."""
+    breaker = gw.upstream_health.get(upstream_id)
+    if breaker is None:
+        breaker = health.Health(gw.health_chart, upstream_id)
+        gw.upstream_health[upstream_id] = breaker
+    return breaker
 
 
 def _may_retry(
@@ -711,10 +743,10 @@
     gw: gateway_state.Gateway, now_ms: int, call
 ) -> Iterator:
     remaining_ms = call.deadline_ms - now_ms
-    is_quarantined = call.wait_reason is calls.Refusal.QUARANTINED
+    is_hopeless = call.wait_reason in _HOPELESS
     if (
         not gw.is_shutting_down
-        and not is_quarantined
+        and not is_hopeless
         and remaining_ms >= MIN_ATTEMPT_TIME_MS
         and scheduling.should_keep_waiting(
             call, _load_time_ms(gw, call, now_ms), now_ms
@@ -727,7 +759,7 @@
     yield from _end_call(gw, call, "refused", now_ms)
     if call.attempt_count > 0:
         failure = (
-            calls.Failure.BROKEN if is_quarantined else calls.Failure.TIMED_OUT
+            calls.Failure.BROKEN if is_hopeless else calls.Failure.TIMED_OUT
         )
         yield from _fail(call, failure)
         return
@@ -778,13 +810,17 @@
 
     The time is that in which the least busy upstream reads its unread prompts,
     or in which the model that the call waits for is loaded. A quarantined
-    request may be sent again when its quarantine ends.
+    request may be sent again when its quarantine ends, and one for faulty
+    upstreams when the first of them is tried again.
     """
     quarantine_ms = suspects.remaining_quarantine_ms(
         gw.suspect_state, call, now_ms
     )
     if quarantine_ms > 0:
         return quarantine_ms
+    barred_until_ms = dispatch.all_barred_until_ms(gw, call.service, now_ms)
+    if barred_until_ms > now_ms:
+        return max(barred_until_ms - now_ms, MIN_RETRY_AFTER_MS)
     backlogs = [
         sum(
             sharing.total_load(
@@ -801,6 +837,7 @@
 _HANDLERS = {
     CoordinatorChanged: _on_coordinator_changed,
     DocumentInForce: _on_document_in_force,
+    ExcessSeen: _on_excess_seen,
     LeavingSeen: _on_leaving_seen,
     presence.LeavingNotice: _on_leaving_notice,
     msgs.SuspectDigest: _on_suspect_digest,
--- a/bilberryramp/decisions/fleet/health.py
+++ b/bilberryramp/decisions/fleet/health.py
@@ -13,7 +13,9 @@
     "end_expired_pause",
     "guards",
     "is_avoided",
+    "is_barred",
     "record_call_end",
+    "record_excess",
 ]
 
 # Moving average of the failure ratio above which an upstream is avoided. It
@@ -26,6 +28,9 @@
 # Pause before an avoided upstream is tried again; doubled up to the maximum.
 INITIAL_PAUSE_MS = 700
 MAX_PAUSE_MS = 3000
+# Number of excessive answers, without a success between them, from which on an
+# upstream gets no calls for `MAX_PAUSE_MS`, even if there is no other one.
+BARRING_EXCESSES = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +54,10 @@
         Duration of the next pause in milliseconds.
     retry_due_ms
         When the current pause ends.
+    excesses
+        Number of excessive answers since the last successful call.
+    barred_until_ms
+        Until when the upstream gets no calls because of such answers.
     """
 
     chart: charting.Chart
@@ -60,6 +69,8 @@
     is_unreachable: bool = False
     pause_ms: int = INITIAL_PAUSE_MS
     retry_due_ms: int = 0
+    excesses: int = 0
+    barred_until_ms: int = 0
 
 
 def record_call_end(
@@ -84,11 +95,49 @@
         0 if succeeded else health.consecutive_failures + 1
     )
     health.is_unreachable = is_unreachable
+    if succeeded:
+        health.excesses = 0
     _fire_event(
         health, "call_succeeded" if succeeded else "call_failed", now_ms
     )
 
 
+def record_excess(health: Health, now_ms: int) -> None:
+    """Record that an answer held more than any answer can need.
+
+    Such an answer takes the time of the process that reads it, so that an
+    upstream which sends it again and again gets no calls for a while.
+
+    Parameters
+    ----------
+    health
+        Circuit breaker of the upstream. Modified in place.
+    now_ms
+        Current time in milliseconds.
+    """
+    health.excesses += 1
+    if health.excesses >= BARRING_EXCESSES:
+        health.barred_until_ms = now_ms + MAX_PAUSE_MS
+
+
+def is_barred(health: Health | None, now_ms: int) -> bool:
+    """Return whether an upstream gets no calls because of excessive answers.
+
+    Parameters
+    ----------
+    health
+        Circuit breaker of the upstream; None if no call to it has ended.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    bool
+        True within `MAX_PAUSE_MS` of the last of several such answers.
+    """
+    return health is not None and now_ms < health.barred_until_ms
+
+
 def end_expired_pause(health: Health, now_ms: int) -> None:
     """Start probing an upstream whose pause has expired.
 
--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -9,6 +9,7 @@
 from bilberryramp.tasks import (
     fleet_frontend,
     gateway_task,
+    mailbox,
     register_task,
     upstream_exchange,
 )
@@ -114,7 +115,12 @@
     ticks = register_task.post_ticks(task.inbox, gateway.Tick())
     for coroutine in (gateway_task.run(task), ticks):
         case.addCleanup(asyncio.create_task(coroutine).cancel)
-    session = upstream_exchange.open_session(exchanges.REQUEST_ID_HEADER)
+    session = upstream_exchange.open_session(
+        exchanges.REQUEST_ID_HEADER,
+        lambda address: mailbox.post_now(
+            task.inbox, gateway.ExcessSeen(address)
+        ),
+    )
     case.addAsyncCleanup(session.http.close)
     front = fleet_frontend.Frontend(task, session, exchanges, **changes)
     loop = asyncio.get_running_loop()
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -250,7 +250,12 @@
         DISCOVERY_HEARTBEATS * cfg.heartbeat_ms
     )
     node_planner = planner.Planner(address, table, gw.loads, gw.demand)
-    session = upstream_exchange.open_session(exchanges.REQUEST_ID_HEADER)
+    session = upstream_exchange.open_session(
+        exchanges.REQUEST_ID_HEADER,
+        lambda upstream: mailbox.post_now(
+            gateway_inbox, gateway.ExcessSeen(upstream)
+        ),
+    )
     gateway_owner = gateway_task.GatewayTask(
         gw,
         node_planner,
--- a/bilberryramp/tasks/engine_orders.py
+++ b/bilberryramp/tasks/engine_orders.py
@@ -7,7 +7,11 @@
 import aiohttp
 
 from bilberryramp.decisions.fleet import agent
-from bilberryramp.tasks import http_requests, upstream_connections
+from bilberryramp.tasks import (
+    answer_limits,
+    http_requests,
+    upstream_connections,
+)
 
 __all__ = ["make_engine_caller", "open_session"]
 
@@ -35,6 +39,7 @@
         Session for `make_engine_caller`.
     """
     connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+    answer_limits.install(connector)
     upstream_connections.guard(connector, "")
     session = aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar()
--- a/bilberryramp/tasks/engine_run.py
+++ b/bilberryramp/tasks/engine_run.py
@@ -14,7 +14,12 @@
     stream_progress,
 )
 from bilberryramp.decisions.upstream import upstream_messages
-from bilberryramp.tasks import answer_framing, mailbox, upstream_connections
+from bilberryramp.tasks import (
+    answer_framing,
+    answer_limits,
+    mailbox,
+    upstream_connections,
+)
 from bilberryramp.telemetry import events, tracing
 
 __all__ = ["ATTEMPT_ID_HEADER", "EngineSession", "Run", "open_session", "run"]
@@ -61,6 +66,7 @@
         attempt.
     """
     connector = aiohttp.TCPConnector(limit=0)
+    answer_limits.install(connector)
     conns = upstream_connections.guard(connector, ATTEMPT_ID_HEADER)
     http = aiohttp.ClientSession(connector=connector, auto_decompress=False)
     # By default, aiohttp repeats some requests whose connection was closed,
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -36,6 +36,13 @@
 MAX_HEADERS = 128
 # Default of the largest answer that is not a stream.
 MAX_ANSWER_BYTES = 8 * 2**20
+# A stream is fast if it has forwarded more than a lead and this many bytes a
+# second since its start. Streams of tokens stay far below. All fast streams of
+# a node share a rate, because one that an upstream writes without end would
+# take the time of all other requests.
+STREAM_LEAD_BYTES = 64 * 1024
+STREAM_BYTES_PER_S = 32 * 1024
+FAST_STREAMS_BYTES_PER_S = 512 * 1024
 
 _STATUS = {
     calls.Refusal.NO_ROUTE: 404,
@@ -72,6 +79,9 @@
     stop_by_s
         Time of the event loop by which a stopping node answers all requests;
         infinite until a planned stop has begun.
+    fast_until_s
+        Time of the event loop until which the fast streams have used their
+        rate.
     """
 
     gateway: gateway_task.GatewayTask
@@ -82,6 +92,7 @@
     is_closing: bool = False
     busy: set = dataclasses.field(default_factory=set)
     stop_by_s: float = math.inf
+    fast_until_s: float = -math.inf
 
 
 def make_server(front: Frontend) -> web.Server:
@@ -345,7 +356,9 @@
     if resp.status < 300 and _is_stream(resp):
         return await _relay_stream(attempt, exchange)
     answer = await upstream_exchange.read_answer(
-        exchange, attempt.front.max_answer_bytes
+        exchange,
+        attempt.front.max_answer_bytes,
+        lambda: attempt.front.session.on_excess(attempt.send_call.address),
     )
     if isinstance(answer, calls.AttemptOutcome):
         return answer
@@ -401,11 +414,16 @@
     attempt.response = response
     await response.prepare(attempt.request)
     loop = asyncio.get_running_loop()
-    last_chunk_s = loop.time()
-    tail = b""
+    started_s = last_chunk_s = loop.time()
+    sent_bytes, tail = 0, b""
     while chunk:
         tail = (tail + chunk)[-stream_progress.TAIL_BYTES :]
         await response.write(chunk)
+        sent_bytes += len(chunk)
+        if sent_bytes > STREAM_LEAD_BYTES + STREAM_BYTES_PER_S * (
+            loop.time() - started_s
+        ):
+            await _slow_down(attempt.front, len(chunk))
         chunk = await upstream_exchange.read_chunk(exchange)
         now_s = loop.time()
         attempt.longest_gap_s = max(
@@ -423,6 +441,18 @@
     return calls.AttemptOutcome.DELIVERED
 
 
+async def _slow_down(front: Frontend, sent_bytes: int) -> None:
+    """Wait until the fast streams' rate allows bytes that were sent.
+
+    Meanwhile no more bytes of the stream are read.
+    """
+    now_s = asyncio.get_running_loop().time()
+    front.fast_until_s = (
+        max(front.fast_until_s, now_s) + sent_bytes / FAST_STREAMS_BYTES_PER_S
+    )
+    await asyncio.sleep(front.fast_until_s - now_s)
+
+
 def _abort_response(attempt: _Attempt) -> None:
     """Close the client's connection so that the answer is truncated."""
     attempt.response.force_close()
--- a/bilberryramp/tasks/tests/test_endless_answers.py
+++ b/bilberryramp/tasks/tests/test_endless_answers.py
@@ -3,22 +3,31 @@
 import asyncio
 import unittest
 
-from bilberryramp.decisions.shared import views
+from bilberryramp.decisions.shared import errors, views
 from bilberryramp.decisions.upstream import model_orders, upstream_messages
 from bilberryramp.tasks import (
+    answer_limits,
+    engine_run,
     mailbox,
     upstream_engine,
 )
 from bilberryramp.tasks.tests import builders
 
-# What may be parsed: a body up to its limit, and the buffer of the connection.
-MAX_PARSED_BYTES = upstream_engine.MAX_ANSWER_BYTES + 2**20
+MAX_ANSWER_BYTES = 2**20
+# What may be parsed: a body up to its limit, the bounds of heads and framing,
+# and the buffer of the connection.
+MAX_PARSED_BYTES = (
+    MAX_ANSWER_BYTES
+    + 4
+    * (answer_limits.MAX_HEAD_BYTES + answer_limits.FRAMING_ALLOWANCE_BYTES)
+    + 2**20
+)
 TEST_TIMEOUT_S = 60
 
 
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
     # Guards against an engine whose bytes without end fill the memory of the
-    # process that called it.
+    # process that called it, or take the time of its other requests.
 
     async def start(self, fault):
         self.parsed = builders.count_parsed_bytes(self)
@@ -35,8 +44,23 @@
                 await asyncio.sleep(0.01)
         self.assertLess(self.parsed[0], MAX_PARSED_BYTES)
 
+    async def test_a_run(self):
+        for fault in (*builders.ENDLESS_FAULTS, "endless_events"):
+            await self.start(fault)
+            session = engine_run.open_session()
+            self.addAsyncCleanup(session.http.close)
+            with self.subTest(fault=fault):
+                _, ended = await builders.run_dispatch(
+                    session,
+                    self.server.port,
+                    builders.make_dispatch("a1"),
+                    MAX_ANSWER_BYTES,
+                )
+                self.assertIs(ended.failure.outcome, errors.Outcome.UNKNOWN)
+                await self.check_bounded()
+
     async def test_a_poll_of_the_engines_state(self):
-        for fault in builders.ENDLESS_BODIES:
+        for fault in builders.ENDLESS_FAULTS:
             url = await self.start(fault)
             inbox = mailbox.Mailbox()
             with self.subTest(fault=fault):
@@ -52,7 +76,7 @@
     async def test_an_order(self):
         place = views.ReplicaPlace("m", (0,), 1)
         order = model_orders.EngineOrder(model_orders.OrderKind.LOAD, 1, place)
-        for fault in builders.ENDLESS_BODIES:
+        for fault in builders.ENDLESS_FAULTS:
             url = await self.start(fault)
             inbox = mailbox.Mailbox()
             with self.subTest(fault=fault):
--- a/bilberryramp/tasks/upstream_engine.py
+++ b/bilberryramp/tasks/upstream_engine.py
@@ -8,7 +8,7 @@
 
 from bilberryramp.decisions.shared import views
 from bilberryramp.decisions.upstream import model_orders, upstream_messages
-from bilberryramp.tasks import clock, http_requests, mailbox
+from bilberryramp.tasks import answer_limits, clock, http_requests, mailbox
 
 __all__ = [
     "EngineState",
@@ -76,6 +76,7 @@
         for that to a later call.
     """
     connector = aiohttp.TCPConnector(force_close=True)
+    answer_limits.install(connector)
     return aiohttp.ClientSession(connector=connector)
 
 
--- a/bilberryramp/tasks/upstream_exchange.py
+++ b/bilberryramp/tasks/upstream_exchange.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import socket
+from collections.abc import Callable
 
 import aiohttp
 import multidict
@@ -11,7 +12,11 @@
 from aiohttp import hdrs, web
 
 from bilberryramp.decisions.fleet import calls
-from bilberryramp.tasks import answer_framing, upstream_connections
+from bilberryramp.tasks import (
+    answer_framing,
+    answer_limits,
+    upstream_connections,
+)
 
 __all__ = [
     "Answer",
@@ -32,6 +37,9 @@
 # Time for which idle connections are kept open; shorter than that of the
 # upstreams, so that no upstream closes one while a request is in transit.
 KEEPALIVE_S = 0.9
+# Bytes of an answer after which its connection is no longer read until they
+# are taken; also bounds the number of chunks that are parsed ahead.
+READ_BUFFER_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,10 +53,14 @@
         requests.
     conns
         State of its connections, for `upstream_connections.confirm`.
+    on_excess
+        Called with the host and port of an upstream whose answer exceeds a
+        bound.
     """
 
     http: aiohttp.ClientSession
     conns: upstream_connections.Connections
+    on_excess: Callable[[str], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,13 +101,18 @@
     framing: answer_framing.Framing
 
 
-def open_session(request_id_header: str) -> Session:
+def open_session(
+    request_id_header: str,
+    on_excess: Callable[[str], None] = lambda address: None,
+) -> Session:
     """Open the client session that all attempts share.
 
     Parameters
     ----------
     request_id_header
         Header that names a request and that upstreams repeat in the answer.
+    on_excess
+        As in `Session`.
 
     Returns
     -------
@@ -108,11 +125,13 @@
         socket_factory=_make_socket,
         use_dns_cache=False,
     )
+    answer_limits.install(connector, on_excess)
     conns = upstream_connections.guard(connector, request_id_header)
     http = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
+        read_bufsize=READ_BUFFER_BYTES,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
@@ -126,7 +145,7 @@
     # By default, aiohttp retries a request whose connection was closed.
     # Whether a request may run twice is decided by the gateway instead.
     http._retry_connection = False
-    return Session(http, conns)
+    return Session(http, conns, on_excess)
 
 
 def _make_socket(addr_info) -> socket.socket:
@@ -228,7 +247,7 @@
 
 
 async def read_answer(
-    exchange: Exchange, max_body_bytes: int
+    exchange: Exchange, max_body_bytes: int, on_excess: Callable[[], None]
 ) -> Answer | calls.AttemptOutcome:
     """Read the rest of the response.
 
@@ -238,6 +257,8 @@
         Exchange from `send_request`.
     max_body_bytes
         Maximum size of the body in bytes.
+    on_excess
+        Called if the body is larger.
 
     Returns
     -------
@@ -251,6 +272,7 @@
             return chunk
         remaining_bytes -= len(chunk)
         if remaining_bytes < 0:
+            on_excess()
             return calls.AttemptOutcome.BROKEN
         chunks.append(chunk)
     resp = exchange.resp
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -198,6 +198,13 @@
     "forwarded, the connection was closed and the attempt's outcome is "
     "unknown. Check the engine.",
 )
+ANSWER_EXCESSIVE = _declare(
+    4008,
+    "answer.excessive",
+    "An upstream sent more informational responses, bytes of a head or bytes "
+    "of framing (`part`) than an answer can need. The connection was closed "
+    "and the attempt failed. Check the upstream.",
+)
 RUN_FAILED = _declare(
     4007,
     "run.failed",
