Refuse all calls for faulty upstreams in one step, and unit-test the bar

A refused call for barred upstreams kept the calls behind it from being looked at until the next step, as one that waits does. Found by reading the change. The tests of the circuit breaker's bar are in virtual time. An address that the socket does not know no longer raises while a connection is closed.

--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -723,10 +723,7 @@
         blocking_key = (call.service, _weights(call))
         if blocking_key not in blocked:
             yield from dispatch.try_dispatch(gw, now_ms, call)
-            if (
-                call.phase == "waiting"
-                and call.wait_reason is not calls.Refusal.QUARANTINED
-            ):
+            if call.phase == "waiting" and call.wait_reason not in _HOPELESS:
                 blocked.add(blocking_key)
     for call in waiting:
         if call.phase == "waiting":
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -7,6 +7,7 @@
     calls,
     documents,
     gateway,
+    health,
     placement,
     planner,
     presence,
@@ -52,6 +53,44 @@
         self.assertEqual(sent.born_ms, 1000)
 
 
+class ExcessTest(unittest.TestCase):
+    """Tests of an upstream whose answers exceed the bounds."""
+
+    def setUp(self):
+        self.upstream = builders.make_plain_announcement("p1")
+        self.gw = builders.make_gateway(upstreams=[self.upstream])
+
+    def see(self, count):
+        message = gateway.ExcessSeen(self.upstream.address)
+        for _ in range(count):
+            builders.collect(gateway.step(self.gw, NOW_MS, message))
+
+    def submit(self, call_id, now_ms=NOW_MS):
+        request = builders.make_request("/file/x")
+        return builders.submit(self.gw, call_id, request, now_ms)
+
+    def test_calls_are_refused_at_once_after_several(self):
+        self.see(health.BARRING_EXCESSES - 1)
+        self.assertTrue(builders.of_type(self.submit(1), calls.SendCall))
+        self.see(1)
+        (refusal,) = builders.of_type(self.submit(2), calls.Refuse)
+        self.assertIs(refusal.reason, calls.Refusal.UPSTREAM_FAULTY)
+        self.assertEqual(refusal.retry_after_ms, health.MAX_PAUSE_MS)
+
+    def test_the_upstream_is_tried_again(self):
+        self.see(health.BARRING_EXCESSES)
+        later_ms = NOW_MS + health.MAX_PAUSE_MS
+        effects = self.submit(1, later_ms)
+        self.assertTrue(builders.of_type(effects, calls.SendCall))
+
+    def test_a_success_between_them_is_counted(self):
+        self.see(health.BARRING_EXCESSES - 1)
+        self.submit(1)
+        end_attempt(self.gw, 1, calls.AttemptOutcome.DELIVERED)
+        self.see(1)
+        self.assertTrue(builders.of_type(self.submit(2), calls.SendCall))
+
+
 class ArrivalTest(unittest.TestCase):
     def test_request_without_document_is_refused_for_retry(self):
         gw = builders.make_gateway()
--- a/bilberryramp/tasks/answer_limits.py
+++ b/bilberryramp/tasks/answer_limits.py
@@ -189,7 +189,8 @@
 def _break_off(protocol, received: _Received, reason: str) -> str:
     """Close a connection; return the host and port of the upstream."""
     exc = ExcessiveAnswerError(f"the answer has too much {reason}")
-    host, port = protocol.transport.get_extra_info("peername")[:2]
+    peer = protocol.transport.get_extra_info("peername") or ("", 0)
+    host, port = peer[:2]
     address = f"{host}:{port}"
     events.emit(events.ANSWER_EXCESSIVE, upstream=address, part=reason)
     if received.payload is not None:
