--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -72,6 +72,9 @@
         f"{len(violations)} violations",
         flush=True,
     )
+    counts = collections.Counter(v.check for v in violations)
+    for check, count in counts.items():
+        print(f"  {check}: {count} violations", flush=True)
     for violation in violations[:20]:
         print(f"  {violation.check}: {violation.detail}", flush=True)
     return not violations
