--- a/bilberryramp/decisions/shared/tests/test_charting.py
+++ b/bilberryramp/decisions/shared/tests/test_charting.py
@@ -12,6 +12,7 @@
 )
 from bilberryramp.decisions.shared import (
     charting,
+    pauses,
     quarantine,
     shutdown,
     subscription,
@@ -123,6 +124,7 @@
             "exchange": gateway_state,
             "member": register,
             "upstream_health": health,
+            "upstream_pause": pauses,
         }
         self.assertEqual(sorted((*modules, "adoption")), loader.names())
         builders.adoption_chart()
