Log why each request is sent once more, or is not

A retry counts toward the budget if the request may have arrived before. No decision changes.

Run: test_gateway.py, with tests of both events that cannot pass before.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -18,6 +18,7 @@
     "CallArrived",
     "ClientDisconnected",
     "Fail",
+    "NOTHING_SENT",
     "Failure",
     "ForwardFailure",
     "Prompt",
@@ -51,6 +52,10 @@
     """The request's deadline passed."""
 
 
+# Outcomes of attempts that sent nothing, so that nothing arrived.
+NOTHING_SENT = (AttemptOutcome.UNREACHABLE,)
+
+
 class Refusal(enum.Enum):
     """Reason for which a request is refused without having been run."""
 
@@ -184,6 +189,11 @@
         When the current attempt was sent.
     answer_started_ms
         When the latest answer started; -1 if none has.
+    may_have_arrived
+        Whether the request may have arrived at an upstream, which makes each
+        further arrival a retry.
+    last_outcome, attempt_ended_ms
+        How and when the latest attempt ended; None and 0 if none has.
     wait_reason
         The resource that the call waits for, for logs and refusals.
     has_waited
@@ -223,6 +233,9 @@
     urgency_level: int = 0
     sent_ms: int = 0
     answer_started_ms: int = -1
+    may_have_arrived: bool = False
+    last_outcome: AttemptOutcome | None = None
+    attempt_ended_ms: int = 0
     wait_reason: Refusal = Refusal.OVERLOADED
     has_waited: bool = False
     last_model_request_ms: int = -(10**9)
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -20,7 +20,7 @@
 )
 from bilberryramp.decisions.fleet.traces import Trace
 
-__all__ = ["all_barred_until_ms", "try_dispatch"]
+__all__ = ["all_barred_until_ms", "trace_refused_retry", "try_dispatch"]
 
 # Minimum interval between two requests of a call for the same model.
 MODEL_REQUEST_INTERVAL_MS = 120
@@ -377,6 +377,9 @@
 def _dispatch(gw, now_ms, call, upstream, choice) -> Iterator:
     upstream_id = upstream.announcement.upstream_id
     prompt = call.request.prompt
+    if call.send_count > 0:
+        details = gateway_state.retry_details(gw, call, now_ms)
+        yield Trace("call.retry", details)
     call.upstream_id = upstream_id
     call.target = upstream.announcement
     call.target_heard_ms = upstream.heard_ms
@@ -429,6 +432,34 @@
     )
 
 
+def trace_refused_retry(
+    gw: gateway_state.Gateway,
+    call: calls.Call,
+    barrier: retry_budget.Barrier,
+    now_ms: int,
+) -> Trace:
+    """Make the log line of a call that is not sent again.
+
+    Parameters
+    ----------
+    gw
+        State of the gateway.
+    call
+        Call whose last attempt has ended.
+    barrier
+        Why it is not sent again.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    Trace
+        Fields of `gateway_state.retry_details`, and the reason.
+    """
+    details = gateway_state.retry_details(gw, call, now_ms)
+    return Trace("call.retry_refused", details | {"reason": barrier.value})
+
+
 def _urgency(call: calls.Call, now_ms: int) -> int:
     """Return a call's rank in the engine's queue.
 
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -528,6 +528,8 @@
     if call is None:
         return
     outcome = message.outcome
+    call.last_outcome, call.attempt_ended_ms = outcome, now_ms
+    call.may_have_arrived |= outcome not in calls.NOTHING_SENT
     _record_outcome(gw, call, outcome, now_ms)
     yield from suspect_evidence.record_attempt_end(
         gw.suspect_state, call, outcome, now_ms
@@ -555,11 +557,14 @@
         calls.AttemptOutcome.TRUNCATED,
     ):
         yield from _end_call(gw, call, "failed", now_ms)
-    elif _may_retry(gw, call, outcome, now_ms):
-        yield from gateway_state.fire(gw, call, "repeatable", now_ms)
-        yield from dispatch.try_dispatch(gw, now_ms, call)
     else:
-        yield from _end_unserved(gw, call, outcome, now_ms)
+        barrier = _retry_barrier(gw, call, outcome, now_ms)
+        if barrier is None:
+            yield from gateway_state.fire(gw, call, "repeatable", now_ms)
+            yield from dispatch.try_dispatch(gw, now_ms, call)
+        else:
+            yield dispatch.trace_refused_retry(gw, call, barrier, now_ms)
+            yield from _end_unserved(gw, call, outcome, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -643,12 +648,13 @@
     return breaker
 
 
-def _may_retry(
+def _retry_barrier(
     gw: gateway_state.Gateway,
     call: calls.Call,
     outcome: calls.AttemptOutcome,
     now_ms: int,
-) -> bool:
+) -> retry_budget.Barrier | None:
+    """Return why a call may not be sent again; None if it may."""
     not_executed = outcome in (
         calls.AttemptOutcome.NOT_RUN,
         calls.AttemptOutcome.TARGET_MISSING,
@@ -658,24 +664,25 @@
         # An attempt that did not run does not count toward max_attempts.
         call.attempt_count -= 1
     elif not call.route.repeatable or call.route.streaming:
-        return False
+        return retry_budget.Barrier.NOT_REPEATABLE
     if (
         call.attempt_count >= call.route.max_attempts
         or call.send_count >= MAX_SENDS
     ):
-        return False
+        return retry_budget.Barrier.ATTEMPTS
     if call.deadline_ms - now_ms < MIN_ATTEMPT_TIME_MS:
-        return False
+        return retry_budget.Barrier.DEADLINE
     if outcome is calls.AttemptOutcome.UNREACHABLE:
-        return True
+        return None
     if outcome is calls.AttemptOutcome.BROKEN and suspects.has_suspected_part(
         gw.suspect_state, call
     ):
-        return False
+        return retry_budget.Barrier.DEADLY_PART
     budget = gateway_state.service_budget(gw, call.service)
-    return retry_budget.try_spend(
+    is_allowed = retry_budget.try_spend(
         budget, gw.budget_limits, gw.node_count, now_ms
     )
+    return None if is_allowed else retry_budget.Barrier.BUDGET
 
 
 def _end_unserved(
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -25,6 +25,7 @@
     "engine_spec",
     "fire",
     "guards",
+    "retry_details",
     "service_budget",
 ]
 
@@ -81,6 +82,8 @@
         node.
     node_count
         Number of gateways that share the retry budget, including this one.
+    started_ms
+        When this process started.
     is_shutting_down
         Whether the process is about to end, so that no call may wait.
     served_ms
@@ -117,6 +120,7 @@
     )
     discovery_deadline_ms: int = 0
     node_count: int = 1
+    started_ms: int = 0
     is_shutting_down: bool = False
     served_ms: int = 0
 
@@ -149,6 +153,45 @@
     return gw.budgets.setdefault(service, retry_budget.Budget())
 
 
+def retry_details(gw: Gateway, call: calls.Call, now_ms: int) -> dict:
+    """Describe a retry of a call, and the budget of its service, for the log.
+
+    Parameters
+    ----------
+    gw
+        State of the gateway.
+    call
+        Call whose last attempt has ended.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    dict
+        Fields of a `Trace`. ``counted`` is whether the retry counts toward
+        the budget, and ``upstream`` the upstream of the last attempt.
+    """
+    budget = service_budget(gw, call.service)
+    state = retry_budget.account(
+        budget, gw.budget_limits, gw.node_count, now_ms
+    )
+    return {
+        "request_id": call.request.request_id,
+        "service": call.service,
+        "after": call.last_outcome.value,
+        "upstream": call.upstream_id,
+        "send": call.send_count,
+        "counted": call.may_have_arrived,
+        "spent": state.spent,
+        "earned": round(state.earned, 2),
+        "share": round(state.share, 2),
+        "fleet_size": gw.node_count,
+        "started_ms": gw.started_ms,
+        "window_ms": gw.budget_limits.window_ms,
+        "waited_ms": now_ms - call.attempt_ended_ms,
+    }
+
+
 def cache_capacity_tokens(gw: Gateway) -> int:
     """Return the largest key-value cache of all services' engines in tokens.
 
--- a/bilberryramp/decisions/fleet/retry_budget.py
+++ b/bilberryramp/decisions/fleet/retry_budget.py
@@ -6,14 +6,38 @@
 
 import collections
 import dataclasses
-
-__all__ = ["Budget", "Limits", "record_call", "try_spend"]
+import enum
+
+__all__ = [
+    "Account",
+    "Barrier",
+    "Budget",
+    "Limits",
+    "account",
+    "record_call",
+    "try_spend",
+]
 
 # Fraction of the allowance that a node spends. The rest is a reserve because
 # the windows of the nodes begin at different times.
 USABLE_FRACTION = 0.7
 
 
+class Barrier(enum.Enum):
+    """Reason for which a request is not sent to another upstream."""
+
+    NOT_REPEATABLE = "not_repeatable"
+    """The request may have run, and its route allows no second run."""
+    ATTEMPTS = "attempts"
+    """It was sent as often as its route or the node allows."""
+    DEADLINE = "deadline"
+    """Too little of its time is left."""
+    DEADLY_PART = "deadly_part"
+    """A part of its prompt is suspected of ending upstreams."""
+    BUDGET = "budget"
+    """The retry budget of its service is spent."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Limits:
     """Limits of the retries of a service over all nodes.
@@ -52,6 +76,25 @@
     )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Account:
+    """What a node has spent of a retry budget, and what it may spend.
+
+    Attributes
+    ----------
+    spent
+        Retries in the window.
+    earned
+        Retries that the calls in the window allow.
+    share
+        Part of the slack that this node may spend, in retries.
+    """
+
+    spent: int
+    earned: float
+    share: float
+
+
 def record_call(budget: Budget, limits: Limits, now_ms: int) -> None:
     """Record the first attempt of a call.
 
@@ -89,15 +132,43 @@
     bool
         False if the request must not be retried.
     """
-    _trim(budget.calls, now_ms - limits.window_ms)
-    _trim(budget.retries, now_ms - limits.window_ms)
-    allowance = limits.ratio * len(budget.calls) + limits.slack / node_count
-    if len(budget.retries) + 1 > USABLE_FRACTION * allowance:
+    state = account(budget, limits, node_count, now_ms)
+    if state.spent + 1 > state.earned + state.share:
         return False
     budget.retries.append(now_ms)
     return True
 
 
+def account(
+    budget: Budget, limits: Limits, node_count: int, now_ms: int
+) -> Account:
+    """Return what a node has spent of a budget, and what it may spend.
+
+    Parameters
+    ----------
+    budget
+        Budget of the service. Modified in place.
+    limits
+        Limits of the service.
+    node_count
+        Number of nodes that share the slack.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    Account
+        Numbers of retries in the window that ends now.
+    """
+    _trim(budget.calls, now_ms - limits.window_ms)
+    _trim(budget.retries, now_ms - limits.window_ms)
+    return Account(
+        len(budget.retries),
+        USABLE_FRACTION * limits.ratio * len(budget.calls),
+        USABLE_FRACTION * limits.slack / node_count,
+    )
+
+
 def _trim(times_ms: collections.deque, oldest_ms: int) -> None:
     while times_ms and times_ms[0] < oldest_ms:
         times_ms.popleft()
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -12,6 +12,7 @@
     planner,
     presence,
     sharing,
+    traces,
 )
 from bilberryramp.decisions.fleet.tests import builders
 
@@ -212,6 +213,66 @@
         self.assertLessEqual(retries, 0.2 * 20 + 2)
 
 
+class RetryLogTest(unittest.TestCase):
+    """On-call must see which limit ended or admitted each retry."""
+
+    def setUp(self):
+        self.gw = builders.make_gateway(
+            upstreams=[
+                builders.make_plain_announcement("p1"),
+                builders.make_plain_announcement("p2"),
+            ]
+        )
+        self.gw.started_ms = 7000
+
+    def end(self, outcome, path="/look/x", now_ms=NOW_MS + 30):
+        """Submit a request and return the log lines of its attempt's end."""
+        builders.submit(self.gw, 1, builders.make_request(path), NOW_MS)
+        effects = end_attempt(self.gw, 1, outcome, now_ms)
+        return {
+            trace.name: trace.fields
+            for trace in builders.of_type(effects, traces.Trace)
+        }
+
+    def test_a_retry_is_logged_with_its_budget(self):
+        fields = self.end(calls.AttemptOutcome.BROKEN)["call.retry"]
+        self.assertEqual(fields["service"], "plain")
+        self.assertEqual(fields["after"], "broken")
+        self.assertTrue(fields["counted"])
+        self.assertEqual(fields["started_ms"], 7000)
+        self.assertEqual(fields["window_ms"], 10_000)
+        self.assertEqual(fields["waited_ms"], 0)
+        self.assertGreater(fields["earned"] + fields["share"], 1)
+
+    def test_a_retry_of_an_attempt_that_sent_nothing_does_not_count(self):
+        fields = self.end(calls.AttemptOutcome.UNREACHABLE)["call.retry"]
+        self.assertFalse(fields["counted"])
+
+    def test_a_refused_retry_is_logged_with_its_reason(self):
+        broken = calls.AttemptOutcome.BROKEN
+        late_ms = NOW_MS + 5980
+        for expected, path, now_ms in (
+            ("not_repeatable", "/file/x", NOW_MS),
+            ("deadline", "/look/x", late_ms),
+        ):
+            with self.subTest(expected):
+                fields = self.end(broken, path, now_ms)["call.retry_refused"]
+                self.assertEqual(fields["reason"], expected)
+        self.gw.budget_limits = builders.retry_budget.Limits(0.0, 0.0, 10_000)
+        fields = self.end(broken)["call.retry_refused"]
+        self.assertEqual(fields["reason"], "budget")
+
+    def test_a_last_attempt_is_logged(self):
+        self.end(calls.AttemptOutcome.BROKEN)
+        effects = end_attempt(self.gw, 1, calls.AttemptOutcome.BROKEN)
+        refused = [
+            trace.fields
+            for trace in builders.of_type(effects, traces.Trace)
+            if trace.name == "call.retry_refused"
+        ]
+        self.assertEqual([f["reason"] for f in refused], ["attempts"])
+
+
 class LeavingTest(unittest.TestCase):
     def test_leaving_upstream_receives_no_calls(self):
         gw = builders.make_gateway(upstreams=[builders.make_announcement()])
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -246,6 +246,7 @@
         ),
         cfg.failure_domain,
     )
+    gw.started_ms = now_ms
     gw.discovery_deadline_ms = now_ms + round(
         DISCOVERY_HEARTBEATS * cfg.heartbeat_ms
     )
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -351,6 +351,24 @@
     "An attempt was ended before its answer began, because an upstream ended "
     "under a part of its prompt (`parts`). Its outcome is unknown.",
 )
+CALL_RETRIED = _declare(
+    5120,
+    "call.retry",
+    "A request is sent once more, after an attempt at `upstream` ended with "
+    "`after`. The node had `spent` retries of the service's budget in "
+    "`window_ms`, of `earned` by requests and a `share` of the slack, as one "
+    "of `fleet_size` nodes; its process started at `started_ms`. The retry "
+    "counts toward the budget if it is `counted`: the request may have "
+    "arrived before.",
+)
+CALL_RETRY_REFUSED = _declare(
+    5121,
+    "call.retry_refused",
+    "A request is not sent once more; `reason` says why: `budget` (the "
+    "service's retry budget is spent), `attempts`, `deadline`, "
+    "`not_repeatable` or `deadly_part`. The other fields are those of "
+    "`call.retry`.",
+)
 HOLDERS_CHANGED = _declare(
     5204,
     "holders.changed",
