Count a retry when it is sent, not when it is decided

Callers saw: more retries in a window than the budget of the service allows. Cause: a retry was charged when the attempt before it ended. It could then wait in the queue for seconds and arrive together with the retries of a later window.

`retry_budget` now splits the question from the record. A call that waited is judged again when an upstream is found for it; if the budget is spent by then, it ends at once: refused if nothing ran, failed otherwise. An attempt that could not connect still costs nothing, also when it is the last of several.

Why it works: what is recorded is what can arrive within the next second.

--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -377,6 +377,15 @@
 def _dispatch(gw, now_ms, call, upstream, choice) -> Iterator:
     upstream_id = upstream.announcement.upstream_id
     prompt = call.request.prompt
+    if call.may_have_arrived:
+        state = gateway_state.retry_account(gw, call.service, now_ms)
+        if not retry_budget.allows_retry(state):
+            call.wait_reason = calls.Refusal.UPSTREAM_FULL
+            barrier = retry_budget.Barrier.BUDGET
+            yield trace_refused_retry(gw, call, barrier, now_ms)
+            return
+        budget = gateway_state.service_budget(gw, call.service)
+        retry_budget.record_retry(budget, gw.budget_limits, now_ms)
     if call.send_count > 0:
         details = gateway_state.retry_details(gw, call, now_ms)
         yield Trace("call.retry", details)
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -65,7 +65,11 @@
 # Limit on the waiting calls examined each time capacity may be available.
 MAX_QUEUE_SCAN_CALLS = 64
 # Reasons for which a call is refused at once, since waiting does not help.
-_HOPELESS = (calls.Refusal.QUARANTINED, calls.Refusal.UPSTREAM_FAULTY)
+_HOPELESS = (
+    calls.Refusal.QUARANTINED,
+    calls.Refusal.UPSTREAM_FAULTY,
+    calls.Refusal.UPSTREAM_FULL,
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -678,10 +682,8 @@
         gw.suspect_state, call
     ):
         return retry_budget.Barrier.DEADLY_PART
-    budget = gateway_state.service_budget(gw, call.service)
-    is_allowed = retry_budget.try_spend(
-        budget, gw.budget_limits, gw.node_count, now_ms
-    )
+    state = gateway_state.retry_account(gw, call.service, now_ms)
+    is_allowed = retry_budget.allows_retry(state)
     return None if is_allowed else retry_budget.Barrier.BUDGET
 
 
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -25,6 +25,7 @@
     "engine_spec",
     "fire",
     "guards",
+    "retry_account",
     "retry_details",
     "service_budget",
 ]
@@ -153,6 +154,30 @@
     return gw.budgets.setdefault(service, retry_budget.Budget())
 
 
+def retry_account(
+    gw: Gateway, service: str, now_ms: int
+) -> retry_budget.Account:
+    """Return what this node has spent of a service's retry budget.
+
+    Parameters
+    ----------
+    gw
+        State of the gateway. Modified in place.
+    service
+        Name of the service.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    Account
+        The present numbers, with this node's share of the slack.
+    """
+    return retry_budget.account(
+        service_budget(gw, service), gw.budget_limits, gw.node_count, now_ms
+    )
+
+
 def retry_details(gw: Gateway, call: calls.Call, now_ms: int) -> dict:
     """Describe a retry of a call, and the budget of its service, for the log.
 
@@ -171,10 +196,7 @@
         Fields of a `Trace`. ``counted`` is whether the retry counts toward
         the budget, and ``upstream`` the upstream of the last attempt.
     """
-    budget = service_budget(gw, call.service)
-    state = retry_budget.account(
-        budget, gw.budget_limits, gw.node_count, now_ms
-    )
+    state = retry_account(gw, call.service, now_ms)
     return {
         "request_id": call.request.request_id,
         "service": call.service,
--- a/bilberryramp/decisions/fleet/retry_budget.py
+++ b/bilberryramp/decisions/fleet/retry_budget.py
@@ -14,8 +14,9 @@
     "Budget",
     "Limits",
     "account",
+    "allows_retry",
     "record_call",
-    "try_spend",
+    "record_retry",
 ]
 
 # Fraction of the allowance that a node spends. The rest is a reserve because
@@ -111,10 +112,8 @@
     _trim(budget.calls, now_ms - limits.window_ms)
 
 
-def try_spend(
-    budget: Budget, limits: Limits, node_count: int, now_ms: int
-) -> bool:
-    """Spend one retry if the budget allows it.
+def record_retry(budget: Budget, limits: Limits, now_ms: int) -> None:
+    """Record that a retry is sent.
 
     Parameters
     ----------
@@ -122,21 +121,11 @@
         Budget of the service. Modified in place.
     limits
         Limits of the service.
-    node_count
-        Number of nodes that share the slack.
     now_ms
         Current time in milliseconds.
-
-    Returns
-    -------
-    bool
-        False if the request must not be retried.
     """
-    state = account(budget, limits, node_count, now_ms)
-    if state.spent + 1 > state.earned + state.share:
-        return False
     budget.retries.append(now_ms)
-    return True
+    _trim(budget.retries, now_ms - limits.window_ms)
 
 
 def account(
@@ -169,6 +158,11 @@
     )
 
 
+def allows_retry(state: Account) -> bool:
+    """Return whether one more retry may be sent."""
+    return state.spent + 1 <= state.earned + state.share
+
+
 def _trim(times_ms: collections.deque, oldest_ms: int) -> None:
     while times_ms and times_ms[0] < oldest_ms:
         times_ms.popleft()
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -7,6 +7,7 @@
     calls,
     documents,
     gateway,
+    gateway_state,
     health,
     placement,
     planner,
@@ -273,6 +274,65 @@
         self.assertEqual([f["reason"] for f in refused], ["attempts"])
 
 
+class RetryChargeTest(unittest.TestCase):
+    """Tests of when retries count toward the budget of their service."""
+
+    def setUp(self):
+        self.gw = builders.make_gateway(
+            upstreams=[builders.make_plain_announcement("p1")]
+        )
+        # The slack allows one retry, and requests earn none.
+        self.gw.budget_limits = builders.retry_budget.Limits(0.0, 1.6, 10_000)
+
+    def spent(self, now_ms):
+        return gateway_state.retry_account(self.gw, "plain", now_ms).spent
+
+    def test_a_retry_that_waited_is_charged_when_it_is_sent(self):
+        """Retries were charged when they were decided, and sent together."""
+        for call_id in (1, 2):
+            builders.submit(self.gw, call_id, builders.make_request("/look/x"))
+            effects = end_attempt(
+                self.gw, call_id, calls.AttemptOutcome.BROKEN
+            )
+            # No other upstream can serve it, so it waits.
+            self.assertFalse(builders.of_type(effects, calls.SendCall))
+        self.assertEqual(self.spent(NOW_MS + 50), 0)
+        other = builders.make_plain_announcement("p2")
+        effects = builders.collect(gateway.step(self.gw, NOW_MS + 900, other))
+        self.assertEqual(len(builders.of_type(effects, calls.SendCall)), 1)
+        self.assertEqual(self.spent(NOW_MS + 900), 1)
+        (failed,) = builders.of_type(effects, calls.Fail)
+        self.assertEqual(failed.reason, calls.Failure.BROKEN)
+        (refused,) = [
+            trace.fields
+            for trace in builders.of_type(effects, traces.Trace)
+            if trace.name == "call.retry_refused"
+        ]
+        self.assertEqual(refused["reason"], "budget")
+        self.assertEqual(refused["waited_ms"], 850)
+
+    def test_a_call_that_never_ran_is_refused_if_the_budget_is_spent(self):
+        for call_id in (1, 2):
+            builders.submit(self.gw, call_id, builders.make_request("/file/x"))
+            end_attempt(self.gw, call_id, calls.AttemptOutcome.NOT_RUN)
+        other = builders.make_plain_announcement("p2")
+        effects = builders.collect(gateway.step(self.gw, NOW_MS + 900, other))
+        self.assertEqual(len(builders.of_type(effects, calls.SendCall)), 1)
+        (refused,) = builders.of_type(effects, calls.Refuse)
+        self.assertEqual(refused.reason, calls.Refusal.UPSTREAM_FULL)
+
+    def test_an_attempt_that_sent_nothing_is_not_charged(self):
+        other = builders.make_plain_announcement("p2")
+        builders.collect(gateway.step(self.gw, NOW_MS, other))
+        for call_id in (1, 2, 3):
+            builders.submit(self.gw, call_id, builders.make_request("/look/x"))
+            effects = end_attempt(
+                self.gw, call_id, calls.AttemptOutcome.UNREACHABLE
+            )
+            self.assertTrue(builders.of_type(effects, calls.SendCall))
+        self.assertEqual(self.spent(NOW_MS + 50), 0)
+
+
 class LeavingTest(unittest.TestCase):
     def test_leaving_upstream_receives_no_calls(self):
         gw = builders.make_gateway(upstreams=[builders.make_announcement()])
