Earn retries from the requests of two windows at half the ratio

Callers saw: more retries in a window than the budget of the service allows. Cause: a node spent 0.7 of the ratio of its own calls in the window before each retry. The windows of the nodes end at different times, and clients move between nodes, so the nodes of a fleet earn from the calls of up to two windows: 1.4 of the ratio, where the rule allows one.

A node now earns half of the ratio. Requests count when they arrive, also those that are refused, as the rule counts them. Retries are added up over the window and the second in which they may arrive; requests earn for two seconds less than the window, so that all that earn the retries of a window were sent within it or the one before. Of the slack, 0.9 are divided instead of 0.7, since the earned part needs no reserve from it.

The bound of `test_retry_budget_limits_retries` is unchanged. The slack in `RetryChargeTest` is lower, as more of it may be spent.

--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -409,9 +409,6 @@
             prompt.parts,
             gateway_state.cache_capacity_tokens(gw),
         )
-    if call.send_count == 1:
-        budget = gateway_state.service_budget(gw, call.service)
-        retry_budget.record_call(budget, gw.budget_limits, now_ms)
     yield from gateway_state.fire(gw, call, "placed", now_ms)
     yield Trace(
         "call.placed",
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -471,6 +471,11 @@
         now_ms,
         now_ms + allowed_ms,
     )
+    retry_budget.record_request(
+        gateway_state.service_budget(gw, call.service),
+        gw.budget_limits,
+        now_ms,
+    )
     gw.active[call.call_id] = call
     gw.queue[call.call_id] = call
     if req.prompt is not None:
--- a/bilberryramp/decisions/fleet/retry_budget.py
+++ b/bilberryramp/decisions/fleet/retry_budget.py
@@ -1,7 +1,14 @@
-"""Retry budget of a service, divided among the nodes without coordination.
+"""Retry budget of a service, divided among the nodes.
 
-Each node counts the calls and retries of a service in a sliding window. It
-may retry a fixed ratio of its own calls plus its part of a shared allowance.
+The retries that arrive at a service in any window, over all nodes, are bounded
+by a ratio of its requests plus a slack. A node spends two parts:
+
+- Earned: a part of its own requests. The windows of the nodes end at different
+  times, and those of a restarted node exclude what its predecessor received,
+  so together they earn from at most twice the requests of one window.
+- Its share of the slack.
+
+Retries are counted when they are sent, and arrive within `ARRIVAL_DELAY_MS`.
 """
 
 import collections
@@ -9,19 +16,27 @@
 import enum
 
 __all__ = [
+    "ARRIVAL_DELAY_MS",
     "Account",
     "Barrier",
     "Budget",
     "Limits",
     "account",
     "allows_retry",
-    "record_call",
+    "record_request",
     "record_retry",
+    "span_ms",
 ]
 
-# Fraction of the allowance that a node spends. The rest is a reserve because
-# the windows of the nodes begin at different times.
-USABLE_FRACTION = 0.7
+# Bound on the time in which a request that a client or a node sent arrives,
+# with the time to open a connection.
+ARRIVAL_DELAY_MS = 1000
+# Fraction of the retries that requests allow which a node spends. All nodes
+# together may earn from the requests of two windows.
+EARNED_FRACTION = 0.5
+# Fraction of the slack that is divided. The rest is a reserve for arrivals
+# that take longer than ARRIVAL_DELAY_MS.
+SLACK_FRACTION = 0.9
 
 
 class Barrier(enum.Enum):
@@ -46,7 +61,7 @@
     Attributes
     ----------
     ratio
-        Retries allowed per call.
+        Retries allowed per request.
     slack
         Additional retries per window, shared by all nodes.
     window_ms
@@ -60,16 +75,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Budget:
-    """Calls and retries of one service at one node.
+    """Requests and retries of one service at one node.
 
     Attributes
     ----------
-    calls, retries
-        Times of the calls and of the retries in the window, in milliseconds
-        and oldest first.
+    requests
+        Times at which requests for the service arrived, in milliseconds and
+        oldest first; those of the window that earns.
+    retries
+        Times at which retries were sent, likewise; those of the span.
     """
 
-    calls: collections.deque = dataclasses.field(
+    requests: collections.deque = dataclasses.field(
         default_factory=collections.deque
     )
     retries: collections.deque = dataclasses.field(
@@ -84,11 +101,11 @@
     Attributes
     ----------
     spent
-        Retries in the window.
+        Retries in the span that ends now.
     earned
-        Retries that the calls in the window allow.
+        Retries that the node's recent requests allow.
     share
-        Part of the slack that this node may spend, in retries.
+        The node's part of the slack, in retries.
     """
 
     spent: int
@@ -96,8 +113,24 @@
     share: float
 
 
-def record_call(budget: Budget, limits: Limits, now_ms: int) -> None:
-    """Record the first attempt of a call.
+def span_ms(limits: Limits) -> int:
+    """Return the time within which the retries that a node sends add up.
+
+    Parameters
+    ----------
+    limits
+        Limits of the service.
+
+    Returns
+    -------
+    int
+        Milliseconds. Retries that arrive within a window were sent within it.
+    """
+    return limits.window_ms + ARRIVAL_DELAY_MS
+
+
+def record_request(budget: Budget, limits: Limits, now_ms: int) -> None:
+    """Record the arrival of a request at this node.
 
     Parameters
     ----------
@@ -108,8 +141,8 @@
     now_ms
         Current time in milliseconds.
     """
-    budget.calls.append(now_ms)
-    _trim(budget.calls, now_ms - limits.window_ms)
+    budget.requests.append(now_ms)
+    _trim(budget.requests, now_ms - _earning_window_ms(limits))
 
 
 def record_retry(budget: Budget, limits: Limits, now_ms: int) -> None:
@@ -125,11 +158,11 @@
         Current time in milliseconds.
     """
     budget.retries.append(now_ms)
-    _trim(budget.retries, now_ms - limits.window_ms)
+    _trim(budget.retries, now_ms - span_ms(limits))
 
 
 def account(
-    budget: Budget, limits: Limits, node_count: int, now_ms: int
+    budget: Budget, limits: Limits, fleet_size: int, now_ms: int
 ) -> Account:
     """Return what a node has spent of a budget, and what it may spend.
 
@@ -139,22 +172,24 @@
         Budget of the service. Modified in place.
     limits
         Limits of the service.
-    node_count
-        Number of nodes that share the slack.
+    fleet_size
+        Number of equal parts of the slack, of which the node may spend one;
+        0 if it may spend none.
     now_ms
         Current time in milliseconds.
 
     Returns
     -------
     Account
-        Numbers of retries in the window that ends now.
+        The present numbers.
     """
-    _trim(budget.calls, now_ms - limits.window_ms)
-    _trim(budget.retries, now_ms - limits.window_ms)
+    _trim(budget.requests, now_ms - _earning_window_ms(limits))
+    _trim(budget.retries, now_ms - span_ms(limits))
+    share = SLACK_FRACTION * limits.slack / fleet_size if fleet_size else 0.0
     return Account(
         len(budget.retries),
-        USABLE_FRACTION * limits.ratio * len(budget.calls),
-        USABLE_FRACTION * limits.slack / node_count,
+        EARNED_FRACTION * limits.ratio * len(budget.requests),
+        share,
     )
 
 
@@ -163,6 +198,16 @@
     return state.spent + 1 <= state.earned + state.share
 
 
+def _earning_window_ms(limits: Limits) -> int:
+    """Return the age up to which requests earn retries.
+
+    The retries of a window were sent up to `ARRIVAL_DELAY_MS` before it, and
+    the requests that earned them up to the same time before they arrived. All
+    of these requests were sent within the window or the one before it.
+    """
+    return max(limits.window_ms - 2 * ARRIVAL_DELAY_MS, 0)
+
+
 def _trim(times_ms: collections.deque, oldest_ms: int) -> None:
     while times_ms and times_ms[0] < oldest_ms:
         times_ms.popleft()
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -282,7 +282,7 @@
             upstreams=[builders.make_plain_announcement("p1")]
         )
         # The slack allows one retry, and requests earn none.
-        self.gw.budget_limits = builders.retry_budget.Limits(0.0, 1.6, 10_000)
+        self.gw.budget_limits = builders.retry_budget.Limits(0.0, 1.2, 10_000)
 
     def spent(self, now_ms):
         return gateway_state.retry_account(self.gw, "plain", now_ms).spent
@@ -332,6 +332,15 @@
             self.assertTrue(builders.of_type(effects, calls.SendCall))
         self.assertEqual(self.spent(NOW_MS + 50), 0)
 
+    def test_requests_that_are_refused_earn_retries(self):
+        self.gw.budget_limits = builders.retry_budget.Limits(0.2, 0.0, 10_000)
+        self.gw.is_shutting_down = True
+        for call_id in range(20):
+            path = "/look/x" if call_id else "/nowhere/x"
+            builders.submit(self.gw, call_id, builders.make_request(path))
+        state = gateway_state.retry_account(self.gw, "plain", NOW_MS)
+        self.assertAlmostEqual(state.earned, 0.5 * 0.2 * 19)
+
 
 class LeavingTest(unittest.TestCase):
     def test_leaving_upstream_receives_no_calls(self):
