Lease shares of the slack of the retry budgets from the leader

Nothing uses the shares yet. Both are known without a record of what was spent: the leader counts the processes that answer its heartbeats and states their number in `Append`; a node holds a lease on an equal part, proved by the echo that the heartbeat repeats, and a process spends none until it was counted for a span of the budget and a lease.

Two integers in `Append` with defaults; messages of versions without them still decode (test_fleet_codec.py).

--- a/bilberryramp/decisions/fleet/__init__.py
+++ b/bilberryramp/decisions/fleet/__init__.py
@@ -13,8 +13,10 @@
     Selection of the upstream for a call.
 gateway, gateway_state
     Life cycle of a call, which is a client's request at a node.
-health, retry_budget
-    Circuit breakers of upstreams, and limits on retries.
+health
+    Circuit breakers of upstreams.
+retry_budget, retry_shares
+    Limits on retries, and their division among the nodes.
 prefix_cache
     Estimates of the prompts that engines have cached.
 planner, placement
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register.py
@@ -20,7 +20,12 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import agent, electorate, order_holders
+from bilberryramp.decisions.fleet import (
+    agent,
+    electorate,
+    order_holders,
+    retry_shares,
+)
 from bilberryramp.decisions.fleet import register_messages as msgs
 from bilberryramp.decisions.shared import charting, effects
 
@@ -40,6 +45,7 @@
     "leads",
     "new_node",
     "recent_leader_address",
+    "retry_share",
     "standing",
     "step",
 ]
@@ -321,6 +327,9 @@
         When this process first had a proof of that list.
     settled_holders_id
         As in `PersistentState`.
+    shares
+        Division of the slack of the retry budgets; None if this node takes no
+        part in it.
     key, phase, timer
         State of the chart: key of its timers, current state, and token of
         the current timer.
@@ -363,6 +372,7 @@
     )
     standing_since_ms: int = 0
     settled_holders_id: tuple[int, int] = order_holders.NO_LIST
+    shares: retry_shares.Shares | None = None
     key: str = "member"
     phase: str = "learner"
     timer: int = 0
@@ -486,6 +496,30 @@
     return node.standing
 
 
+def retry_share(node: Node, now_ms: int) -> retry_shares.Share:
+    """Return the part of the slack of the retry budgets that this node has.
+
+    Parameters
+    ----------
+    node
+        State of the node. Modified in place on the leader, which grants a
+        lease to itself.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    Share
+        The part, with the time until which it is valid.
+    """
+    if node.shares is None:
+        return retry_shares.Share()
+    if leads(node, now_ms):
+        own = retry_shares.state_size(node.shares, "", now_ms)
+        retry_shares.accept_statement(node.shares, own, now_ms, now_ms)
+    return retry_shares.current_share(node.shares, now_ms)
+
+
 def _restore_standing(node: Node) -> None:
     """Take a settled list of holders, without a proof, from the disk.
 
@@ -734,6 +768,8 @@
     node.leader_heard_ms = now_ms
     node.led_since_ms = now_ms
     node.followers = {}
+    if node.shares is not None:
+        retry_shares.start_leading(node.shares, now_ms)
     yield LeaderChanged(True, node.term, node.me.operator_address)
     yield from _replace_record(node, now_ms)
 
@@ -791,6 +827,7 @@
     `LEARNER_HEARTBEAT_MS`.
     """
     node.leader_heartbeat_due_ms = now_ms + LEADER_HEARTBEAT_MS
+    states_size = node.shares is not None and leads(node, now_ms)
     members = {m.address for m in electorate.voters(node.record)}
     for address in sorted((members | set(node.peers)) - {node.me.address}):
         progress = node.followers.setdefault(address, FollowerProgress())
@@ -803,10 +840,12 @@
         if is_often or is_due or not is_announced:
             progress.last_heartbeat_ms = now_ms
             progress.announced_ids = (_record_id(node), node.committed)
-            yield _append_to(node, now_ms, address)
+            yield _append_to(node, now_ms, address, states_size)
 
 
-def _append_to(node: Node, now_ms: int, address: str) -> effects.Send:
+def _append_to(
+    node: Node, now_ms: int, address: str, states_size: bool
+) -> effects.Send:
     """Build a leader's heartbeat, with the record if the node lacks it."""
     progress = node.followers.setdefault(address, FollowerProgress())
     record_id = _record_id(node)
@@ -818,6 +857,9 @@
     if is_missing and is_due:
         record = node.record
         progress.sent_id, progress.sent_ms = record_id, now_ms
+    stated = retry_shares.Statement()
+    if states_size:
+        stated = retry_shares.state_size(node.shares, address, now_ms)
     message = msgs.Append(
         _own_member(node),
         node.term,
@@ -826,6 +868,8 @@
         record,
         now_ms,
         progress.echo,
+        stated.fleet_size,
+        stated.counted_ms,
     )
     return effects.Send(address, message)
 
@@ -856,6 +900,7 @@
     node.committed = max(node.committed, message.committed)
     yield from _publish_committed(node)
     _confirm_standing(node, now_ms, message)
+    _renew_share(node, now_ms, message)
     yield _reply_to_append(node, now_ms, message)
 
 
@@ -865,19 +910,32 @@
     The leader sent the heartbeat after it had received the echo, and its
     newest record was committed and is the one stored here.
     """
-    process_number = message.echo >> ECHO_TIME_BITS
-    as_of_ms = message.echo & ((1 << ECHO_TIME_BITS) - 1)
-    if (
-        message.echo >= 0
-        and process_number == node.process_number
-        and as_of_ms <= now_ms
-        and message.last == message.committed == _record_id(node)
-    ):
+    as_of_ms = _proved_as_of_ms(node, now_ms, message)
+    if as_of_ms >= 0 and message.last == message.committed == _record_id(node):
         is_same = node.record.holders_id == node.standing.list_id
         earlier_ms = node.standing.as_of_ms if is_same else as_of_ms
         _set_standing(node, max(as_of_ms, earlier_ms))
 
 
+def _renew_share(node: Node, now_ms: int, message: msgs.Append) -> None:
+    """Renew the lease on a part of the retry budgets' slack."""
+    as_of_ms = _proved_as_of_ms(node, now_ms, message)
+    if node.shares is not None and as_of_ms >= 0:
+        stated = retry_shares.Statement(message.fleet_size, message.counted_ms)
+        retry_shares.accept_statement(node.shares, stated, as_of_ms, now_ms)
+
+
+def _proved_as_of_ms(node: Node, now_ms: int, message: msgs.Append) -> int:
+    """Return a time before which a heartbeat cannot have been sent.
+
+    The result is -1 if the heartbeat does not repeat an echo of this process.
+    """
+    process_number = message.echo >> ECHO_TIME_BITS
+    as_of_ms = message.echo & ((1 << ECHO_TIME_BITS) - 1)
+    is_own = message.echo >= 0 and process_number == node.process_number
+    return as_of_ms if is_own and as_of_ms <= now_ms else -1
+
+
 def _reply_to_append(
     node: Node, now_ms: int, message: msgs.Append
 ) -> effects.Send:
@@ -906,6 +964,13 @@
     progress.acked_id = max(progress.acked_id, reply.held)
     progress.acked_sent_ms = max(progress.acked_sent_ms, reply.sent_ms)
     progress.echo = reply.echo
+    if node.shares is not None:
+        retry_shares.record_process(
+            node.shares,
+            reply.sender.address,
+            reply.echo >> ECHO_TIME_BITS,
+            now_ms,
+        )
     yield from _try_commit(node, now_ms)
 
 
--- a/bilberryramp/decisions/fleet/register_messages.py
+++ b/bilberryramp/decisions/fleet/register_messages.py
@@ -240,6 +240,12 @@
     echo
         The newest ``echo`` of the receiver's replies, which proves to the
         receiver how old this message can be; -1 if there is none.
+    fleet_size
+        Number of processes that share the slack of the retry budgets; 0 if
+        the leader does not know it, or is of a version that does not count.
+    counted_ms
+        For how long the leader has counted the process that sent the echo, in
+        milliseconds.
     """
 
     sender: Member
@@ -249,6 +255,8 @@
     record: Record | None
     sent_ms: int
     echo: int = -1
+    fleet_size: int = 0
+    counted_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/shared/tests/test_charting.py
+++ b/bilberryramp/decisions/shared/tests/test_charting.py
@@ -9,6 +9,7 @@
     gateway_state,
     health,
     register,
+    retry_shares,
 )
 from bilberryramp.decisions.shared import (
     charting,
@@ -123,6 +124,7 @@
             "engine_order": agent,
             "exchange": gateway_state,
             "member": register,
+            "retry_share": retry_shares,
             "upstream_health": health,
             "upstream_pause": pauses,
         }
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -23,6 +23,7 @@
     register,
     register_messages,
     retry_budget,
+    retry_shares,
 )
 from bilberryramp.decisions.shared import quarantine
 from bilberryramp.platform import (
@@ -280,6 +281,10 @@
     register_owner.node.chooses_holders = orders_engines
     register_owner.node.defers_to_agents = ORDERS_FROM_FLAG.value == "auto"
     register_owner.node.process_number = rng.getrandbits(PROCESS_NUMBER_BITS)
+    register_owner.node.shares = retry_shares.new_shares(
+        fleet_launch.bind_chart("retry_share", retry_shares),
+        retry_shares.make_times(retry_budget.span_ms(gw.budget_limits)),
+    )
     frontend = fleet_frontend.Frontend(
         gateway_owner, session, exchanges, MAX_ANSWER_BYTES_FLAG.value
     )
--- a/bilberryramp/wire/tests/test_fleet_codec.py
+++ b/bilberryramp/wire/tests/test_fleet_codec.py
@@ -1,3 +1,4 @@
+import dataclasses
 import unittest
 
 import msgspec
@@ -32,6 +33,24 @@
             register_messages.CommittedDocument(4, BODY, (-1, -1)),
         )
 
+    def test_leader_heartbeat_of_an_earlier_version_states_no_size(self):
+        fields = {
+            "sender": {"address": "n1", "store_id": "s1"},
+            "term": 3,
+            "last": (3, 1),
+            "committed": (3, 1),
+            "record": None,
+            "sent_ms": 7,
+            "echo": 9,
+        }
+        data = msgspec.msgpack.encode(("Append", fields))
+        message = fleet_codec.decode(data)
+        self.assertEqual((message.fleet_size, message.counted_ms), (0, 0))
+        stated = dataclasses.replace(message, fleet_size=4, counted_ms=5)
+        self.assertEqual(
+            fleet_codec.decode(fleet_codec.encode(stated)), stated
+        )
+
     def test_damaged_bytes_raise_malformed_message_error(self):
         data = fleet_codec.encode(register_messages.CommittedDocument(4, BODY))
         for damaged in (data[:-5], data[:1], b"\xc1nonsense", b"", b"\x93a"):
