Divide the slack of the retry budgets by leases instead of the roster

Cause: each process had its whole part of the slack from its start on, whatever its predecessor had spent just before. The part was the slack divided by the nodes that it heard of, so a node that was cut off, or had just started, took a larger one.

A node now spends the share that `retry_shares` grants, and none without a lease. Ruled out: spent retries on the disk (a write for each, and nodes without disks); permission for each retry by the leader (a round trip, none without a leader); nothing until a window has passed (cuts still enlarge the parts of others).

Tests that set `node_count` set a granted share of the same size now; builders of gateways grant the whole slack, which a node without peers had before.

--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -19,6 +19,7 @@
     placement,
     presence,
     retry_budget,
+    retry_shares,
     scheduling,
     sharing,
     suspect_evidence,
@@ -211,8 +212,8 @@
         Current time in milliseconds.
     message
         A message of this module or of `calls`, an `Announcement`, a
-        `LeavingNotice` of a peer, a `ResidencyReport`, a `Report`, or a
-        message of the coordinator of the quarantine.
+        `LeavingNotice` of a peer, a `ResidencyReport`, a `Report`, a `Share`,
+        or a message of the coordinator of the quarantine.
 
     Yields
     ------
@@ -373,6 +374,27 @@
         placement.record_demand(gw.demand, model_key, tokens, now_ms)
 
 
+def _on_share(
+    gw: gateway_state.Gateway, _now_ms: int, share: retry_shares.Share
+) -> Iterator:
+    before, gw.retry_share = gw.retry_share, share
+    if (share.state, share.fleet_size) != (before.state, before.fleet_size):
+        slack = retry_budget.SLACK_FRACTION * gw.budget_limits.slack
+        yield Trace(
+            "retry.share_changed",
+            {
+                "state": share.state,
+                "fleet_size": share.fleet_size,
+                "share": round(slack / share.fleet_size, 2)
+                if share.fleet_size
+                else 0.0,
+                "counted_ms": share.counted_ms,
+                "leader": gw.suspect_state.coordinator,
+                "started_ms": gw.started_ms,
+            },
+        )
+
+
 # Messages of the coordinator of the quarantine.
 
 
@@ -851,6 +873,7 @@
     ExcessSeen: _on_excess_seen,
     LeavingSeen: _on_leaving_seen,
     presence.LeavingNotice: _on_leaving_notice,
+    retry_shares.Share: _on_share,
     msgs.SuspectDigest: _on_suspect_digest,
     msgs.SuspectList: _on_suspect_list,
     msgs.TrialGrant: _on_trial_grant,
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -12,6 +12,7 @@
     placement,
     presence,
     retry_budget,
+    retry_shares,
     sharing,
     suspect_trials,
     suspects,
@@ -81,8 +82,8 @@
     discovery_deadline_ms
         Time by which every running upstream has announced itself to this
         node.
-    node_count
-        Number of gateways that share the retry budget, including this one.
+    retry_share
+        This node's part of the slack of the retry budgets.
     started_ms
         When this process started.
     is_shutting_down
@@ -120,7 +121,7 @@
         default_factory=dict
     )
     discovery_deadline_ms: int = 0
-    node_count: int = 1
+    retry_share: retry_shares.Share = retry_shares.Share()
     started_ms: int = 0
     is_shutting_down: bool = False
     served_ms: int = 0
@@ -174,7 +175,10 @@
         The present numbers, with this node's share of the slack.
     """
     return retry_budget.account(
-        service_budget(gw, service), gw.budget_limits, gw.node_count, now_ms
+        service_budget(gw, service),
+        gw.budget_limits,
+        retry_shares.fleet_size_at(gw.retry_share, now_ms),
+        now_ms,
     )
 
 
@@ -207,7 +211,7 @@
         "spent": state.spent,
         "earned": round(state.earned, 2),
         "share": round(state.share, 2),
-        "fleet_size": gw.node_count,
+        "fleet_size": retry_shares.fleet_size_at(gw.retry_share, now_ms),
         "started_ms": gw.started_ms,
         "window_ms": gw.budget_limits.window_ms,
         "waited_ms": now_ms - call.attempt_ended_ms,
--- a/bilberryramp/decisions/fleet/retry_budget.py
+++ b/bilberryramp/decisions/fleet/retry_budget.py
@@ -6,7 +6,7 @@
 - Earned: a part of its own requests. The windows of the nodes end at different
   times, and those of a restarted node exclude what its predecessor received,
   so together they earn from at most twice the requests of one window.
-- Its share of the slack.
+- Its share of the slack, which `retry_shares` grants.
 
 Retries are counted when they are sent, and arrive within `ARRIVAL_DELAY_MS`.
 """
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -16,6 +16,7 @@
     register,
     register_messages,
     retry_budget,
+    retry_shares,
 )
 from bilberryramp.decisions.shared import charting
 
@@ -129,7 +130,10 @@
 
 
 def make_gateway(doc=None, upstreams=(), now_ms=10_000, seed=1):
-    """Build a gateway with a document that has received announcements."""
+    """Build a gateway with a document that has received announcements.
+
+    It has the whole slack of the retry budgets for itself.
+    """
     gw = gateway_state.Gateway(
         "n1:1",
         bind_chart("exchange", gateway_state),
@@ -137,6 +141,7 @@
         random.Random(seed),
         presence.Table(1200),
         retry_budget.Limits(0.2, 60.0, 10_000),
+        retry_share=make_share(),
     )
     messages = [gateway.DocumentInForce(doc or make_document()), *upstreams]
     for message in messages:
@@ -144,6 +149,12 @@
     return gw
 
 
+def make_share(fleet_size=1, valid_until_ms=10**12, **changes):
+    """Build a granted part of the slack of the retry budgets."""
+    fields = {"state": "granted", "counted_ms": 60_000} | changes
+    return retry_shares.Share(fleet_size, valid_until_ms, **fields)
+
+
 def collect(effects):
     """Run a handler to its end and return its effects."""
     return list(effects)
--- a/bilberryramp/decisions/fleet/tests/quarantine_driver.py
+++ b/bilberryramp/decisions/fleet/tests/quarantine_driver.py
@@ -158,6 +158,7 @@
         random.Random(fleet.rng.random()),
         table,
         retry_budget.Limits(0.2, 60.0, 10_000),
+        retry_share=builders.make_share(),
     )
     for _ in gateway.step(
         gw, fleet.now_ms, gateway.DocumentInForce(builders.make_document())
--- a/bilberryramp/decisions/fleet/tests/register_driver.py
+++ b/bilberryramp/decisions/fleet/tests/register_driver.py
@@ -89,6 +89,12 @@
     loss_probability, crash_probability
         Probability that a message is lost, and that a process stops before
         it writes its state.
+    delays_ms
+        Delays that messages have, chosen at random.
+    frozen
+        Addresses of the instances whose process does not run for now.
+    held
+        Messages to frozen instances: address, incarnation and message.
     """
 
     rng: random.Random
@@ -106,6 +112,9 @@
     quorum_documents: set = dataclasses.field(default_factory=set)
     loss_probability: float = 0.02
     crash_probability: float = 0.001
+    delays_ms: tuple = (1, 2, 5, 40)
+    frozen: set = dataclasses.field(default_factory=set)
+    held: list = dataclasses.field(default_factory=list)
 
 
 def make_cluster(seed, durable_count=3, memory_only_count=2):
@@ -152,10 +161,26 @@
     instance = cluster.instances[name]
     instance.node = None
     instance.incarnation += 1
+    cluster.frozen.discard(name)
+    cluster.held = [item for item in cluster.held if item[0] != name]
     if lose_disk or not instance.durable:
         instance.persisted = None
 
 
+def freeze(cluster, name):
+    """Suspend the process of an instance; messages to it wait."""
+    cluster.frozen.add(name)
+
+
+def thaw(cluster, name):
+    """Resume the process of an instance."""
+    cluster.frozen.discard(name)
+    held = [item for item in cluster.held if item[0] == name]
+    cluster.held = [item for item in cluster.held if item[0] != name]
+    for _, incarnation, message in held:
+        post(cluster, 0, name, incarnation, message)
+
+
 def post(cluster, delay_ms, to, incarnation, message):
     """Schedule the delivery of a message."""
     cluster.sequence += 1
@@ -184,6 +209,9 @@
             or target_incarnation not in (None, instance.incarnation)
         ):
             continue
+        if to in cluster.frozen:
+            cluster.held.append((to, target_incarnation, message))
+            continue
         if isinstance(message, register.Tick):
             post(cluster, TICK_MS, to, instance.incarnation, message)
         deliver(cluster, instance, message)
@@ -226,7 +254,7 @@
         return
     if cluster.rng.random() < cluster.loss_probability:
         return
-    delay_ms = cluster.rng.choice((1, 2, 5, 40))
+    delay_ms = cluster.rng.choice(cluster.delays_ms)
     post(cluster, delay_ms, effect.to, None, effect.message)
 
 
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -204,7 +204,7 @@
             builders.make_plain_announcement("p2"),
         ]
         gw = builders.make_gateway(upstreams=upstreams)
-        gw.node_count = 30
+        gw.retry_share = builders.make_share(30)
         retries = 0
         for call_id in range(20):
             builders.submit(gw, call_id, builders.make_request("/look/x"))
@@ -332,6 +332,14 @@
             self.assertTrue(builders.of_type(effects, calls.SendCall))
         self.assertEqual(self.spent(NOW_MS + 50), 0)
 
+    def test_a_lease_that_has_ended_grants_no_share(self):
+        self.gw.retry_share = builders.make_share(1, NOW_MS + 40)
+        other = builders.make_plain_announcement("p2")
+        builders.collect(gateway.step(self.gw, NOW_MS, other))
+        builders.submit(self.gw, 1, builders.make_request("/look/x"))
+        effects = end_attempt(self.gw, 1, calls.AttemptOutcome.BROKEN)
+        self.assertFalse(builders.of_type(effects, calls.SendCall))
+
     def test_requests_that_are_refused_earn_retries(self):
         self.gw.budget_limits = builders.retry_budget.Limits(0.2, 0.0, 10_000)
         self.gw.is_shutting_down = True
@@ -341,6 +349,21 @@
         state = gateway_state.retry_account(self.gw, "plain", NOW_MS)
         self.assertAlmostEqual(state.earned, 0.5 * 0.2 * 19)
 
+    def test_a_change_of_the_share_is_logged(self):
+        for share, expected in (
+            (builders.make_share(3), (0.36, 3, "granted")),
+            (builders.make_share(3, 10**12 + 1), None),
+            (builders.make_share(0, -1, state="expired"), (0, 0, "expired")),
+        ):
+            effects = builders.collect(gateway.step(self.gw, NOW_MS, share))
+            logged = [
+                tuple(
+                    t.fields[key] for key in ("share", "fleet_size", "state")
+                )
+                for t in builders.of_type(effects, traces.Trace)
+            ]
+            self.assertEqual(logged, [expected] if expected else [])
+
 
 class LeavingTest(unittest.TestCase):
     def test_leaving_upstream_receives_no_calls(self):
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -286,8 +286,7 @@
 def _apply_roster(task: GatewayTask, roster: operator_calls.Roster) -> None:
     task.peers, task.leader = roster.addresses, roster.leader
     task.holders = task.planner.holders = roster.holders
-    task.gw.node_count = len(roster.addresses) + 1
-    task.coordinator.node_count = task.gw.node_count
+    task.coordinator.node_count = len(roster.addresses) + 1
     own_domain = task.gw.failure_domain
     domains = dict(zip(roster.addresses, roster.domains, strict=False))
     near = tuple(a for a in task.peers if domains.get(a) == own_domain)
@@ -487,10 +486,26 @@
     }
     for name, value in gauges.items():
         metrics.set_gauge(task.task_metrics, name, value)
+    _set_retry_gauges(task)
     _set_quarantine_gauges(task)
     return metrics.render(task.task_metrics)
 
 
+def _set_retry_gauges(task: GatewayTask) -> None:
+    """Set what this node has spent and may spend of each retry budget."""
+    gw, now_ms = task.gw, clock.boot_ms()
+    for service in gw.budgets:
+        state = gateway_state.retry_account(gw, service, now_ms)
+        label = f'{{service="{service}"}}'
+        for name, value in (
+            ("spent", state.spent),
+            ("allowance", int(state.earned + state.share)),
+        ):
+            metrics.set_gauge(
+                task.task_metrics, f"retry_budget_{name}{label}", value
+            )
+
+
 def _set_quarantine_gauges(task: GatewayTask) -> None:
     """Set a gauge for each quarantined suspect, up to a limit."""
     gauges = task.task_metrics.gauges
--- a/bilberryramp/tasks/register_task.py
+++ b/bilberryramp/tasks/register_task.py
@@ -7,18 +7,25 @@
 import asyncio
 import dataclasses
 
-from bilberryramp.decisions.fleet import operator_calls, register
+from bilberryramp.decisions.fleet import (
+    operator_calls,
+    register,
+    retry_shares,
+)
 from bilberryramp.decisions.shared import effects
 from bilberryramp.storage import slots
 from bilberryramp.tasks import clock, mailbox, peer_mesh
 from bilberryramp.telemetry import events
 
-__all__ = ["RegisterTask", "request", "run", "post_ticks"]
+__all__ = ["RegisterTask", "post_ticks", "publish_share", "request", "run"]
 
 # Interval between ticks; a fraction of the register's heartbeat interval.
 TICK_INTERVAL_S = 0.05
 # Delay before a failed write is retried.
 WRITE_RETRY_DELAY_S = 0.2
+# Minimum interval between two renewals of the lease on a share of the retry
+# budgets that the gateway's task is told; a fraction of the lease.
+SHARE_RENEWAL_MS = 400
 # Timeout of an operator's call; less than the 1 s after which the operator
 # tries another node.
 REQUEST_TIMEOUT_S = 0.9
@@ -40,7 +47,7 @@
         Mailbox of the task.
     gateway_inbox
         Mailbox of the gateway's task, which receives `Committed`,
-        `LeaderChanged` and `Roster`.
+        `LeaderChanged`, `Roster` and `Share`.
     holder_inbox
         Mailbox of the holder's task, which receives each `Standing`; None if
         this node orders no engines.
@@ -55,6 +62,8 @@
         Fields of the `Roster` that was last published.
     published_as_of_ms
         Time of the proof of the `Standing` that was last published.
+    published_share
+        Share of the retry budgets that was last published.
     """
 
     node: register.Node
@@ -70,6 +79,7 @@
     next_request_id: int = 1
     roster: tuple = ()
     published_as_of_ms: int = -1
+    published_share: retry_shares.Share = retry_shares.Share()
 
 
 async def run(task: RegisterTask) -> None:
@@ -81,12 +91,15 @@
         State of the task. Modified in place.
     """
     while True:
-        for message in await mailbox.receive_all(task.inbox):
+        messages = await mailbox.receive_all(task.inbox)
+        for message in messages:
             now_ms = clock.boot_ms()
             for effect in register.step(task.node, now_ms, message):
                 await _perform(task, effect)
         _publish_roster(task)
         _publish_standing(task)
+        if register.Tick() in messages:
+            publish_share(task)
 
 
 async def post_ticks(inbox: mailbox.Mailbox, message) -> None:
@@ -183,6 +196,26 @@
         mailbox.post_now(task.holder_inbox, standing)
 
 
+def publish_share(task: RegisterTask) -> None:
+    """Tell the gateway of changes and renewals of its share of the budgets.
+
+    Parameters
+    ----------
+    task
+        State of the task. Modified in place.
+    """
+    share = register.retry_share(task.node, clock.boot_ms())
+    known = task.published_share
+    is_same = (share.state, share.fleet_size) == (
+        known.state,
+        known.fleet_size,
+    )
+    renewed_ms = share.valid_until_ms - known.valid_until_ms
+    if not is_same or renewed_ms >= SHARE_RENEWAL_MS:
+        task.published_share = share
+        mailbox.post_now(task.gateway_inbox, share)
+
+
 def _publish_roster(task: RegisterTask) -> None:
     node = task.node
     holders = node.record.holders if node.record is not None else ()
--- a/bilberryramp/tasks/tests/builders.py
+++ b/bilberryramp/tasks/tests/builders.py
@@ -16,6 +16,7 @@
     planner,
     presence,
     retry_budget,
+    retry_shares,
 )
 from bilberryramp.decisions.shared import (
     call_messages,
@@ -197,6 +198,7 @@
         random.Random(1),
         table,
         retry_budget.Limits(0.2, 60, 10_000),
+        retry_share=retry_shares.Share(1, 10**12, "granted"),
     )
     node_planner = planner.Planner(
         gw.address, table, gw.loads, placement.Demand()
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -369,6 +369,16 @@
     "`not_repeatable` or `deadly_part`. The other fields are those of "
     "`call.retry`.",
 )
+RETRY_SHARE_CHANGED = _declare(
+    5122,
+    "retry.share_changed",
+    "This node's `share` of the slack of the retry budgets changed, in "
+    "retries for each service and window. It is one of `fleet_size` nodes, "
+    "as the `leader` counts them, and has been counted for `counted_ms`. In "
+    "all states but `granted` it retries only as often as its own requests "
+    "allow: `waiting` (it joined or restarted), `expired` or `none` (it "
+    "holds no lease; check whether there is a leader that it reaches).",
+)
 HOLDERS_CHANGED = _declare(
     5204,
     "holders.changed",
