--- /dev/null
+++ b/bilberryramp/decisions/shared/tests/builders.py
@@ -0,0 +1,14 @@
+"""Builders of the state of shared decisions."""
+
+from bilberryramp.charts import loader
+from bilberryramp.decisions.shared import charting, pauses
+
+
+def make_pause(pause_ms=0, now_ms=0) -> pauses.Pause:
+    """Build the pauses of an upstream, which may have asked for one."""
+    chart = charting.bind(
+        loader.load("upstream_pause"), pauses.guards, pauses.actions
+    )
+    pause = pauses.new_pause(chart, "u1")
+    pauses.request_pause(pause, pause_ms, now_ms)
+    return pause
