Send no requests to an upstream during a pause that it asked for

Cause: nothing read the header. A 503 closed the upstream for 300 ms at most, or the circuit breaker did until its next success.

Ruled out: a pause that is recorded and then undone by a heartbeat or by the breaker; there was none to undo.

Change: a 503 with Retry-After that carries the id of its request, or answers an order or a report, begins a pause of that start of the upstream (id and born) at the node, before the body is read. Dispatch excludes it whatever the breaker, heartbeats and earlier calls say. A request whose connection becomes available only after the pause began is withheld: nothing is sent, it goes elsewhere and counts neither as an attempt nor as a repeat. Holders withhold orders and reads. If all upstreams of a service pause or are barred, or all engines with a prompt's model, clients get 503 at once with the time of the earliest end, or of a load if that is sooner, and the model is asked for. Afterwards the upstream returns step by step, by the chart upstream_pause. The estimates of waiting times move from the gateway to a module of their own.

It works because the answer's head decides before the next send: the pause is kept apart from all that may bring an upstream back, and asked both when an upstream is chosen and when its connection is there.

--- a/bilberryramp/decisions/fleet/agent.py
+++ b/bilberryramp/decisions/fleet/agent.py
@@ -357,7 +357,7 @@
     is_remote
         Whether the agent runs on another instance than the engine.
     may_order
-        Whether the agent may send orders now.
+        Whether the agent may send orders, and if remote read the engine, now.
     changing
         Model that the last order loads or unloads, and whether it loads;
         None if no such order is in progress. Used by a remote agent only.
@@ -484,6 +484,7 @@
     loaded_ms = agent.loaded_ms.get(key, -DOUBT_AGE_MS)
     if (
         agent.is_remote
+        and agent.may_order
         and agent.phase == "idle"
         and agent.changing is None
         and now_ms - max(loaded_ms, agent.ordered_ms) >= DOUBT_AGE_MS
--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -42,6 +42,8 @@
     """Another instance uses the address, or the model or adapter is absent."""
     UNREACHABLE = "unreachable"
     """No connection could be opened, so nothing was sent."""
+    WITHHELD = "withheld"
+    """The upstream asked for a pause meanwhile, so nothing was sent."""
     BROKEN = "broken"
     """No complete answer arrived; the request may have run."""
     FAILED = "failed"
@@ -53,7 +55,7 @@
 
 
 # Outcomes of attempts that sent nothing, so that nothing arrived.
-NOTHING_SENT = (AttemptOutcome.UNREACHABLE,)
+NOTHING_SENT = (AttemptOutcome.UNREACHABLE, AttemptOutcome.WITHHELD)
 
 
 class Refusal(enum.Enum):
@@ -75,6 +77,8 @@
     """No attempt ran the request, and no further attempt is allowed."""
     UPSTREAM_FAULTY = "upstream_faulty"
     """Each upstream sends answers without end, and gets no calls for now."""
+    UPSTREAMS_PAUSED = "upstreams_paused"
+    """Each upstream that could serve the request asked for a pause."""
     SUSPECTED = "suspected"
     """Upstreams were lost under the request; whether it ended them is open."""
     QUARANTINED = "quarantined"
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -17,10 +17,16 @@
     sharing,
     suspect_trials,
     suspects,
+    upstream_pauses,
 )
 from bilberryramp.decisions.fleet.traces import Trace
 
-__all__ = ["all_barred_until_ms", "trace_refused_retry", "try_dispatch"]
+__all__ = [
+    "holders",
+    "trace_refused_retry",
+    "try_dispatch",
+    "unavailable_until_ms",
+]
 
 # Minimum interval between two requests of a call for the same model.
 MODEL_REQUEST_INTERVAL_MS = 120
@@ -33,6 +39,8 @@
 # requests until AGENT_RETRY_MS after the unanswered one.
 AGENT_TIMEOUT_MS = 400
 AGENT_RETRY_MS = 1500
+# Reasons to wait for which a copy of the call's model should be loaded.
+_MODEL_WANTED = (calls.Refusal.NO_MODEL, calls.Refusal.UPSTREAMS_PAUSED)
 
 
 def try_dispatch(
@@ -54,7 +62,7 @@
     SendCall, SendResidencyRequest, WantModel, ToCoordinator, Trace
         No `SendCall` if the call should wait; `call.wait_reason` then names
         the resource that it waits for. A call whose request may not run now
-        is held; one that is quarantined waits until the caller refuses it.
+        is held; one that waits in vain waits until the caller refuses it.
     """
     match suspects.admission_of(gw.suspect_state, call, now_ms):
         case suspects.Admission.REFUSE:
@@ -69,45 +77,40 @@
             return
     engine = gateway_state.engine_spec(gw, call.service)
     candidates = _candidates(gw, call, now_ms)
+    if engine is not None and call.request.prompt is not None:
+        yield from _dispatch_prompt(gw, now_ms, call, engine, candidates)
+        return
     if not candidates:
-        call.wait_reason = (
-            calls.Refusal.UPSTREAM_FAULTY
-            if all_barred_until_ms(gw, call.service, now_ms) > now_ms
-            else calls.Refusal.NO_UPSTREAM
-        )
+        call.wait_reason = _wait_reason(gw, call, candidates, now_ms)
         return
-    if engine is None or call.request.prompt is None:
-        upstream = scheduling.pick_plain(
-            candidates, gw.loads, gw.failure_domain, now_ms
-        )
-        if upstream is None:
-            call.wait_reason = calls.Refusal.OVERLOADED
-            return
-        yield from _dispatch(gw, now_ms, call, upstream, None)
+    upstream = scheduling.pick_plain(
+        candidates, gw.loads, gw.failure_domain, now_ms
+    )
+    if upstream is None:
+        call.wait_reason = calls.Refusal.OVERLOADED
         return
-    yield from _dispatch_prompt(gw, now_ms, call, engine, candidates)
+    yield from _dispatch(gw, now_ms, call, upstream, None)
 
 
 def _dispatch_prompt(gw, now_ms, call, engine, candidates) -> Iterator:
     prompt = call.request.prompt
-    holders = [
-        candidate
-        for candidate in candidates
-        if prompt.model in candidate.models
-    ]
-    if not holders:
-        call.wait_reason = calls.Refusal.NO_MODEL
-        yield from _request_model(gw, call, now_ms)
+    model_holders = holders(candidates, call)
+    if not model_holders:
+        call.wait_reason = _wait_reason(gw, call, candidates, now_ms)
+        if call.wait_reason in _MODEL_WANTED:
+            yield from _request_model(gw, call, now_ms)
         return
     adapter_holders = [
-        candidate for candidate in holders if _has_adapter(candidate, prompt)
+        candidate
+        for candidate in model_holders
+        if _has_adapter(candidate, prompt)
     ]
     choice = _pick_engine(gw, call, engine, adapter_holders, now_ms)
     should_dispatch = choice is not None and scheduling.should_dispatch(
         call, choice, now_ms
     )
     loading_candidates = _engines_for_adapter(
-        gw, engine, holders, prompt, now_ms
+        gw, engine, model_holders, prompt, now_ms
     )
     alternative = _pick_engine(gw, call, engine, loading_candidates, now_ms)
     if alternative is not None and (
@@ -125,10 +128,72 @@
     else:
         call.wait_reason = calls.Refusal.NO_MODEL
         _record_adapter_demand(gw, call, now_ms)
-        holder = gw.rng.choice(holders)
+        holder = gw.rng.choice(model_holders)
         yield from _request_adapter(gw, call, engine, holder, now_ms)
 
 
+def holders(upstreams, call: calls.Call) -> list:
+    """Return the upstreams that hold the model of a call's prompt.
+
+    Parameters
+    ----------
+    upstreams
+        Upstreams to choose from.
+    call
+        The call.
+
+    Returns
+    -------
+    list of Upstream
+        Empty for a call without a prompt.
+    """
+    prompt = call.request.prompt
+    if prompt is None:
+        return []
+    return [u for u in upstreams if prompt.model in u.models]
+
+
+def _wait_reason(
+    gw: gateway_state.Gateway, call: calls.Call, candidates: list, now_ms: int
+) -> calls.Refusal:
+    """Return why a call without a suitable candidate cannot be sent."""
+    usable = presence.usable_upstreams(gw.table, call.service, now_ms)
+    reason = _unavailability(gw, call, holders(usable, call), now_ms)
+    if reason in (calls.Refusal.UPSTREAMS_PAUSED, calls.Refusal.OVERLOADED):
+        return reason
+    if candidates:
+        return calls.Refusal.NO_MODEL
+    return _unavailability(gw, call, usable, now_ms)
+
+
+def _unavailability(
+    gw: gateway_state.Gateway, call: calls.Call, upstreams, now_ms: int
+) -> calls.Refusal:
+    """Return why a call can be sent to none of some upstreams.
+
+    Those that it was already sent to matter only if there are no others.
+    """
+    untried = [
+        u
+        for u in upstreams
+        if u.announcement.upstream_id not in call.tried_upstreams
+    ]
+    relevant = untried or upstreams
+    if unavailable_until_ms(gw, relevant, now_ms) > now_ms:
+        return (
+            calls.Refusal.UPSTREAMS_PAUSED
+            if any(_paused_until_ms(gw, u) > now_ms for u in relevant)
+            else calls.Refusal.UPSTREAM_FAULTY
+        )
+    if any(
+        not upstream_pauses.may_call(gw.pauses, u.announcement, now_ms)
+        and _paused_until_ms(gw, u) <= now_ms
+        for u in untried
+    ):
+        return calls.Refusal.OVERLOADED
+    return calls.Refusal.NO_UPSTREAM
+
+
 def _has_adapter(upstream, prompt: calls.Prompt) -> bool:
     return not prompt.adapter or prompt.adapter in upstream.models.get(
         prompt.model, ()
@@ -243,11 +308,12 @@
 ) -> list:
     """List the preferred group of a call's usable upstreams.
 
-    An upstream that the call was already sent to is never used again. Among
-    the other upstreams, those that are healthy and not full come first.
-    Avoided and full upstreams are used only if there are no better ones, so
-    that the last upstream of a service still receives calls. An avoided engine
-    that holds the call's model is also used if no healthy engine holds it.
+    An upstream that the call was already sent to is never used again, nor is
+    one during a pause that it asked for. Among the other upstreams, those that
+    are healthy and not full come first. Avoided and full upstreams are used
+    only if there are no better ones, so that the last upstream of a service
+    still receives calls. An avoided engine that holds the call's model is also
+    used if no healthy engine holds it.
     A call under which upstreams were lost spares engines that are the last to
     hold some model, and in a trial also those with other calls.
     """
@@ -315,6 +381,7 @@
         u
         for u in presence.usable_upstreams(gw.table, call.service, now_ms)
         if not _is_barred(gw, u, now_ms)
+        and upstream_pauses.may_call(gw.pauses, u.announcement, now_ms)
         and u.announcement.upstream_id not in call.tried_upstreams
     ]
     accepting = [
@@ -333,33 +400,46 @@
     return healthy or accepting or untried
 
 
-def all_barred_until_ms(
-    gw: gateway_state.Gateway, service: str, now_ms: int
+def unavailable_until_ms(
+    gw: gateway_state.Gateway, upstreams, now_ms: int
 ) -> int:
-    """Return until when no upstream of a service gets calls.
+    """Return until when none of some upstreams may receive calls.
 
     Parameters
     ----------
     gw
         State of the gateway.
-    service
-        Name of the service.
+    upstreams
+        The upstreams.
     now_ms
         Current time in milliseconds.
 
     Returns
     -------
     int
-        When the first upstream that is barred for excessive answers gets
-        calls again; 0 if one is not barred, or if there is none.
+        When the first one may receive calls that is barred for excessive
+        answers or pauses; 0 if one does neither, or if there is none.
     """
-    breakers = [
-        gw.upstream_health.get(upstream.announcement.upstream_id)
-        for upstream in presence.usable_upstreams(gw.table, service, now_ms)
-    ]
-    if not all(health.is_barred(breaker, now_ms) for breaker in breakers):
-        return 0
-    return min((b.barred_until_ms for b in breakers), default=0)
+    first_ms = min(
+        (
+            max(_barred_until_ms(gw, u), _paused_until_ms(gw, u))
+            for u in upstreams
+        ),
+        default=0,
+    )
+    return first_ms if first_ms > now_ms else 0
+
+
+def _barred_until_ms(gw: gateway_state.Gateway, upstream) -> int:
+    breaker = gw.upstream_health.get(upstream.announcement.upstream_id)
+    return breaker.barred_until_ms if breaker is not None else 0
+
+
+def _paused_until_ms(gw: gateway_state.Gateway, upstream) -> int:
+    announcement = upstream.announcement
+    return upstream_pauses.until_ms(
+        gw.pauses, announcement.upstream_id, announcement.born_ms
+    )
 
 
 def _is_barred(gw: gateway_state.Gateway, upstream, now_ms: int) -> bool:
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -26,6 +26,8 @@
     suspect_publications,
     suspect_trials,
     suspects,
+    upstream_pauses,
+    waiting_times,
 )
 from bilberryramp.decisions.fleet import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.traces import Trace
@@ -35,6 +37,7 @@
     "DocumentInForce",
     "ExcessSeen",
     "LeavingSeen",
+    "PauseSeen",
     "ShutdownStarted",
     "TellPeers",
     "Tick",
@@ -51,9 +54,6 @@
 FULL_PAUSE_MS = 300
 # A call with less time left than this is not sent.
 MIN_ATTEMPT_TIME_MS = 60
-# Bounds of the delay that a refusal asks of clients before they retry.
-MIN_RETRY_AFTER_MS = 200
-MAX_RETRY_AFTER_MS = 2000
 # A node without a document usually receives one within this time.
 NO_DOCUMENT_RETRY_AFTER_MS = 700
 # Upstreams announce themselves one by one; a node that has just started
@@ -70,6 +70,7 @@
     calls.Refusal.QUARANTINED,
     calls.Refusal.UPSTREAM_FAULTY,
     calls.Refusal.UPSTREAM_FULL,
+    calls.Refusal.UPSTREAMS_PAUSED,
 )
 
 
@@ -125,6 +126,19 @@
     notice: presence.LeavingNotice
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class PauseSeen:
+    """An answer to this node asked for a pause.
+
+    Attributes
+    ----------
+    notice
+        The upstream, its process, and the time.
+    """
+
+    notice: upstream_pauses.PauseNotice
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TellPeers:
     """Effect: send a message to all other nodes.
@@ -286,6 +300,17 @@
     yield from _serve_queue(gw, now_ms)
 
 
+def _on_pause_seen(
+    gw: gateway_state.Gateway, now_ms: int, message: PauseSeen
+) -> Iterator:
+    for trace in upstream_pauses.record_notice(
+        gw.pauses, gw.table, message.notice, now_ms
+    ):
+        yield trace
+        # Calls that waited for this upstream go to others or are refused.
+        yield from _serve_queue(gw, now_ms)
+
+
 def _trace_presence(
     announcement: presence.Announcement, is_leaving: bool, source: str
 ) -> Trace:
@@ -339,6 +364,7 @@
 
 def _on_tick(gw: gateway_state.Gateway, now_ms: int, _message) -> Iterator:
     presence.remove_silent_upstreams(gw.table, now_ms)
+    upstream_pauses.remove_outdated(gw.pauses, gw.table, now_ms)
     yield from suspect_evidence.review(gw.suspect_state, now_ms)
     yield from _clear_survivors(gw, now_ms)
     yield from _review_held(gw, now_ms)
@@ -527,7 +553,10 @@
         )
     if call.phase == "sent":
         suspect_evidence.record_answer_start(gw.suspect_state, call, now_ms)
+    was_returning = upstream_pauses.is_returning(gw.pauses, call)
     yield from gateway_state.fire(gw, call, "answering", now_ms)
+    if was_returning:
+        yield from _serve_queue(gw, now_ms)
 
 
 def _on_client_disconnected(
@@ -561,6 +590,9 @@
     outcome = message.outcome
     call.last_outcome, call.attempt_ended_ms = outcome, now_ms
     call.may_have_arrived |= outcome not in calls.NOTHING_SENT
+    if outcome is calls.AttemptOutcome.WITHHELD:
+        yield from _take_back(gw, call, now_ms)
+        return
     _record_outcome(gw, call, outcome, now_ms)
     yield from suspect_evidence.record_attempt_end(
         gw.suspect_state, call, outcome, now_ms
@@ -599,6 +631,29 @@
     yield from _serve_queue(gw, now_ms)
 
 
+def _take_back(
+    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
+) -> Iterator:
+    """Return a call of which nothing was sent to the queue.
+
+    It keeps what it has spent of the retry budget.
+    """
+    yield Trace(
+        "call.withheld",
+        {
+            "request_id": call.request.request_id,
+            "upstream": call.upstream_id,
+            "send": call.send_count,
+            "took_ms": now_ms - call.sent_ms,
+        },
+    )
+    call.send_count -= 1
+    call.attempt_count -= 1
+    call.tried_upstreams.discard(call.upstream_id)
+    yield from gateway_state.fire(gw, call, "repeatable", now_ms)
+    yield from _serve_queue(gw, now_ms)
+
+
 def _refuse(
     call_id: int,
     req: calls.Request,
@@ -729,7 +784,7 @@
             call.call_id,
             call.request,
             calls.Refusal.UPSTREAM_FULL,
-            _retry_after_ms(gw, call, now_ms),
+            waiting_times.retry_after_ms(gw, call, now_ms),
         )
 
 
@@ -782,7 +837,7 @@
         and not is_hopeless
         and remaining_ms >= MIN_ATTEMPT_TIME_MS
         and scheduling.should_keep_waiting(
-            call, _load_time_ms(gw, call, now_ms), now_ms
+            call, waiting_times.load_time_ms(gw, call, now_ms), now_ms
         )
     ):
         return
@@ -802,76 +857,23 @@
         "route": call.route.name,
         "weights": _weights(call),
         "waited_ms": now_ms - call.arrived_ms,
+        **waiting_times.pause_details(gw, call, now_ms),
     }
     yield from _refuse(
         call.call_id,
         call.request,
         reason,
-        _retry_after_ms(gw, call, now_ms),
+        waiting_times.retry_after_ms(gw, call, now_ms),
         wait_details,
     )
 
 
-def _load_time_ms(
-    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
-) -> float:
-    """Return the load time of the model that a call waits for.
-
-    The result is 0 if the call does not wait for a model.
-    """
-    engine = gateway_state.engine_spec(gw, call.service)
-    prompt = call.request.prompt
-    if call.wait_reason is not calls.Refusal.NO_MODEL or engine is None:
-        return 0.0
-    spec = engine.models.get(prompt.model)
-    if spec is None:
-        return 0.0
-    is_stored_locally = any(
-        prompt.model in upstream.announcement.copies
-        for upstream in presence.usable_upstreams(
-            gw.table, call.service, now_ms
-        )
-    )
-    time_ratio = placement.LOCAL_LOAD_TIME_RATIO if is_stored_locally else 1.0
-    return 1000 * spec.load_s * time_ratio
-
-
-def _retry_after_ms(
-    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
-) -> int:
-    """Estimate when a refused client may retry, in milliseconds.
-
-    The time is that in which the least busy upstream reads its unread prompts,
-    or in which the model that the call waits for is loaded. A quarantined
-    request may be sent again when its quarantine ends, and one for faulty
-    upstreams when the first of them is tried again.
-    """
-    quarantine_ms = suspects.remaining_quarantine_ms(
-        gw.suspect_state, call, now_ms
-    )
-    if quarantine_ms > 0:
-        return quarantine_ms
-    barred_until_ms = dispatch.all_barred_until_ms(gw, call.service, now_ms)
-    if barred_until_ms > now_ms:
-        return max(barred_until_ms - now_ms, MIN_RETRY_AFTER_MS)
-    backlogs = [
-        sum(
-            sharing.total_load(
-                gw.loads, u.announcement.upstream_id, now_ms
-            ).unread_tokens
-        )
-        for u in presence.usable_upstreams(gw.table, call.service, now_ms)
-    ]
-    wait_ms = min(backlogs, default=0) * scheduling.DEFAULT_MS_PER_TOKEN
-    wait_ms = max(wait_ms, _load_time_ms(gw, call, now_ms))
-    return int(min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS))
-
-
 _HANDLERS = {
     CoordinatorChanged: _on_coordinator_changed,
     DocumentInForce: _on_document_in_force,
     ExcessSeen: _on_excess_seen,
     LeavingSeen: _on_leaving_seen,
+    PauseSeen: _on_pause_seen,
     presence.LeavingNotice: _on_leaving_notice,
     retry_shares.Share: _on_share,
     msgs.SuspectDigest: _on_suspect_digest,
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -16,6 +16,7 @@
     sharing,
     suspect_trials,
     suspects,
+    upstream_pauses,
 )
 from bilberryramp.decisions.shared import charting
 
@@ -48,6 +49,8 @@
         Known upstreams.
     budget_limits
         Limits of the retry budget.
+    pauses
+        Pauses that upstreams have asked this node for.
     failure_domain
         Failure domain of this node.
     loads
@@ -98,6 +101,7 @@
     rng: random.Random
     table: presence.Table
     budget_limits: retry_budget.Limits
+    pauses: upstream_pauses.Pauses
     failure_domain: str = ""
     loads: sharing.Loads = dataclasses.field(default_factory=sharing.Loads)
     doc: documents.Document | None = None
@@ -294,6 +298,19 @@
     yield from ()
 
 
+def _count_sent(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+    upstream_pauses.record_sent(gw.pauses, call)
+    yield from ()
+
+
+def _count_served(call: calls.Call, now_ms: int, gw: Gateway) -> Iterator:
+    yield from upstream_pauses.record_response(gw.pauses, call, True, now_ms)
+
+
+def _count_unserved(call: calls.Call, now_ms: int, gw: Gateway) -> Iterator:
+    yield from upstream_pauses.record_response(gw.pauses, call, False, now_ms)
+
+
 def _end_trial(call: calls.Call, now_ms: int, gw: Gateway) -> Iterator:
     yield from suspect_trials.end_trial(gw.suspect_state, call, now_ms)
 
@@ -307,5 +324,8 @@
     "leave_queue": _leave_queue,
     "join_held": _join_held,
     "leave_held": _leave_held,
+    "count_sent": _count_sent,
+    "count_served": _count_served,
+    "count_unserved": _count_unserved,
     "end_trial": _end_trial,
 }
--- a/bilberryramp/decisions/fleet/order_holders.py
+++ b/bilberryramp/decisions/fleet/order_holders.py
@@ -20,6 +20,7 @@
 __all__ = [
     "EngineCall",
     "EngineMessage",
+    "EnginePaused",
     "EngineSeen",
     "Holder",
     "Standing",
@@ -117,6 +118,23 @@
     message: agent.EngineReport | agent.OrderEnded
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EnginePaused:
+    """An engine asked this node for a pause.
+
+    Attributes
+    ----------
+    upstream_id, born_ms
+        Id of the engine and start of the process that asked.
+    until_ms
+        When the pause ends.
+    """
+
+    upstream_id: str
+    born_ms: int
+    until_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Tick:
     """Periodic message that lets the holder act on elapsed time."""
@@ -154,12 +172,15 @@
         Time from which this node may order the engine.
     orders
         State of the orders to it; None while another node holds the engine.
+    paused_until_ms
+        End of the pause that its process asked for; 0 if it asked for none.
     """
 
     announcement: presence.Announcement
     seen_ms: int
     acts_from_ms: int
     orders: agent.Agent | None = None
+    paused_until_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -327,8 +348,8 @@
     now_ms
         Current time in milliseconds.
     message
-        `Standing`, `EngineSeen`, `EngineMessage`, `ResidencyRequest` or
-        `Tick`.
+        `Standing`, `EngineSeen`, `EngineMessage`, `EnginePaused`,
+        `ResidencyRequest` or `Tick`.
 
     Yields
     ------
@@ -385,6 +406,7 @@
     elif engine.announcement.born_ms != announcement.born_ms:
         # The new process has accepted no orders and holds no models.
         engine.orders = None
+        engine.paused_until_ms = 0
     engine.announcement, engine.seen_ms = announcement, now_ms
     _update_orders(holder, upstream_id, engine)
     message = agent.ResidencyAnnounced(announcement.held)
@@ -407,6 +429,15 @@
         yield from _step_engine(holder, now_ms, engine, received.message)
 
 
+def _on_engine_paused(
+    holder: Holder, now_ms: int, paused: EnginePaused
+) -> Iterator:
+    engine = holder.engines.get(paused.upstream_id)
+    if engine is not None and engine.announcement.born_ms == paused.born_ms:
+        engine.paused_until_ms = max(engine.paused_until_ms, paused.until_ms)
+    yield from ()
+
+
 def _on_tick(holder: Holder, now_ms: int, _message) -> Iterator:
     for upstream_id, engine in list(holder.engines.items()):
         if now_ms - engine.seen_ms > ENGINE_EXPIRY_MS:
@@ -423,6 +454,7 @@
         return
     engine.orders.may_order = (
         now_ms >= engine.acts_from_ms
+        and now_ms >= engine.paused_until_ms
         and now_ms - holder.standing.as_of_ms < STANDING_VALID_MS
     )
     announcement = engine.announcement
@@ -442,6 +474,7 @@
     Standing: _on_standing,
     EngineSeen: _on_engine_seen,
     EngineMessage: _on_engine_message,
+    EnginePaused: _on_engine_paused,
     agent.ResidencyRequest: _on_request,
     Tick: _on_tick,
 }
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -17,8 +17,9 @@
     register_messages,
     retry_budget,
     retry_shares,
+    upstream_pauses,
 )
-from bilberryramp.decisions.shared import charting
+from bilberryramp.decisions.shared import charting, pauses
 
 
 def bind_chart(name, module):
@@ -141,6 +142,7 @@
         random.Random(seed),
         presence.Table(1200),
         retry_budget.Limits(0.2, 60.0, 10_000),
+        upstream_pauses.Pauses(bind_chart("upstream_pause", pauses)),
         retry_share=make_share(),
     )
     messages = [gateway.DocumentInForce(doc or make_document()), *upstreams]
--- a/bilberryramp/decisions/fleet/tests/quarantine_driver.py
+++ b/bilberryramp/decisions/fleet/tests/quarantine_driver.py
@@ -23,9 +23,10 @@
     retry_budget,
     suspect_publications,
     suspects,
+    upstream_pauses,
 )
 from bilberryramp.decisions.fleet.tests import builders
-from bilberryramp.decisions.shared import effects, quarantine
+from bilberryramp.decisions.shared import effects, pauses, quarantine
 from bilberryramp.wire import fleet_codec
 
 HEARTBEAT_MS = 400
@@ -45,6 +46,7 @@
 
 EXCHANGE = builders.bind_chart("exchange", gateway_state)
 HEALTH = builders.bind_chart("upstream_health", health)
+PAUSE = builders.bind_chart("upstream_pause", pauses)
 SUSPECT = builders.bind_chart("suspect", quarantine)
 
 
@@ -158,6 +160,7 @@
         random.Random(fleet.rng.random()),
         table,
         retry_budget.Limits(0.2, 60.0, 10_000),
+        upstream_pauses.Pauses(PAUSE),
         retry_share=builders.make_share(),
     )
     for _ in gateway.step(
--- a/bilberryramp/decisions/fleet/tests/test_order_holders.py
+++ b/bilberryramp/decisions/fleet/tests/test_order_holders.py
@@ -83,6 +83,64 @@
     return builders.make_residency_request(adapter, upstream_id=upstream_id)
 
 
+class PauseTest(unittest.TestCase):
+    # Guards against orders and reads of an engine during its pause.
+
+    PAUSE_MS = 4000
+    END_MS = NOW_MS + PAUSE_MS
+
+    def setUp(self):
+        self.holder = make_holder()
+        self.engine = held_engine(("n1", "n2"))
+        announce(self.holder, self.engine)
+
+    def pause(self, born_ms=1000):
+        paused = order_holders.EnginePaused(self.engine, born_ms, self.END_MS)
+        self.assertFalse(send(self.holder, paused))
+
+    def tick(self, now_ms):
+        standing = dataclasses.replace(self.holder.standing, as_of_ms=now_ms)
+        send(self.holder, standing, now_ms)
+        return send(self.holder, order_holders.Tick(), now_ms)
+
+    def test_it_gets_no_orders(self):
+        report(self.holder, self.engine, 0)
+        self.pause()
+        self.assertFalse(send(self.holder, request(self.engine)))
+        self.assertFalse(self.tick(NOW_MS + 100))
+
+    def test_it_is_not_read(self):
+        self.pause()
+        self.assertFalse(self.tick(self.END_MS - 1))
+        self.assertTrue(self.tick(self.END_MS))
+
+    def test_it_is_not_read_because_a_node_misses_a_model(self):
+        report(self.holder, self.engine, 0)
+        self.pause()
+        missed = request(self.engine, adapter="")
+        effects = send(self.holder, missed, NOW_MS + 3000)
+        self.assertFalse(
+            [e for e in effects if isinstance(e, order_holders.EngineCall)]
+        )
+
+    def test_orders_follow_when_it_is_over(self):
+        report(self.holder, self.engine, 0)
+        self.pause()
+        self.tick(self.END_MS)
+        effects = send(self.holder, request(self.engine), self.END_MS)
+        self.assertTrue(orders(effects))
+
+    def test_a_later_start_of_the_engine_is_free(self):
+        self.pause()
+        announce(self.holder, self.engine, born_ms=2000)
+        self.assertTrue(self.tick(NOW_MS))
+
+    def test_a_pause_of_an_earlier_start_is_ignored(self):
+        announce(self.holder, self.engine, born_ms=2000)
+        self.pause(born_ms=1000)
+        self.assertTrue(self.tick(NOW_MS))
+
+
 class AssignmentTest(unittest.TestCase):
     def test_a_lost_holder_moves_its_own_engines_only(self):
         holders = tuple(f"n{number}" for number in range(8))
--- a/bilberryramp/platform/engine_orders.py
+++ b/bilberryramp/platform/engine_orders.py
@@ -13,6 +13,7 @@
     "encode",
     "decode_report",
     "is_leaving",
+    "pause_ms",
 ]
 
 ORDER_PATH = "/order"
@@ -20,6 +21,7 @@
 EXPECTED_INSTANCE_HEADER = "X-Bilberryramp-Expected-Instance"
 
 is_leaving = exchanges.is_leaving
+pause_ms = exchanges.pause_ms
 
 _MAX_ORDER_COUNT = 2**53
 _ANSWERS = {
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -3,6 +3,7 @@
 import enum
 
 from bilberryramp.decisions.fleet import calls, prefix_cache
+from bilberryramp.wire import retry_after
 
 __all__ = [
     "REQUEST_ID_HEADER",
@@ -11,6 +12,7 @@
     "upstream_request_headers",
     "has_upstream_signature",
     "is_leaving",
+    "pause_ms",
     "decode_request",
     "decode_run_state",
 ]
@@ -247,6 +249,25 @@
     return headers.get(_LEAVING_HEADER, "0").strip() != "0"
 
 
+def pause_ms(status: int, headers) -> int:
+    """Return for how long an upstream wants no requests after an answer.
+
+    Parameters
+    ----------
+    status
+        HTTP status of the answer.
+    headers
+        Case-insensitive multidict of the answer's headers.
+
+    Returns
+    -------
+    int
+        Milliseconds; 0 unless the status is 503 and the answer states a
+        time, as `wire.retry_after` decodes it.
+    """
+    return retry_after.decode(headers) if status == 503 else 0
+
+
 def has_upstream_signature(headers) -> bool:
     """Return whether an answer carries the signature header of an upstream.
 
--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -1,8 +1,12 @@
 """Builders of messages in the platform's formats."""
 
 import asyncio
+import collections
+import dataclasses
 import json
 
+import aiohttp
+
 from bilberryramp.decisions.fleet import gateway
 from bilberryramp.platform import exchanges, standins
 from bilberryramp.standins import faulty_server
@@ -109,6 +113,71 @@
 )
 
 
+PAUSE_S = 60
+NOT_EXECUTED = {"X_Bilberryramp_Not_Executed": "1"}
+SIGNED = {"X_Bilberryramp_Server_Signature": "sig"}
+
+
+def pausing_answer(
+    retry_after=str(PAUSE_S), status="503 Busy", echoed_id=None, **headers
+):
+    """Make a function that answers with a pause.
+
+    Unless `echoed_id` is given, the answer carries the id of the request.
+    """
+
+    def answer(request: faulty_server.Request) -> bytes:
+        request_id = request.headers.get("x-bilberryramp-request-id", "")
+        return task_builders.answer_bytes(
+            b"",
+            status,
+            X_Bilberryramp_Request_Id=echoed_id or request_id,
+            Retry_After=retry_after,
+            **headers,
+        )
+
+    return answer
+
+
+@dataclasses.dataclass(slots=True)
+class ConnectGate:
+    """Holds back the connections that a session opens.
+
+    Attributes
+    ----------
+    waiting
+        Events that let the held connections to each port proceed, in order.
+    is_open
+        Whether further connections are not held back.
+    """
+
+    waiting: dict = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    is_open: bool = False
+
+
+def hold_connections(session: aiohttp.ClientSession) -> ConnectGate:
+    """Hold back all connections that a session opens from now on."""
+    gate = ConnectGate()
+
+    async def note_port(_session, context, params) -> None:
+        context.port = params.url.port
+
+    async def wait(_session, context, _params) -> None:
+        if not gate.is_open:
+            event = asyncio.Event()
+            gate.waiting[context.port].append(event)
+            await event.wait()
+
+    hooks = aiohttp.TraceConfig()
+    hooks.on_request_start.append(note_port)
+    hooks.on_connection_create_start.append(wait)
+    hooks.freeze()
+    session.trace_configs.append(hooks)
+    return gate
+
+
 async def start_frontend(case, addresses, **changes):
     """Start a gateway and its HTTP server; return the front end and port."""
     task = task_builders.make_gateway_task(addresses)
@@ -131,18 +200,23 @@
     return front, server.sockets[0].getsockname()[1]
 
 
-async def call_frontend(session, port, request_id, path="/once/x", **headers):
-    """Send a request; return the status, the body and the answered id."""
+def open_call(session, port, request_id, path="/once/x", **headers):
+    """Return a context manager that sends a request and has the response."""
     defaults = {
         "Host": task_builders.HOST,
         "X-Bilberryramp-Request-Id": request_id,
         "X-Bilberryramp-Deadline-Ms": "3000",
     }
-    async with session.post(
+    return session.post(
         f"http://127.0.0.1:{port}{path}",
         data=request_id.encode(),
         headers=defaults | headers,
-    ) as resp:
+    )
+
+
+async def call_frontend(session, port, request_id, path="/once/x", **headers):
+    """Send a request; return the status, the body and the answered id."""
+    async with open_call(session, port, request_id, path, **headers) as resp:
         body = await resp.read()
         answered_id = resp.headers.get("X-Bilberryramp-Request-Id", "")
         return resp.status, body, answered_id
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -24,8 +24,9 @@
     register_messages,
     retry_budget,
     retry_shares,
+    upstream_pauses,
 )
-from bilberryramp.decisions.shared import quarantine
+from bilberryramp.decisions.shared import pauses, quarantine
 from bilberryramp.platform import (
     engine_orders,
     exchanges,
@@ -245,6 +246,9 @@
         retry_budget.Limits(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_ms
         ),
+        upstream_pauses.Pauses(
+            fleet_launch.bind_chart("upstream_pause", pauses)
+        ),
         cfg.failure_domain,
     )
     gw.started_ms = now_ms
@@ -324,7 +328,13 @@
             notice = presence.LeavingNotice(call.upstream_id, call.born_ms)
             mailbox.post_now(gateway_inbox, gateway.LeavingSeen(notice))
 
-        start_call(call.address, call.call, post, note_leaving)
+        def note_pause(pause_ms: int) -> None:
+            notice = upstream_pauses.PauseNotice(
+                call.upstream_id, call.address, call.born_ms, pause_ms
+            )
+            mailbox.post_now(gateway_inbox, gateway.PauseSeen(notice))
+
+        start_call(call.address, call.call, post, note_leaving, note_pause)
 
     holder = order_holders.new_holder(
         node.me.address,
--- a/bilberryramp/tasks/engine_orders.py
+++ b/bilberryramp/tasks/engine_orders.py
@@ -68,19 +68,24 @@
     -------
     callable
         Function that takes the engine's host and port, a `SendOrder` or
-        `ReadEngine`, and two functions. It starts the call and returns at
+        `ReadEngine`, and three functions. It starts the call and returns at
         once. The first function is called with an `OrderEnded` or an
         `EngineReport`; before it the second one, without arguments, if the
-        answer says that the engine is leaving.
+        answer says that the engine is leaving, and the third one, with a time
+        in milliseconds, if the engine wants no requests for so long.
     """
     running_tasks: set[asyncio.Task] = set()
 
-    def check_leaving(resp: aiohttp.ClientResponse, note_leaving) -> None:
+    def check_head(
+        resp: aiohttp.ClientResponse, note_leaving, note_pause
+    ) -> None:
         if wire.is_leaving(resp.headers):
             note_leaving()
+        if pause_ms := wire.pause_ms(resp.status, resp.headers):
+            note_pause(pause_ms)
 
     async def send_order(
-        address: str, order: agent.SendOrder, post, note_leaving
+        address: str, order: agent.SendOrder, post, note_leaving, note_pause
     ) -> None:
         outcome = agent.OrderAnswer.NONE
         try:
@@ -94,7 +99,7 @@
                     },
                     allow_redirects=False,
                 ) as resp:
-                    check_leaving(resp, note_leaving)
+                    check_head(resp, note_leaving, note_pause)
                     await http_requests.read_limited(resp, MAX_ANSWER_BYTES)
                     outcome = wire.decode_answer(resp.status)
         except aiohttp.ClientConnectorError:
@@ -107,7 +112,7 @@
         post(agent.OrderEnded(outcome))
 
     async def read_engine(
-        address: str, req: agent.ReadEngine, post, note_leaving
+        address: str, req: agent.ReadEngine, post, note_leaving, note_pause
     ) -> None:
         report = agent.EngineReport(-1)
         await asyncio.sleep(req.delay_ms / 1000)
@@ -117,7 +122,7 @@
                     f"http://{address}{wire.REPORT_PATH}",
                     allow_redirects=False,
                 ) as resp:
-                    check_leaving(resp, note_leaving)
+                    check_head(resp, note_leaving, note_pause)
                     body = await http_requests.read_limited(
                         resp, MAX_ANSWER_BYTES
                     )
@@ -134,10 +139,13 @@
         call: agent.SendOrder | agent.ReadEngine,
         post: Callable,
         note_leaving: Callable = lambda: None,
+        note_pause: Callable = lambda pause_ms: None,
     ) -> None:
         is_read = isinstance(call, agent.ReadEngine)
         perform = read_engine if is_read else send_order
-        task = asyncio.create_task(perform(address, call, post, note_leaving))
+        task = asyncio.create_task(
+            perform(address, call, post, note_leaving, note_pause)
+        )
         running_tasks.add(task)
         task.add_done_callback(running_tasks.discard)
 
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -8,7 +8,13 @@
 import aiohttp
 from aiohttp import hdrs, web
 
-from bilberryramp.decisions.fleet import calls, documents, gateway, presence
+from bilberryramp.decisions.fleet import (
+    calls,
+    documents,
+    gateway,
+    presence,
+    upstream_pauses,
+)
 from bilberryramp.decisions.shared import stream_progress
 from bilberryramp.tasks import (
     gateway_task,
@@ -310,6 +316,11 @@
                 front.wire.upstream_request_headers(
                     attempt.request.raw_headers, send_call
                 ),
+                lambda: (
+                    not gateway_task.is_paused(
+                        front.gateway, send_call.upstream_id, send_call.born_ms
+                    )
+                ),
             )
             if isinstance(exchange, calls.AttemptOutcome):
                 return exchange
@@ -345,6 +356,7 @@
         )
         return calls.AttemptOutcome.BROKEN
     upstream_connections.confirm(attempt.front.session.conns, request_id)
+    _note_pause(attempt, wire.pause_ms(resp.status, resp.headers))
     # Without a signature, an answer counts only if it says that the request
     # was not run.
     if (
@@ -377,6 +389,21 @@
     mailbox.post_now(attempt.front.gateway.inbox, gateway.LeavingSeen(notice))
 
 
+def _note_pause(attempt: _Attempt, pause_ms: int) -> None:
+    """Tell the gateway for how long the upstream wants no requests."""
+    if not pause_ms:
+        return
+    send_call = attempt.send_call
+    notice = upstream_pauses.PauseNotice(
+        send_call.upstream_id,
+        send_call.address,
+        send_call.born_ms,
+        pause_ms,
+        attempt.req.request_id,
+    )
+    mailbox.post_now(attempt.front.gateway.inbox, gateway.PauseSeen(notice))
+
+
 def _is_stream(resp: aiohttp.ClientResponse) -> bool:
     return resp.content_type == "text/event-stream"
 
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -23,6 +23,7 @@
     sharing,
     suspect_publications,
     suspects,
+    upstream_pauses,
 )
 from bilberryramp.decisions.fleet.traces import Trace
 from bilberryramp.decisions.shared import effects
@@ -33,6 +34,7 @@
     "AnnouncementReceived",
     "GatewayTask",
     "end_attempt",
+    "is_paused",
     "next_decision",
     "run",
     "render_metrics",
@@ -318,6 +320,10 @@
         message, presence.Announcement
     ):
         _report_engine(task, message)
+    if task.holder_inbox is not None and isinstance(
+        message, gateway.PauseSeen
+    ):
+        _report_pause(task, message.notice)
 
 
 def _report_engine(
@@ -331,6 +337,21 @@
         )
 
 
+def _report_pause(
+    task: GatewayTask, notice: upstream_pauses.PauseNotice
+) -> None:
+    """Pass the end of an engine's pause to the holder's task."""
+    until_ms = upstream_pauses.until_ms(
+        task.gw.pauses, notice.upstream_id, notice.born_ms
+    )
+    mailbox.post_now(
+        task.holder_inbox,
+        order_holders.EnginePaused(
+            notice.upstream_id, notice.born_ms, until_ms
+        ),
+    )
+
+
 def _set_coordinating(task: GatewayTask, now_ms: int, leads: bool) -> None:
     if not leads:
         quarantine_coordinator.resign(task.coordinator)
@@ -421,6 +442,27 @@
         timeout.reschedule(min(timeout.when(), end_s))
 
 
+def is_paused(task: GatewayTask, upstream_id: str, born_ms: int) -> bool:
+    """Return whether a process of an upstream wants no requests now.
+
+    Parameters
+    ----------
+    task
+        State of the task. Not modified.
+    upstream_id
+        Id of the upstream.
+    born_ms
+        As in `presence.Announcement`.
+
+    Returns
+    -------
+    bool
+        True during a pause that it asked this node for.
+    """
+    until_ms = upstream_pauses.until_ms(task.gw.pauses, upstream_id, born_ms)
+    return clock.boot_ms() < until_ms
+
+
 def _send_residency_request(
     task: GatewayTask, effect: planner.SendResidencyRequest
 ) -> None:
--- a/bilberryramp/tasks/tests/builders.py
+++ b/bilberryramp/tasks/tests/builders.py
@@ -17,10 +17,12 @@
     presence,
     retry_budget,
     retry_shares,
+    upstream_pauses,
 )
 from bilberryramp.decisions.shared import (
     call_messages,
     charting,
+    pauses,
     quarantine,
     tables,
 )
@@ -198,6 +200,7 @@
         random.Random(1),
         table,
         retry_budget.Limits(0.2, 60, 10_000),
+        upstream_pauses.Pauses(bind_chart("upstream_pause", pauses)),
         retry_share=retry_shares.Share(1, 10**12, "granted"),
     )
     node_planner = planner.Planner(
--- a/bilberryramp/tasks/upstream_exchange.py
+++ b/bilberryramp/tasks/upstream_exchange.py
@@ -169,6 +169,7 @@
     body: bytes,
     send_call: calls.SendCall,
     headers: list,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> Exchange | calls.AttemptOutcome:
     """Send a request and wait for the head of the response.
 
@@ -186,18 +187,22 @@
         Decision that names the upstream's address.
     headers
         Pairs of header name and value to send.
+    may_send
+        Returns whether the request may still be sent; called before its first
+        byte is written, when the connection is available.
 
     Returns
     -------
     Exchange or AttemptOutcome
-        `UNREACHABLE` if nothing was sent, `BROKEN` if the request may have
-        run.
+        `UNREACHABLE` if no connection could be opened, `WITHHELD` if the
+        request might not be sent any more, `BROKEN` if it may have run.
     """
     url = yarl.URL(
         f"http://{send_call.address}{request.raw_path}", encoded=True
     )
     if not _is_valid(url):
         return calls.AttemptOutcome.UNREACHABLE
+    token = upstream_connections.may_send.set(may_send)
     try:
         resp = await session.http.request(
             request.method,
@@ -206,10 +211,14 @@
             data=body or None,
             allow_redirects=False,
         )
+    except upstream_connections.WithheldError:
+        return calls.AttemptOutcome.WITHHELD
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         return calls.AttemptOutcome.UNREACHABLE
     except (aiohttp.ClientError, OSError, ValueError):
         return calls.AttemptOutcome.BROKEN
+    finally:
+        upstream_connections.may_send.reset(token)
     return Exchange(resp, answer_framing.of_response(resp))
 
 
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -379,6 +379,26 @@
     "allow: `waiting` (it joined or restarted), `expired` or `none` (it "
     "holds no lease; check whether there is a leader that it reaches).",
 )
+UPSTREAM_PAUSED = _declare(
+    5130,
+    "upstream.paused",
+    "An upstream turned away a request (`request_id`; empty for an order or a "
+    "report) with status 503 and asked for a pause of `pause_ms`. This node "
+    "sends it nothing for `remaining_ms`. `is_extension` says that it already "
+    "paused.",
+)
+UPSTREAM_RETURNED = _declare(
+    5131,
+    "upstream.returned",
+    "An upstream has served the calls that it received one by one after a "
+    "pause, which ended `after_ms` ago. Their number is no longer limited.",
+)
+CALL_WITHHELD = _declare(
+    5132,
+    "call.withheld",
+    "A request was not sent after all, because its upstream asked for a pause "
+    "while the connection was opened. It is sent to another upstream.",
+)
 HOLDERS_CHANGED = _declare(
     5204,
     "holders.changed",
