Attribute a pause to the process that asked for it

Cause: a request names the process that was known when it was decided. An upstream that restarts under its id or address, before its first heartbeat is heard, answers requests that were meant for its predecessor. The pause was then recorded for the predecessor, or ignored, and the new process was free. A decision for the predecessor, held up by a slow connection or a late event loop, was also sent to the new process without a look at its pause.

Ruled out: late requests of decisions for the right process; the traces of the late ones all showed another process than the one that had asked.

Change: a notice concerns the process that is known to use the address, if it started later than the one the request was meant for. A process that is heard of within 1.5 s of an answer from its address takes over the pause. A decision for a process that has been replaced is withheld when its connection is there. Otherwise a later start is free, at another address at once.

Tests: units for both orders of answer and first heartbeat, and for another upstream at the address.

The test of a later start over real sockets now starts it at another address; at the same one it is free only after 1.5 s, which a unit in virtual time covers.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -43,7 +43,7 @@
     UNREACHABLE = "unreachable"
     """No connection could be opened, so nothing was sent."""
     WITHHELD = "withheld"
-    """The upstream asked for a pause meanwhile, so nothing was sent."""
+    """The upstream asked for a pause or was replaced; nothing was sent."""
     BROKEN = "broken"
     """No complete answer arrived; the request may have run."""
     FAILED = "failed"
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -232,8 +232,8 @@
     Yields
     ------
     effect
-        Effects of `calls` and `planner`, `Trace`, `ReportTo`, `TellPeers`
-        and `ToCoordinator`.
+        Effects of `calls` and `planner`, `Trace`, `ReportTo`, `TellPeers`,
+        `EnginePaused` and `ToCoordinator`.
     """
     yield from _HANDLERS[type(message)](gw, now_ms, message)
     if sharing.is_report_urgent(gw.loads):
@@ -264,6 +264,7 @@
     is_leaving = upstream.leaving_since_ms >= 0
     if was_available == is_leaving or upstream.announcement.seq == 1:
         yield _trace_presence(announcement, is_leaving, "announcement")
+    yield from upstream_pauses.record_start(gw.pauses, announcement, now_ms)
     if gw.queue:
         yield from _serve_queue(gw, now_ms)
 
@@ -303,10 +304,13 @@
 def _on_pause_seen(
     gw: gateway_state.Gateway, now_ms: int, message: PauseSeen
 ) -> Iterator:
-    for trace in upstream_pauses.record_notice(
-        gw.pauses, gw.table, message.notice, now_ms
-    ):
-        yield trace
+    effects = list(
+        upstream_pauses.record_notice(
+            gw.pauses, gw.table, message.notice, now_ms
+        )
+    )
+    if effects:
+        yield from effects
         # Calls that waited for this upstream go to others or are refused.
         yield from _serve_queue(gw, now_ms)
 
--- a/bilberryramp/decisions/fleet/tests/pause_driver.py
+++ b/bilberryramp/decisions/fleet/tests/pause_driver.py
@@ -30,8 +30,7 @@
 PAUSES_MS = (0, 250, 700, 1500, 4000)
 MODE_MS = (500, 4000)
 DOWN_MS = (600, 2000)
-# A process turns nobody away before all nodes know that it has started.
-START_UP_MS = 1000
+SHED_RATIOS = (0.0, 0.45, 1.0)
 STALL_MS = (200, 1500)
 PATHS = ("/look/x", "/file/x")
 _TURNED_AWAY = (
@@ -203,10 +202,9 @@
         wait_ms = node.late_until_ms - fleet.now_ms + 1
         _after(fleet, (wait_ms, wait_ms), _connect, name, send_call)
         return
-    until_ms = upstream_pauses.until_ms(
-        node.gw.pauses, send_call.upstream_id, send_call.born_ms
-    )
-    if fleet.now_ms < until_ms:
+    if not upstream_pauses.may_send(
+        node.gw.pauses, node.gw.table, send_call, fleet.now_ms
+    ):
         outcome = calls.AttemptOutcome.WITHHELD
         _deliver(fleet, name, calls.AttemptEnded(send_call.call_id, outcome))
         return
@@ -284,9 +282,7 @@
 
 def _change_mode(fleet, upstream) -> None:
     if not fleet.is_calm:
-        is_new = fleet.now_ms - upstream.born_ms < START_UP_MS
-        ratios = (0.0,) if is_new else (0.0, 0.45, 1.0)
-        upstream.shed_ratio = fleet.rng.choice(ratios)
+        upstream.shed_ratio = fleet.rng.choice(SHED_RATIOS)
         upstream.connect_ms = fleet.rng.choice((DELAY_MS, SLOW_CONNECT_MS))
     _after(fleet, MODE_MS, _change_mode, upstream)
 
@@ -301,7 +297,8 @@
 def _start_process(fleet, upstream) -> None:
     upstream.is_up = True
     upstream.born_ms, upstream.seq = fleet.now_ms, 0
-    upstream.shed_ratio = 0.0
+    if not fleet.is_calm:
+        upstream.shed_ratio = fleet.rng.choice(SHED_RATIOS)
     # The new process has asked for no pause.
     upstream.pauses.clear()
     _beat(fleet, upstream, upstream.born_ms)
--- a/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
+++ b/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
@@ -1,5 +1,6 @@
 """Tests of a gateway's decisions about upstreams that ask for pauses."""
 
+import dataclasses
 import unittest
 
 from bilberryramp.decisions.fleet import (
@@ -108,6 +109,7 @@
                 "pause_ms": PAUSE_MS,
                 "remaining_ms": PAUSE_MS,
                 "is_extension": False,
+                "is_taken_over": False,
             },
         )
         (fields,) = self.traces(
@@ -151,14 +153,53 @@
 
     def test_a_later_start_under_the_same_id_is_free(self):
         self.pause("p1")
-        self.step(announce("p1", born_ms=2000))
-        self.assertIn("p1", self.serve_many(NOW_MS))
+        later_ms = NOW_MS + upstream_pauses.START_KNOWN_MS + 1
+        self.step(announce("p1", born_ms=2000), later_ms)
+        self.assertIn("p1", self.serve_many(later_ms))
 
-    def test_a_notice_about_an_earlier_start_is_ignored(self):
-        self.step(announce("p1", born_ms=2000))
+    def test_a_later_start_at_another_address_is_free(self):
+        self.pause("p1")
+        moved = dataclasses.replace(
+            announce("p1", born_ms=2000), address="10.0.0.9:80"
+        )
+        self.step(moved)
+        self.assertIn("p1", self.serve_many(NOW_MS))
+        # An answer of the earlier process that arrives late.
         self.assertFalse(self.pause("p1", born=1000))
         self.assertIn("p1", self.serve_many(NOW_MS))
 
+    def test_a_process_that_pauses_before_its_first_heartbeat(self):
+        # Its answer is taken for one of its predecessor.
+        self.pause("p1")
+        heard_ms = NOW_MS + upstream_pauses.START_KNOWN_MS
+        effects = self.step(announce("p1", born_ms=2000), heard_ms)
+        (fields,) = self.traces(effects, "upstream.paused")
+        self.assertTrue(fields["is_taken_over"])
+        self.assertEqual(fields["remaining_ms"], END_MS - heard_ms)
+        self.assertEqual(self.serve_many(heard_ms), {"p2", "p3"})
+        self.step(announce("p1", born_ms=2000, seq=2), END_MS)
+        self.assertIn("p1", self.serve_many(END_MS))
+
+    def test_a_process_whose_answer_arrives_after_its_first_heartbeat(self):
+        # The request was meant for its predecessor.
+        self.step(announce("p1", born_ms=2000))
+        self.pause("p1", born=1000)
+        self.assertEqual(self.serve_many(NOW_MS), {"p2", "p3"})
+
+    def test_another_upstream_that_took_over_the_address(self):
+        for is_heard_first in (True, False):
+            with self.subTest(is_heard_first=is_heard_first):
+                self.setUp()
+                address = announce("p1").address
+                other = announce("p9", born_ms=2000)
+                other = dataclasses.replace(other, address=address)
+                if is_heard_first:
+                    self.step(other)
+                self.pause("p1")
+                if not is_heard_first:
+                    self.step(other)
+                self.assertEqual(self.serve_many(NOW_MS), {"p2", "p3"})
+
     def test_a_pause_outlasts_the_entry_of_the_table(self):
         silent_ms = NOW_MS + presence.UPSTREAM_EXPIRY_MS + 100
         self.pause("p1", 10**9)
@@ -171,9 +212,10 @@
     def test_states_of_processes_that_have_gone_are_dropped(self):
         self.pause("p1")
         self.pause("p2", 10)
-        self.step(announce("p1", born_ms=2000))
+        later_ms = NOW_MS + upstream_pauses.START_KNOWN_MS + 1
+        self.step(announce("p1", born_ms=2000), later_ms)
         self.gw.table.upstreams.pop("p2")
-        builders.tick(self.gw, NOW_MS + 20)
+        builders.tick(self.gw, later_ms)
         self.assertFalse(self.gw.pauses.by_process)
 
 
@@ -317,6 +359,42 @@
         )
 
 
+class LastCheckTest(PauseCase):
+    # Guards against requests that were decided before a pause and are sent
+    # during it.
+
+    def setUp(self):
+        super().setUp()
+        (self.decision,) = builders.of_type(self.submit()[1], calls.SendCall)
+
+    def may_send(self):
+        return upstream_pauses.may_send(
+            self.gw.pauses, self.gw.table, self.decision, NOW_MS
+        )
+
+    def test_a_decision_holds_without_a_pause(self):
+        self.assertTrue(self.may_send())
+
+    def test_a_pause_revokes_it(self):
+        self.pause(self.decision.upstream_id)
+        self.assertFalse(self.may_send())
+
+    def test_a_later_start_of_the_upstream_revokes_it(self):
+        # The later process may have asked for a pause.
+        self.step(announce(self.decision.upstream_id, born_ms=2000))
+        self.assertFalse(self.may_send())
+
+    def test_another_upstream_at_the_address_revokes_it(self):
+        other = announce("p9", born_ms=2000)
+        address = self.decision.address
+        self.step(dataclasses.replace(other, address=address))
+        self.assertFalse(self.may_send())
+
+    def test_it_holds_if_the_upstream_is_no_longer_known(self):
+        self.gw.table.upstreams.clear()
+        self.assertTrue(self.may_send())
+
+
 class PausedHolderTest(PauseCase):
     UPSTREAMS = ()
 
--- a/bilberryramp/platform/tests/test_pauses.py
+++ b/bilberryramp/platform/tests/test_pauses.py
@@ -149,8 +149,11 @@
     async def test_a_later_start_under_the_same_id_gets_requests(self):
         await self.start(builders.pausing_answer(**builders.NOT_EXECUTED))
         await self.call_until_requests(1)
-        self.servers[0].answer = builders.platform_answer
-        self.announce(born_ms=2)
+        self.servers[0] = await task_builders.start_faulty_server(
+            self, builders.platform_answer
+        )
+        address = f"127.0.0.1:{self.servers[0].port}"
+        self.announce(born_ms=2, address=address)
         await self.call_until_requests(3)
 
     async def test_a_request_on_its_way_is_not_sent(self):
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -316,11 +316,7 @@
                 front.wire.upstream_request_headers(
                     attempt.request.raw_headers, send_call
                 ),
-                lambda: (
-                    not gateway_task.is_paused(
-                        front.gateway, send_call.upstream_id, send_call.born_ms
-                    )
-                ),
+                lambda: gateway_task.may_send(front.gateway, send_call),
             )
             if isinstance(exchange, calls.AttemptOutcome):
                 return exchange
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -34,7 +34,7 @@
     "AnnouncementReceived",
     "GatewayTask",
     "end_attempt",
-    "is_paused",
+    "may_send",
     "next_decision",
     "run",
     "render_metrics",
@@ -320,10 +320,6 @@
         message, presence.Announcement
     ):
         _report_engine(task, message)
-    if task.holder_inbox is not None and isinstance(
-        message, gateway.PauseSeen
-    ):
-        _report_pause(task, message.notice)
 
 
 def _report_engine(
@@ -337,21 +333,6 @@
         )
 
 
-def _report_pause(
-    task: GatewayTask, notice: upstream_pauses.PauseNotice
-) -> None:
-    """Pass the end of an engine's pause to the holder's task."""
-    until_ms = upstream_pauses.until_ms(
-        task.gw.pauses, notice.upstream_id, notice.born_ms
-    )
-    mailbox.post_now(
-        task.holder_inbox,
-        order_holders.EnginePaused(
-            notice.upstream_id, notice.born_ms, until_ms
-        ),
-    )
-
-
 def _set_coordinating(task: GatewayTask, now_ms: int, leads: bool) -> None:
     if not leads:
         quarantine_coordinator.resign(task.coordinator)
@@ -416,6 +397,9 @@
             _send(task, task.gw.address, effect.message)
         case gateway.TellPeers():
             peer_mesh.broadcast(task.mesh, task.peers, effect.message)
+        case order_holders.EnginePaused():
+            if task.holder_inbox is not None:
+                mailbox.post_now(task.holder_inbox, effect)
         case planner.WantModel():
             _route_model_request(task, now_ms, effect)
         case planner.SendResidencyRequest():
@@ -442,25 +426,25 @@
         timeout.reschedule(min(timeout.when(), end_s))
 
 
-def is_paused(task: GatewayTask, upstream_id: str, born_ms: int) -> bool:
-    """Return whether a process of an upstream wants no requests now.
+def may_send(task: GatewayTask, send_call: calls.SendCall) -> bool:
+    """Return whether a decision to send a call still holds.
 
     Parameters
     ----------
     task
         State of the task. Not modified.
-    upstream_id
-        Id of the upstream.
-    born_ms
-        As in `presence.Announcement`.
+    send_call
+        The decision.
 
     Returns
     -------
     bool
-        True during a pause that it asked this node for.
+        As `upstream_pauses.may_send`.
     """
-    until_ms = upstream_pauses.until_ms(task.gw.pauses, upstream_id, born_ms)
-    return clock.boot_ms() < until_ms
+    gw = task.gw
+    return upstream_pauses.may_send(
+        gw.pauses, gw.table, send_call, clock.boot_ms()
+    )
 
 
 def _send_residency_request(
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -385,7 +385,8 @@
     "An upstream turned away a request (`request_id`; empty for an order or a "
     "report) with status 503 and asked for a pause of `pause_ms`. This node "
     "sends it nothing for `remaining_ms`. `is_extension` says that it already "
-    "paused.",
+    "paused, `is_taken_over` that it has just started and may have sent the "
+    "answer that was taken for one of its predecessor.",
 )
 UPSTREAM_RETURNED = _declare(
     5131,
@@ -396,8 +397,9 @@
 CALL_WITHHELD = _declare(
     5132,
     "call.withheld",
-    "A request was not sent after all, because its upstream asked for a pause "
-    "while the connection was opened. It is sent to another upstream.",
+    "A request was not sent after all: its upstream asked for a pause, or "
+    "another process took its place, before the connection was available. "
+    "It is sent to another upstream.",
 )
 HOLDERS_CHANGED = _declare(
     5204,
