Test that a paused copy of a model is not taken for lost in a trial

A trial of a suspected request spares engines that are the last to hold some model. An engine that pauses still holds its models, so the other holder need not be spared. The code did so already; a build in which pausing engines count as avoided fails the test (the trial goes to u1 instead of u3).

--- a/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
+++ b/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
@@ -11,6 +11,7 @@
     presence,
     upstream_pauses,
 )
+from bilberryramp.decisions.fleet import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.fleet.traces import Trace
 
@@ -443,6 +444,22 @@
         effects = self.step(calls.AnswerStarted(call_id), later_ms + 20)
         self.assertEqual(self.receivers(effects), ["u1", "u1"])
 
+    def test_a_trial_does_not_spare_the_other_holder_of_its_models(self):
+        # Guards against taking a copy that pauses for lost, so that the other
+        # one would be spared as the last.
+        self.step(announce("u3", held=hold("m0", "m1")))
+        self.gw.suspect_state.coordinator = "n2:1"
+        suspect = msgs.PublishedSuspect("f", "engines", "restricted", 0, 1, ())
+        self.step(msgs.SuspectList("n2:1", 1, True, (suspect,)))
+        self.pause("u2")
+        self.pause("u3", 1)
+        _, effects = self.ask()
+        self.assertEqual(self.receivers(effects), ["u1"])
+        req = dataclasses.replace(builders.make_request(), fingerprint="f")
+        builders.submit(self.gw, 99, req, NOW_MS + 1)
+        effects = self.step(msgs.TrialGrant("f", 7), NOW_MS + 1)
+        self.assertEqual(self.receivers(effects), ["u3"])
+
     def test_placement_does_not_take_its_copies_for_lost(self):
         leader = planner.Planner(
             "n1:1", self.gw.table, self.gw.loads, self.gw.demand
