--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -640,7 +640,7 @@
 ) -> Iterator:
     """Return a call of which nothing was sent to the queue.
 
-    It keeps what it has spent of the retry budget.
+    A retry that it was counted as stays counted, which errs on the safe side.
     """
     yield Trace(
         "call.withheld",
