Hand engines no more time than a client has left

Cause: the time was counted from when the gateway's task got to a request, after its body, and the header was computed at the decision, before there was a connection. A slow body, a late event loop, a request that waited behind another one on its connection, and connecting (up to 0.5 s) were all handed on, and a repeat with a slow connection ended later than the first attempt. A call whose time was over was still sent, with 1 ms.

Change: connections of clients note when the head of each request was read. The call's deadline is one instant of the boot clock, counted from there, and `SendCall` carries it to each attempt. The header and the attempt's timeout are computed from it once the connection is there, immediately before the head is written. With no time left nothing is written: the attempt ends as `not_sent`, and the client gets 503 `too_late`, or 504 if an earlier attempt may have run. That holds too for attempts that a planned stop or a recall ends before they were written; the latter may be sent again, as after a connection that could not be opened.

Why it works: all sends of a call share one absolute end, and nothing waits between its conversion to a duration and the write but one iteration of the event loop.

Ruled out: a wait in the gateway's queue and a slow first failure, which the old code counted.

test_platform checks the same four headers as before, with that of the deadline from its own function. The quarantine's driver reads requests by a function of its own, at the same moments as before.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -40,6 +40,8 @@
     """The upstream rejected the request without running it."""
     TARGET_MISSING = "absent"
     """Another instance uses the address, or the model or adapter is absent."""
+    NOT_SENT = "not_sent"
+    """The attempt had to end before anything was sent."""
     UNREACHABLE = "unreachable"
     """No connection could be opened, so nothing was sent."""
     WITHHELD = "withheld"
@@ -55,7 +57,11 @@
 
 
 # Outcomes of attempts that sent nothing, so that nothing arrived.
-NOTHING_SENT = (AttemptOutcome.UNREACHABLE, AttemptOutcome.WITHHELD)
+NOTHING_SENT = (
+    AttemptOutcome.NOT_SENT,
+    AttemptOutcome.UNREACHABLE,
+    AttemptOutcome.WITHHELD,
+)
 
 
 class Refusal(enum.Enum):
@@ -72,7 +78,7 @@
     OVERLOADED = "overloaded"
     """No upstream has capacity to start the request in time."""
     TOO_LATE = "too_late"
-    """Not in use."""
+    """The time allowed ended before the request was sent."""
     UPSTREAM_FULL = "upstream_full"
     """No attempt ran the request, and no further attempt is allowed."""
     UPSTREAM_FAULTY = "upstream_faulty"
@@ -287,10 +293,14 @@
         Identifier for the call, unique within this process.
     request
         The request.
+    arrived_ms
+        When the head of the request arrived, in milliseconds of the gateway's
+        clock.
     """
 
     call_id: int
     request: Request
+    arrived_ms: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -353,8 +363,10 @@
         Identifier and address of the upstream.
     born_ms
         Start of the upstream's process, as in `presence.Announcement`.
-    allowed_ms
-        Time that the upstream may take, in milliseconds.
+    deadline_ms
+        When the time allowed by the client and the route ends, in
+        milliseconds of the gateway's clock; the same for each attempt of a
+        call.
     urgency
         Rank in the upstream's own queue; 0 is the most urgent.
     send
@@ -364,7 +376,7 @@
     call_id: int
     upstream_id: str
     address: str
-    allowed_ms: int
+    deadline_ms: int
     urgency: int
     send: int
     born_ms: int = -1
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -64,6 +64,9 @@
         the resource that it waits for. A call whose request may not run now
         is held; one that waits in vain waits until the caller refuses it.
     """
+    if call.deadline_ms <= now_ms:
+        call.wait_reason = calls.Refusal.TOO_LATE
+        return
     match suspects.admission_of(gw.suspect_state, call, now_ms):
         case suspects.Admission.REFUSE:
             call.wait_reason = calls.Refusal.QUARANTINED
@@ -511,7 +514,7 @@
         call.call_id,
         upstream_id,
         upstream.announcement.address,
-        max(call.deadline_ms - now_ms, 1),
+        call.deadline_ms,
         _urgency(call, now_ms),
         call.send_count,
         upstream.announcement.born_ms,
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -520,8 +520,8 @@
         req,
         route,
         hosts.pick_service(route, gw.rng),
-        now_ms,
-        now_ms + allowed_ms,
+        message.arrived_ms,
+        message.arrived_ms + allowed_ms,
     )
     retry_budget.record_request(
         gateway_state.service_budget(gw, call.service),
@@ -698,10 +698,11 @@
 ):
     """Update an upstream's health and resident models from an outcome.
 
-    Timeouts, missing targets and requests that the upstream did not run do
-    not count in its health.
+    Timeouts, missing targets and requests that were not sent or that the
+    upstream did not run do not count in its health.
     """
     if outcome in (
+        calls.AttemptOutcome.NOT_SENT,
         calls.AttemptOutcome.TIMED_OUT,
         calls.AttemptOutcome.TARGET_MISSING,
     ):
@@ -748,6 +749,7 @@
     not_executed = outcome in (
         calls.AttemptOutcome.NOT_RUN,
         calls.AttemptOutcome.TARGET_MISSING,
+        calls.AttemptOutcome.NOT_SENT,
         calls.AttemptOutcome.UNREACHABLE,
     )
     if not_executed:
@@ -762,7 +764,7 @@
         return retry_budget.Barrier.ATTEMPTS
     if call.deadline_ms - now_ms < MIN_ATTEMPT_TIME_MS:
         return retry_budget.Barrier.DEADLINE
-    if outcome is calls.AttemptOutcome.UNREACHABLE:
+    if outcome in calls.NOTHING_SENT:
         return None
     if outcome is calls.AttemptOutcome.BROKEN and suspects.has_suspected_part(
         gw.suspect_state, call
@@ -780,14 +782,21 @@
     yield from _end_call(gw, call, "failed", now_ms)
     if outcome is calls.AttemptOutcome.FAILED:
         yield calls.ForwardFailure(call.call_id)
+    elif outcome is calls.AttemptOutcome.NOT_SENT and call.attempt_count > 0:
+        yield from _fail(call, calls.Failure.TIMED_OUT)
     elif outcome is calls.AttemptOutcome.BROKEN or call.attempt_count > 0:
         # An earlier attempt may have run even if the last one did not.
         yield from _fail(call, calls.Failure.BROKEN)
     else:
+        reason = (
+            calls.Refusal.TOO_LATE
+            if outcome is calls.AttemptOutcome.NOT_SENT
+            else calls.Refusal.UPSTREAM_FULL
+        )
         yield from _refuse(
             call.call_id,
             call.request,
-            calls.Refusal.UPSTREAM_FULL,
+            reason,
             waiting_times.retry_after_ms(gw, call, now_ms),
         )
 
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -164,7 +164,7 @@
 
 def submit(gw, call_id, request, now_ms=10_000):
     """Submit a request to a gateway and return the effects."""
-    message = calls.CallArrived(call_id, request)
+    message = calls.CallArrived(call_id, request, now_ms)
     return collect(gateway.step(gw, now_ms, message))
 
 
--- a/bilberryramp/decisions/fleet/tests/quarantine_driver.py
+++ b/bilberryramp/decisions/fleet/tests/quarantine_driver.py
@@ -527,8 +527,7 @@
     req = calls.Request(
         f"q{call_id}", "a.example", path, 4000, None, fingerprint
     )
-    message = calls.CallArrived(call_id, req)
-    at(fleet, 1, _deliver, fleet, node, node.boot, message)
+    at(fleet, 1, _read_request, fleet, node, node.boot, call_id, req)
     return fleet.requests[call_id]
 
 
@@ -550,11 +549,20 @@
     req = calls.Request(
         f"q{call_id}", "a.example", "/chat/x", 6000, prompt, fingerprint
     )
-    message = calls.CallArrived(call_id, req)
-    at(fleet, 1, _deliver, fleet, node, node.boot, message)
+    at(fleet, 1, _read_request, fleet, node, node.boot, call_id, req)
     return fleet.requests[call_id]
 
 
+def _read_request(fleet, node, boot, call_id, req):
+    """Let a node read a request, once it is no longer suspended."""
+    if node.boot == boot and node.thaw_ms > fleet.now_ms:
+        delay_ms = node.thaw_ms - fleet.now_ms
+        at(fleet, delay_ms, _read_request, fleet, node, boot, call_id, req)
+        return
+    message = calls.CallArrived(call_id, req, fleet.now_ms)
+    _deliver(fleet, node, boot, message)
+
+
 def _finish(fleet, node, call_id, outcome):
     request = fleet.requests[call_id]
     if not request.outcome:
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -119,7 +119,9 @@
             ),
             calls.SendCall,
         )
-        self.assertEqual((sent.upstream_id, sent.allowed_ms), ("u1", 900))
+        self.assertEqual(
+            (sent.upstream_id, sent.deadline_ms), ("u1", NOW_MS + 900)
+        )
 
     def test_route_timeout_limits_longer_client_timeout(self):
         gw = builders.make_gateway(upstreams=[builders.make_announcement()])
@@ -129,7 +131,7 @@
             ),
             calls.SendCall,
         )
-        self.assertEqual(sent.allowed_ms, 6000)
+        self.assertEqual(sent.deadline_ms, NOW_MS + 6000)
 
 
 class RetryTest(unittest.TestCase):
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -9,6 +9,7 @@
     "REQUEST_ID_HEADER",
     "RunState",
     "client_answer_headers",
+    "deadline_header",
     "upstream_request_headers",
     "has_upstream_signature",
     "is_leaving",
@@ -164,14 +165,13 @@
     raw_headers
         Names and values of the client's headers, as pairs of bytes.
     send_call
-        Decision to send the request, with the upstream's id, the time allowed
-        and the urgency.
+        Decision to send the request, with the upstream's id and the urgency.
 
     Returns
     -------
     list of (str, str)
         The client's headers without hop-by-hop and reserved ones, followed by
-        those of the system.
+        those of the system except for `deadline_header`.
     """
     headers = [
         (name.decode("latin-1"), value.decode("latin-1"))
@@ -183,12 +183,28 @@
         if name.lower() not in _HOP_BY_HOP_HEADERS
         and name.lower() not in _RESERVED_HEADERS
     ]
-    headers.append((_DEADLINE_HEADER, str(send_call.allowed_ms)))
     headers.append((_EXPECTED_INSTANCE_HEADER, send_call.upstream_id))
     headers.append((_PRIORITY_HEADER, str(send_call.urgency)))
     return headers
 
 
+def deadline_header(left_ms: int) -> tuple[str, str]:
+    """Return the header that tells an upstream how long it may take.
+
+    Parameters
+    ----------
+    left_ms
+        Time that the client still waits, in milliseconds from when the
+        request is written.
+
+    Returns
+    -------
+    (str, str)
+        Name and value of the header.
+    """
+    return _DEADLINE_HEADER, str(left_ms)
+
+
 def client_answer_headers(raw_headers) -> list:
     """Return the headers for forwarding an upstream's answer to a client.
 
--- a/bilberryramp/platform/tests/test_platform.py
+++ b/bilberryramp/platform/tests/test_platform.py
@@ -171,9 +171,11 @@
             (b"Connection", b"keep-alive"),
             (b"X-Other", b"kept"),
         ]
-        sent_headers = dict(exchanges.upstream_request_headers(raw, send_call))
+        sent_headers = exchanges.upstream_request_headers(raw, send_call)
+        sent_headers.append(exchanges.deadline_header(700))
+        self.assertEqual(len(sent_headers), 4)
         self.assertEqual(
-            sent_headers,
+            dict(sent_headers),
             {
                 "X-Other": "kept",
                 "X-Bilberryramp-Deadline-Ms": "700",
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -17,6 +17,8 @@
 )
 from bilberryramp.decisions.shared import stream_progress
 from bilberryramp.tasks import (
+    client_connections,
+    clock,
     gateway_task,
     http_requests,
     mailbox,
@@ -127,9 +129,9 @@
         lambda: _limits(front).body_bytes
     )
     idle_s = documents.CallLimits().idle_timeout_ms / 1000 + IDLE_SLACK_S
-    return web.Server(
+    return client_connections.make_server(
         serve,
-        request_factory=make_request,
+        make_request,
         handler_cancellation=True,
         keepalive_timeout=idle_s,
         access_log=None,
@@ -216,7 +218,10 @@
             front, calls.Refuse(call_id, calls.Refusal.STOPPING, 0)
         )
     fut = gateway_task.next_decision(task, call_id)
-    mailbox.post_now(task.inbox, calls.CallArrived(call_id, req))
+    arrived = calls.CallArrived(
+        call_id, req, request[client_connections.ARRIVED_MS]
+    )
+    mailbox.post_now(task.inbox, arrived)
     try:
         return await _run_attempts(front, request, body, req, call_id, fut)
     except asyncio.CancelledError:
@@ -282,6 +287,8 @@
         later attempt succeeds.
     longest_gap_s
         Longest time between two chunks of a stream, in seconds.
+    is_written
+        Whether the request may have been written to the upstream.
     """
 
     front: Frontend
@@ -292,19 +299,13 @@
     response: web.StreamResponse | None = None
     failed_answer: upstream_exchange.Answer | None = None
     longest_gap_s: float = 0.0
+    is_written: bool = False
 
 
 async def _run_attempt(attempt: _Attempt) -> calls.AttemptOutcome:
     exchange = None
-    front = attempt.front
-    now_s = asyncio.get_running_loop().time()
-    allowed_s = min(
-        attempt.send_call.allowed_ms / 1000, max(front.stop_by_s - now_s, 0)
-    )
-    send_call = dataclasses.replace(
-        attempt.send_call, allowed_ms=max(int(1000 * allowed_s), 1)
-    )
-    timeout = asyncio.timeout_at(now_s + allowed_s)
+    front, send_call = attempt.front, attempt.send_call
+    timeout = asyncio.timeout(_left_ms(attempt) / 1000)
     front.gateway.attempts[send_call.call_id] = timeout
     try:
         async with timeout:
@@ -316,12 +317,14 @@
                 front.wire.upstream_request_headers(
                     attempt.request.raw_headers, send_call
                 ),
-                lambda: gateway_task.may_send(front.gateway, send_call),
+                lambda: _headers_at_write(attempt),
             )
             if isinstance(exchange, calls.AttemptOutcome):
                 return exchange
             return await _relay_answer(attempt, exchange)
     except TimeoutError:
+        if not attempt.is_written:
+            return calls.AttemptOutcome.NOT_SENT
         if attempt.response is not None:
             _abort_response(attempt)
         return calls.AttemptOutcome.TIMED_OUT
@@ -333,6 +336,33 @@
             exchange.resp.close()
 
 
+def _left_ms(attempt: _Attempt) -> int:
+    """Return the time that an attempt may take from now on."""
+    stop_in_s = attempt.front.stop_by_s - asyncio.get_running_loop().time()
+    left_ms = attempt.send_call.deadline_ms - clock.boot_ms()
+    return max(int(min(left_ms, 1000 * stop_in_s)), 0)
+
+
+def _headers_at_write(attempt: _Attempt) -> list | calls.AttemptOutcome:
+    """Return the headers that depend on the time, if the request may be sent.
+
+    The attempt ends with the time that its upstream is told. If the upstream
+    has asked for a pause meanwhile, or no time is left, the result is how the
+    attempt ends instead.
+    """
+    if not gateway_task.may_send(attempt.front.gateway, attempt.send_call):
+        return calls.AttemptOutcome.WITHHELD
+    left_ms = _left_ms(attempt)
+    if not left_ms:
+        return calls.AttemptOutcome.NOT_SENT
+    attempt.is_written = True
+    end_s = asyncio.get_running_loop().time() + left_ms / 1000
+    gateway_task.end_attempt(
+        attempt.front.gateway, attempt.send_call.call_id, end_s
+    )
+    return [attempt.front.wire.deadline_header(left_ms)]
+
+
 async def _relay_answer(attempt: _Attempt, exchange) -> calls.AttemptOutcome:
     wire = attempt.front.wire
     resp = exchange.resp
--- a/bilberryramp/tasks/tests/test_gateway_task.py
+++ b/bilberryramp/tasks/tests/test_gateway_task.py
@@ -4,7 +4,7 @@
 import unittest
 
 from bilberryramp.decisions.fleet import calls
-from bilberryramp.tasks import gateway_task, mailbox
+from bilberryramp.tasks import clock, gateway_task, mailbox
 from bilberryramp.tasks.tests import builders
 
 TIMEOUT_S = 20
@@ -22,7 +22,8 @@
 
     async def decide(self, call_id, req):
         fut = gateway_task.next_decision(self.task, call_id)
-        mailbox.post_now(self.task.inbox, calls.CallArrived(call_id, req))
+        arrived = calls.CallArrived(call_id, req, clock.boot_ms())
+        mailbox.post_now(self.task.inbox, arrived)
         return await asyncio.wait_for(fut, TIMEOUT_S)
 
     async def test_an_unexpected_error_ends_one_call_only(self):
--- a/bilberryramp/tasks/upstream_connections.py
+++ b/bilberryramp/tasks/upstream_connections.py
@@ -7,41 +7,19 @@
 socket's buffer until the connection is closed.
 """
 
-import contextvars
 import dataclasses
 import select
 import weakref
-from collections.abc import Callable
 
 import aiohttp
 
-from bilberryramp.decisions.shared import errors
-
-__all__ = [
-    "Connections",
-    "WithheldError",
-    "confirm",
-    "guard",
-    "is_first_request",
-    "may_send",
-]
+__all__ = ["Connections", "confirm", "guard", "is_first_request"]
 
 # Number of requests after which a connection is replaced, which bounds the
 # ids that are remembered for it.
 MAX_REQUESTS_PER_CONNECTION = 256
 
 
-class WithheldError(errors.BilberryError):
-    """A request must not be sent any more, and nothing of it was sent."""
-
-
-# Function that returns whether the request of the running task may still be
-# sent. It is asked when the connection is available, which may take long.
-may_send: contextvars.ContextVar[Callable[[], bool]] = contextvars.ContextVar(
-    "may_send", default=lambda: True
-)
-
-
 @dataclasses.dataclass(slots=True, weakref_slot=True)
 class _Usage:
     """How a connection has been used.
@@ -91,8 +69,7 @@
     Parameters
     ----------
     connector
-        Connector of a client session. Its method ``connect`` is replaced; it
-        raises `WithheldError` if `may_send` no longer allows the request.
+        Connector of a client session. Its method ``connect`` is replaced.
     id_header
         As in `Connections`. With an empty name, a connection is reused
         whenever nothing has arrived on it since its last answer.
@@ -108,9 +85,6 @@
     async def connect(req, traces, timeout):
         while True:
             conn = await take(req, traces, timeout)
-            if not may_send.get()():
-                conn.close()
-                raise WithheldError(str(req.url))
             request_id = req.headers.get(id_header, "") if id_header else ""
             if _try_claim(conns, conn, request_id):
                 return conn
--- a/bilberryramp/tasks/upstream_exchange.py
+++ b/bilberryramp/tasks/upstream_exchange.py
@@ -12,6 +12,7 @@
 from aiohttp import hdrs, web
 
 from bilberryramp.decisions.fleet import calls
+from bilberryramp.decisions.shared import errors
 from bilberryramp.tasks import (
     answer_framing,
     answer_limits,
@@ -21,6 +22,7 @@
 __all__ = [
     "Answer",
     "Exchange",
+    "NotSentError",
     "Session",
     "send_request",
     "open_session",
@@ -42,6 +44,20 @@
 READ_BUFFER_BYTES = 64 * 1024
 
 
+class NotSentError(errors.BilberryError):
+    """Raised when a request may no longer be sent.
+
+    Attributes
+    ----------
+    outcome
+        How the attempt ends.
+    """
+
+    def __init__(self, outcome: calls.AttemptOutcome):
+        super().__init__(outcome.value)
+        self.outcome = outcome
+
+
 @dataclasses.dataclass(slots=True)
 class Session:
     """Client session for requests to upstreams.
@@ -169,7 +185,7 @@
     body: bytes,
     send_call: calls.SendCall,
     headers: list,
-    may_send: Callable[[], bool] = lambda: True,
+    headers_at_write: Callable[[], list | calls.AttemptOutcome],
 ) -> Exchange | calls.AttemptOutcome:
     """Send a request and wait for the head of the response.
 
@@ -187,22 +203,23 @@
         Decision that names the upstream's address.
     headers
         Pairs of header name and value to send.
-    may_send
-        Returns whether the request may still be sent; called before its first
-        byte is written, when the connection is available.
+    headers_at_write
+        Called once there is a connection, immediately before the request is
+        written. Returns the rest of the headers, or how the attempt ends if
+        the request may no longer be sent.
 
     Returns
     -------
     Exchange or AttemptOutcome
-        `UNREACHABLE` if no connection could be opened, `WITHHELD` if the
-        request might not be sent any more, `BROKEN` if it may have run.
+        `UNREACHABLE` if no connection could be opened, the result of
+        `headers_at_write` if that is an outcome, `BROKEN` if the request may
+        have run.
     """
     url = yarl.URL(
         f"http://{send_call.address}{request.raw_path}", encoded=True
     )
     if not _is_valid(url):
         return calls.AttemptOutcome.UNREACHABLE
-    token = upstream_connections.may_send.set(may_send)
     try:
         resp = await session.http.request(
             request.method,
@@ -210,18 +227,39 @@
             headers=multidict.CIMultiDict(headers),
             data=body or None,
             allow_redirects=False,
+            middlewares=(_make_completion(headers_at_write),),
         )
-    except upstream_connections.WithheldError:
-        return calls.AttemptOutcome.WITHHELD
+    except NotSentError as exc:
+        return exc.outcome
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         return calls.AttemptOutcome.UNREACHABLE
     except (aiohttp.ClientError, OSError, ValueError):
         return calls.AttemptOutcome.BROKEN
-    finally:
-        upstream_connections.may_send.reset(token)
     return Exchange(resp, answer_framing.of_response(resp))
 
 
+def _make_completion(headers_at_write: Callable) -> Callable:
+    """Return a middleware that completes a request when it is written."""
+
+    async def complete(req, handler):
+        write = req.send
+
+        async def write_completed(conn):
+            headers = headers_at_write()
+            if isinstance(headers, calls.AttemptOutcome):
+                raise NotSentError(headers)
+            req.headers.extend(headers)
+            return await write(conn)
+
+        req.send = write_completed
+        try:
+            return await handler(req)
+        finally:
+            del req.send
+
+    return complete
+
+
 def _is_valid(url: yarl.URL) -> bool:
     """Return whether a URL names a host and a port in their ranges."""
     try:
