Take only the protocol's refusals for requests that did not run

Cause: an answer with `X-Bilberryramp-Not-Executed` counted as "not run" whatever its status, so the attempt was given back. PROTOCOL.md names 503, 429, 421 and 400, and says that an engine's own 500 and 504 count as run. A client could also be told 503, which promises that nothing ran.

Change: the header holds with 400, 429 and 503 only; 421 as before.

Ruled out by reading: `UNREACHABLE` comes from the connector alone, before anything is written, and aiohttp's own repeat is off.

test_attempt_fuzz plays 300 random histories of a gateway in virtual time: no call is begun by more upstreams than its route allows, none is sent more than four times, all sends of a call carry one deadline and none goes out after it.

--- /dev/null
+++ b/bilberryramp/decisions/fleet/tests/test_attempt_fuzz.py
@@ -0,0 +1,111 @@
+"""Property test of the number of upstreams that run one request."""
+
+import random
+import unittest
+
+from bilberryramp.decisions.fleet import calls, gateway
+from bilberryramp.decisions.fleet.tests import builders
+
+SEEDS = range(300)
+UPSTREAM_COUNT = 8
+CALLS_PER_SEED = 12
+OUTCOMES = calls.AttemptOutcome
+# Outcomes after which the upstream certainly did not begin the request.
+NOT_BEGUN = (
+    OUTCOMES.NOT_RUN,
+    OUTCOMES.TARGET_MISSING,
+    OUTCOMES.NOT_SENT,
+    OUTCOMES.UNREACHABLE,
+)
+TICK_MS = 50
+
+
+def make_gateway(rng):
+    """Build a gateway whose route allows 1 to 3 attempts."""
+    route = builders.make_route(
+        "/look/",
+        "plain",
+        streaming=False,
+        repeatable=rng.random() < 0.8,
+        max_attempts=rng.randint(1, 3),
+        timeout_ms=rng.choice((300, 6000)),
+    )
+    upstreams = [
+        builders.make_plain_announcement(f"p{number}")
+        for number in range(UPSTREAM_COUNT)
+    ]
+    doc = builders.make_document(routes=(route,))
+    return builders.make_gateway(doc, upstreams), route
+
+
+def play(seed):
+    """Play calls whose attempts end at random.
+
+    Return the route, the sends of each call with their outcomes, and the
+    deadlines that upstreams were handed.
+    """
+    rng = random.Random(seed)
+    gw, route = make_gateway(rng)
+    gw.budget_limits = builders.retry_budget.Limits(1.0, 1000.0, 10_000)
+    weights = [rng.random() ** 2 for _ in OUTCOMES]
+    now_ms, running, outcomes, sends = 10_000, [], {}, {}
+    for number in range(CALLS_PER_SEED * 10):
+        now_ms += rng.randint(0, TICK_MS)
+        if number % 10 == 0:
+            call_id = number // 10 + 1
+            arrived_ms = now_ms - rng.choice((0, 0, 40, 400))
+            request = builders.make_request("/look/x", client_timeout_ms=2000)
+            message = calls.CallArrived(call_id, request, arrived_ms)
+            outcomes[call_id], sends[call_id] = [], []
+        elif running:
+            call_id = running.pop(rng.randrange(len(running)))
+            (outcome,) = rng.choices(list(OUTCOMES), weights)
+            outcomes[call_id].append(outcome)
+            message = calls.AttemptEnded(call_id, outcome)
+        else:
+            message = gateway.Tick()
+        for effect in gateway.step(gw, now_ms, message):
+            if isinstance(effect, calls.SendCall):
+                running.append(effect.call_id)
+                sends[effect.call_id].append((now_ms, effect))
+    return route, outcomes, sends
+
+
+class AttemptFuzzTest(unittest.TestCase):
+    def test_no_more_upstreams_begin_a_request_than_its_route_allows(self):
+        for seed in SEEDS:
+            route, outcomes, sends = play(seed)
+            for call_id, sent in sends.items():
+                begun = [o for o in outcomes[call_id] if o not in NOT_BEGUN]
+                # An attempt that has not ended may have begun.
+                open_count = len(sent) - len(outcomes[call_id])
+                allowed = route.max_attempts if route.repeatable else 1
+                with self.subTest(seed=seed, call_id=call_id):
+                    self.assertLessEqual(len(begun) + open_count, allowed)
+                    self.assertLessEqual(len(sent), gateway.MAX_SENDS)
+
+    def test_all_attempts_of_a_call_end_at_the_same_time(self):
+        for seed in SEEDS:
+            _, _, sends = play(seed)
+            for call_id, sent in sends.items():
+                with self.subTest(seed=seed, call_id=call_id):
+                    deadlines = {effect.deadline_ms for _, effect in sent}
+                    self.assertLessEqual(len(deadlines), 1)
+                    for at_ms, effect in sent:
+                        self.assertLess(at_ms, effect.deadline_ms)
+
+    def test_the_histories_reach_the_bounds(self):
+        """The properties would hold if nothing were ever repeated."""
+        begun_counts, send_counts = set(), set()
+        for seed in SEEDS:
+            _, outcomes, sends = play(seed)
+            for call_id, sent in sends.items():
+                begun = [o for o in outcomes[call_id] if o not in NOT_BEGUN]
+                begun_counts.add(len(begun))
+                send_counts.add(len(sent))
+        self.assertEqual(begun_counts, {0, 1, 2, 3})
+        self.assertEqual(max(send_counts), gateway.MAX_SENDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -29,6 +29,9 @@
 _SIGNATURE_HEADER = "X-Bilberryramp-Server-Signature"
 _LEAVING_HEADER = "Server-Leaving"
 _NOT_EXECUTED_HEADER = "X-Bilberryramp-Not-Executed"
+# Statuses with which that header holds. Any other one, such as 500, says that
+# the request ran.
+_NOT_EXECUTED_STATUSES = frozenset({400, 429, 503})
 
 # Hop-by-hop headers, and those that the HTTP library writes itself.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -244,9 +247,9 @@
     # or its model is not resident.
     if status == 421:
         return RunState.TARGET_MISSING
-    return (
-        RunState.NOT_RUN if _NOT_EXECUTED_HEADER in headers else RunState.RAN
-    )
+    if status in _NOT_EXECUTED_STATUSES and _NOT_EXECUTED_HEADER in headers:
+        return RunState.NOT_RUN
+    return RunState.RAN
 
 
 def is_leaving(headers) -> bool:
--- a/bilberryramp/platform/tests/test_platform.py
+++ b/bilberryramp/platform/tests/test_platform.py
@@ -194,6 +194,11 @@
         self.assertIs(
             exchanges.decode_run_state(421, {}), run_states.TARGET_MISSING
         )
+        for status in (200, 302, 404, 408, 500, 502, 504):
+            self.assertIs(
+                exchanges.decode_run_state(status, not_executed),
+                run_states.RAN,
+            )
 
 
 class OrderTest(unittest.TestCase):
