Keep quarantines over a restart of all nodes at once

Cause: suspects were in the memory of the nodes only. A process that starts learns them from the others; when all start, nobody knows.

Change: a node with a disk writes its copy of the coordinator's list when it changes, up to 64 suspects, by a task of its own and in two files beside those of the register (`slots` takes the class and the names). No request and no write of the register waits for it. A process that starts goes on with the list, aged by the wall clock, refuses what is quarantined before it knows a coordinator, and reports the list to the first one by `KnownSuspects`, as after any change of the coordinator. Its start is logged with the number of suspects.

Ruled out: a record in the register (a quorum of disks would decide what is soft state, and its writes would wait).

--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -23,6 +23,7 @@
     scheduling,
     sharing,
     suspect_evidence,
+    suspect_memory,
     suspect_publications,
     suspect_trials,
     suspects,
@@ -233,7 +234,7 @@
     ------
     effect
         Effects of `calls` and `planner`, `Trace`, `ReportTo`, `TellPeers`,
-        `EnginePaused` and `ToCoordinator`.
+        `EnginePaused`, `KeepSuspects` and `ToCoordinator`.
     """
     yield from _HANDLERS[type(message)](gw, now_ms, message)
     if sharing.is_report_urgent(gw.loads):
@@ -439,9 +440,12 @@
 def _on_suspect_list(
     gw: gateway_state.Gateway, now_ms: int, message: msgs.SuspectList
 ) -> Iterator:
+    had_suspects = bool(gw.suspect_state.published)
     yield from suspect_publications.accept_list(
         gw.suspect_state, message, now_ms
     )
+    if had_suspects or gw.suspect_state.published:
+        yield from suspect_memory.keep(gw.suspect_state, now_ms)
     for call in suspect_publications.to_recall(
         gw.suspect_state, message, gw.active.values()
     ):
--- a/bilberryramp/decisions/fleet/tests/quarantine_driver.py
+++ b/bilberryramp/decisions/fleet/tests/quarantine_driver.py
@@ -12,6 +12,8 @@
 import itertools
 import random
 
+import msgspec
+
 from bilberryramp.decisions.fleet import (
     calls,
     coordinator_state,
@@ -21,6 +23,7 @@
     presence,
     quarantine_coordinator,
     retry_budget,
+    suspect_memory,
     suspect_publications,
     suspects,
     upstream_pauses,
@@ -41,6 +44,8 @@
 ANSWER_MS = (200, 4000)
 # Time after which an attempt at an engine that is dark breaks off.
 DARK_MS = 2000
+# Bounds of the time until a write to a disk is durable.
+WRITE_MS = (2, 60)
 # Time after a disturbance for which a node is not held to the bound.
 STABLE_WINDOW_MS = 3000
 
@@ -54,7 +59,8 @@
 class Node:
     """A node: its gateway, its coordinator, and what happens to it.
 
-    `disturbed_ms` is when it was last restarted, suspended or cut off.
+    `disturbed_ms` is when it was last restarted, suspended or cut off. `disk`
+    is what its disk holds; None without a disk.
     """
 
     address: str
@@ -64,6 +70,7 @@
     thaw_ms: int = 0
     boot: int = 0
     disturbed_ms: int = -(10**9)
+    disk: bytes | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -131,12 +138,18 @@
     leader_changed_ms: int = -(10**9)
 
 
-def make_fleet(seed, node_count=5, engine_count=6, model_engine_count=0):
-    """Build a fleet whose engines are up and whose leader is known."""
+def make_fleet(
+    seed, node_count=5, engine_count=6, model_engine_count=0, disk_count=0
+):
+    """Build a fleet whose engines are up and whose leader is known.
+
+    The first `disk_count` nodes have a disk.
+    """
     fleet = Fleet(random.Random(seed))
     for number in range(node_count):
         address = f"n{number}:1"
-        fleet.nodes[address] = _make_node(fleet, address)
+        fleet.nodes[address] = node = _make_node(fleet, address)
+        node.disk = b"" if number < disk_count else None
     names = [(f"p{number}", False) for number in range(engine_count)]
     names += [(f"m{number}", True) for number in range(model_engine_count)]
     for number, (name, has_models) in enumerate(names):
@@ -247,6 +260,31 @@
             case coordinator_state.Publish():
                 for address in fleet.nodes:
                     send(fleet, node, address, effect.message)
+            case suspect_memory.KeepSuspects():
+                if node.disk is not None:
+                    _write_later(fleet, node, effect.suspects)
+
+
+def _write_later(fleet, node, kept):
+    stored = suspect_memory.StoredSuspects(fleet.now_ms, kept)
+    data = msgspec.msgpack.encode(stored)
+    delay_ms = fleet.rng.randint(*WRITE_MS)
+    at(fleet, delay_ms, _write, node, node.boot, data)
+
+
+def _write(node, boot, data):
+    """Make a write durable unless the node was restarted meanwhile."""
+    if node.boot == boot:
+        node.disk = data
+
+
+def _read_disk(fleet, node):
+    if node.disk:
+        stored = msgspec.msgpack.decode(
+            node.disk, type=suspect_memory.StoredSuspects
+        )
+        now_ms = fleet.now_ms
+        suspect_memory.restore(node.gw.suspect_state, stored, now_ms, now_ms)
 
 
 def send(fleet, node, address, message):
@@ -300,15 +338,16 @@
 
 def _tell_leader(fleet, node):
     """Let a node learn of the leader unless it is cut off from it."""
-    is_reached = node.address == fleet.leader or not (
-        node.is_cut or fleet.nodes[fleet.leader].is_cut
+    leader = fleet.nodes.get(fleet.leader)
+    is_reached = node is leader or not (
+        node.is_cut or leader is None or leader.is_cut
     )
     message = gateway.CoordinatorChanged(fleet.leader if is_reached else "")
     at(fleet, _delay(fleet), _deliver, fleet, node, node.boot, message)
 
 
 def restart_node(fleet, node):
-    """Restart a node; it forgets everything, and its callers get nothing."""
+    """Restart a node; its callers get nothing."""
     if node.address == fleet.leader:
         others = [
             n.address
@@ -318,6 +357,22 @@
         if not others:
             return
         change_leader(fleet, fleet.rng.choice(others))
+    _start_again(fleet, node)
+    at(fleet, 100, _tell_leader, fleet, node)
+
+
+def restart_all_nodes(fleet, leaderless_ms=500):
+    """Restart all nodes at once; a node with a disk leads later."""
+    fleet.leader = ""
+    for node in fleet.nodes.values():
+        _start_again(fleet, node)
+    with_disk = [n for n in fleet.nodes.values() if n.disk is not None]
+    leader = fleet.rng.choice(with_disk or list(fleet.nodes.values()))
+    at(fleet, leaderless_ms, change_leader, fleet, leader.address)
+
+
+def _start_again(fleet, node):
+    """Start a new process of a node, which knows what is on its disk."""
     fresh = _make_node(fleet, node.address)
     node.gw, node.coord = fresh.gw, fresh.coord
     node.boot += 1
@@ -328,7 +383,7 @@
     for engine in fleet.engines.values():
         for key in [k for k in engine.runs if k[0] == node.address]:
             del engine.runs[key]
-    at(fleet, 100, _tell_leader, fleet, node)
+    _read_disk(fleet, node)
 
 
 def suspend_node(fleet, node, duration_ms):
--- /dev/null
+++ b/bilberryramp/decisions/fleet/tests/test_restart_of_all.py
@@ -0,0 +1,191 @@
+"""Tests of the quarantine when all nodes restart at the same moment."""
+
+import unittest
+
+from bilberryramp.decisions.fleet import (
+    calls,
+    coordinator_losses,
+    suspect_memory,
+    suspect_publications,
+    suspects,
+)
+from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.tests import builders
+from bilberryramp.decisions.fleet.tests import quarantine_driver as driver
+from bilberryramp.decisions.fleet.tests import test_quarantine_fuzz as fuzz
+
+SEEDS = range(3)
+RESTARTS = 4
+# Time between two restarts of all nodes, and between two fatal requests.
+RESTART_INTERVAL_MS = 14_500
+FATAL_PAUSE_MS = 2500
+# Arrivals that the platform's rules allow after the third or fifth crash.
+MAX_LATE_ARRIVALS = 3
+RANDOM_LENGTH_MS = 60_000
+NOW_MS = 100_000
+
+
+def send_fatal(fleet):
+    driver.submit(fleet, "fatal", True)
+    driver.at(fleet, FATAL_PAUSE_MS, send_fatal, fleet)
+
+
+def send_deadly(fleet):
+    driver.submit_prompt(fleet, ("first", "deadly"))
+    driver.at(fleet, FATAL_PAUSE_MS, send_deadly, fleet)
+
+
+def send_sound(fleet):
+    driver.submit_prompt(fleet, ("first",))
+    driver.at(fleet, 40, send_sound, fleet)
+
+
+def play(seed, disk_count, send, first_restart_ms=RESTART_INTERVAL_MS):
+    """Send fatal requests while all nodes restart four times."""
+    fleet = driver.make_fleet(
+        seed, node_count=3, model_engine_count=4, disk_count=disk_count
+    )
+    fleet.deadly_parts.add("deadly")
+    send(fleet)
+    fuzz.send_innocent(fleet)
+    send_sound(fleet)
+    driver.run(fleet, first_restart_ms)
+    for _ in range(RESTARTS):
+        driver.restart_all_nodes(fleet)
+        driver.run(fleet, RESTART_INTERVAL_MS)
+    return fleet
+
+
+def restart_again(fleet):
+    """Restart all nodes, and plan the next time."""
+    driver.restart_all_nodes(fleet, fleet.rng.randint(200, 2500))
+    pause_ms = fleet.rng.randint(6000, 15_000)
+    driver.at(fleet, pause_ms, restart_again, fleet)
+
+
+def play_random(seed, disk_count=3, has_faults=True):
+    """Play two fatal requests, random restarts of all nodes, and faults."""
+    fleet = driver.make_fleet(seed, disk_count=disk_count)
+    fuzz.send_fatal(fleet, "fatal-a", "/look/x")
+    fuzz.send_fatal(fleet, "fatal-b", "/file/x")
+    fuzz.send_innocent(fleet)
+    if has_faults:
+        driver.at(fleet, 1000, fuzz.apply_random_fault, fleet)
+    driver.at(fleet, 6000, restart_again, fleet)
+    driver.run(fleet, RANDOM_LENGTH_MS)
+    return fleet
+
+
+class RestartOfAllTest(unittest.TestCase):
+    # Guards against a quarantine that is forgotten when no node stays up.
+
+    def check(self, send, name, crash_count, disk_count):
+        for seed in SEEDS:
+            for first_restart_ms in (5000, RESTART_INTERVAL_MS):
+                fleet = play(seed, disk_count, send, first_restart_ms)
+                with self.subTest(seed=seed, restart_ms=first_restart_ms):
+                    self.assertLessEqual(
+                        driver.late_arrivals(fleet, name, crash_count),
+                        MAX_LATE_ARRIVALS,
+                    )
+                    self.assertEqual(driver.wrongly_quarantined(fleet), [])
+
+    def test_a_fatal_request_stays_quarantined(self):
+        for disk_count in (1, 3):
+            with self.subTest(disk_count=disk_count):
+                self.check(send_fatal, "fatal", 3, disk_count)
+
+    def test_a_deadly_part_stays_quarantined(self):
+        self.check(send_deadly, "deadly", 5, 3)
+
+    def test_fatal_requests_stop_beside_other_faults(self):
+        for seed in SEEDS:
+            for has_faults in (False, True):
+                fleet = play_random(seed, has_faults=has_faults)
+                with self.subTest(seed=seed, has_faults=has_faults):
+                    for name in ("fatal-a", "fatal-b"):
+                        self.assertLessEqual(
+                            driver.late_arrivals(fleet, name),
+                            MAX_LATE_ARRIVALS,
+                        )
+                    self.assertEqual(driver.wrongly_quarantined(fleet), [])
+
+    def test_a_node_refuses_before_it_knows_a_coordinator(self):
+        fleet = play(1, 3, send_fatal)
+        driver.restart_all_nodes(fleet)
+        request = driver.submit(fleet, "fatal", True)
+        driver.run(fleet, 100)
+        self.assertEqual(fleet.leader, "")
+        self.assertEqual(request.outcome, calls.Refusal.QUARANTINED.value)
+
+
+def make_entry(identity="f", phase="quarantined", remaining_ms=60_000):
+    loss = msgs.ReportedLoss("u1", "", 1, 0, 300, 200, 300, 300, True, True)
+    return msgs.PublishedSuspect(
+        identity, "svc", phase, remaining_ms, 1, (loss,)
+    )
+
+
+class StoredListTest(unittest.TestCase):
+    def setUp(self):
+        table = builders.presence.Table(1200)
+        self.state = suspects.Suspects("n1:1", table)
+
+    def restore(self, entries, elapsed_ms):
+        stored = suspect_memory.StoredSuspects(5_000_000, tuple(entries))
+        wall_ms = stored.wall_ms + elapsed_ms
+        suspect_memory.restore(self.state, stored, wall_ms, NOW_MS)
+        return suspect_publications.known_suspects(self.state, NOW_MS)
+
+    def test_the_time_without_a_process_counts(self):
+        (known,) = self.restore([make_entry()], 20_000)
+        self.assertEqual(known.remaining_ms, 40_000)
+        self.assertEqual(known.losses[0].ended_ms_ago, 20_200)
+
+    def test_a_wall_clock_that_was_set_back_ends_no_quarantine(self):
+        (known,) = self.restore([make_entry()], -3_600_000)
+        self.assertEqual(known.remaining_ms, 60_000)
+
+    def test_old_suspects_are_forgotten(self):
+        entries = [
+            make_entry("a", "restricted", 0),
+            make_entry("b", "quarantined", 60_000),
+            make_entry("c", "quarantined", 3_600_000),
+        ]
+        elapsed_ms = coordinator_losses.RETENTION_MS + 1
+        known = self.restore(entries, elapsed_ms)
+        self.assertEqual([entry.fingerprint for entry in known], ["c"])
+
+    def test_a_bounded_number_is_kept_and_quarantined_ones_first(self):
+        limit = suspect_memory.MAX_STORED_SUSPECTS
+        for number in range(limit):
+            entry = make_entry(f"r{number}", "restricted", 0)
+            self.state.published[entry.fingerprint] = (entry, NOW_MS)
+        entry = make_entry("q")
+        self.state.published["q"] = (entry, NOW_MS)
+        (kept,) = suspect_memory.keep(self.state, NOW_MS)
+        self.assertEqual(len(kept.suspects), limit)
+        self.assertEqual(kept.suspects[0].fingerprint, "q")
+
+    def test_a_cleared_suspect_is_removed_from_the_disk(self):
+        gw = builders.make_gateway()
+        builders.collect(
+            driver.gateway.step(
+                gw, NOW_MS, driver.gateway.CoordinatorChanged("n2:1")
+            )
+        )
+        kept = []
+        for revision, phase in ((1, "quarantined"), (2, "cleared")):
+            message = msgs.SuspectList(
+                "n2:1", revision, revision == 1, (make_entry(phase=phase),)
+            )
+            effects = builders.collect(
+                driver.gateway.step(gw, NOW_MS, message)
+            )
+            (effect,) = builders.of_type(effects, suspect_memory.KeepSuspects)
+            kept.append(len(effect.suspects))
+        self.assertEqual(kept, [1, 0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -24,6 +24,7 @@
     register_messages,
     retry_budget,
     retry_shares,
+    suspect_memory,
     upstream_pauses,
 )
 from bilberryramp.decisions.shared import pauses, quarantine
@@ -46,6 +47,7 @@
     mailbox,
     peer_mesh,
     register_task,
+    suspect_store,
     upstream_exchange,
 )
 from bilberryramp.tasks import engine_orders as order_task
@@ -138,6 +140,8 @@
         Sockets for messages between nodes.
     holder
         Task that orders engines; None if agents do.
+    suspects
+        Task that keeps the list of suspects; None without a disk.
     servers
         Pairs of a listening server and its protocol factory. The last pair
         is the one for clients, which a stopping node closes first.
@@ -154,6 +158,7 @@
     frontend: fleet_frontend.Frontend
     mesh: peer_mesh.Mesh
     holder: holder_task.HolderTask | None = None
+    suspects: suspect_store.SuspectStore | None = None
     servers: list = dataclasses.field(default_factory=list)
     stop_requested: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
@@ -197,6 +202,8 @@
                 )
             ),
         ]
+    if proc.suspects is not None:
+        tasks.append(asyncio.create_task(suspect_store.run(proc.suspects)))
     _handle_signals(proc)
     await _listen(proc)
     node = proc.register.node
@@ -208,6 +215,7 @@
         settled_version=node.committed_document.version
         if node.committed_document
         else None,
+        suspects=len(proc.gateway.gw.suspect_state.published),
     )
     # The objects made so far live as long as the process, so the garbage
     # collector need not examine them.
@@ -278,6 +286,7 @@
         cfg.peer_ports[0],
         holder_inbox=holder_inbox,
     )
+    suspects = _open_suspects(cfg, gateway_owner, now_ms)
     register_owner = _open_register(
         cfg, address, rng, now_ms, register_inbox, gateway_inbox, mesh
     )
@@ -302,9 +311,25 @@
         _make_holder(
             cfg, register_owner.node, holder_inbox, gateway_inbox, mesh
         ),
+        suspects,
     )
 
 
+def _open_suspects(
+    cfg, gateway_owner: gateway_task.GatewayTask, now_ms: int
+) -> suspect_store.SuspectStore | None:
+    """Restore the list of suspects from the disk, if there is one."""
+    if not cfg.data_folder:
+        return None
+    store, stored = suspect_store.open_store(cfg.data_folder)
+    gateway_owner.suspect_inbox = store.inbox
+    if stored is not None:
+        suspect_memory.restore(
+            gateway_owner.gw.suspect_state, stored, clock.wall_ms(), now_ms
+        )
+    return store
+
+
 def _make_holder(
     cfg, node: register.Node, holder_inbox, gateway_inbox, mesh
 ) -> holder_task.HolderTask | None:
--- a/bilberryramp/storage/slots.py
+++ b/bilberryramp/storage/slots.py
@@ -1,4 +1,4 @@
-"""Crash-safe storage of the register's state in two alternating files.
+"""Crash-safe storage of a node's state in two alternating files.
 
 Each write overwrites the older of the two files and syncs it. A crash during
 a write damages only that file; the other one still has the previous state.
@@ -21,27 +21,35 @@
 _HEADER = struct.Struct("<QII")
 
 
-def read(folder: str) -> tuple[int, msgs.PersistentState | None]:
+def read(
+    folder: str,
+    kind: type = msgs.PersistentState,
+    names: tuple[str, str] = FILE_NAMES,
+) -> tuple:
     """Read the newest valid state.
 
     Parameters
     ----------
     folder
         Folder that contains the files.
+    kind
+        Class of the state; by default that of the register.
+    names
+        Names of the files.
 
     Returns
     -------
-    tuple of (int, PersistentState or None)
+    tuple of (int, `kind` or None)
         Count of the write and the state; 0 and None if no file is valid.
     """
-    contents = [_read_file(pathlib.Path(folder) / name) for name in FILE_NAMES]
+    contents = [_read_file(pathlib.Path(folder) / n, kind) for n in names]
     valid = [item for item in contents if item is not None]
     if not valid:
         return 0, None
     return max(valid, key=lambda item: item[0])
 
 
-def _read_file(path: pathlib.Path) -> tuple[int, msgs.PersistentState] | None:
+def _read_file(path: pathlib.Path, kind: type) -> tuple | None:
     try:
         data = path.read_bytes()
         count, body_bytes, checksum = _HEADER.unpack_from(data)
@@ -51,13 +59,18 @@
             or zlib.crc32(body, count & 0xFFFFFFFF) != checksum
         ):
             return None
-        return count, msgspec.msgpack.decode(body, type=msgs.PersistentState)
+        return count, msgspec.msgpack.decode(body, type=kind)
     except (OSError, struct.error, msgspec.MsgspecError):
         # A missing or incomplete file holds no state.
         return None
 
 
-def write(folder: str, count: int, stored: msgs.PersistentState) -> None:
+def write(
+    folder: str,
+    count: int,
+    stored,
+    names: tuple[str, str] = FILE_NAMES,
+) -> None:
     """Write a state and wait until it is durable.
 
     Parameters
@@ -68,7 +81,9 @@
         Count of this write: one more than that of the previous write. Its
         parity selects the file.
     stored
-        State to write.
+        State to write, of a class that msgspec encodes.
+    names
+        Names of the files.
 
     Raises
     ------
@@ -78,7 +93,7 @@
     os.makedirs(folder, exist_ok=True)
     body = msgspec.msgpack.encode(stored)
     checksum = zlib.crc32(body, count & 0xFFFFFFFF)
-    path = os.path.join(folder, FILE_NAMES[count % 2])
+    path = os.path.join(folder, names[count % 2])
     fd = os.open(path, os.O_WRONLY | os.O_CREAT, 0o600)
     try:
         data = _HEADER.pack(count, len(body), checksum) + body
@@ -88,7 +103,7 @@
         os.fsync(fd)
     finally:
         os.close(fd)
-    if count <= len(FILE_NAMES):
+    if count <= len(names):
         _sync_folder(folder)
 
 
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -21,6 +21,7 @@
     quarantine_messages,
     register,
     sharing,
+    suspect_memory,
     suspect_publications,
     suspects,
     upstream_pauses,
@@ -135,6 +136,9 @@
         Addresses of the nodes that order engines; empty if agents do.
     holder_inbox
         Mailbox of this node's holder task; None if it orders no engines.
+    suspect_inbox
+        Mailbox of the task that keeps the list of suspects; None without a
+        disk.
     decisions
         Futures of the calls that wait for a decision, by call id.
     attempts
@@ -162,6 +166,7 @@
     leader: str = ""
     holders: tuple[str, ...] = ()
     holder_inbox: mailbox.Mailbox | None = None
+    suspect_inbox: mailbox.Mailbox | None = None
     decisions: dict[int, asyncio.Future] = dataclasses.field(
         default_factory=dict
     )
@@ -395,6 +400,8 @@
         case coordinator_state.Publish():
             peer_mesh.broadcast(task.mesh, task.peers, effect.message)
             _send(task, task.gw.address, effect.message)
+        case suspect_memory.KeepSuspects():
+            _keep_suspects(task, effect)
         case gateway.TellPeers():
             peer_mesh.broadcast(task.mesh, task.peers, effect.message)
         case order_holders.EnginePaused():
@@ -409,6 +416,16 @@
             events.trace(effect.name, effect.fields)
 
 
+def _keep_suspects(
+    task: GatewayTask, effect: suspect_memory.KeepSuspects
+) -> None:
+    if task.suspect_inbox is not None:
+        stored = suspect_memory.StoredSuspects(
+            clock.wall_ms(), effect.suspects
+        )
+        mailbox.post_now(task.suspect_inbox, stored)
+
+
 def end_attempt(task: GatewayTask, call_id: int, end_s: float) -> None:
     """Let the attempt of a call time out by a given time.
 
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -225,9 +225,10 @@
 STORE_WRITE_FAILED = _declare(
     5003,
     "store.refused",
-    "A write to the files of the register or of a control replica failed and "
-    "is retried. The process sends no messages about them until a write "
-    "succeeds; check the disk.",
+    "A write to the files of the register, of the list of suspects or of a "
+    "control replica failed and is retried. The process sends no messages "
+    "about the register or the replica until a write succeeds; check the "
+    "disk.",
 )
 DOCUMENT_IN_FORCE = _declare(
     5004,
