Obey Retry-After of the engine in the upstream process

What callers saw: an engine or plain service that answered 429 or 503 with `Retry-After` still received every request. Its callers got its refusals one after another instead of another replica's answer.

Cause: nothing on the path from `bilberry-upstream` to its engine read the header. The queue started the next request as soon as a slot was free.

Ruled out: a check in the task that sends (queue, deadlines and refusals are decided before it), and a new field in load reports (a refusal tells entries in time, with its time).

Change: a run reports the head of each answer that belongs to its attempt. The upstream process keeps the pause for one process of the engine (`decisions/upstream/engine_pauses.py`, by `decisions/shared/pauses.py`): new and queued attempts that cannot begin in time are refused at once as not run with the time that is left, others wait, broken streams are resumed and orders sent only afterwards, and requests return step by step. The state poll goes on. Events 4009 and 4010.

Why it works: every request to the engine passes one queue, so a pause held there covers all senders.

--- a/bilberryramp/decisions/shared/errors.py
+++ b/bilberryramp/decisions/shared/errors.py
@@ -32,7 +32,8 @@
     """Reasons for which a call fails; no others are returned to callers.
 
     LEAVING means that the upstream is draining, CALLER_LEFT that the caller
-    closed its connection or the attempt was cancelled. The KEY codes are about
+    closed its connection or the attempt was cancelled, ENGINE_PAUSED that the
+    engines asked for a pause. The KEY codes are about
     the request's idempotency key: KEY_RUNNING and KEY_UNKNOWN mean that the
     earlier request with the key is running or has an unknown outcome,
     KEY_MISMATCH that the key was used for a different request.
@@ -53,6 +54,7 @@
     QUARANTINED = "quarantined"
     UPSTREAM_LOST = "upstream_lost"
     ENGINE_CRASHED = "engine_crashed"
+    ENGINE_PAUSED = "engine_paused"
     ANSWER_TOO_LARGE = "answer_too_large"
     CALLER_LEFT = "caller_left"
     CONTROL_UNAVAILABLE = "control_unavailable"
--- a/bilberryramp/decisions/tests/builders.py
+++ b/bilberryramp/decisions/tests/builders.py
@@ -18,6 +18,7 @@
     charting,
     commands,
     errors,
+    pauses,
     quarantine,
     shutdown,
     subscription,
@@ -26,6 +27,7 @@
 )
 from bilberryramp.decisions.upstream import (
     admission,
+    engine_pauses,
     ledger,
     model_orders,
     upstream_messages,
@@ -202,6 +204,17 @@
     return call_messages.Refused(attempt_id, failure, 1, load())
 
 
+def paused_attempt(attempt_id, pause_ms):
+    """Build the frame that refuses an attempt as the engine pauses."""
+    failure = errors.CallFailure(
+        errors.FailureCode.ENGINE_PAUSED,
+        errors.Outcome.NOT_RUN,
+        "paused",
+        pause_ms,
+    )
+    return call_messages.Refused(attempt_id, failure, 1, load())
+
+
 def broken_answer(attempt_id, crashed=False):
     """Build the frame for an attempt that failed or crashed its engine."""
     failure = errors.call_failure(
@@ -243,6 +256,17 @@
     return upstream_messages.EngineReported(report)
 
 
+def engine_pause(upstream_id="u1") -> engine_pauses.EnginePause:
+    """Build the pauses of an engine that has asked for none."""
+    return engine_pauses.new_engine_pause(pause_chart(), upstream_id)
+
+
+@functools.cache
+def pause_chart() -> charting.Chart:
+    """Bind the chart of the pauses that engines ask for."""
+    return bind_chart("upstream_pause", pauses)
+
+
 def upstream_state(view=None, slots=2, queue_limit=4, fair=True, **changes):
     """Build an upstream process whose engine holds model "m1"."""
     announced = upstream(slots=slots, **changes)
@@ -251,6 +275,7 @@
         view=view or view_with_replicas(),
         queue=admission.new_queue(queue_limit, slots, fair),
         orders=orders(2, 4000),
+        pause=engine_pause(),
         fresh=True,
         engine_up=True,
     )
--- a/bilberryramp/decisions/upstream/admission.py
+++ b/bilberryramp/decisions/upstream/admission.py
@@ -26,6 +26,7 @@
     "new_queue",
     "offer",
     "pop_any",
+    "pop_late",
     "record_finish",
     "remove",
     "running",
@@ -257,6 +258,37 @@
     return None
 
 
+def pop_late(queue: Queue, until_ms: int) -> list[Item]:
+    """Remove the items that cannot start in time after a pause.
+
+    Parameters
+    ----------
+    queue
+        Modified in place.
+    until_ms
+        Time in milliseconds before which no item starts.
+
+    Returns
+    -------
+    list of Item
+        The removed items: those whose deadline or first token is due by
+        then.
+    """
+    late_items = []
+    for lane in queue.lanes.values():
+        kept = []
+        for row in lane.heap:
+            item = row[-1]
+            due_ms = min(item.deadline_ms, item.start_by_ms)
+            if due_ms <= until_ms:
+                late_items.append(item)
+            else:
+                kept.append(row)
+        heapq.heapify(kept)
+        lane.heap = kept
+    return late_items
+
+
 def record_finish(queue: Queue, pool: str) -> None:
     """Free the slot of a running item that has ended.
 
--- a/bilberryramp/decisions/upstream/upstream_messages.py
+++ b/bilberryramp/decisions/upstream/upstream_messages.py
@@ -12,7 +12,12 @@
     "EngineLost",
     "FrameArrived",
     "GrantCredit",
+    "GrantResume",
+    "HeadArrived",
+    "PauseBegan",
+    "PauseEnded",
     "ReportDue",
+    "ResumeRequested",
     "RunEnded",
     "SenderLost",
     "StartRun",
@@ -49,7 +54,7 @@
     Attributes
     ----------
     report
-        The reported state; ignored for a plain service.
+        The reported state; only its boot id is used for a plain service.
     """
 
     report: model_orders.EngineReport
@@ -90,11 +95,80 @@
     chunks: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class GrantResume:
+    """Allow a run to resume its broken stream at the engine."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HeadArrived:
+    """The engine answered a run's request, or the resumption of its stream.
+
+    Attributes
+    ----------
+    status
+        HTTP status.
+    pause_ms
+        Time in milliseconds for which the engine wants no requests; 0 if the
+        answer asks for no pause.
+    """
+
+    attempt_id: str
+    status: int
+    pause_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PauseBegan:
+    """The engine wants no requests for some time; recorded in logs.
+
+    Attributes
+    ----------
+    attempt_id, status
+        The attempt whose answer asked for it, and the HTTP status.
+    pause_ms
+        Time until the end of the pause in milliseconds.
+    refused
+        Number of queued attempts that were refused because of it.
+    """
+
+    attempt_id: str
+    status: int
+    pause_ms: int
+    refused: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PauseEnded:
+    """The engine may receive requests again; recorded in logs.
+
+    Attributes
+    ----------
+    restarted
+        Whether the pause ended because another process of the engine has
+        taken the place of the one that asked for it.
+    refused
+        Number of attempts that were refused because of the pause.
+    """
+
+    restarted: bool
+    refused: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportDue:
     """Report the state of the upstream to control without delay."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ResumeRequested:
+    """The stream of a run broke; `GrantResume` follows when it may resume."""
+
+    attempt_id: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RunEnded:
     """A run has ended.
--- a/bilberryramp/decisions/upstream/upstream_work.py
+++ b/bilberryramp/decisions/upstream/upstream_work.py
@@ -14,6 +14,7 @@
     call_messages,
     effects,
     errors,
+    pauses,
     role_messages,
     shutdown,
     tables,
@@ -22,6 +23,7 @@
 )
 from bilberryramp.decisions.upstream import (
     admission,
+    engine_pauses,
     model_orders,
     run_records,
     upstream_messages,
@@ -57,12 +59,16 @@
         Deadline as monotonic time in milliseconds of this process.
     running
         False while the attempt is queued.
+    sent_ms
+        When its call that the engine has not answered yet was sent, in
+        milliseconds; `engine_pauses.NOT_SENT_MS` if there is none.
     """
 
     sender: str
     dispatch: call_messages.Dispatch
     deadline_ms: int
     running: bool = False
+    sent_ms: int = engine_pauses.NOT_SENT_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,6 +85,8 @@
         Queued and running attempts by pool.
     orders
         Model orders of the engine; None for a plain service.
+    pause
+        Pauses that the engine asked for.
     stop
         State machine of the planned stop; None until it is set up.
     fresh
@@ -90,6 +98,9 @@
     ended
         Ids of the last `MAX_ENDED_IDS` attempts that ended, oldest first,
         so that a repeated dispatch does not run again.
+    resumes
+        Ids of running attempts whose broken streams wait to be resumed,
+        oldest first.
     records
         Ends of keyed runs that control may not have recorded.
     """
@@ -98,11 +109,13 @@
     view: views.View
     queue: admission.Queue
     orders: model_orders.Orders | None
+    pause: engine_pauses.EnginePause
     stop: shutdown.Shutdown | None = None
     fresh: bool = False
     engine_up: bool = False
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     ended: dict[str, None] = dataclasses.field(default_factory=dict)
+    resumes: dict[str, None] = dataclasses.field(default_factory=dict)
     records: run_records.RunRecords = dataclasses.field(
         default_factory=run_records.RunRecords
     )
@@ -126,7 +139,30 @@
         Frames to entries, runs and orders for the engine, commands to
         control and timers.
     """
-    yield from _HANDLERS[type(message)](state, now_ms, message)
+    withheld = collections.deque()
+    emitted = _HANDLERS[type(message)](state, now_ms, message)
+    yield from _withhold_orders(state, now_ms, emitted, withheld)
+    while withheld:
+        emitted = model_orders.record_answer(
+            state.orders,
+            now_ms,
+            withheld.popleft(),
+            model_orders.OrderOutcome.REFUSED,
+        )
+        yield from _withhold_orders(state, now_ms, emitted, withheld)
+
+
+def _withhold_orders(state, now_ms: int, emitted, withheld) -> Iterator:
+    """Pass effects on, except for orders during a pause of the engine.
+
+    These are not sent, and the charts repeat them as after a refusal.
+    """
+    for effect in emitted:
+        is_order = isinstance(effect, model_orders.EngineOrder)
+        if is_order and pauses.remaining_ms(state.pause.pause, now_ms):
+            withheld.append(effect)
+        else:
+            yield effect
 
 
 def build_report(state: UpstreamState) -> tuple:
@@ -230,6 +266,8 @@
     ):
         return
     failure = _find_refusal(state, dispatch)
+    if failure is None:
+        failure = _find_pause(state, now_ms, dispatch)
     if failure is not None:
         yield _refuse(state, sender, dispatch.attempt_id, failure)
         return
@@ -280,6 +318,25 @@
     return None
 
 
+def _find_pause(state, now_ms: int, dispatch) -> errors.CallFailure | None:
+    """Return the refusal of an attempt that cannot start in time, if any."""
+    pause_ms = pauses.remaining_ms(state.pause.pause, now_ms)
+    start_in_ms = min(dispatch.budget_ms, dispatch.first_token_in_ms)
+    if not pause_ms or pause_ms < start_in_ms:
+        return None
+    state.pause.refused += 1
+    return _pause_failure(pause_ms)
+
+
+def _pause_failure(pause_ms: int) -> errors.CallFailure:
+    return errors.CallFailure(
+        errors.FailureCode.ENGINE_PAUSED,
+        errors.Outcome.NOT_RUN,
+        "the engine asked for a pause",
+        pause_ms,
+    )
+
+
 def _is_leaving_in_view(state: UpstreamState) -> bool:
     """Return whether control has recorded that this process is leaving."""
     recorded = state.view.upstreams.get(state.upstream.upstream_id)
@@ -333,11 +390,21 @@
 
 
 def _start_queued(state: UpstreamState, now_ms: int) -> Iterator:
-    while (item := admission.start_next(state.queue, now_ms)) is not None:
-        yield from _start(state, item)
+    """Start what the engine may receive now, interrupted streams first."""
+    pause = state.pause.pause
+    while state.resumes and pauses.may_call(pause, now_ms):
+        attempt_id = next(iter(state.resumes))
+        del state.resumes[attempt_id]
+        _record_sent(state, now_ms, state.attempts[attempt_id])
+        yield upstream_messages.GrantResume(attempt_id)
+    while pauses.may_call(pause, now_ms):
+        item = admission.start_next(state.queue, now_ms)
+        if item is None:
+            return
+        yield from _start(state, now_ms, item)
 
 
-def _start(state: UpstreamState, item: admission.Item) -> Iterator:
+def _start(state: UpstreamState, now_ms: int, item) -> Iterator:
     attempt = state.attempts[item.key]
     model = attempt.dispatch.model
     if state.orders is not None:
@@ -350,11 +417,81 @@
         running = state.orders.running
         running[model] = running.get(model, 0) + 1
     attempt.running = True
+    _record_sent(state, now_ms, attempt)
     yield upstream_messages.StartRun(attempt.sender, attempt.dispatch)
 
 
+def _record_sent(state: UpstreamState, now_ms: int, attempt: Attempt) -> None:
+    attempt.sent_ms = now_ms
+    pauses.record_sent(state.pause.pause)
+
+
+def _record_response(state, now_ms: int, attempt, is_served: bool) -> None:
+    """Record that the last call of an attempt has ended."""
+    pauses.record_response(
+        state.pause.pause, attempt.sent_ms, is_served, now_ms
+    )
+    attempt.sent_ms = engine_pauses.NOT_SENT_MS
+
+
+def _on_head(state: UpstreamState, now_ms: int, head) -> Iterator:
+    attempt = state.attempts.get(head.attempt_id)
+    if attempt is None or not attempt.running:
+        return
+    sent_ms = attempt.sent_ms
+    is_served = head.status < 500 and head.status != 429
+    _record_response(state, now_ms, attempt, is_served)
+    if engine_pauses.request(state.pause, sent_ms, head.pause_ms, now_ms):
+        yield from _begin_pause(state, now_ms, head)
+    yield from _start_queued(state, now_ms)
+
+
+def _begin_pause(state: UpstreamState, now_ms: int, head) -> Iterator:
+    """Refuse the queued attempts that cannot start in time afterwards."""
+    until_ms = state.pause.pause.until_ms
+    failure = _pause_failure(until_ms - now_ms)
+    late_items = admission.pop_late(state.queue, until_ms)
+    for item in late_items:
+        yield from _refuse_queued(state, item.key, failure)
+    state.pause.refused += len(late_items)
+    yield effects.SetTimer(engine_pauses.TIMER_KEY, until_ms, until_ms)
+    yield upstream_messages.PauseBegan(
+        head.attempt_id, head.status, until_ms - now_ms, len(late_items)
+    )
+    yield from _check_stop(state, now_ms)
+
+
+def _on_pause_timer(state: UpstreamState, now_ms: int, until_ms) -> Iterator:
+    if until_ms != state.pause.pause.until_ms:
+        return
+    if pauses.remaining_ms(state.pause.pause, now_ms):
+        # The timer came early.
+        yield effects.SetTimer(engine_pauses.TIMER_KEY, until_ms, until_ms)
+        return
+    yield from _end_pause(state, False)
+    yield from _start_queued(state, now_ms)
+
+
+def _end_pause(state: UpstreamState, restarted: bool) -> Iterator:
+    yield upstream_messages.PauseEnded(restarted, state.pause.refused)
+    state.pause.refused = 0
+
+
+def _on_resume_requested(
+    state: UpstreamState, now_ms: int, message
+) -> Iterator:
+    attempt = state.attempts.get(message.attempt_id)
+    if attempt is None or not attempt.running:
+        return
+    _record_response(state, now_ms, attempt, False)
+    state.resumes[message.attempt_id] = None
+    yield from _start_queued(state, now_ms)
+
+
 def _on_run_ended(state: UpstreamState, now_ms: int, ended) -> Iterator:
     attempt = _end_attempt(state, ended.attempt_id)
+    state.resumes.pop(ended.attempt_id, None)
+    _record_response(state, now_ms, attempt, False)
     admission.record_finish(state.queue, attempt.dispatch.pool)
     load = current_load(state)
     if ended.failure is None:
@@ -425,6 +562,9 @@
 
 
 def _on_timer(state: UpstreamState, now_ms: int, message) -> Iterator:
+    if message.key == engine_pauses.TIMER_KEY:
+        yield from _on_pause_timer(state, now_ms, message.token)
+        return
     if message.key.startswith(run_records.SETTLE_TIMER_PREFIX):
         yield from run_records.report_unsettled(state.records, message.key)
         return
@@ -447,9 +587,14 @@
 ) -> Iterator:
     was_down = not state.engine_up
     state.engine_up = True
+    report = message.report
+    if engine_pauses.record_boot(
+        state.pause, report.boot_id, report.requested_ms, now_ms
+    ):
+        yield from _end_pause(state, True)
     if state.orders is not None:
         yield from model_orders.record_engine_report(
-            state.orders, now_ms, message.report
+            state.orders, now_ms, report
         )
         yield from _follow_placement(state, now_ms)
     if was_down:
@@ -523,6 +668,8 @@
 _HANDLERS = {
     upstream_messages.FrameArrived: _on_frame,
     upstream_messages.SenderLost: _on_sender_lost,
+    upstream_messages.HeadArrived: _on_head,
+    upstream_messages.ResumeRequested: _on_resume_requested,
     upstream_messages.RunEnded: _on_run_ended,
     upstream_messages.EngineReported: _on_engine_reported,
     upstream_messages.EngineLost: _on_engine_lost,
--- a/bilberryramp/loadgen/virtual.py
+++ b/bilberryramp/loadgen/virtual.py
@@ -27,6 +27,7 @@
     commands,
     effects,
     errors,
+    pauses,
     quarantine,
     role_messages,
     tables,
@@ -34,6 +35,7 @@
 )
 from bilberryramp.decisions.upstream import (
     admission,
+    engine_pauses,
     upstream_messages,
     upstream_work,
 )
@@ -372,6 +374,9 @@
     unbounded = sim.policy.unbounded_memory
     memory_mib = UNBOUNDED_MEMORY_MIB if unbounded else group.memory_mib
     domains = group.failure_domains
+    pause_chart = charting.bind(
+        loader.load("upstream_pause"), pauses.guards, pauses.actions
+    )
     for number in range(group.engines):
         upstream = views.Upstream(
             f"{group.service}-{number}",
@@ -392,7 +397,11 @@
             sim.policy.demote_late,
         )
         state = upstream_work.UpstreamState(
-            upstream, sim.control.view, queue, None
+            upstream,
+            sim.control.view,
+            queue,
+            None,
+            engine_pauses.new_engine_pause(pause_chart, upstream.upstream_id),
         )
         state.fresh = state.engine_up = True
         engine = virtual_engine.Engine(state, sim.spec.speed)
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -8,6 +8,7 @@
 from bilberryramp.charts import loader
 from bilberryramp.decisions.shared import (
     charting,
+    pauses,
     quarantine,
     shutdown,
     subscription,
@@ -15,6 +16,7 @@
 )
 from bilberryramp.decisions.upstream import (
     admission,
+    engine_pauses,
     ledger,
     model_orders,
     upstream_messages,
@@ -126,4 +128,7 @@
             cfg.fenced,
         )
     queue = admission.new_queue(cfg.queue_limit, cfg.slots)
-    return upstream_work.UpstreamState(upstream, view, queue, orders)
+    pause = engine_pauses.new_engine_pause(
+        launch.bind_chart("upstream_pause", pauses), cfg.name
+    )
+    return upstream_work.UpstreamState(upstream, view, queue, orders, pause)
--- a/bilberryramp/tasks/engine_run.py
+++ b/bilberryramp/tasks/engine_run.py
@@ -21,6 +21,7 @@
     upstream_connections,
 )
 from bilberryramp.telemetry import events, tracing
+from bilberryramp.wire import retry_after
 
 __all__ = ["ATTEMPT_ID_HEADER", "EngineSession", "Run", "open_session", "run"]
 
@@ -34,6 +35,8 @@
 MAX_RESUMES = 3
 _RUN_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=2)
 _EVENT_STREAM = "text/event-stream"
+# Statuses of answers by which an engine may ask for a pause.
+_PAUSE_STATUSES = (429, 503)
 
 
 class ForeignAnswerError(aiohttp.ClientError):
@@ -87,6 +90,8 @@
         Number of chunks that may be sent before more credit arrives.
     credit_added
         Set when credit arrives.
+    resume_granted
+        Set when the run may resume its broken stream.
     chunks_sent
         Number of chunks of the answer sent to the entry.
     sent_bytes
@@ -114,6 +119,9 @@
     credit_added: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
+    resume_granted: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
     chunks_sent: int = 0
     sent_bytes: int = 0
     progress: stream_progress.StreamProgress = dataclasses.field(
@@ -152,7 +160,9 @@
         Function that takes the name of an entry and a frame and sends the
         frame.
     inbox
-        Mailbox that receives exactly one `RunEnded`.
+        Mailbox that receives a `HeadArrived` for each answer of the engine,
+        a `ResumeRequested` for each resumption of a stream, and at the end
+        exactly one `RunEnded`.
     """
     dispatch = job.start.dispatch
     failure, crashed = None, False
@@ -168,7 +178,7 @@
         ) as traceparent:
             headers = _request_headers(dispatch, traceparent)
             failure = await _exchange(
-                session, url, job, max_answer_bytes, send, headers
+                session, url, job, max_answer_bytes, send, headers, inbox
             )
     except aiohttp.ClientConnectorError:
         code = errors.FailureCode.NO_UPSTREAM
@@ -209,7 +219,7 @@
     mailbox.post_now(inbox, ended)
 
 
-async def _exchange(session, url, job, max_answer_bytes, send, headers):
+async def _exchange(session, url, job, max_answer_bytes, send, headers, inbox):
     dispatch = job.start.dispatch
     async with session.http.request(
         dispatch.method,
@@ -219,22 +229,29 @@
         timeout=_RUN_TIMEOUT,
     ) as resp:
         _check_answer_id(session, dispatch.attempt_id, resp)
+        _report_head(dispatch.attempt_id, resp, inbox)
         await _send_head(job, resp, send)
         try:
             return await _relay_body(job, resp, max_answer_bytes, send)
         except aiohttp.ClientError:
             if not stream_progress.can_resume(job.progress):
                 raise
-    return await _resume(session, url, job, max_answer_bytes, send, headers)
+    return await _resume(
+        session, url, job, max_answer_bytes, send, headers, inbox
+    )
 
 
-async def _resume(session, url, job, max_answer_bytes, send, headers):
+async def _resume(session, url, job, max_answer_bytes, send, headers, inbox):
     """Resume a broken stream after its last complete event.
 
     Reading the rest of a stream does not run the request a second time.
     """
     dispatch = job.start.dispatch
     for _ in range(MAX_RESUMES):
+        job.resume_granted.clear()
+        requested = upstream_messages.ResumeRequested(dispatch.attempt_id)
+        mailbox.post_now(inbox, requested)
+        await job.resume_granted.wait()
         stream_progress.start_resume(job.progress)
         events.emit(
             events.STREAM_RESUMED,
@@ -248,6 +265,8 @@
                 timeout=_RUN_TIMEOUT,
             ) as resp:
                 _check_answer_id(session, dispatch.attempt_id, resp)
+                if _report_head(dispatch.attempt_id, resp, inbox):
+                    continue
                 if resp.status != 200 or not _is_event_stream(resp):
                     break
                 return await _relay_body(job, resp, max_answer_bytes, send)
@@ -280,6 +299,16 @@
         )
 
 
+def _report_head(attempt_id: str, resp, inbox: mailbox.Mailbox) -> int:
+    """Post the head of an answer; return the pause it asks for in ms."""
+    pause_ms = 0
+    if resp.status in _PAUSE_STATUSES:
+        pause_ms = retry_after.decode(resp.headers)
+    head = upstream_messages.HeadArrived(attempt_id, resp.status, pause_ms)
+    mailbox.post_now(inbox, head)
+    return pause_ms
+
+
 async def _send_head(job: Run, resp, send) -> None:
     job.status = resp.status
     job.content_type = resp.headers.get("Content-Type", _DEFAULT_CONTENT_TYPE)
--- a/bilberryramp/tasks/tests/test_faulty_upstreams.py
+++ b/bilberryramp/tasks/tests/test_faulty_upstreams.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bilberryramp.decisions.shared import errors
+from bilberryramp.decisions.upstream import upstream_messages
 from bilberryramp.tasks import engine_run
 from bilberryramp.tasks.tests import builders
 
@@ -113,6 +114,46 @@
         self.assertIsNone(ended.failure)
         self.assertEqual(builders.body_of(frames), b"ok")
 
+    async def test_a_broken_stream_is_resumed_only_with_permission(self):
+        """It was read on while the engine wanted no requests."""
+        last_event = builders.EVENTS[-builders.EVENT_BYTES :]
+
+        def answer(request):
+            server.fault = "none"
+            attempt_id = request.headers["bilberry-attempt-id"]
+            if len(server.requests) == 2:
+                return builders.answer_bytes(
+                    b"later",
+                    "503 Unavailable",
+                    Retry_After="1.5",
+                    Bilberry_Attempt_Id=attempt_id,
+                )
+            rest = builders.EVENTS if not server.requests[1:] else last_event
+            return builders.echoing_stream(request, rest)
+
+        server = await self.start(answer, "cut_in_half")
+        messages = []
+        frames, ended = await builders.run_dispatch(
+            self.session,
+            server.port,
+            builders.make_dispatch("a1"),
+            messages=messages,
+        )
+        self.assertIsNone(ended.failure)
+        self.assertEqual(builders.body_of(frames), builders.EVENTS)
+        resume = upstream_messages.ResumeRequested("a1")
+        self.assertEqual(
+            messages,
+            [
+                upstream_messages.HeadArrived("a1", 200, 0),
+                resume,
+                upstream_messages.HeadArrived("a1", 503, 1500),
+                resume,
+                upstream_messages.HeadArrived("a1", 200, 0),
+                ended,
+            ],
+        )
+
     async def test_a_cut_answer_is_not_complete(self):
         server = await self.start(builders.plain_answer, "cut_in_half")
         _, ended = await self.run_one(server, 123456)
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -232,6 +232,8 @@
         _cancel_run(node, effect.attempt_id)
     elif isinstance(effect, upstream_messages.GrantCredit):
         _grant_credit(node, effect)
+    elif isinstance(effect, upstream_messages.GrantResume):
+        _grant_resume(node, effect.attempt_id)
     elif isinstance(effect, model_orders.EngineOrder):
         _send_order(node, effect)
     elif isinstance(effect, effects.SetTimer):
@@ -253,6 +255,25 @@
         effect, upstream_messages.ReportDue | model_orders.ResidencyChanged
     ):
         mailbox.post_now(node.inbox, HeartbeatDue())
+    else:
+        _log_pause(effect)
+
+
+def _log_pause(effect) -> None:
+    if isinstance(effect, upstream_messages.PauseBegan):
+        events.emit(
+            events.ENGINE_PAUSED,
+            attempt_id=effect.attempt_id,
+            status=effect.status,
+            pause_ms=effect.pause_ms,
+            refused=effect.refused,
+        )
+    elif isinstance(effect, upstream_messages.PauseEnded):
+        events.emit(
+            events.ENGINE_RETURNED,
+            restarted=effect.restarted,
+            refused=effect.refused,
+        )
 
 
 async def _send_frame(node: UpstreamNode, entry: str, frame) -> None:
@@ -294,6 +315,12 @@
         job.credit_added.set()
 
 
+def _grant_resume(node: UpstreamNode, attempt_id: str) -> None:
+    job = node.runs.get(attempt_id)
+    if job is not None:
+        job.resume_granted.set()
+
+
 def _send_order(node: UpstreamNode, order: model_orders.EngineOrder) -> None:
     events.emit(
         events.ORDER_SENT,
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -198,6 +198,21 @@
     "forwarded, the connection was closed and the attempt's outcome is "
     "unknown. Check the engine.",
 )
+ENGINE_PAUSED = _declare(
+    4009,
+    "engine.paused",
+    "The engine answered the attempt with 429 or 503 and `Retry-After` "
+    "(`status`), so it receives no requests for `pause_ms`. `refused` counts "
+    "the queued requests that cannot begin in time and were refused. If it "
+    "recurs, the engine is overloaded.",
+)
+ENGINE_RETURNED = _declare(
+    4010,
+    "engine.returned",
+    "The pause of the engine ended, because its time elapsed or because the "
+    "engine restarted (`restarted`). Requests return step by step. `refused` "
+    "counts the attempts that were refused because of the pause.",
+)
 ANSWER_EXCESSIVE = _declare(
     4008,
     "answer.excessive",
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -54,9 +54,9 @@
     driver.check_agreement()
 
 
-def run_path(seed, fenced):
+def run_path(seed, fenced, pausing=False):
     """Yield a driver of the request path, then run it and check its end."""
-    driver = path_driver.PathDriver(seed, fenced=fenced)
+    driver = path_driver.PathDriver(seed, fenced=fenced, pausing=pausing)
     yield driver
     for _ in range(PATH_MOVES):
         driver.random_move()
@@ -70,6 +70,7 @@
     "path, fenced engines": lambda seed: run_path(seed, (True,)),
     "path, unfenced engines": lambda seed: run_path(seed, (False,)),
     "path, both": lambda seed: run_path(seed, (True, False)),
+    "path, pausing engines": lambda seed: run_path(seed, (True, False), True),
 }
 
 
