Choose other replicas while an engine pauses

What callers saw: while one engine paused, entries went on choosing its upstream first, since it ran nothing; and with all engines paused, callers waited for their deadline, as a refusal for a pause was none for overload.

Cause: an entry forgot a refusal with its request.

Ruled out: leaving an upstream out until the stated end (the engine may restart and then starts free), and a new field in load reports.

Change: an entry remembers the end that a refusal with `engine_paused` stated, leaves the upstream out for up to a second while there are others, and uses it alone only if the pause ends before the first token is due. If all engines of the route pause, the caller gets 503 with the earliest end as `Retry-After`, not run unless an earlier attempt may have. Rules for retries are unchanged.

Why it works: the choice excludes what a refusal has just ruled out, and asks again once a second, so nobody is kept out by an old statement.

--- a/bilberryramp/decisions/entry/entry_attempts.py
+++ b/bilberryramp/decisions/entry/entry_attempts.py
@@ -1,5 +1,6 @@
 """Choose upstreams for a request and dispatch its attempts to them."""
 
+import dataclasses
 from collections.abc import Iterator
 
 from bilberryramp.decisions.control import quarantine
@@ -11,7 +12,11 @@
 )
 from bilberryramp.decisions.shared import call_messages, effects, errors, views
 
-__all__ = ["actions", "choose", "end_attempt"]
+__all__ = ["actions", "choose", "end_attempt", "record_refusal"]
+
+# Time after which an entry dispatches to an upstream again whose engine
+# pauses for longer.
+PAUSE_RECHECK_MS = 1000
 
 
 def choose(call: entry_state.Call, now_ms: int) -> str:
@@ -34,17 +39,14 @@
     """
     entry, request = call.entry, call.request
     upstreams = _available_upstreams(call)
-    failure = _final_failure(call, upstreams, now_ms)
+    usable = _usable_upstreams(call, upstreams, now_ms)
+    failure = _final_failure(call, upstreams, usable, now_ms)
     if failure is not None:
         call.failure = failure
         return "unservable"
-    options = [
-        _make_candidate(entry, upstream)
-        for upstream in upstreams
-        if upstream.upstream_id not in call.excluded_upstreams
-    ]
-    if not options:
+    if not usable:
         return "none_available"
+    options = [_make_candidate(entry, upstream) for upstream in usable]
     chosen = entry.policy(options, request.affinity_key, entry.rng)
     call.upstream_id = chosen.upstream_id
     return "chosen"
@@ -60,8 +62,69 @@
     ]
 
 
-def _final_failure(
+def record_refusal(
+    entry: entry_state.Entry,
+    upstream_id: str,
+    failure: errors.CallFailure,
+    now_ms: int,
+) -> None:
+    """Record whether an upstream refused an attempt as its engine pauses.
+
+    Parameters
+    ----------
+    entry
+        Modified in place.
+    upstream_id
+        Id of the upstream.
+    failure
+        Reason of the refusal.
+    now_ms
+        Current time in milliseconds.
+    """
+    if failure.code != errors.FailureCode.ENGINE_PAUSED:
+        return
+    until_ms = now_ms + failure.retry_after_ms
+    recheck_ms = min(until_ms, now_ms + PAUSE_RECHECK_MS)
+    entry.engine_pauses[upstream_id] = entry_state.EnginePause(
+        until_ms, recheck_ms
+    )
+
+
+def _usable_upstreams(
     call: entry_state.Call, upstreams, now_ms: int
+) -> list[views.Upstream]:
+    """Return the upstreams that the next attempt may be dispatched to.
+
+    An upstream whose engine pauses is used if there is no other, and only
+    if the pause ends before the first token of the answer is due.
+    """
+    untried = [
+        upstream
+        for upstream in upstreams
+        if upstream.upstream_id not in call.excluded_upstreams
+    ]
+    pauses_ms = {
+        upstream.upstream_id: _pause_ms(call.entry, upstream, now_ms)
+        for upstream in untried
+    }
+    running = [u for u in untried if not pauses_ms[u.upstream_id]]
+    start_by_ms = call.arrived_ms + call.route.first_token_ms
+    start_in_ms = min(start_by_ms, call.deadline_ms) - now_ms
+    return running or [
+        u for u in untried if pauses_ms[u.upstream_id] < start_in_ms
+    ]
+
+
+def _pause_ms(entry: entry_state.Entry, upstream, now_ms: int) -> int:
+    """Return for how long an upstream's engine pauses; 0 if it may not."""
+    pause = entry.engine_pauses.get(upstream.upstream_id)
+    if pause is None or now_ms >= pause.recheck_ms:
+        return 0
+    return pause.until_ms - now_ms
+
+
+def _final_failure(
+    call: entry_state.Call, upstreams, usable, now_ms: int
 ) -> errors.CallFailure | None:
     """Return the failure of a call that must not be attempted again.
 
@@ -77,11 +140,25 @@
     if call.attempts_since_wait >= call.entry.cfg.max_attempts:
         message = f"gave up after {call.attempts_since_wait} attempts"
         return call.failure or errors.call_failure(code.NO_UPSTREAM, message)
-    tried_all = upstreams and all(
-        u.upstream_id in call.excluded_upstreams for u in upstreams
-    )
-    overloaded = call.failure and call.failure.code == code.OVERLOADED
-    return call.failure if tried_all and overloaded else None
+    if not upstreams or usable:
+        return None
+    pauses_ms = [
+        pause_ms
+        for upstream in upstreams
+        if (pause_ms := _pause_ms(call.entry, upstream, now_ms))
+    ]
+    if len(pauses_ms) == len(upstreams):
+        return errors.CallFailure(
+            code.ENGINE_PAUSED,
+            errors.Outcome.NOT_RUN,
+            "all engines asked for a pause",
+            min(pauses_ms),
+        )
+    last = call.failure
+    if last is None or last.code not in (code.OVERLOADED, code.ENGINE_PAUSED):
+        return None
+    retry_after_ms = min((last.retry_after_ms, *pauses_ms))
+    return dataclasses.replace(last, retry_after_ms=retry_after_ms)
 
 
 def _endangers_last_upstream(
--- a/bilberryramp/decisions/entry/entry_calls.py
+++ b/bilberryramp/decisions/entry/entry_calls.py
@@ -172,6 +172,10 @@
     _record_load(entry, message.upstream_id, frame)
     if isinstance(frame, call_messages.Pong):
         return
+    if isinstance(frame, call_messages.Refused):
+        entry_attempts.record_refusal(
+            entry, message.upstream_id, frame.failure, now_ms
+        )
     call = _find_call(entry, message.upstream_id, frame.attempt_id)
     if call is not None:
         event, failure = _classify_frame(call, frame)
@@ -265,8 +269,9 @@
 def _disconnect(
     entry: entry_state.Entry, upstream_id: str
 ) -> list[entry_state.Call]:
-    """Remove an upstream's load report; return the calls in progress there."""
+    """Forget an upstream's reports; return the calls in progress there."""
     entry.loads.pop(upstream_id, None)
+    entry.engine_pauses.pop(upstream_id, None)
     return [
         call
         for call in entry.calls.values()
--- a/bilberryramp/decisions/entry/entry_state.py
+++ b/bilberryramp/decisions/entry/entry_state.py
@@ -13,7 +13,13 @@
     views,
 )
 
-__all__ = ["DEADLINE_TOKEN", "Call", "Entry", "EntrySettings"]
+__all__ = [
+    "DEADLINE_TOKEN",
+    "Call",
+    "EnginePause",
+    "Entry",
+    "EntrySettings",
+]
 
 # Token of a request's deadline timer. The timers of the state machine have
 # the same key and the tokens 1, 2, and so on.
@@ -116,6 +122,24 @@
     answer_body: bytearray = dataclasses.field(default_factory=bytearray)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EnginePause:
+    """Pause of an engine, as its upstream process stated it in a refusal.
+
+    Attributes
+    ----------
+    until_ms
+        End of the pause, as monotonic time in milliseconds.
+    recheck_ms
+        Monotonic time in milliseconds from which requests are dispatched to
+        the upstream again. It may come before the end, since a pause ends
+        early if the engine restarts.
+    """
+
+    until_ms: int
+    recheck_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class Entry:
     """State of an entry.
@@ -145,6 +169,8 @@
     leaving
         Incarnation (id of one process) of each upstream that is shutting
         down, by upstream id.
+    engine_pauses
+        Last stated pause of each engine, by upstream id.
     index
         Routes and upstreams of the view, indexed for lookups.
     retry_budget
@@ -169,6 +195,9 @@
     )
     in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
     leaving: dict[str, str] = dataclasses.field(default_factory=dict)
+    engine_pauses: dict[str, EnginePause] = dataclasses.field(
+        default_factory=dict
+    )
     retry_budget: float = 0.0
     unconfirmed_ends: unconfirmed.UnconfirmedCommands = dataclasses.field(
         default_factory=unconfirmed.UnconfirmedCommands
--- a/bilberryramp/decisions/entry/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/entry/tests/test_entry_calls.py
@@ -1,7 +1,11 @@
 import unittest
 from unittest import mock
 
-from bilberryramp.decisions.entry import entry_calls, entry_messages
+from bilberryramp.decisions.entry import (
+    entry_attempts,
+    entry_calls,
+    entry_messages,
+)
 from bilberryramp.decisions.shared import (
     call_messages,
     charting,
@@ -75,6 +79,80 @@
         )
 
 
+class EnginePauseTest(unittest.TestCase):
+    """Upstream processes refuse attempts while their engines pause."""
+
+    def setUp(self):
+        self.harness = Harness(("u1", "u2"))
+
+    def call(self, request_id, now_ms):
+        self.harness.now_ms = now_ms
+        self.harness.call(builders.caller_request(request_id))
+
+    def refuse(self, upstream_id, attempt_id, pause_ms):
+        frame = builders.paused_attempt(attempt_id, pause_ms)
+        self.harness.receive(upstream_id, frame)
+
+    def test_later_requests_still_went_to_the_paused_engine_first(self):
+        """It runs nothing, so it has the least load of all."""
+        self.call("r1", 0)
+        self.refuse("u1", "r1.1", 5000)
+        for number in range(2, 8):
+            self.call(f"r{number}", 100 * number)
+        upstream_ids = [to for to, _ in self.harness.dispatches()]
+        self.assertEqual(upstream_ids, ["u1"] + 7 * ["u2"])
+
+    def test_callers_waited_although_all_engines_pause(self):
+        """They are refused at once, with the earliest end."""
+        self.call("r1", 0)
+        self.refuse("u1", "r1.1", 5000)
+        self.refuse("u2", "r1.2", 3000)
+        for request_id, now_ms in (("r1", 0), ("r2", 400)):
+            if now_ms:
+                self.call(request_id, now_ms)
+            failure = self.harness.failure()
+            self.assertIs(failure.code, CODE.ENGINE_PAUSED)
+            self.assertIs(failure.outcome, OUTCOME.NOT_RUN)
+            self.assertEqual(failure.retry_after_ms, 3000 - now_ms)
+        self.assertEqual(len(self.harness.dispatches()), 2)
+
+    def test_refusal_after_a_loss_is_not_reported_as_not_run(self):
+        self.call("r1", 0)
+        self.harness.receive("u1", builders.broken_answer("r1.1"))
+        self.refuse("u2", "r1.2", 5000)
+        self.assertIs(self.harness.failure().outcome, OUTCOME.UNKNOWN)
+
+    def test_engine_that_restarted_was_left_out_until_the_pauses_end(self):
+        """An upstream is asked again every second."""
+        self.call("r1", 0)
+        self.refuse("u1", "r1.1", 500_000)
+        self.call("r2", entry_attempts.PAUSE_RECHECK_MS)
+        self.assertEqual(self.harness.dispatches()[-1], ("u1", "r2.1"))
+
+    def test_new_connection_forgets_the_pause(self):
+        self.call("r1", 0)
+        self.refuse("u1", "r1.1", 5000)
+        self.harness.step(entry_messages.LinkLost("u1"))
+        self.call("r2", 10)
+        self.assertEqual(self.harness.dispatches()[-1], ("u1", "r2.1"))
+
+    def test_pause_that_ends_in_time_delays_the_request(self):
+        """The upstream process queues it until the pause's end."""
+        self.call("r1", 0)
+        self.refuse("u1", "r1.1", 300)
+        self.refuse("u2", "r1.2", 5000)
+        self.call("r2", 100)
+        self.assertEqual(self.harness.dispatches()[-1], ("u1", "r2.1"))
+
+    def test_overload_beside_a_pause_is_refused_with_the_earlier_time(self):
+        self.call("r1", 0)
+        self.refuse("u1", "r1.1", 500)
+        self.harness.receive("u2", builders.refused_attempt("r1.2"))
+        failure = self.harness.failure()
+        self.assertIs(failure.code, CODE.OVERLOADED)
+        self.assertEqual(failure.retry_after_ms, 500)
+
+
 class UnkeyedRequestTest(unittest.TestCase):
     def test_refused_request_completes_on_another_upstream(self):
         harness = Harness()
