Let engines of the fault soak pause and fail requests

Stand-in engines now note the head of each request, with the deadline that it carries, and can turn requests away with 503 and Retry-After, with or without X-Bilberryramp-Not-Executed, fail them with 500, refuse them or reset them. Retry-After has fractions, and now and then 0, a negative value, nan, inf, a word, nothing, a date or two values. One engine, several or all of a service pause; all of one fail half of their requests, with no kills beside, with each node killed twice in turn, or with all killed three times.

The plain service has one engine more with pauses, because two cannot show a third attempt. The periods in which faults excuse a node move to a module of their own, for further checks.

--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -19,12 +19,14 @@
 from bilberryramp.platform import settings
 
 __all__ = [
+    "DEADLINE_HEADER",
     "DEADLY_PREFIX",
     "FATAL_PREFIX",
     "FIRST_PART",
     "PATH_VARIABLE",
     "Engine",
     "ClientAnswer",
+    "Trouble",
     "send_heartbeat",
     "send_request",
     "send_departure",
@@ -46,10 +48,34 @@
 DEADLY_PREFIX = "deadly"
 # Id of the part with which each prompt begins.
 FIRST_PART = "aa"
+DEADLINE_HEADER = "X-Bilberryramp-Deadline-Ms"
 _REQUEST_ID_HEADER = "X-Bilberryramp-Request-Id"
 _SIGNATURE_HEADER = "X-Bilberryramp-Server-Signature"
 _SIGNATURE_PREFIX = "sig-"
 _LEAVING_HEADER = "Server-Leaving"
+_NOT_EXECUTED_HEADER = "X-Bilberryramp-Not-Executed"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Trouble:
+    """What an engine does instead of serving a request.
+
+    Attributes
+    ----------
+    status
+        HTTP status of the answer; 0 to reset the connection instead.
+    is_executed
+        Whether the engine counts the request as executed before.
+    says_not_executed
+        Whether the answer states that the request was not executed.
+    retry_after
+        Values of its ``Retry-After`` headers.
+    """
+
+    status: int
+    is_executed: bool = False
+    says_not_executed: bool = False
+    retry_after: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +116,12 @@
         Number of heartbeats sent and of orders accepted.
     highest_fence
         Highest fencing token of an accepted order.
+    choose_trouble
+        Called with the id of each request that has been read, and returns
+        its `Trouble`, or None if the engine serves it.
+    on_arrival
+        Called with the id and the headers of each request that has one, as
+        soon as its head has been read.
     on_execute, on_order
         Called with the id of each request that starts to run, and with the
         fields of each accepted order.
@@ -118,6 +150,8 @@
     heartbeat_count: int = 0
     order_count: int = 0
     highest_fence: int = -1
+    choose_trouble: Callable = lambda request_id: None
+    on_arrival: Callable = lambda request_id, headers: None
     on_execute: Callable = lambda request_id: None
     on_order: Callable = lambda fields: None
     on_crash: Callable = lambda cause, is_part: None
@@ -225,6 +259,8 @@
 async def _serve_call(engine, request) -> web.StreamResponse:
     request_id = request.headers.get(_REQUEST_ID_HEADER, "")
     engine.last_headers = dict(request.headers)
+    if request_id:
+        engine.on_arrival(request_id, request.headers)
     headers = {
         _REQUEST_ID_HEADER: request_id,
         _SIGNATURE_HEADER: f"{_SIGNATURE_PREFIX}{engine.upstream_id}",
@@ -241,8 +277,12 @@
     ):
         return web.Response(status=421, headers=headers)
     body = await request.read()
-    engine.executed_ids.append(request_id)
-    engine.on_execute(request_id)
+    trouble = engine.choose_trouble(request_id)
+    if trouble is None or trouble.is_executed:
+        engine.executed_ids.append(request_id)
+        engine.on_execute(request_id)
+    if trouble is not None:
+        return _fail(request, trouble, headers)
     if body.startswith(FATAL_PREFIX):
         engine.on_crash(body.removeprefix(FATAL_PREFIX).decode(), False)
         _reset(request.transport)
@@ -266,6 +306,19 @@
     return response
 
 
+def _fail(request, trouble: Trouble, headers: dict) -> web.Response:
+    """Make the answer of a request that an engine does not serve."""
+    if not trouble.status:
+        _reset(request.transport)
+        return web.Response()
+    response = web.Response(status=trouble.status, headers=headers)
+    if trouble.says_not_executed:
+        response.headers[_NOT_EXECUTED_HEADER] = "1"
+    for value in trouble.retry_after:
+        response.headers.add("Retry-After", value)
+    return response
+
+
 def _deadly_part(request) -> str:
     """Return the id of the first deadly part of a prompt; empty if none."""
     prefix = request.headers.get("X-Bilberryramp-Prompt-Prefix", "")
@@ -443,7 +496,7 @@
     headers = {
         "Host": "h.example",
         _REQUEST_ID_HEADER: request_id,
-        "X-Bilberryramp-Deadline-Ms": str(deadline_ms),
+        DEADLINE_HEADER: str(deadline_ms),
     }
     if model:
         headers["X-Bilberryramp-Model"] = model
--- a/bilberryramp/soak/checks.py
+++ b/bilberryramp/soak/checks.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.soak import observations
+from bilberryramp.soak import fault_periods, observations
 
 __all__ = ["SAFETY", "TIMING", "Violation", "find_violations"]
 
@@ -24,9 +24,6 @@
 # Time during which only one node may order an engine; equal to
 # `NodeSettings.order_lease_ms` in the soak.
 ORDER_LEASE_MS = 3000
-# Time limits are checked only if no fault was active from this long before
-# the checked period until its end.
-FAULT_FREE_MS = 3000
 # A request that was sent at least this long before its connection broke was
 # read by the node.
 MAX_READ_DELAY_MS = 200
@@ -42,22 +39,6 @@
 STABLE_WINDOW_MS = 3000
 # Code of the failure of a request that is refused because it crashes engines.
 QUARANTINED = "quarantined"
-NODE_OR_LINK_FAULTS = frozenset(observations.FaultKind) - {
-    observations.FaultKind.ENGINE_DRAIN,
-    observations.FaultKind.ENGINE_LEAVE,
-    observations.FaultKind.ENGINE_CRASH,
-}
-
-# Faults after which a node may have forgotten what it knew.
-INTERRUPTIONS = frozenset(
-    {
-        observations.FaultKind.KILL,
-        observations.FaultKind.PAUSE,
-        observations.FaultKind.STOP,
-        observations.FaultKind.WIPE,
-        observations.FaultKind.KILL_ALL,
-    }
-)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -204,7 +185,7 @@
 
     An engine has drained `MAX_DRAIN_MS` after a node acknowledged the drain.
     Runs are not checked if a fault of a node or link was active from
-    `FAULT_FREE_MS` before the acknowledgment until the run.
+    `fault_periods.FAULT_FREE_MS` before the acknowledgment until the run.
     """
     drain_acked_ms = {
         d.upstream_id: d.at_ms
@@ -214,7 +195,9 @@
         at_ms = drain_acked_ms.get(run.upstream_id)
         if at_ms is None or run.at_ms <= at_ms + MAX_DRAIN_MS:
             continue
-        if _is_fault_free(history, at_ms - FAULT_FREE_MS, run.at_ms):
+        if _is_fault_free(
+            history, at_ms - fault_periods.FAULT_FREE_MS, run.at_ms
+        ):
             after_ms = run.at_ms - at_ms
             yield f"{run.request_id} ran {after_ms} ms after the drain"
 
@@ -244,7 +227,13 @@
         if (
             at_ms is not None
             and request.at_ms > at_ms + MAX_DRAIN_MS
-            and not _was_interrupted(history, request.node, at_ms, run.at_ms)
+            and not fault_periods.was_hit(
+                history.of_class(observations.Fault),
+                fault_periods.INTERRUPTIONS,
+                request.node,
+                at_ms,
+                run.at_ms,
+            )
         ):
             yield (
                 f"{run.request_id} was sent to {request.node} "
@@ -253,27 +242,13 @@
             )
 
 
-def _was_interrupted(history, node: str, from_ms: int, to_ms: int) -> bool:
-    """Return whether a node was stopped or suspended in a period."""
-    return any(
-        fault.kind in INTERRUPTIONS
-        and (
-            fault.target == node
-            or fault.kind is observations.FaultKind.KILL_ALL
-        )
-        and fault.from_ms < to_ms
-        and fault.to_ms > from_ms
-        for fault in history.of_class(observations.Fault)
-    )
-
-
 def fatal_requests_stop_arriving(
     history: observations.History,
 ) -> Iterator[str]:
     """Check that a body or part that crashed a few engines is kept away.
 
     Arrivals are not counted while a fault of a node or link is active, or
-    was from `FAULT_FREE_MS` before.
+    was from `fault_periods.FAULT_FREE_MS` before.
     """
     crashes: dict[tuple[str, bool], list[int]] = {}
     for crashed in history.of_class(observations.EngineCrashed):
@@ -288,7 +263,9 @@
             at_ms
             for at_ms in times_ms
             if at_ms > allowed_ms
-            and _is_fault_free(history, at_ms - FAULT_FREE_MS, at_ms)
+            and _is_fault_free(
+                history, at_ms - fault_periods.FAULT_FREE_MS, at_ms
+            )
         ]
         if len(late) > MAX_LATE_ARRIVALS:
             yield (
@@ -326,14 +303,16 @@
             answer = answers.get(sent.request_id)
             if (
                 sent.node == stop.target
-                and stop.from_ms - FAULT_FREE_MS < sent.at_ms < until_ms
+                and stop.from_ms - fault_periods.FAULT_FREE_MS
+                < sent.at_ms
+                < until_ms
                 and answer is not None
                 and answer.status == 0
                 and answer.at_ms
                 > max(sent.at_ms + MAX_READ_DELAY_MS, stop.from_ms)
                 and _is_fault_free(
                     history,
-                    sent.at_ms - FAULT_FREE_MS,
+                    sent.at_ms - fault_periods.FAULT_FREE_MS,
                     answer.at_ms,
                     ignored=stop,
                 )
@@ -352,15 +331,14 @@
         for crashed in history.of_class(observations.EngineCrashed)
     ):
         return False
-    kinds = (
-        NODE_OR_LINK_FAULTS
-        if ignored is None
-        else frozenset(observations.FaultKind)
-    )
-    return not any(
-        fault.kind in kinds and fault.from_ms < to_ms and fault.to_ms > from_ms
-        for fault in history.of_class(observations.Fault)
-        if fault != ignored
+    faults = history.of_class(observations.Fault)
+    if ignored is None:
+        return fault_periods.is_fault_free(faults, from_ms, to_ms)
+    return fault_periods.is_fault_free(
+        (fault for fault in faults if fault != ignored),
+        from_ms,
+        to_ms,
+        frozenset(observations.FaultKind),
     )
 
 
--- a/bilberryramp/soak/local_fleet.py
+++ b/bilberryramp/soak/local_fleet.py
@@ -3,16 +3,24 @@
 import asyncio
 import dataclasses
 import pathlib
+import random
 import signal
 import time
 from collections.abc import Callable
 
 from bilberryramp.platform import standins
-from bilberryramp.soak import observations, processes, proxy
+from bilberryramp.soak import (
+    engine_troubles,
+    observations,
+    processes,
+    proxy,
+)
 
 __all__ = [
     "CONTROL_PORT",
     "FRONT_PORT",
+    "MODEL_COUNT",
+    "PLAIN_COUNT",
     "Fleet",
     "Host",
     "kill_programs",
@@ -34,6 +42,9 @@
 CRASH_RESTART_S = 1.5
 # One in so many streams has neither length nor chunks.
 UNFRAMED_EVERY = 4
+# Number of model engines, and of engines of the plain service, by default.
+MODEL_COUNT = 2
+PLAIN_COUNT = 2
 MODELS = [{"name": "m0", "version": 1, "adapters": []}]
 _Kind = observations.FaultKind
 
@@ -43,6 +54,10 @@
     return time.monotonic_ns() // 1_000_000
 
 
+def _serve_all(_upstream_id, _request_id) -> None:
+    """Let an engine serve all requests, as `Host.choose_trouble`."""
+
+
 @dataclasses.dataclass(slots=True)
 class Host:
     """A node or an engine, with its program and the proxied links to it.
@@ -67,6 +82,9 @@
         Whether the engine's heartbeats say that it drains.
     is_starting
         Whether the engine is being started.
+    choose_trouble
+        Called with the ids of the engine and of a request that it has read,
+        and returns its `standins.Trouble`, or None if the engine serves it.
     """
 
     name: str
@@ -77,6 +95,7 @@
     boot_count: int = 0
     is_leaving: bool = False
     is_starting: bool = False
+    choose_trouble: Callable = _serve_all
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,6 +113,8 @@
         and crashed engines are not restarted.
     restarts
         Tasks that restart engines that requests crashed.
+    make_body
+        Makes the body of the document with a given version.
     """
 
     nodes: dict[str, Host]
@@ -101,10 +122,17 @@
     record: Callable
     is_finished: bool = False
     restarts: set = dataclasses.field(default_factory=set)
+    make_body: Callable = standins.make_document_body
 
 
 def make_fleet(
-    slot: int, folder: pathlib.Path, record: Callable, core: int, others: int
+    slot: int,
+    folder: pathlib.Path,
+    record: Callable,
+    core: int,
+    others: int,
+    model_count: int = MODEL_COUNT,
+    plain_count: int = PLAIN_COUNT,
 ) -> Fleet:
     """Create a fleet without starting it.
 
@@ -119,11 +147,13 @@
         Function called with each observation.
     core, others
         Number of nodes with and without a data folder.
+    model_count, plain_count
+        Number of model engines and of engines of the plain service.
 
     Returns
     -------
     Fleet
-        Nodes, two model engines and two plain services.
+        Nodes, model engines and engines of the plain service, in this order.
     """
 
     def ip(subnet: int, number: int) -> str:
@@ -159,10 +189,10 @@
         ]
         nodes[name] = Host(name, public_ip, program, links)
     engines = {}
-    for number in range(1, 5):
+    for number in range(1, model_count + plain_count + 1):
         name, public_ip, bind_ip = f"e{number}", ip(2, number), ip(4, number)
         program = None
-        if number <= 2:
+        if number <= model_count:
             program = _program(
                 folder,
                 f"a{number}",
@@ -306,6 +336,17 @@
         unframed_every=UNFRAMED_EVERY,
         service_time_s=0.04,
         born_ms=time.time_ns() // 1_000_000,
+        choose_trouble=lambda request_id: host.choose_trouble(
+            upstream_id, request_id
+        ),
+        on_arrival=lambda request_id, headers: fleet.record(
+            observations.RequestArrived(
+                request_id,
+                upstream_id,
+                now_ms(),
+                int(headers.get(standins.DEADLINE_HEADER, -1)),
+            )
+        ),
         on_execute=lambda request_id: fleet.record(
             observations.RunStarted(request_id, upstream_id, now_ms())
         ),
@@ -443,6 +484,35 @@
     await _crash_engine(fleet, host, fault)
 
 
+async def _ask_for_pauses(fleet, host, fault) -> None:
+    choose_trouble = engine_troubles.make_pauses(
+        fleet.record,
+        now_ms,
+        random.Random(f"{fault}"),
+        fault.share,
+        fault.says_not_executed,
+    )
+    await _trouble_engine(host, choose_trouble, fault)
+
+
+async def _fail_requests(_fleet, host, fault) -> None:
+    choose_trouble = engine_troubles.make_errors(
+        random.Random(f"{fault}"), fault.share, fault.error
+    )
+    await _trouble_engine(host, choose_trouble, fault)
+
+
+async def _trouble_engine(host, choose_trouble, fault) -> None:
+    """Let a host's engines be in trouble until a fault ends.
+
+    A later fault of the host replaces the trouble.
+    """
+    host.choose_trouble = choose_trouble
+    await _wait_until_end(fault)
+    if host.choose_trouble is choose_trouble:
+        host.choose_trouble = _serve_all
+
+
 _FAULTS = {
     _Kind.KILL: _kill,
     _Kind.PAUSE: _pause,
@@ -458,6 +528,8 @@
     _Kind.ENGINE_CRASH: _crash_engine,
     _Kind.ENGINE_DRAIN: _drain_engine,
     _Kind.ENGINE_LEAVE: _leave,
+    _Kind.ENGINE_PAUSE: _ask_for_pauses,
+    _Kind.ENGINE_ERRORS: _fail_requests,
 }
 
 
--- a/bilberryramp/soak/observations.py
+++ b/bilberryramp/soak/observations.py
@@ -16,7 +16,9 @@
     "FaultKind",
     "History",
     "OrderAccepted",
+    "PauseRequested",
     "ProgramEnded",
+    "RequestArrived",
     "RequestSent",
     "RunStarted",
 ]
@@ -53,6 +55,10 @@
     """An engine announces that it drains, then stops and restarts."""
     ENGINE_LEAVE = "engine_leave"
     """As before, but only the engine's answers say so, not its heartbeats."""
+    ENGINE_PAUSE = "engine_pause"
+    """An engine turns requests away and asks for pauses."""
+    ENGINE_ERRORS = "engine_errors"
+    """An engine fails requests."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -68,12 +74,22 @@
     from_ms, to_ms
         When the fault begins and ends; relative to the start of the faults
         until the soak injects it.
+    share
+        Share of the requests that an engine turns away or fails.
+    error
+        Key of `engine_troubles.ERRORS`; empty for other faults than errors.
+    says_not_executed
+        Whether answers that ask for a pause state that the request was not
+        executed.
     """
 
     kind: FaultKind
     target: str
     from_ms: int
     to_ms: int
+    share: float = 1.0
+    error: str = ""
+    says_not_executed: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -90,12 +106,21 @@
         Whether the request may run more than once.
     at_ms
         When it was sent.
+    service
+        Service that its route names.
+    max_attempts
+        Number of engines that may run it, as its route says.
+    deadline_ms
+        Time that the caller allows, in milliseconds.
     """
 
     request_id: str
     node: str
     may_repeat: bool
     at_ms: int
+    service: str = ""
+    max_attempts: int = 1
+    deadline_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -130,6 +155,49 @@
     leaving_id: str = ""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestArrived:
+    """Observation that the head of a request reached an engine.
+
+    Attributes
+    ----------
+    request_id, upstream_id
+        Ids of the request and of the engine.
+    at_ms
+        When it arrived.
+    deadline_ms
+        Time that the node allows, in milliseconds; -1 if it names none.
+    """
+
+    request_id: str
+    upstream_id: str
+    at_ms: int
+    deadline_ms: int = -1
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PauseRequested:
+    """Observation that an engine asked a node for a pause.
+
+    It answered a request of the node with status 503 and ``Retry-After``.
+
+    Attributes
+    ----------
+    request_id, upstream_id
+        Ids of the request and of the engine.
+    at_ms
+        When it answered.
+    pause_ms
+        Time for which it wants no requests, in milliseconds; 0 if the answer
+        names none that is valid.
+    """
+
+    request_id: str
+    upstream_id: str
+    at_ms: int
+    pause_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RunStarted:
     """Observation that an engine began to run a request.
--- a/bilberryramp/soak/run.py
+++ b/bilberryramp/soak/run.py
@@ -13,10 +13,19 @@
 from bilberryramp.platform import standins
 from bilberryramp.soak import local_fleet, observations, schedule
 
-__all__ = ["Plan", "execute"]
+__all__ = [
+    "CallKind",
+    "Plan",
+    "execute",
+    "send_heartbeats",
+    "send_recorded",
+    "submit_first_document",
+]
 
 CALLER_COUNT = 6
 CALL_PAUSE_S = 0.03
+# Callers of requests that may be repeated, beside engines that pause or fail.
+EAGER_COUNT = 3
 # Pause of a caller that sends the same fatal request again and again.
 FATAL_PAUSE_S = 0.4
 # Parts with which the prompts of several callers begin.
@@ -44,6 +53,36 @@
 FINAL_VERSION = 1_000_000
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallKind:
+    """Kind of the requests that a caller sends.
+
+    Attributes
+    ----------
+    path
+        Path, which selects the route.
+    service
+        Service of the route.
+    model
+        Model; empty for a request to a plain service.
+    may_repeat
+        Whether a request may run more than once.
+    max_attempts
+        Number of engines that may run it, as the route says.
+    """
+
+    path: str
+    service: str
+    model: str = ""
+    may_repeat: bool = False
+    max_attempts: int = 1
+
+
+TALK = CallKind("/talk/x", "svc-llm", "m0")
+FILE = CallKind("/file/x", "svc-app")
+LOOK = CallKind("/look/x", "svc-app", may_repeat=True, max_attempts=2)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
     """Parameters of a soak.
@@ -70,6 +109,10 @@
         Further faults, with times from the start of the schedule.
     has_departures
         Whether engines leave by their answers alone, besides the faults.
+    has_pauses
+        Whether engines pause or fail requests, besides the faults. The plain
+        service then has one more engine, which has no other faults, and
+        `EAGER_COUNT` callers send requests that may be repeated only.
     """
 
     seed: int
@@ -82,6 +125,7 @@
     fault_groups: tuple = schedule.ALL_GROUPS
     faults: tuple[observations.Fault, ...] = ()
     has_departures: bool = False
+    has_pauses: bool = False
 
 
 async def execute(plan: Plan, folder: pathlib.Path) -> observations.History:
@@ -102,7 +146,12 @@
     history = observations.History()
     rng = random.Random(plan.seed)
     fleet = local_fleet.make_fleet(
-        plan.slot, folder, history.events.append, plan.core, plan.others
+        plan.slot,
+        folder,
+        history.events.append,
+        plan.core,
+        plan.others,
+        plain_count=local_fleet.PLAIN_COUNT + plan.has_pauses,
     )
     try:
         await _execute_phases(fleet, plan, rng)
@@ -115,10 +164,10 @@
     await local_fleet.start_fleet(fleet)
     async with aiohttp.ClientSession() as session:
         actors = [
-            asyncio.create_task(_send_heartbeats(fleet, host, session, rng))
+            asyncio.create_task(send_heartbeats(fleet, host, session, rng))
             for host in fleet.engines.values()
         ]
-        await _submit_first_document(fleet, session)
+        await submit_first_document(fleet, session)
         actors.append(asyncio.create_task(_run_operator(fleet, session, rng)))
         actors += [
             asyncio.create_task(
@@ -138,6 +187,13 @@
             )
             for number in range(plan.deadly_count)
         ]
+        if plan.has_pauses:
+            actors += [
+                asyncio.create_task(
+                    _run_caller(fleet, f"{plan.seed}-e{number}", rng, (LOOK,))
+                )
+                for number in range(EAGER_COUNT)
+            ]
         await _inject_faults(fleet, plan)
         await local_fleet.clear_faults(fleet)
         await asyncio.sleep(SETTLE_TIME_S)
@@ -148,24 +204,34 @@
     await local_fleet.stop_fleet(fleet)
 
 
-async def _inject_faults(fleet: local_fleet.Fleet, plan: Plan) -> None:
-    names = list(fleet.nodes)
-    faults = schedule.draw(
-        plan.seed,
-        plan.length_ms,
-        names[: plan.core],
-        names,
-        list(fleet.engines),
-        plan.fault_groups,
-    )
-    departures = ()
+def _draw_faults(
+    fleet: local_fleet.Fleet, plan: Plan
+) -> list[observations.Fault]:
+    nodes, engines = list(fleet.nodes), list(fleet.engines)
+    core = nodes[: plan.core]
+    # The schedule of a seed does not depend on the engine added for pauses.
+    usual = engines[: local_fleet.MODEL_COUNT + local_fleet.PLAIN_COUNT]
+    faults = [
+        *schedule.draw(
+            plan.seed, plan.length_ms, core, nodes, usual, plan.fault_groups
+        ),
+        *plan.faults,
+    ]
     if plan.has_departures:
-        departures = schedule.draw_departures(
-            plan.seed, plan.length_ms, list(fleet.engines)
+        faults += schedule.draw_departures(plan.seed, plan.length_ms, usual)
+    if plan.has_pauses:
+        services = [
+            engines[: local_fleet.MODEL_COUNT],
+            engines[local_fleet.MODEL_COUNT :],
+        ]
+        faults += schedule.draw_troubles(
+            plan.seed, plan.length_ms, services, core, nodes, faults
         )
-    faults = sorted(
-        (*faults, *departures, *plan.faults), key=lambda f: f.from_ms
-    )
+    return faults
+
+
+async def _inject_faults(fleet: local_fleet.Fleet, plan: Plan) -> None:
+    faults = sorted(_draw_faults(fleet, plan), key=lambda f: f.from_ms)
     started_ms = local_fleet.now_ms()
     async with asyncio.TaskGroup() as group:
         for drawn in faults:
@@ -197,12 +263,26 @@
         return None
 
 
-async def _send_heartbeats(
-    fleet, host: local_fleet.Host, session, rng
+async def send_heartbeats(
+    fleet: local_fleet.Fleet,
+    host: local_fleet.Host,
+    session: aiohttp.ClientSession,
+    rng: random.Random,
 ) -> None:
-    """Send an engine's heartbeats, each to a random node.
+    """Send an engine's heartbeats, each to a random node, until the soak ends.
 
     Record the first heartbeat of a draining engine that a node acknowledges.
+
+    Parameters
+    ----------
+    fleet
+        Running fleet.
+    host
+        Engine.
+    session
+        HTTP session.
+    rng
+        Random generator.
     """
     acknowledged_id = ""
     while not fleet.is_finished:
@@ -231,7 +311,23 @@
             )
 
 
-async def _submit_first_document(fleet: local_fleet.Fleet, session) -> None:
+async def submit_first_document(
+    fleet: local_fleet.Fleet, session: aiohttp.ClientSession
+) -> None:
+    """Submit a document until the first node accepts it.
+
+    Parameters
+    ----------
+    fleet
+        Fleet that has been started.
+    session
+        HTTP session.
+
+    Raises
+    ------
+    TimeoutError
+        When the fleet accepts none within `START_TIMEOUT_S`.
+    """
     async with asyncio.timeout(START_TIMEOUT_S):
         while not await _submit_document(
             fleet, session, next(iter(fleet.nodes)), 1
@@ -240,7 +336,7 @@
 
 
 async def _submit_document(fleet, session, name: str, version: int) -> bool:
-    body = standins.make_document_body(version)
+    body = fleet.make_body(version)
     status = await _call_or_none(
         OPERATOR_TIMEOUT_S,
         lambda: standins.submit_document(
@@ -304,13 +400,10 @@
                 await asyncio.sleep(OPERATOR_PAUSE_S)
 
 
-async def _run_caller(fleet: local_fleet.Fleet, name: str, rng) -> None:
+async def _run_caller(
+    fleet: local_fleet.Fleet, name: str, rng, kinds=(TALK, FILE, LOOK)
+) -> None:
     """Send one request after another to random nodes, reusing connections."""
-    kinds = (
-        ("/talk/x", "m0", False),
-        ("/file/x", "", False),
-        ("/look/x", "", True),
-    )
     async with aiohttp.ClientSession() as session:
         count = 0
         while not fleet.is_finished:
@@ -318,7 +411,7 @@
             kind = rng.choice(kinds)
             content = rng.choice((b"", POPULAR_BODY))
             parts = rng.choice(SOUND_PARTS)
-            await _send_recorded(
+            await send_recorded(
                 fleet, session, rng, kind, f"{name}-{count}", content, parts
             )
             await asyncio.sleep(rng.uniform(0, 2 * CALL_PAUSE_S))
@@ -326,13 +419,13 @@
 
 async def _run_fatal_caller(fleet, name: str, number: int, rng) -> None:
     """Send the same fatal request to random nodes until the soak is over."""
-    kind = (("/look/x", "", True), ("/talk/x", "m0", False))[number % 2]
+    kind = (LOOK, TALK)[number % 2]
     content = standins.FATAL_PREFIX + name.encode()
     async with aiohttp.ClientSession() as session:
         count = 0
         while not fleet.is_finished:
             count += 1
-            await _send_recorded(
+            await send_recorded(
                 fleet, session, rng, kind, f"{name}-{count}", content
             )
             await asyncio.sleep(FATAL_PAUSE_S)
@@ -343,42 +436,57 @@
 
     Sound prompts share their other parts.
     """
-    kind = ("/talk/x", "m0", False)
     deadly = standins.DEADLY_PREFIX + name
     async with aiohttp.ClientSession() as session:
         count = 0
         while not fleet.is_finished:
             count += 1
             parts = (*rng.choice(SOUND_PARTS), deadly)
-            await _send_recorded(
-                fleet, session, rng, kind, f"{name}-{count}", b"", parts
+            await send_recorded(
+                fleet, session, rng, TALK, f"{name}-{count}", b"", parts
             )
             await asyncio.sleep(FATAL_PAUSE_S)
 
 
-async def _send_recorded(
-    fleet,
-    session,
-    rng,
-    kind: tuple,
+async def send_recorded(
+    fleet: local_fleet.Fleet,
+    session: aiohttp.ClientSession,
+    rng: random.Random,
+    kind: CallKind,
     request_id: str,
-    content: bytes,
+    content: bytes = b"",
     parts: tuple = (standins.FIRST_PART,),
 ) -> None:
     """Send a request to a random node and record both ends of it.
 
-    `kind` consists of the path, the model and whether the request may be
-    repeated.
+    Parameters
+    ----------
+    fleet
+        Running fleet.
+    session
+        HTTP session.
+    rng
+        Random generator.
+    kind
+        Kind of the request.
+    request_id, content, parts
+        As for `standins.send_request`.
     """
-    path, model, may_repeat = kind
     node = rng.choice(list(fleet.nodes.values()))
-    sent = observations.RequestSent(
-        request_id, node.name, may_repeat, local_fleet.now_ms()
+    fleet.record(
+        observations.RequestSent(
+            request_id,
+            node.name,
+            kind.may_repeat,
+            local_fleet.now_ms(),
+            kind.service,
+            kind.max_attempts,
+            DEADLINE_MS,
+        )
     )
-    fleet.record(sent)
     fleet.record(
         await _send_request(
-            session, node, path, request_id, model, content, parts
+            session, node, kind.path, request_id, kind.model, content, parts
         )
     )
 
--- a/bilberryramp/soak/schedule.py
+++ b/bilberryramp/soak/schedule.py
@@ -5,7 +5,13 @@
 
 from bilberryramp.soak import observations
 
-__all__ = ["ALL_GROUPS", "ENGINE_FAULTS", "draw", "draw_departures"]
+__all__ = [
+    "ALL_GROUPS",
+    "ENGINE_FAULTS",
+    "draw",
+    "draw_departures",
+    "draw_troubles",
+]
 
 # Mean time between the starts of two faults. Most faults last longer, so that
 # they overlap.
@@ -40,6 +46,21 @@
 # shortest and longest time for which they serve on.
 MEAN_DEPARTURE_INTERVAL_MS = 5000
 DEPARTURE_MS = (2500, 4500)
+# Mean time between two times of trouble at engines, and their shortest and
+# longest duration where engines pause and where they fail requests.
+MEAN_TROUBLE_INTERVAL_MS = 6000
+PAUSE_MS = (2000, 6000)
+ERRORS_MS = (7000, 10_000)
+# Shares of the requests that a pausing engine turns away, and a failing one
+# fails.
+PAUSE_SHARES = (1.0, 1.0, 0.45)
+ERROR_SHARE = 0.5
+ERROR_NAMES = ("500", "reset", "refusal")
+# Kills of nodes beside failing engines: the time between two in a series, and
+# the time until the restart.
+KILL_EACH_INTERVAL_MS = 1000
+KILL_ALL_INTERVAL_MS = 2000
+KILL_MS = 300
 # A graceful stop takes at most the grace period, `NodeSettings.grace_ms` in
 # the soak.
 MAX_STOP_MS = 8000
@@ -138,3 +159,104 @@
         if kind is _Kind.STOP:
             to_ms = now_ms + MAX_STOP_MS
         yield observations.Fault(kind, target, now_ms, to_ms)
+
+
+def draw_troubles(
+    seed: int,
+    length_ms: int,
+    services: list,
+    core: list,
+    nodes: list,
+    faults: list,
+) -> Iterator[observations.Fault]:
+    """Draw engines that pause or fail requests, and kills of nodes beside.
+
+    They do not change the faults that `draw` yields for the same seed.
+
+    Parameters
+    ----------
+    seed
+        Seed of the random generator.
+    length_ms
+        Period in which troubles begin, in milliseconds.
+    services
+        For each service, the names of its engines.
+    core, nodes
+        Names of the nodes with a data folder and of all nodes.
+    faults
+        Faults that `draw` has drawn. As there, no core node is killed while
+        one recovers its data.
+
+    Yields
+    ------
+    Fault
+        Faults, with times from the start of the schedule. One engine, several
+        or all of a service begin to pause at the same time; all fail requests
+        at the same time.
+    """
+    rng = random.Random(f"troubles {seed}")
+    recoveries = [
+        (fault.from_ms, fault.to_ms + CATCH_UP_MS)
+        for fault in faults
+        if fault.kind is _Kind.WIPE
+    ]
+    now_ms = 0
+    while True:
+        now_ms += int(rng.expovariate(1 / MEAN_TROUBLE_INTERVAL_MS))
+        if now_ms >= length_ms:
+            return
+        engines = rng.choice(services)
+        if rng.random() < 0.6:
+            yield from _draw_pauses(rng, now_ms, engines)
+            continue
+        yield from _draw_errors(rng, now_ms, engines)
+        for kill in _draw_kills(rng, now_ms, nodes):
+            affects_core = kill.target in core or kill.kind is _Kind.KILL_ALL
+            if kill.from_ms < length_ms and not (
+                affects_core
+                and any(start <= kill.to_ms < end for start, end in recoveries)
+            ):
+                yield kill
+
+
+def _draw_pauses(rng, now_ms, engines) -> Iterator[observations.Fault]:
+    count = rng.choice((1, 1, rng.randint(1, len(engines)), len(engines)))
+    share = rng.choice(PAUSE_SHARES)
+    says_not_executed = rng.random() < 0.75
+    for target in rng.sample(engines, count):
+        yield observations.Fault(
+            _Kind.ENGINE_PAUSE,
+            target,
+            now_ms,
+            now_ms + rng.randint(*PAUSE_MS),
+            share=share,
+            says_not_executed=says_not_executed,
+        )
+
+
+def _draw_errors(rng, now_ms, engines) -> Iterator[observations.Fault]:
+    error = rng.choice(ERROR_NAMES)
+    to_ms = now_ms + rng.randint(*ERRORS_MS)
+    for target in engines:
+        yield observations.Fault(
+            _Kind.ENGINE_ERRORS,
+            target,
+            now_ms,
+            to_ms,
+            share=ERROR_SHARE,
+            error=error,
+        )
+
+
+def _draw_kills(rng, now_ms, nodes) -> Iterator[observations.Fault]:
+    """Draw no kills, two of each node in turn, or three of all at once."""
+    kind, targets, interval_ms = rng.choice(
+        (
+            (_Kind.KILL, [], 0),
+            (_Kind.KILL, [*nodes, *nodes], KILL_EACH_INTERVAL_MS),
+            (_Kind.KILL_ALL, nodes[:1] * 3, KILL_ALL_INTERVAL_MS),
+        )
+    )
+    for number, target in enumerate(targets, 1):
+        from_ms = now_ms + number * interval_ms
+        yield observations.Fault(kind, target, from_ms, from_ms + KILL_MS)
--- a/bilberryramp/soak/tests/builders.py
+++ b/bilberryramp/soak/tests/builders.py
@@ -9,8 +9,46 @@
     return observations.History(list(observed))
 
 
-def sent(request_id="q1", node="n1", may_repeat=False, at_ms=DEFAULT_MS):
-    return observations.RequestSent(request_id, node, may_repeat, at_ms)
+def sent(
+    request_id="q1",
+    node="n1",
+    may_repeat=False,
+    at_ms=DEFAULT_MS,
+    service="svc-app",
+    max_attempts=2,
+    deadline_ms=3000,
+):
+    return observations.RequestSent(
+        request_id,
+        node,
+        may_repeat,
+        at_ms,
+        service,
+        max_attempts,
+        deadline_ms,
+    )
+
+
+def arrived(
+    request_id="q1",
+    upstream_id="e3-1",
+    at_ms=DEFAULT_MS + 10,
+    deadline_ms=2990,
+):
+    return observations.RequestArrived(
+        request_id, upstream_id, at_ms, deadline_ms
+    )
+
+
+def paused(
+    request_id="q1",
+    upstream_id="e3-1",
+    at_ms=DEFAULT_MS + 20,
+    pause_ms=4000,
+):
+    return observations.PauseRequested(
+        request_id, upstream_id, at_ms, pause_ms
+    )
 
 
 def answer(request_id="q1", status=200, **changes):
--- a/bilberryramp/soak/tests/test_checks.py
+++ b/bilberryramp/soak/tests/test_checks.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bilberryramp.soak import checks, observations
+from bilberryramp.soak import checks, fault_periods, observations
 from bilberryramp.soak.tests import builders
 
 NOW_MS = builders.DEFAULT_MS
@@ -130,7 +130,7 @@
         self.assertFalse(self.late_run(at_ms=NOW_MS + 600))
 
     def test_a_restart_or_suspension_of_the_node_excuses_it(self):
-        for kind in checks.INTERRUPTIONS:
+        for kind in fault_periods.INTERRUPTIONS:
             self.assertFalse(self.late_run(builders.fault(kind)))
 
 
--- a/bilberryramp/soak/tests/test_soak.py
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 from bilberryramp.soak import (
     checks,
+    engine_troubles,
     observations,
     processes,
     proxy,
@@ -17,6 +18,7 @@
 NODES = ["n1", "n2", "n3", "n4"]
 CORE = NODES[:3]
 ENGINES = ["e1", "e2"]
+SERVICES = [ENGINES, ["e3", "e4", "e5"]]
 
 
 class ScheduleTest(unittest.TestCase):
@@ -29,8 +31,11 @@
 
     def test_all_kinds_are_drawn_and_overlap(self):
         faults = self.draw(1)
-        kinds = set(observations.FaultKind)
-        kinds.remove(observations.FaultKind.ENGINE_LEAVE)
+        kinds = set(observations.FaultKind) - {
+            observations.FaultKind.ENGINE_LEAVE,
+            observations.FaultKind.ENGINE_PAUSE,
+            observations.FaultKind.ENGINE_ERRORS,
+        }
         self.assertEqual({f.kind for f in faults}, kinds)
         self.assertTrue(
             any(
@@ -47,6 +52,71 @@
         )
         self.assertEqual({f.target for f in departures}, set(ENGINES))
 
+    def draw_troubles(self, seed, faults=()):
+        return list(
+            schedule.draw_troubles(
+                seed, 300_000, SERVICES, CORE, NODES, list(faults)
+            )
+        )
+
+    def test_seed_determines_the_troubles(self):
+        self.assertEqual(self.draw_troubles(4), self.draw_troubles(4))
+        self.assertNotEqual(self.draw_troubles(4), self.draw_troubles(5))
+
+    def test_one_several_or_all_engines_of_a_service_pause(self):
+        starts = collections.defaultdict(set)
+        for fault in self.draw_troubles(1):
+            if fault.kind is observations.FaultKind.ENGINE_PAUSE:
+                starts[fault.from_ms].add(fault.target)
+        counts = {
+            (number, len(pausing))
+            for pausing in starts.values()
+            for number, names in enumerate(SERVICES)
+            if pausing <= set(names)
+        }
+        self.assertEqual(counts, {(0, 1), (0, 2), (1, 1), (1, 2), (1, 3)})
+
+    def test_all_engines_of_a_service_fail_beside_kills(self):
+        faults = self.draw_troubles(1)
+        errors = [
+            f for f in faults if f.kind is observations.FaultKind.ENGINE_ERRORS
+        ]
+        self.assertEqual(
+            {f.error for f in errors}, set(engine_troubles.ERRORS)
+        )
+        for names in SERVICES:
+            starts = {f.from_ms for f in errors if f.target == names[0]}
+            self.assertTrue(starts)
+            for name in names:
+                self.assertEqual(
+                    {f.from_ms for f in errors if f.target == name}, starts
+                )
+        kinds = {f.kind for f in faults}
+        self.assertIn(observations.FaultKind.KILL, kinds)
+        self.assertIn(observations.FaultKind.KILL_ALL, kinds)
+        killed = {
+            f.target for f in faults if f.kind is observations.FaultKind.KILL
+        }
+        self.assertEqual(killed, set(NODES))
+
+    def test_troubles_kill_no_core_node_that_recovers_its_data(self):
+        for seed in range(20):
+            wipes = [
+                f
+                for f in self.draw(seed)
+                if f.kind is observations.FaultKind.WIPE
+            ]
+            for fault in self.draw_troubles(seed, wipes):
+                if (
+                    fault.target in CORE
+                    or fault.kind is observations.FaultKind.KILL_ALL
+                ):
+                    for wipe in wipes:
+                        until_ms = wipe.to_ms + schedule.CATCH_UP_MS
+                        self.assertFalse(
+                            wipe.from_ms <= fault.to_ms < until_ms
+                        )
+
     def test_core_nodes_get_no_faults_while_one_recovers_its_data(self):
         for seed in range(20):
             protected_until_ms = 0
--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -21,10 +21,15 @@
 _MINUTES = flags.DEFINE_float("minutes", 0.4, "Minutes of faults.")
 _CORE = flags.DEFINE_integer("core", 3, "Number of nodes with a disk.")
 _OTHERS = flags.DEFINE_integer("others", 2, "Nodes without a disk.")
-
 _DEPARTURES = flags.DEFINE_bool(
     "departures", True, "Let engines leave by their answers alone, too."
 )
+_PAUSES = flags.DEFINE_bool(
+    "pauses", True, "Let engines pause and fail requests, too."
+)
+_FIRST_SLOT = flags.DEFINE_integer(
+    "first_slot", 0, "First number that selects loopback addresses."
+)
 
 SOAKS_DIR = pathlib.Path(__file__).parent.parent / "var" / "soak"
 
@@ -43,6 +48,7 @@
         _CORE.value,
         _OTHERS.value,
         has_departures=_DEPARTURES.value,
+        has_pauses=_PAUSES.value,
     )
     try:
         history = await run.execute(plan, folder)
@@ -83,8 +89,8 @@
 async def run_all_soaks() -> bool:
     """Run a soak for each seed and return whether all of them passed."""
     free_slots: asyncio.Queue = asyncio.Queue()
-    for slot in range(_AT_ONCE.value):
-        free_slots.put_nowait(slot)
+    for number in range(_AT_ONCE.value):
+        free_slots.put_nowait(_FIRST_SLOT.value + number)
     seeds = range(_SEED.value, _SEED.value + _SEEDS.value)
     return all(
         await asyncio.gather(*(run_soak(seed, free_slots) for seed in seeds))
