Check budgets and pauses in the fault soak, from what engines see

One check for each line of rule BUDGET that engines and callers can see: arrivals beyond the first at a service in every window, over all nodes (safety); engines that run one attempt (safety); requests within a pause that an engine asked a node for (timing); time handed to engines (timing). A further one (timing) checks that callers are served while a single engine of a service pauses.

Bounds and excuses are those of the platform's rules. Answers within a pause are counted together too, because each of them alone could hide two requests.

--- a/bilberryramp/soak/__init__.py
+++ b/bilberryramp/soak/__init__.py
@@ -3,6 +3,6 @@
 `schedule` draws the faults from a seed. `local_fleet` starts the programs and
 injects the faults through `processes` and `proxy`, while `run` simulates
 callers, an operator and engine heartbeats. `engine_troubles` lets engines
-pause or fail requests. `checks` then compares the recorded `observations` with
-the guarantees of the system.
+pause or fail requests. `checks` and `budget_checks` then compare the recorded
+`observations` with the guarantees of the system.
 """
--- a/bilberryramp/soak/checks.py
+++ b/bilberryramp/soak/checks.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.soak import fault_periods, observations
+from bilberryramp.soak import budget_checks, fault_periods, observations
 
 __all__ = ["SAFETY", "TIMING", "Violation", "find_violations"]
 
@@ -351,9 +351,14 @@
     programs_stay_up,
     sound_requests_pass,
     leaving_answers_end_requests,
+    budget_checks.repeats_stay_within_budget,
+    budget_checks.attempts_stay_within_limit,
 )
 TIMING = (
     drained_engines_stay_idle,
     stops_abort_no_request,
     fatal_requests_stop_arriving,
+    budget_checks.pauses_are_obeyed,
+    budget_checks.deadlines_shrink,
+    budget_checks.other_engines_serve,
 )
