Send enough repeats in the fault soak to exceed a budget

Where engines pause and fail, an idempotent request may now run on three of four engines, 40 of them a second are sent at a fixed rate, other callers wait after a connection that failed, and the engines of all services fail half or 0.8 of the requests at the same time. All nodes are killed at intervals in which they can start.

The tool prints the worst window of each service.

--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -612,7 +612,10 @@
 
 
 def make_document_body(
-    version: int = 3, routes: list | None = None, **changes
+    version: int = 3,
+    routes: list | None = None,
+    max_attempts: int = 2,
+    **changes,
 ) -> bytes:
     """Make the body of a service document.
 
@@ -622,6 +625,9 @@
         Version of the document.
     routes
         Fields of the routes; None for one route of each kind.
+    max_attempts
+        Number of engines that may run a request of the default idempotent
+        route.
     **changes
         Further fields of the document, replacing the defaults.
 
@@ -652,7 +658,10 @@
         make_route_fields(),
         make_route_fields("/file/", "svc-app", kind="non_idempotent"),
         make_route_fields(
-            "/look/", "svc-app", kind="idempotent", maxAttempts=2
+            "/look/",
+            "svc-app",
+            kind="idempotent",
+            maxAttempts=max_attempts,
         ),
     ]
     fields = {
--- a/bilberryramp/soak/budget_checks.py
+++ b/bilberryramp/soak/budget_checks.py
@@ -15,6 +15,7 @@
     "other_engines_serve",
     "pauses_are_obeyed",
     "repeats_stay_within_budget",
+    "worst_windows",
 ]
 
 # Equal to `retryBudgetRatio`, `budgetSlack` and `budgetWindowS` in the soak.
@@ -93,10 +94,21 @@
     )
 
 
-def repeats_stay_within_budget(
+def worst_windows(
     history: observations.History,
-) -> Iterator[str]:
-    """Check the repeats at each service in every window, over all nodes."""
+) -> Iterator[tuple[str, repeats.Window]]:
+    """Find the window with the most repeats beyond the budget, by service.
+
+    Parameters
+    ----------
+    history
+        Observations of a soak.
+
+    Yields
+    ------
+    tuple
+        Service and window, for each service with repeats.
+    """
     services = {
         s.request_id: s.service
         for s in history.of_class(observations.RequestSent)
@@ -114,7 +126,16 @@
         worst = repeats.worst_window(
             sent_ms[service], list(repeats.find_repeats(pairs)), BUDGET
         )
-        if worst is not None and worst.repeats > worst.bound:
+        if worst is not None:
+            yield service, worst
+
+
+def repeats_stay_within_budget(
+    history: observations.History,
+) -> Iterator[str]:
+    """Check the repeats at each service in every window, over all nodes."""
+    for service, worst in worst_windows(history):
+        if worst.repeats > worst.bound:
             yield (
                 f"{service} got {worst.repeats} repeats in the window from "
                 f"{worst.from_ms} ms, allowed are {worst.bound:.1f}"
--- a/bilberryramp/soak/run.py
+++ b/bilberryramp/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
 import pathlib
 import random
@@ -17,6 +18,7 @@
     "CallKind",
     "Plan",
     "execute",
+    "send_evenly",
     "send_heartbeats",
     "send_recorded",
     "submit_first_document",
@@ -24,8 +26,14 @@
 
 CALLER_COUNT = 6
 CALL_PAUSE_S = 0.03
-# Callers of requests that may be repeated, beside engines that pause or fail.
-EAGER_COUNT = 3
+# Beside engines that pause or fail: interval of requests that may be repeated,
+# and the pause of other callers after a connection that failed.
+EAGER_INTERVAL_S = 0.025
+BACKOFF_S = 0.3
+# Engines of the plain service that are added then, and the number of engines
+# that may run such a request, so that one engine more can be seen.
+EXTRA_PLAIN_COUNT = 2
+MAX_ATTEMPTS_WITH_PAUSES = 3
 # Pause of a caller that sends the same fatal request again and again.
 FATAL_PAUSE_S = 0.4
 # Parts with which the prompts of several callers begin.
@@ -111,8 +119,10 @@
         Whether engines leave by their answers alone, besides the faults.
     has_pauses
         Whether engines pause or fail requests, besides the faults. The plain
-        service then has one more engine, which has no other faults, and
-        `EAGER_COUNT` callers send requests that may be repeated only.
+        service then has more engines, which have no other faults, and further
+        requests that may be repeated are sent at a fixed rate. Other callers
+        pause after a connection that failed, so that requests for nodes that
+        are down do not raise the budget.
     """
 
     seed: int
@@ -151,8 +161,14 @@
         history.events.append,
         plan.core,
         plan.others,
-        plain_count=local_fleet.PLAIN_COUNT + plan.has_pauses,
+        plain_count=local_fleet.PLAIN_COUNT
+        + EXTRA_PLAIN_COUNT * plan.has_pauses,
     )
+    if plan.has_pauses:
+        fleet.make_body = functools.partial(
+            standins.make_document_body,
+            max_attempts=MAX_ATTEMPTS_WITH_PAUSES,
+        )
     try:
         await _execute_phases(fleet, plan, rng)
     finally:
@@ -161,8 +177,12 @@
 
 
 async def _execute_phases(fleet: local_fleet.Fleet, plan: Plan, rng) -> None:
+    look = LOOK
+    if plan.has_pauses:
+        look = dataclasses.replace(LOOK, max_attempts=MAX_ATTEMPTS_WITH_PAUSES)
     await local_fleet.start_fleet(fleet)
-    async with aiohttp.ClientSession() as session:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
         actors = [
             asyncio.create_task(send_heartbeats(fleet, host, session, rng))
             for host in fleet.engines.values()
@@ -171,13 +191,24 @@
         actors.append(asyncio.create_task(_run_operator(fleet, session, rng)))
         actors += [
             asyncio.create_task(
-                _run_caller(fleet, f"{plan.seed}-{number}", rng)
+                _run_caller(
+                    fleet,
+                    f"{plan.seed}-{number}",
+                    rng,
+                    (TALK, FILE, look),
+                    BACKOFF_S * plan.has_pauses,
+                )
             )
             for number in range(CALLER_COUNT)
         ]
         actors += [
             asyncio.create_task(
-                _run_fatal_caller(fleet, f"{plan.seed}-f{number}", number, rng)
+                _run_fatal_caller(
+                    fleet,
+                    f"{plan.seed}-f{number}",
+                    (look, TALK)[number % 2],
+                    rng,
+                )
             )
             for number in range(plan.fatal_count)
         ]
@@ -188,12 +219,18 @@
             for number in range(plan.deadly_count)
         ]
         if plan.has_pauses:
-            actors += [
+            actors.append(
                 asyncio.create_task(
-                    _run_caller(fleet, f"{plan.seed}-e{number}", rng, (LOOK,))
+                    send_evenly(
+                        fleet,
+                        session,
+                        rng,
+                        look,
+                        f"{plan.seed}-e",
+                        EAGER_INTERVAL_S,
+                    )
                 )
-                for number in range(EAGER_COUNT)
-            ]
+            )
         await _inject_faults(fleet, plan)
         await local_fleet.clear_faults(fleet)
         await asyncio.sleep(SETTLE_TIME_S)
@@ -209,7 +246,7 @@
 ) -> list[observations.Fault]:
     nodes, engines = list(fleet.nodes), list(fleet.engines)
     core = nodes[: plan.core]
-    # The schedule of a seed does not depend on the engine added for pauses.
+    # The schedule of a seed does not depend on engines added for pauses.
     usual = engines[: local_fleet.MODEL_COUNT + local_fleet.PLAIN_COUNT]
     faults = [
         *schedule.draw(
@@ -400,8 +437,41 @@
                 await asyncio.sleep(OPERATOR_PAUSE_S)
 
 
+async def send_evenly(
+    fleet: local_fleet.Fleet,
+    session: aiohttp.ClientSession,
+    rng: random.Random,
+    kind: CallKind,
+    prefix: str,
+    interval_s: float,
+) -> None:
+    """Send requests at a fixed rate until the soak ends.
+
+    Parameters
+    ----------
+    fleet, session, rng, kind
+        As for `send_recorded`.
+    prefix
+        Start of the ids of the requests.
+    interval_s
+        Time from one request to the next in seconds.
+    """
+    async with asyncio.TaskGroup() as group:
+        for number in itertools.count():
+            if fleet.is_finished:
+                return
+            group.create_task(
+                send_recorded(fleet, session, rng, kind, f"{prefix}{number}")
+            )
+            await asyncio.sleep(interval_s)
+
+
 async def _run_caller(
-    fleet: local_fleet.Fleet, name: str, rng, kinds=(TALK, FILE, LOOK)
+    fleet: local_fleet.Fleet,
+    name: str,
+    rng,
+    kinds: tuple[CallKind, ...],
+    backoff_s: float,
 ) -> None:
     """Send one request after another to random nodes, reusing connections."""
     async with aiohttp.ClientSession() as session:
@@ -411,15 +481,15 @@
             kind = rng.choice(kinds)
             content = rng.choice((b"", POPULAR_BODY))
             parts = rng.choice(SOUND_PARTS)
-            await send_recorded(
+            status = await send_recorded(
                 fleet, session, rng, kind, f"{name}-{count}", content, parts
             )
-            await asyncio.sleep(rng.uniform(0, 2 * CALL_PAUSE_S))
+            pause_s = rng.uniform(0, 2 * CALL_PAUSE_S)
+            await asyncio.sleep(pause_s if status else pause_s + backoff_s)
 
 
-async def _run_fatal_caller(fleet, name: str, number: int, rng) -> None:
+async def _run_fatal_caller(fleet, name: str, kind: CallKind, rng) -> None:
     """Send the same fatal request to random nodes until the soak is over."""
-    kind = (LOOK, TALK)[number % 2]
     content = standins.FATAL_PREFIX + name.encode()
     async with aiohttp.ClientSession() as session:
         count = 0
@@ -456,7 +526,7 @@
     request_id: str,
     content: bytes = b"",
     parts: tuple = (standins.FIRST_PART,),
-) -> None:
+) -> int:
     """Send a request to a random node and record both ends of it.
 
     Parameters
@@ -471,6 +541,11 @@
         Kind of the request.
     request_id, content, parts
         As for `standins.send_request`.
+
+    Returns
+    -------
+    int
+        As `AnswerReceived.status`.
     """
     node = rng.choice(list(fleet.nodes.values()))
     fleet.record(
@@ -484,11 +559,11 @@
             DEADLINE_MS,
         )
     )
-    fleet.record(
-        await _send_request(
-            session, node, kind.path, request_id, kind.model, content, parts
-        )
+    answer = await _send_request(
+        session, node, kind.path, request_id, kind.model, content, parts
     )
+    fleet.record(answer)
+    return answer.status
 
 
 async def _send_request(
--- a/bilberryramp/soak/schedule.py
+++ b/bilberryramp/soak/schedule.py
@@ -1,5 +1,6 @@
 """Draw the faults of a soak from its seed."""
 
+import itertools
 import random
 from collections.abc import Iterator
 
@@ -50,16 +51,16 @@
 # longest duration where engines pause and where they fail requests.
 MEAN_TROUBLE_INTERVAL_MS = 6000
 PAUSE_MS = (2000, 6000)
-ERRORS_MS = (7000, 10_000)
+ERRORS_MS = (8000, 13_000)
 # Shares of the requests that a pausing engine turns away, and a failing one
 # fails.
 PAUSE_SHARES = (1.0, 1.0, 0.45)
-ERROR_SHARE = 0.5
+ERROR_SHARES = (0.5, 0.8)
 ERROR_NAMES = ("500", "reset", "refusal")
 # Kills of nodes beside failing engines: the time between two in a series, and
 # the time until the restart.
 KILL_EACH_INTERVAL_MS = 1000
-KILL_ALL_INTERVAL_MS = 2000
+KILL_ALL_INTERVAL_MS = 3500
 KILL_MS = 300
 # A graceful stop takes at most the grace period, `NodeSettings.grace_ms` in
 # the soak.
@@ -191,8 +192,8 @@
     ------
     Fault
         Faults, with times from the start of the schedule. One engine, several
-        or all of a service begin to pause at the same time; all fail requests
-        at the same time.
+        or all of a service begin to pause at the same time; those of all
+        services fail requests at the same time.
     """
     rng = random.Random(f"troubles {seed}")
     recoveries = [
@@ -205,11 +206,10 @@
         now_ms += int(rng.expovariate(1 / MEAN_TROUBLE_INTERVAL_MS))
         if now_ms >= length_ms:
             return
-        engines = rng.choice(services)
         if rng.random() < 0.6:
-            yield from _draw_pauses(rng, now_ms, engines)
+            yield from _draw_pauses(rng, now_ms, rng.choice(services))
             continue
-        yield from _draw_errors(rng, now_ms, engines)
+        yield from _draw_errors(rng, now_ms, itertools.chain(*services))
         for kill in _draw_kills(rng, now_ms, nodes):
             affects_core = kill.target in core or kill.kind is _Kind.KILL_ALL
             if kill.from_ms < length_ms and not (
@@ -235,7 +235,7 @@
 
 
 def _draw_errors(rng, now_ms, engines) -> Iterator[observations.Fault]:
-    error = rng.choice(ERROR_NAMES)
+    error, share = rng.choice(ERROR_NAMES), rng.choice(ERROR_SHARES)
     to_ms = now_ms + rng.randint(*ERRORS_MS)
     for target in engines:
         yield observations.Fault(
@@ -243,7 +243,7 @@
             target,
             now_ms,
             to_ms,
-            share=ERROR_SHARE,
+            share=share,
             error=error,
         )
 
--- a/bilberryramp/soak/tests/test_soak.py
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -76,7 +76,7 @@
         }
         self.assertEqual(counts, {(0, 1), (0, 2), (1, 1), (1, 2), (1, 3)})
 
-    def test_all_engines_of_a_service_fail_beside_kills(self):
+    def test_all_engines_fail_beside_kills(self):
         faults = self.draw_troubles(1)
         errors = [
             f for f in faults if f.kind is observations.FaultKind.ENGINE_ERRORS
--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -13,7 +13,7 @@
 
 from absl import app, flags
 
-from bilberryramp.soak import checks, observations, run
+from bilberryramp.soak import budget_checks, checks, observations, run
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the first soak.")
 _SEEDS = flags.DEFINE_integer("seeds", 1, "Number of seeds.")
@@ -78,6 +78,11 @@
         f"{len(violations)} violations",
         flush=True,
     )
+    for service, worst in budget_checks.worst_windows(history):
+        print(
+            f"  {service}: {worst.repeats} repeats in the worst window, "
+            f"{worst.bound:.0f} allowed"
+        )
     counts = collections.Counter(v.check for v in violations)
     for check, count in counts.items():
         print(f"  {check}: {count} violations", flush=True)
--- a/tools/measure_budget.py
+++ b/tools/measure_budget.py
@@ -18,7 +18,6 @@
 import collections
 import dataclasses
 import functools
-import itertools
 import pathlib
 import random
 import statistics
@@ -144,18 +143,6 @@
     return standins.make_document_body(version, [route])
 
 
-async def call(fleet, session, rng, kind):
-    """Send requests at a fixed rate until the fleet is finished."""
-    async with asyncio.TaskGroup() as group:
-        for number in itertools.count():
-            if fleet.is_finished:
-                return
-            group.create_task(
-                run.send_recorded(fleet, session, rng, kind, f"r{number}")
-            )
-            await asyncio.sleep(1 / _RATE.value)
-
-
 async def play(form, folder):
     """Play a form; return its history and the times of the trouble."""
     history = observations.History()
@@ -185,7 +172,11 @@
                 )
             await run.submit_first_document(fleet, session)
             await asyncio.sleep(SETTLE_S)
-            group.create_task(call(fleet, session, rng, kind))
+            group.create_task(
+                run.send_evenly(
+                    fleet, session, rng, kind, "r", 1 / _RATE.value
+                )
+            )
             await asyncio.sleep(CALM_S)
             period = await make_trouble(fleet, form, rng)
             fleet.is_finished = True
