--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -19,6 +19,7 @@
     placement,
     presence,
     retry_budget,
+    retry_shares,
     scheduling,
     sharing,
     suspect_evidence,
@@ -65,7 +66,11 @@
 # Limit on the waiting calls examined each time capacity may be available.
 MAX_QUEUE_SCAN_CALLS = 64
 # Reasons for which a call is refused at once, since waiting does not help.
-_HOPELESS = (calls.Refusal.QUARANTINED, calls.Refusal.UPSTREAM_FAULTY)
+_HOPELESS = (
+    calls.Refusal.QUARANTINED,
+    calls.Refusal.UPSTREAM_FAULTY,
+    calls.Refusal.UPSTREAM_FULL,
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -207,8 +212,8 @@
         Current time in milliseconds.
     message
         A message of this module or of `calls`, an `Announcement`, a
-        `LeavingNotice` of a peer, a `ResidencyReport`, a `Report`, or a
-        message of the coordinator of the quarantine.
+        `LeavingNotice` of a peer, a `ResidencyReport`, a `Report`, a `Share`,
+        or a message of the coordinator of the quarantine.
 
     Yields
     ------
@@ -369,6 +374,27 @@
         placement.record_demand(gw.demand, model_key, tokens, now_ms)
 
 
+def _on_share(
+    gw: gateway_state.Gateway, _now_ms: int, share: retry_shares.Share
+) -> Iterator:
+    before, gw.retry_share = gw.retry_share, share
+    if (share.state, share.fleet_size) != (before.state, before.fleet_size):
+        slack = retry_budget.SLACK_FRACTION * gw.budget_limits.slack
+        yield Trace(
+            "retry.share_changed",
+            {
+                "state": share.state,
+                "fleet_size": share.fleet_size,
+                "share": round(slack / share.fleet_size, 2)
+                if share.fleet_size
+                else 0.0,
+                "counted_ms": share.counted_ms,
+                "leader": gw.suspect_state.coordinator,
+                "started_ms": gw.started_ms,
+            },
+        )
+
+
 # Messages of the coordinator of the quarantine.
 
 
@@ -467,6 +493,11 @@
         now_ms,
         now_ms + allowed_ms,
     )
+    retry_budget.record_request(
+        gateway_state.service_budget(gw, call.service),
+        gw.budget_limits,
+        now_ms,
+    )
     gw.active[call.call_id] = call
     gw.queue[call.call_id] = call
     if req.prompt is not None:
@@ -528,6 +559,8 @@
     if call is None:
         return
     outcome = message.outcome
+    call.last_outcome, call.attempt_ended_ms = outcome, now_ms
+    call.may_have_arrived |= outcome not in calls.NOTHING_SENT
     _record_outcome(gw, call, outcome, now_ms)
     yield from suspect_evidence.record_attempt_end(
         gw.suspect_state, call, outcome, now_ms
@@ -555,11 +588,14 @@
         calls.AttemptOutcome.TRUNCATED,
     ):
         yield from _end_call(gw, call, "failed", now_ms)
-    elif _may_retry(gw, call, outcome, now_ms):
-        yield from gateway_state.fire(gw, call, "repeatable", now_ms)
-        yield from dispatch.try_dispatch(gw, now_ms, call)
     else:
-        yield from _end_unserved(gw, call, outcome, now_ms)
+        barrier = _retry_barrier(gw, call, outcome, now_ms)
+        if barrier is None:
+            yield from gateway_state.fire(gw, call, "repeatable", now_ms)
+            yield from dispatch.try_dispatch(gw, now_ms, call)
+        else:
+            yield dispatch.trace_refused_retry(gw, call, barrier, now_ms)
+            yield from _end_unserved(gw, call, outcome, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -643,12 +679,13 @@
     return breaker
 
 
-def _may_retry(
+def _retry_barrier(
     gw: gateway_state.Gateway,
     call: calls.Call,
     outcome: calls.AttemptOutcome,
     now_ms: int,
-) -> bool:
+) -> retry_budget.Barrier | None:
+    """Return why a call may not be sent again; None if it may."""
     not_executed = outcome in (
         calls.AttemptOutcome.NOT_RUN,
         calls.AttemptOutcome.TARGET_MISSING,
@@ -658,24 +695,23 @@
         # An attempt that did not run does not count toward max_attempts.
         call.attempt_count -= 1
     elif not call.route.repeatable or call.route.streaming:
-        return False
+        return retry_budget.Barrier.NOT_REPEATABLE
     if (
         call.attempt_count >= call.route.max_attempts
         or call.send_count >= MAX_SENDS
     ):
-        return False
+        return retry_budget.Barrier.ATTEMPTS
     if call.deadline_ms - now_ms < MIN_ATTEMPT_TIME_MS:
-        return False
+        return retry_budget.Barrier.DEADLINE
     if outcome is calls.AttemptOutcome.UNREACHABLE:
-        return True
+        return None
     if outcome is calls.AttemptOutcome.BROKEN and suspects.has_suspected_part(
         gw.suspect_state, call
     ):
-        return False
-    budget = gateway_state.service_budget(gw, call.service)
-    return retry_budget.try_spend(
-        budget, gw.budget_limits, gw.node_count, now_ms
-    )
+        return retry_budget.Barrier.DEADLY_PART
+    state = gateway_state.retry_account(gw, call.service, now_ms)
+    is_allowed = retry_budget.allows_retry(state)
+    return None if is_allowed else retry_budget.Barrier.BUDGET
 
 
 def _end_unserved(
@@ -837,6 +873,7 @@
     ExcessSeen: _on_excess_seen,
     LeavingSeen: _on_leaving_seen,
     presence.LeavingNotice: _on_leaving_notice,
+    retry_shares.Share: _on_share,
     msgs.SuspectDigest: _on_suspect_digest,
     msgs.SuspectList: _on_suspect_list,
     msgs.TrialGrant: _on_trial_grant,
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway_state.py
@@ -12,6 +12,7 @@
     placement,
     presence,
     retry_budget,
+    retry_shares,
     sharing,
     suspect_trials,
     suspects,
@@ -25,6 +26,8 @@
     "engine_spec",
     "fire",
     "guards",
+    "retry_account",
+    "retry_details",
     "service_budget",
 ]
 
@@ -79,8 +82,10 @@
     discovery_deadline_ms
         Time by which every running upstream has announced itself to this
         node.
-    node_count
-        Number of gateways that share the retry budget, including this one.
+    retry_share
+        This node's part of the slack of the retry budgets.
+    started_ms
+        When this process started.
     is_shutting_down
         Whether the process is about to end, so that no call may wait.
     served_ms
@@ -116,7 +121,8 @@
         default_factory=dict
     )
     discovery_deadline_ms: int = 0
-    node_count: int = 1
+    retry_share: retry_shares.Share = retry_shares.Share()
+    started_ms: int = 0
     is_shutting_down: bool = False
     served_ms: int = 0
 
@@ -149,6 +155,69 @@
     return gw.budgets.setdefault(service, retry_budget.Budget())
 
 
+def retry_account(
+    gw: Gateway, service: str, now_ms: int
+) -> retry_budget.Account:
+    """Return what this node has spent of a service's retry budget.
+
+    Parameters
+    ----------
+    gw
+        State of the gateway. Modified in place.
+    service
+        Name of the service.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    Account
+        The present numbers, with this node's share of the slack.
+    """
+    return retry_budget.account(
+        service_budget(gw, service),
+        gw.budget_limits,
+        retry_shares.fleet_size_at(gw.retry_share, now_ms),
+        now_ms,
+    )
+
+
+def retry_details(gw: Gateway, call: calls.Call, now_ms: int) -> dict:
+    """Describe a retry of a call, and the budget of its service, for the log.
+
+    Parameters
+    ----------
+    gw
+        State of the gateway.
+    call
+        Call whose last attempt has ended.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    dict
+        Fields of a `Trace`. ``counted`` is whether the retry counts toward
+        the budget, and ``upstream`` the upstream of the last attempt.
+    """
+    state = retry_account(gw, call.service, now_ms)
+    return {
+        "request_id": call.request.request_id,
+        "service": call.service,
+        "after": call.last_outcome.value,
+        "upstream": call.upstream_id,
+        "send": call.send_count,
+        "counted": call.may_have_arrived,
+        "spent": state.spent,
+        "earned": round(state.earned, 2),
+        "share": round(state.share, 2),
+        "fleet_size": retry_shares.fleet_size_at(gw.retry_share, now_ms),
+        "started_ms": gw.started_ms,
+        "window_ms": gw.budget_limits.window_ms,
+        "waited_ms": now_ms - call.attempt_ended_ms,
+    }
+
+
 def cache_capacity_tokens(gw: Gateway) -> int:
     """Return the largest key-value cache of all services' engines in tokens.
 
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -7,11 +7,13 @@
     calls,
     documents,
     gateway,
+    gateway_state,
     health,
     placement,
     planner,
     presence,
     sharing,
+    traces,
 )
 from bilberryramp.decisions.fleet.tests import builders
 
@@ -202,7 +204,7 @@
             builders.make_plain_announcement("p2"),
         ]
         gw = builders.make_gateway(upstreams=upstreams)
-        gw.node_count = 30
+        gw.retry_share = builders.make_share(30)
         retries = 0
         for call_id in range(20):
             builders.submit(gw, call_id, builders.make_request("/look/x"))
@@ -212,6 +214,157 @@
         self.assertLessEqual(retries, 0.2 * 20 + 2)
 
 
+class RetryLogTest(unittest.TestCase):
+    """On-call must see which limit ended or admitted each retry."""
+
+    def setUp(self):
+        self.gw = builders.make_gateway(
+            upstreams=[
+                builders.make_plain_announcement("p1"),
+                builders.make_plain_announcement("p2"),
+            ]
+        )
+        self.gw.started_ms = 7000
+
+    def end(self, outcome, path="/look/x", now_ms=NOW_MS + 30):
+        """Submit a request and return the log lines of its attempt's end."""
+        builders.submit(self.gw, 1, builders.make_request(path), NOW_MS)
+        effects = end_attempt(self.gw, 1, outcome, now_ms)
+        return {
+            trace.name: trace.fields
+            for trace in builders.of_type(effects, traces.Trace)
+        }
+
+    def test_a_retry_is_logged_with_its_budget(self):
+        fields = self.end(calls.AttemptOutcome.BROKEN)["call.retry"]
+        self.assertEqual(fields["service"], "plain")
+        self.assertEqual(fields["after"], "broken")
+        self.assertTrue(fields["counted"])
+        self.assertEqual(fields["started_ms"], 7000)
+        self.assertEqual(fields["window_ms"], 10_000)
+        self.assertEqual(fields["waited_ms"], 0)
+        self.assertGreater(fields["earned"] + fields["share"], 1)
+
+    def test_a_retry_of_an_attempt_that_sent_nothing_does_not_count(self):
+        fields = self.end(calls.AttemptOutcome.UNREACHABLE)["call.retry"]
+        self.assertFalse(fields["counted"])
+
+    def test_a_refused_retry_is_logged_with_its_reason(self):
+        broken = calls.AttemptOutcome.BROKEN
+        late_ms = NOW_MS + 5980
+        for expected, path, now_ms in (
+            ("not_repeatable", "/file/x", NOW_MS),
+            ("deadline", "/look/x", late_ms),
+        ):
+            with self.subTest(expected):
+                fields = self.end(broken, path, now_ms)["call.retry_refused"]
+                self.assertEqual(fields["reason"], expected)
+        self.gw.budget_limits = builders.retry_budget.Limits(0.0, 0.0, 10_000)
+        fields = self.end(broken)["call.retry_refused"]
+        self.assertEqual(fields["reason"], "budget")
+
+    def test_a_last_attempt_is_logged(self):
+        self.end(calls.AttemptOutcome.BROKEN)
+        effects = end_attempt(self.gw, 1, calls.AttemptOutcome.BROKEN)
+        refused = [
+            trace.fields
+            for trace in builders.of_type(effects, traces.Trace)
+            if trace.name == "call.retry_refused"
+        ]
+        self.assertEqual([f["reason"] for f in refused], ["attempts"])
+
+
+class RetryChargeTest(unittest.TestCase):
+    """Tests of when retries count toward the budget of their service."""
+
+    def setUp(self):
+        self.gw = builders.make_gateway(
+            upstreams=[builders.make_plain_announcement("p1")]
+        )
+        # The slack allows one retry, and requests earn none.
+        self.gw.budget_limits = builders.retry_budget.Limits(0.0, 1.2, 10_000)
+
+    def spent(self, now_ms):
+        return gateway_state.retry_account(self.gw, "plain", now_ms).spent
+
+    def test_a_retry_that_waited_is_charged_when_it_is_sent(self):
+        """Retries were charged when they were decided, and sent together."""
+        for call_id in (1, 2):
+            builders.submit(self.gw, call_id, builders.make_request("/look/x"))
+            effects = end_attempt(
+                self.gw, call_id, calls.AttemptOutcome.BROKEN
+            )
+            # No other upstream can serve it, so it waits.
+            self.assertFalse(builders.of_type(effects, calls.SendCall))
+        self.assertEqual(self.spent(NOW_MS + 50), 0)
+        other = builders.make_plain_announcement("p2")
+        effects = builders.collect(gateway.step(self.gw, NOW_MS + 900, other))
+        self.assertEqual(len(builders.of_type(effects, calls.SendCall)), 1)
+        self.assertEqual(self.spent(NOW_MS + 900), 1)
+        (failed,) = builders.of_type(effects, calls.Fail)
+        self.assertEqual(failed.reason, calls.Failure.BROKEN)
+        (refused,) = [
+            trace.fields
+            for trace in builders.of_type(effects, traces.Trace)
+            if trace.name == "call.retry_refused"
+        ]
+        self.assertEqual(refused["reason"], "budget")
+        self.assertEqual(refused["waited_ms"], 850)
+
+    def test_a_call_that_never_ran_is_refused_if_the_budget_is_spent(self):
+        for call_id in (1, 2):
+            builders.submit(self.gw, call_id, builders.make_request("/file/x"))
+            end_attempt(self.gw, call_id, calls.AttemptOutcome.NOT_RUN)
+        other = builders.make_plain_announcement("p2")
+        effects = builders.collect(gateway.step(self.gw, NOW_MS + 900, other))
+        self.assertEqual(len(builders.of_type(effects, calls.SendCall)), 1)
+        (refused,) = builders.of_type(effects, calls.Refuse)
+        self.assertEqual(refused.reason, calls.Refusal.UPSTREAM_FULL)
+
+    def test_an_attempt_that_sent_nothing_is_not_charged(self):
+        other = builders.make_plain_announcement("p2")
+        builders.collect(gateway.step(self.gw, NOW_MS, other))
+        for call_id in (1, 2, 3):
+            builders.submit(self.gw, call_id, builders.make_request("/look/x"))
+            effects = end_attempt(
+                self.gw, call_id, calls.AttemptOutcome.UNREACHABLE
+            )
+            self.assertTrue(builders.of_type(effects, calls.SendCall))
+        self.assertEqual(self.spent(NOW_MS + 50), 0)
+
+    def test_a_lease_that_has_ended_grants_no_share(self):
+        self.gw.retry_share = builders.make_share(1, NOW_MS + 40)
+        other = builders.make_plain_announcement("p2")
+        builders.collect(gateway.step(self.gw, NOW_MS, other))
+        builders.submit(self.gw, 1, builders.make_request("/look/x"))
+        effects = end_attempt(self.gw, 1, calls.AttemptOutcome.BROKEN)
+        self.assertFalse(builders.of_type(effects, calls.SendCall))
+
+    def test_requests_that_are_refused_earn_retries(self):
+        self.gw.budget_limits = builders.retry_budget.Limits(0.2, 0.0, 10_000)
+        self.gw.is_shutting_down = True
+        for call_id in range(20):
+            path = "/look/x" if call_id else "/nowhere/x"
+            builders.submit(self.gw, call_id, builders.make_request(path))
+        state = gateway_state.retry_account(self.gw, "plain", NOW_MS)
+        self.assertAlmostEqual(state.earned, 0.5 * 0.2 * 19)
+
+    def test_a_change_of_the_share_is_logged(self):
+        for share, expected in (
+            (builders.make_share(3), (0.36, 3, "granted")),
+            (builders.make_share(3, 10**12 + 1), None),
+            (builders.make_share(0, -1, state="expired"), (0, 0, "expired")),
+        ):
+            effects = builders.collect(gateway.step(self.gw, NOW_MS, share))
+            logged = [
+                tuple(
+                    t.fields[key] for key in ("share", "fleet_size", "state")
+                )
+                for t in builders.of_type(effects, traces.Trace)
+            ]
+            self.assertEqual(logged, [expected] if expected else [])
+
+
 class LeavingTest(unittest.TestCase):
     def test_leaving_upstream_receives_no_calls(self):
         gw = builders.make_gateway(upstreams=[builders.make_announcement()])
--- a/bilberryramp/decisions/shared/tests/test_charting.py
+++ b/bilberryramp/decisions/shared/tests/test_charting.py
@@ -9,9 +9,11 @@
     gateway_state,
     health,
     register,
+    retry_shares,
 )
 from bilberryramp.decisions.shared import (
     charting,
+    pauses,
     quarantine,
     shutdown,
     subscription,
@@ -122,7 +124,9 @@
             "engine_order": agent,
             "exchange": gateway_state,
             "member": register,
+            "retry_share": retry_shares,
             "upstream_health": health,
+            "upstream_pause": pauses,
         }
         self.assertEqual(sorted((*modules, "adoption")), loader.names())
         builders.adoption_chart()
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -351,6 +351,34 @@
     "An attempt was ended before its answer began, because an upstream ended "
     "under a part of its prompt (`parts`). Its outcome is unknown.",
 )
+CALL_RETRIED = _declare(
+    5120,
+    "call.retry",
+    "A request is sent once more, after an attempt at `upstream` ended with "
+    "`after`. The node had `spent` retries of the service's budget in "
+    "`window_ms`, of `earned` by requests and a `share` of the slack, as one "
+    "of `fleet_size` nodes; its process started at `started_ms`. The retry "
+    "counts toward the budget if it is `counted`: the request may have "
+    "arrived before.",
+)
+CALL_RETRY_REFUSED = _declare(
+    5121,
+    "call.retry_refused",
+    "A request is not sent once more; `reason` says why: `budget` (the "
+    "service's retry budget is spent), `attempts`, `deadline`, "
+    "`not_repeatable` or `deadly_part`. The other fields are those of "
+    "`call.retry`.",
+)
+RETRY_SHARE_CHANGED = _declare(
+    5122,
+    "retry.share_changed",
+    "This node's `share` of the slack of the retry budgets changed, in "
+    "retries for each service and window. It is one of `fleet_size` nodes, "
+    "as the `leader` counts them, and has been counted for `counted_ms`. In "
+    "all states but `granted` it retries only as often as its own requests "
+    "allow: `waiting` (it joined or restarted), `expired` or `none` (it "
+    "holds no lease; check whether there is a leader that it reaches).",
+)
 HOLDERS_CHANGED = _declare(
     5204,
     "holders.changed",
