--- a/bilberryramp/soak/tests/test_soak.py
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -6,11 +6,13 @@
 from unittest import mock
 
 from bilberryramp.soak import (
+    budget_checks,
     checks,
     engine_troubles,
     observations,
     processes,
     proxy,
+    repeats,
     run,
     schedule,
 )
@@ -223,6 +225,7 @@
                 self.LENGTH_MS,
                 deadly_count=0,
                 has_departures=True,
+                has_pauses=True,
             )
             history = await run.execute(plan, pathlib.Path(folder))
         violations = list(checks.find_violations(history, checks.SAFETY))
@@ -322,5 +325,43 @@
         self.assertEqual(violations, [])
 
 
+class PausingEngineTest(unittest.IsolatedAsyncioTestCase):
+    """Engines ask for pauses, first one of a service and then both.
+
+    Nodes went on sending requests to an engine that wanted none.
+    """
+
+    SEED = 37
+    LENGTH_MS = 9000
+    FAULTS = tuple(
+        observations.Fault(
+            observations.FaultKind.ENGINE_PAUSE, name, from_ms, to_ms
+        )
+        for name, from_ms, to_ms in (("e3", 500, 9000), ("e4", 6000, 9000))
+    )
+    # Checks that hold on a machine of any speed, and those of pauses.
+    CHECKS = (
+        *checks.SAFETY,
+        budget_checks.pauses_are_obeyed,
+        budget_checks.other_engines_serve,
+    )
+
+    async def test_pausing_engines_get_few_requests(self):
+        with tempfile.TemporaryDirectory() as folder:
+            plan = run.Plan(
+                self.SEED,
+                4,
+                self.LENGTH_MS,
+                fatal_count=0,
+                deadly_count=0,
+                fault_groups=(),
+                faults=self.FAULTS,
+            )
+            history = await run.execute(plan, pathlib.Path(folder))
+        self.assertTrue(repeats.pauses_by_pair(history))
+        violations = list(checks.find_violations(history, self.CHECKS))
+        self.assertEqual(violations, [])
+
+
 if __name__ == "__main__":
     unittest.main()
