Tell no caller that a request did not run after an attempt that may have

Cause: the last attempt's failure was forwarded whatever its status. A 503 of an engine speaks of its own attempt; an earlier one had broken off elsewhere.

Change: the end of an attempt says whether its status denies a run. If an earlier attempt may have run, the caller gets 502, which promises nothing. Otherwise the engine's answer is forwarded unchanged, as before.

Evidence: the new test failed before (one of its two cases).

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -328,11 +328,15 @@
         How the attempt ended.
     longest_gap_ms
         Longest pause between two chunks of a stream, in milliseconds.
+    denies_run
+        Whether the failure that the upstream reported has a status that tells
+        clients that the request did not run.
     """
 
     call_id: int
     outcome: AttemptOutcome
     longest_gap_ms: int = 0
+    denies_run: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -635,7 +635,7 @@
             yield from dispatch.try_dispatch(gw, now_ms, call)
         else:
             yield dispatch.trace_refused_retry(gw, call, barrier, now_ms)
-            yield from _end_unserved(gw, call, outcome, now_ms)
+            yield from _end_unserved(gw, call, message, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -780,11 +780,18 @@
 
 
 def _end_unserved(
-    gw: gateway_state.Gateway, call: calls.Call, outcome, now_ms: int
+    gw: gateway_state.Gateway,
+    call: calls.Call,
+    end: calls.AttemptEnded,
+    now_ms: int,
 ) -> Iterator:
     """End a call that no attempt served and that may not be retried."""
+    outcome = end.outcome
     yield from _end_call(gw, call, "failed", now_ms)
-    if outcome is calls.AttemptOutcome.FAILED:
+    # What an answer says about its own attempt is wrong for the call if an
+    # earlier attempt may have run.
+    is_misleading = end.denies_run and call.attempt_count > 1
+    if outcome is calls.AttemptOutcome.FAILED and not is_misleading:
         yield calls.ForwardFailure(call.call_id)
     elif outcome is calls.AttemptOutcome.NOT_SENT and call.attempt_count > 0:
         yield from _fail(call, calls.Failure.TIMED_OUT)
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -168,6 +168,29 @@
             )
         )
 
+    def test_a_denial_is_not_forwarded_if_an_earlier_attempt_may_have_run(
+        self,
+    ):
+        # Guards against a 503 of one upstream after a run at another one.
+        upstreams = [
+            builders.make_plain_announcement("p1"),
+            builders.make_plain_announcement("p2"),
+        ]
+        denial = calls.AttemptEnded(
+            1, calls.AttemptOutcome.FAILED, denies_run=True
+        )
+        for first, expected in (
+            (calls.AttemptOutcome.BROKEN, calls.Fail),
+            (calls.AttemptOutcome.NOT_RUN, calls.ForwardFailure),
+        ):
+            with self.subTest(first=first):
+                gw = builders.make_gateway(upstreams=upstreams)
+                builders.submit(gw, 1, builders.make_request("/look/x"))
+                end_attempt(gw, 1, first)
+                gw.budget_limits = builders.retry_budget.Limits(0, 0, 10_000)
+                effects = builders.collect(gateway.step(gw, 10_000, denial))
+                self.assertTrue(builders.of_type(effects, expected))
+
     def test_call_that_did_not_run_is_retried_if_not_repeatable(self):
         upstreams = [
             builders.make_plain_announcement("p1"),
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -10,6 +10,7 @@
     "RunState",
     "client_answer_headers",
     "deadline_header",
+    "denies_run",
     "upstream_request_headers",
     "has_upstream_signature",
     "is_leaving",
@@ -32,6 +33,8 @@
 # Statuses with which that header holds. Any other one, such as 500, says that
 # the request ran.
 _NOT_EXECUTED_STATUSES = frozenset({400, 429, 503})
+# Statuses that tell clients that the request has not run and will not run.
+_DENYING_STATUSES = frozenset({408, 421, 429, 503})
 
 # Hop-by-hop headers, and those that the HTTP library writes itself.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -252,6 +255,22 @@
     return RunState.RAN
 
 
+def denies_run(status: int) -> bool:
+    """Return whether a status tells clients that their request did not run.
+
+    Parameters
+    ----------
+    status
+        HTTP status of an answer.
+
+    Returns
+    -------
+    bool
+        True for the statuses that the protocol gives this meaning.
+    """
+    return status in _DENYING_STATUSES
+
+
 def is_leaving(headers) -> bool:
     """Return whether an answer says that its upstream is leaving.
 
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -249,9 +249,15 @@
         attempt = _Attempt(front, request, body, req, decision)
         outcome = await _run_attempt(attempt)
         failed_answer = attempt.failed_answer or failed_answer
-        gap_ms = round(1000 * attempt.longest_gap_s)
         mailbox.post_now(
-            task.inbox, calls.AttemptEnded(call_id, outcome, gap_ms)
+            task.inbox,
+            calls.AttemptEnded(
+                call_id,
+                outcome,
+                round(1000 * attempt.longest_gap_s),
+                attempt.failed_answer is not None
+                and front.wire.denies_run(attempt.failed_answer.status),
+            ),
         )
         if outcome in (
             calls.AttemptOutcome.DELIVERED,
