Tell a holder of a new process before its pause

Engines saw: orders and reads during a pause that they had asked for, if they had asked for it before their first heartbeat.

The pause that a new process takes over reached the holder before the announcement of that process; the holder dropped it as that of an unknown one, and began without a pause.

Change: the gateway's task reports an announced engine to the holder before it performs the effects of the announcement. HolderReportTest failed before. Requests of clients were not concerned.

--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -319,12 +319,14 @@
 
 
 def _step(task: GatewayTask, now_ms: int, message) -> None:
-    for effect in gateway.step(task.gw, now_ms, message):
-        _perform(task, now_ms, effect)
+    effects_of_step = list(gateway.step(task.gw, now_ms, message))
+    # The holder must know a process before it hears of the process's pause.
     if task.holder_inbox is not None and isinstance(
         message, presence.Announcement
     ):
         _report_engine(task, message)
+    for effect in effects_of_step:
+        _perform(task, now_ms, effect)
 
 
 def _report_engine(
--- a/bilberryramp/tasks/tests/test_gateway_task.py
+++ b/bilberryramp/tasks/tests/test_gateway_task.py
@@ -1,9 +1,15 @@
 """Tests of the task that runs a gateway."""
 
 import asyncio
+import dataclasses
 import unittest
 
-from bilberryramp.decisions.fleet import calls
+from bilberryramp.decisions.fleet import (
+    calls,
+    gateway,
+    order_holders,
+    upstream_pauses,
+)
 from bilberryramp.tasks import clock, gateway_task, mailbox
 from bilberryramp.tasks.tests import builders
 
@@ -44,5 +50,32 @@
         self.assertFalse(self.task.gw.active)
 
 
+class HolderReportTest(unittest.TestCase):
+    def test_a_holder_knows_a_new_process_before_its_pause(self):
+        # Guards against orders during a pause that a new process took over.
+        address = "127.0.0.1:9"
+        task = builders.make_gateway_task([address])
+        task.holder_inbox = mailbox.Mailbox()
+        first = builders.make_announcement(0, address)
+        notice = upstream_pauses.PauseNotice(
+            first.upstream_id, address, first.born_ms, 4000
+        )
+        later = dataclasses.replace(first, born_ms=first.born_ms + 1)
+        now_ms = clock.boot_ms()
+        for message in (first, gateway.PauseSeen(notice), later):
+            gateway_task._step(task, now_ms, message)
+        reports = [
+            (type(report), getattr(report, "born_ms", None))
+            for report in task.holder_inbox.messages
+        ]
+        self.assertEqual(
+            reports[-2:],
+            [
+                (order_holders.EngineSeen, None),
+                (order_holders.EnginePaused, later.born_ms),
+            ],
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
