Judge retries anew that were not sent in time, and earn none from late reads

A retry was charged when it was decided, and could then wait for its connection, or for a process that was suspended: five retries that a node had decided before it was suspended for 15 s could all be sent after it, when its window was empty. The decision now carries its time; at the write, an older one is withheld and charged again.

A request earned from the end of its body, however long ago its head had arrived. One that was read later than the delay now earns nothing.

Both tests cannot pass before: the decision had no time, and the second request was counted.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -45,7 +45,7 @@
     UNREACHABLE = "unreachable"
     """No connection could be opened, so nothing was sent."""
     WITHHELD = "withheld"
-    """The upstream asked for a pause or was replaced; nothing was sent."""
+    """The decision to send it no longer held; nothing was sent."""
     BROKEN = "broken"
     """No complete answer arrived; the request may have run."""
     FAILED = "failed"
@@ -375,6 +375,8 @@
         Rank in the upstream's own queue; 0 is the most urgent.
     send
         Number of times that the request has been sent, including this time.
+    decided_ms
+        When the decision was made, in milliseconds of the gateway's clock.
     """
 
     call_id: int
@@ -384,6 +386,7 @@
     urgency: int
     send: int
     born_ms: int = -1
+    decided_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/dispatch.py
@@ -518,6 +518,7 @@
         _urgency(call, now_ms),
         call.send_count,
         upstream.announcement.born_ms,
+        now_ms,
     )
 
 
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -527,11 +527,12 @@
         message.arrived_ms,
         message.arrived_ms + allowed_ms,
     )
-    retry_budget.record_request(
-        gateway_state.service_budget(gw, call.service),
-        gw.budget_limits,
-        now_ms,
-    )
+    if now_ms - message.arrived_ms <= retry_budget.ARRIVAL_DELAY_MS:
+        retry_budget.record_request(
+            gateway_state.service_budget(gw, call.service),
+            gw.budget_limits,
+            now_ms,
+        )
     gw.active[call.call_id] = call
     gw.queue[call.call_id] = call
     if req.prompt is not None:
--- a/bilberryramp/decisions/fleet/retry_budget.py
+++ b/bilberryramp/decisions/fleet/retry_budget.py
@@ -15,6 +15,8 @@
 import dataclasses
 import enum
 
+from bilberryramp.decisions.fleet import calls
+
 __all__ = [
     "ARRIVAL_DELAY_MS",
     "Account",
@@ -23,6 +25,7 @@
     "Limits",
     "account",
     "allows_retry",
+    "is_outdated",
     "record_request",
     "record_retry",
     "span_ms",
@@ -198,6 +201,26 @@
     return state.spent + 1 <= state.earned + state.share
 
 
+def is_outdated(send_call: calls.SendCall, now_ms: int) -> bool:
+    """Return whether a retry waited for so long that it must be judged anew.
+
+    Parameters
+    ----------
+    send_call
+        Decision to send a request.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    bool
+        True for a retry that would no longer arrive within
+        `ARRIVAL_DELAY_MS` of its record.
+    """
+    waited_ms = now_ms - send_call.decided_ms
+    return send_call.send > 1 and waited_ms >= ARRIVAL_DELAY_MS
+
+
 def _earning_window_ms(limits: Limits) -> int:
     """Return the age up to which requests earn retries.
 
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -12,6 +12,7 @@
     placement,
     planner,
     presence,
+    retry_budget,
     sharing,
     traces,
 )
@@ -336,6 +337,33 @@
         self.assertEqual(refused["reason"], "budget")
         self.assertEqual(refused["waited_ms"], 850)
 
+    def test_a_retry_that_waits_for_its_connection_is_judged_anew(self):
+        # Guards against retries that arrive with those of a later window.
+        self.gw = builders.make_gateway(
+            upstreams=[
+                builders.make_plain_announcement("p1"),
+                builders.make_plain_announcement("p2"),
+            ]
+        )
+        first = builders.submit(self.gw, 1, builders.make_request("/look/x"))
+        effects = end_attempt(self.gw, 1, calls.AttemptOutcome.BROKEN)
+        sends = builders.of_type((*first, *effects), calls.SendCall)
+        late_ms = NOW_MS + 50 + retry_budget.ARRIVAL_DELAY_MS
+        self.assertEqual(
+            [retry_budget.is_outdated(s, late_ms) for s in sends],
+            [False, True],
+        )
+        self.assertFalse(retry_budget.is_outdated(sends[1], late_ms - 1))
+
+    def test_a_request_that_was_read_late_earns_no_retry(self):
+        # Guards against retries earned from requests of an earlier window.
+        for call_id, age_ms in ((1, 0), (2, 5000)):
+            message = calls.CallArrived(
+                call_id, builders.make_request("/look/x"), NOW_MS - age_ms
+            )
+            builders.collect(gateway.step(self.gw, NOW_MS, message))
+        self.assertEqual(len(self.gw.budgets["plain"].requests), 1)
+
     def test_a_call_that_never_ran_is_refused_if_the_budget_is_spent(self):
         for call_id in (1, 2):
             builders.submit(self.gw, call_id, builders.make_request("/file/x"))
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -20,6 +20,7 @@
     quarantine_coordinator,
     quarantine_messages,
     register,
+    retry_budget,
     sharing,
     suspect_memory,
     suspect_publications,
@@ -458,12 +459,13 @@
     Returns
     -------
     bool
-        As `upstream_pauses.may_send`.
+        As `upstream_pauses.may_send`; False also for a retry that has become
+        outdated.
     """
-    gw = task.gw
-    return upstream_pauses.may_send(
-        gw.pauses, gw.table, send_call, clock.boot_ms()
-    )
+    gw, now_ms = task.gw, clock.boot_ms()
+    if retry_budget.is_outdated(send_call, now_ms):
+        return False
+    return upstream_pauses.may_send(gw.pauses, gw.table, send_call, now_ms)
 
 
 def _send_residency_request(
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -414,8 +414,9 @@
     5132,
     "call.withheld",
     "A request was not sent after all: its upstream asked for a pause, or "
-    "another process took its place, before the connection was available. "
-    "It is sent to another upstream.",
+    "another process took its place, before the connection was available, or "
+    "it is a retry that waited too long for the connection. Where it is sent "
+    "is decided anew.",
 )
 HOLDERS_CHANGED = _declare(
     5204,
