Limit a pause that a new process takes over to ten seconds

Callers saw (in virtual time): an engine that restarted 1.4 s after it had asked for a pause of ten minutes stayed out for all of it, though its new process may not have asked for any.

Cause: whether the old or the new process had sent the answer is not known, and the whole pause was taken over.

Change: ten seconds at most are taken over. If the new process did ask, the next request is turned away again and the pause is then its own, so that one request reaches it within the pause, of two that are allowed. The new test failed before.

--- a/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
+++ b/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
@@ -181,6 +181,17 @@
         self.step(announce("p1", born_ms=2000, seq=2), END_MS)
         self.assertIn("p1", self.serve_many(END_MS))
 
+    def test_a_pause_that_is_taken_over_is_short(self):
+        # Guards against a long pause that a new process did not ask for.
+        self.pause("p1", 10**9)
+        self.step(announce("p1", born_ms=2000))
+        end_ms = NOW_MS + upstream_pauses.MAX_TAKEN_OVER_MS
+        for upstream_id in PLAIN_IDS:
+            heartbeat = announce(upstream_id, born_ms=2000, seq=9)
+            self.step(heartbeat, end_ms - 1)
+        self.assertEqual(self.serve_many(end_ms - 1), {"p2", "p3"})
+        self.assertIn("p1", self.serve_many(end_ms))
+
     def test_a_process_whose_answer_arrives_after_its_first_heartbeat(self):
         # The request was meant for its predecessor.
         self.step(announce("p1", born_ms=2000))
--- a/bilberryramp/decisions/fleet/upstream_pauses.py
+++ b/bilberryramp/decisions/fleet/upstream_pauses.py
@@ -30,6 +30,9 @@
 
 # Time within which a node hears of a process that has started.
 START_KNOWN_MS = 1500
+# Longest pause that a process takes over. If it did not ask for the pause, it
+# is called again soon; if it did, it asks again.
+MAX_TAKEN_OVER_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -176,7 +179,7 @@
             state,
             _key(announcement),
             dataclasses.replace(entry, pause=pause),
-            entry.pause.until_ms - now_ms,
+            min(entry.pause.until_ms - now_ms, MAX_TAKEN_OVER_MS),
             "",
             now_ms,
             is_taken_over=True,
