--- a/bilberryramp/soak/budget_checks.py
+++ b/bilberryramp/soak/budget_checks.py
@@ -18,7 +18,7 @@
     "worst_windows",
 ]
 
-# Equal to `retryBudgetRatio`, `budgetSlack` and `budgetWindowS` in the soak.
+# Equal to the retry budget in the settings of the soak's nodes.
 BUDGET = repeats.Limits(ratio=0.2, slack=60, window_ms=10_000)
 # Number of requests that may run on more engines than their route allows.
 MAX_EXCESSIVE_REQUESTS = 3
