Let a returning upstream have more calls with time

Callers saw (in virtual time): after a pause of all engines of 1 s, calls that take 1 s and more were refused as overloaded for seconds, 32 to 90 of 400 to 1000, and one call that hung held its engine for its whole timeout.

Only served calls raised the number of calls at a returning upstream, so it doubled once in the time that a call takes.

Change: it also doubles each 250 ms without another request for a pause; an upstream that still has too many calls turns one away at once.

--- a/bilberryramp/decisions/shared/pauses.py
+++ b/bilberryramp/decisions/shared/pauses.py
@@ -15,6 +15,7 @@
     "Pause",
     "actions",
     "guards",
+    "limit_at",
     "may_call",
     "new_pause",
     "record_response",
@@ -30,6 +31,10 @@
 # number from which on it is no longer limited.
 INITIAL_CALL_LIMIT = 1
 FULL_CALL_LIMIT = 16
+# Time without a further pause after which twice as many calls are allowed, so
+# that calls that take long do not keep the others waiting.
+DOUBLING_MS = 250
+MAX_DOUBLINGS = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,7 +53,8 @@
     returned_ms
         When the upstream last began to return; -1 if it never did.
     call_limit
-        Calls without a response that a returning upstream may have.
+        Calls without a response that an upstream may have when it begins to
+        return, and one more for each call that it has served since.
     unanswered
         Such calls that were sent since it began to return.
     """
@@ -150,10 +156,29 @@
         return True
     _end_elapsed(pause, now_ms)
     if pause.phase == "returning":
-        return pause.unanswered < pause.call_limit
+        return pause.unanswered < limit_at(pause, now_ms)
     return pause.phase != "paused"
 
 
+def limit_at(pause: Pause, now_ms: int) -> int:
+    """Return how many calls without a response a returning upstream may have.
+
+    Parameters
+    ----------
+    pause
+        Pauses of the upstream.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    int
+        The limit, which grows with the calls that it serves and with time.
+    """
+    doublings = (now_ms - pause.returned_ms) // DOUBLING_MS
+    return pause.call_limit << min(max(doublings, 0), MAX_DOUBLINGS)
+
+
 def record_sent(pause: Pause | None) -> None:
     """Record that a call, which `may_call` allowed, is sent.
 
@@ -201,12 +226,12 @@
 
 
 def _fire_event(pause: Pause, event: str, now_ms: int) -> None:
-    for _ in charting.fire(pause.chart, pause, event, now_ms, None):
+    for _ in charting.fire(pause.chart, pause, event, now_ms, now_ms):
         pass
 
 
-def _has_recovered(pause: Pause, _payload) -> bool:
-    return pause.call_limit + 1 >= FULL_CALL_LIMIT
+def _has_recovered(pause: Pause, now_ms: int) -> bool:
+    return limit_at(pause, now_ms) + 1 >= FULL_CALL_LIMIT
 
 
 def _begin_return(pause: Pause, now_ms: int, _payload):
