Charge a retry of the product's own path when it is sent

What callers saw: nothing; engines received more repeated runs at once than an entry's retry budget allows.

Cause: the chart of a request charged the budget when an attempt broke. The request may then wait for an upstream. Retries that were charged over a long time could all be sent in the moment an upstream came back, beside others that the refilled budget paid for.

Ruled out: giving a charge back if the retry is refused.

Change: a broken attempt asks whether a retry is left, and the dispatch of the retry is charged; without one left the request fails at once. A refused retry stays charged. The fuzz of the path ends runs before their answers and further engines, and compares the repeated runs of each entry with a bucket that only arrivals fill.

--- a/bilberryramp/decisions/entry/entry_calls.py
+++ b/bilberryramp/decisions/entry/entry_calls.py
@@ -363,18 +363,30 @@
     return bool(call.request.idempotency_key)
 
 
-def _consume_retry_budget(call: entry_state.Call, _payload) -> bool:
-    """Use one retry of the entry's budget; return False if none is left."""
-    entry = call.entry
-    if entry.retry_budget < 1:
+def _may_retry(call: entry_state.Call, _payload) -> bool:
+    """Return whether the entry's budget has a retry left."""
+    return call.entry.retry_budget >= 1
+
+
+def _spend_retry(call: entry_state.Call, _payload) -> bool:
+    """Charge an attempt that is a retry; return False if none is left.
+
+    A retry is charged when it is dispatched: retries that were charged
+    before they wait for an upstream could all be dispatched at once. For the
+    same reason, that of a refused attempt is not given back.
+    """
+    if not call.may_have_run:
+        return True
+    if not _may_retry(call, _payload):
         return False
-    entry.retry_budget -= 1
+    call.entry.retry_budget -= 1
     return True
 
 
 guards = {
     "must_not_repeat": _must_not_repeat,
-    "consume_retry_budget": _consume_retry_budget,
+    "may_retry": _may_retry,
+    "spend_retry": _spend_retry,
 }
 actions = {
     "choose": _choose,
--- a/bilberryramp/decisions/entry/entry_state.py
+++ b/bilberryramp/decisions/entry/entry_state.py
@@ -176,7 +176,6 @@
     retry_budget
         Number of retries of broken attempts that the entry's requests may
         still use in all.
-
     unconfirmed_ends
         Ends of keyed requests that control has not confirmed.
     """
--- a/bilberryramp/decisions/entry/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/entry/tests/test_entry_calls.py
@@ -5,6 +5,7 @@
     entry_attempts,
     entry_calls,
     entry_messages,
+    entry_state,
 )
 from bilberryramp.decisions.shared import (
     call_messages,
@@ -39,6 +40,22 @@
     def call(self, request=None):
         self.step(builders.call_arrived(request or builders.caller_request()))
 
+    def call_each(self, prefix, count):
+        for number in range(count):
+            self.call(builders.caller_request(f"{prefix}{number}"))
+
+    def break_attempts(self, prefix=""):
+        """Break the attempts of the requests whose ids begin so."""
+        for call in list(self.entry.calls.values()):
+            if call.attempt_id and call.key.startswith(prefix):
+                frame = builders.broken_answer(call.attempt_id)
+                self.receive(call.upstream_id, frame)
+
+    def fire_timers(self):
+        """Fire the timers of the states that the requests are in."""
+        for call in list(self.entry.calls.values()):
+            self.step(role_messages.TimerFired(call.key, call.timer))
+
     def receive(self, upstream_id, frame):
         self.step(entry_messages.FrameArrived(upstream_id, frame))
 
@@ -233,6 +250,27 @@
         self.assertEqual(len(harness.dispatches()), 1)
         self.assertEqual(harness.failure().outcome, OUTCOME.UNKNOWN)
 
+    def test_retries_that_waited_exceeded_the_budget(self):
+        harness = Harness(("u1",))
+        harness.entry.cfg = entry_state.EntrySettings(
+            "e1", retry_ratio=1.0, retry_burst=4.0
+        )
+        harness.call_each("a", 4)
+        incarnation = harness.entry.view.upstreams["u1"].incarnation
+        harness.entry.leaving["u1"] = incarnation
+        harness.break_attempts()
+        harness.now_ms = 1000
+        harness.call_each("b", 4)
+        harness.now_ms = 5000
+        harness.entry.leaving.clear()
+        harness.fire_timers()
+        harness.break_attempts("b")
+        harness.now_ms = 5050
+        harness.fire_timers()
+        retries = [a for _, a in harness.dispatches() if a.endswith(".2")]
+        self.assertEqual(len(retries), 4)
+        self.assertEqual(harness.failure().outcome, OUTCOME.UNKNOWN)
+
     def test_request_is_not_retried_after_the_answer_started(self):
         harness = Harness()
         harness.call()
--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -60,6 +60,8 @@
 MAX_ORDER_DELAY_MS = 20_000
 # Time after the start of a planned stop in which a run may still start.
 NEW_WORK_GRACE_MS = 2000
+# Largest error of a sum of fractions of retries.
+ROUNDING = 1e-6
 # Names of the upstreams that are plain services.
 SERVICES = ("p1", "p2", "p3")
 MODELS = ("m1", "m2", "m3", "m4")
@@ -156,12 +158,18 @@
         Current connection by upstream id.
     partitioned
         Whether it exchanges no messages with control.
+    arrivals_ms
+        Times at which requests arrived, oldest first.
+    retries_ms
+        Times at which attempts were dispatched that repeated a run.
     """
 
     entry: entry_state.Entry
     sub: subscription.Subscription
     connections: dict = dataclasses.field(default_factory=dict)
     partitioned: bool = False
+    arrivals_ms: list = dataclasses.field(default_factory=list)
+    retries_ms: list = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -233,6 +241,10 @@
     pausing
         Whether random moves make engines turn requests away and ask for
         pauses. These are drawn apart from the others.
+    losing
+        Whether random moves end further engines, likewise drawn apart.
+    retry_burst
+        Maximum of the retry budget of an entry.
 
     Attributes
     ----------
@@ -259,6 +271,8 @@
         Ids of the requests that crash the engine that runs them.
     turned_away
         Boot count of the engine that turned an attempt away, by attempt id.
+    dispatched_ms
+        Time of the dispatch by attempt id.
     """
 
     def __init__(
@@ -268,10 +282,15 @@
         upstreams=3,
         fenced=(True, False),
         pausing=False,
+        losing=False,
+        retry_burst=20.0,
     ):
         self.rng = random.Random(seed)
         self.pause_rng = random.Random(f"{seed}/pauses")
         self.pausing = pausing
+        self.loss_rng = random.Random(f"{seed}/losses")
+        self.losing = losing
+        self.retry_burst = retry_burst
         self.now_ms = 1000
         self.serial = 0
         self.timers = []
@@ -290,6 +309,7 @@
         self.ended_keyed_runs = []
         self.poison_requests = set()
         self.turned_away = {}
+        self.dispatched_ms = {}
         self.engines = {}
         self.upstreams = {}
         self.entries = {}
@@ -322,7 +342,9 @@
             builders.suspect_chart(),
             self.now_ms,
         )
-        entry = builders.entry(sub.view, policy="power_of_two")
+        entry = builders.entry(
+            sub.view, policy="power_of_two", retry_burst=self.retry_burst
+        )
         entry.fresh = False
         entry.rng = random.Random(self.rng.random())
         self.entries[name] = EntryProcess(entry, sub)
@@ -594,6 +616,7 @@
         request = builders.caller_request(request_id, **fields)
         process = self.entries[entry_name]
         self.results[request_id] = CallerResult(request, entry_process=process)
+        process.arrivals_ms.append(self.now_ms)
         wall_ms = 1_000_000 + self.now_ms
         self.entry_step(entry_name, builders.call_arrived(request, wall_ms))
         return request_id
@@ -628,6 +651,7 @@
             return
         connection = process.connections.get(send.to)
         if isinstance(send.message, call_messages.Dispatch):
+            self.dispatched_ms[send.message.attempt_id] = self.now_ms
             connection = self.connection_to(name, process, send.to)
         if connection is not None:
             for transmit in links.send(connection.link, send.message):
@@ -815,6 +839,10 @@
         resident = not engine.capacity or dispatch.model in engine.resident
         if engine.up and resident:
             self.run_counts[dispatch.request_id] += 1
+            if self.run_counts[dispatch.request_id] > 1:
+                result = self.results[dispatch.request_id]
+                dispatched_ms = self.dispatched_ms[dispatch.attempt_id]
+                result.entry_process.retries_ms.append(dispatched_ms)
             if dispatch.idempotency_key:
                 key = (dispatch.route, dispatch.idempotency_key)
                 self.runs_by_key[key].append(dispatch.request_id)
@@ -888,15 +916,23 @@
             )
 
     def end_run(
-        self, name, attempt_id, chunks, crashed=False, cancelled=False
+        self,
+        name,
+        attempt_id,
+        chunks,
+        crashed=False,
+        cancelled=False,
+        broken=False,
     ):
         process = self.upstreams[name]
         start, _ = process.runs.pop(attempt_id)
         failure = answer = None
-        if crashed or cancelled:
+        if crashed or cancelled or broken:
             code = errors.FailureCode.ENGINE_CRASHED
             if cancelled:
                 code = errors.FailureCode.CALLER_LEFT
+            elif broken:
+                code = errors.FailureCode.UPSTREAM_LOST
             failure = errors.call_failure(code, "x", errors.Outcome.UNKNOWN)
         elif start.dispatch.idempotency_key:
             answer = expected_answer(start.dispatch.request_id)
@@ -1067,6 +1103,23 @@
                 f"{request_id} has both an answer and {failure}"
             )
 
+    def check_retry_budgets(self):
+        """Check that each entry process had the retries that it sent.
+
+        Every request adds a part of a retry, up to the burst.
+        """
+        results = self.results.values()
+        processes = {id(r.entry_process): r.entry_process for r in results}
+        for process in processes.values():
+            cfg, left = process.entry.cfg, 0.0
+            changes = [(ms, cfg.retry_ratio) for ms in process.arrivals_ms]
+            changes += [(ms, -1.0) for ms in process.retries_ms]
+            # At equal times, arrivals come first.
+            for ms, change in sorted(changes, key=lambda c: (c[0], -c[1])):
+                left = min(left + change, cfg.retry_burst)
+                if left < -ROUNDING:
+                    raise ViolationError(f"a retry too many at {ms} ms")
+
     def check_stored_answers(self):
         """Check that complete answers to keyed requests are recorded."""
         running_ids = [id(process) for process in self.entries.values()]
@@ -1106,6 +1159,7 @@
         self.restart_all()
         self.run_for(8_000)
         self.check_results()
+        self.check_retry_budgets()
         self.check_stored_answers()
         self.check_recorded_runs()
 
@@ -1139,6 +1193,8 @@
         if self.pausing and self.pause_rng.random() < 0.01:
             name = self.pause_rng.choice(tuple(self.engines))
             self.start_turning_away(name, self.pause_rng.choice((10, 2000)))
+        if self.losing:
+            self.random_loss()
         draw = rng.random()
         if draw < 0.5 and self.connections:
             self.deliver(rng.choice(self.connections))
@@ -1198,6 +1254,18 @@
         else:
             self.restart_all()
 
+    def random_loss(self):
+        """End a run before its answer, or an engine; most often neither."""
+        draw = self.loss_rng.random()
+        name = self.loss_rng.choice(tuple(self.engines))
+        if draw < 0.01:
+            self.crash_engine(name)
+        elif draw < 0.3 and name in self.upstreams:
+            runs = self.upstreams[name].runs
+            attempts = [a for a, (_, sent) in runs.items() if not sent]
+            for attempt_id in attempts:
+                self.end_run(name, attempt_id, 0, broken=True)
+
     def random_caller_left(self):
         for name, process in self.entries.items():
             if process.entry.calls:
--- a/bilberryramp/decisions/tests/test_path_fuzz.py
+++ b/bilberryramp/decisions/tests/test_path_fuzz.py
@@ -109,9 +109,9 @@
 )
 
 
-def run(seed, moves, fenced=(True, False), pausing=False):
+def run(seed, moves, fenced=(True, False), **settings):
     """Make random moves, let the system recover, and check the invariants."""
-    driver = path_driver.PathDriver(seed, fenced=fenced, pausing=pausing)
+    driver = path_driver.PathDriver(seed, fenced=fenced, **settings)
     for _ in range(moves):
         driver.random_move()
     driver.settle_down()
@@ -130,6 +130,11 @@
             with self.subTest(seed=seed):
                 run(seed, 2500)
 
+    def test_random_runs_with_few_retries(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                run(seed, 2500, losing=True, retry_burst=1.0)
+
     def test_random_runs_with_engines_that_pause(self):
         for seed in range(4):
             with self.subTest(seed=seed):
@@ -137,6 +142,10 @@
                 self.assertGreater(len(driver.turned_away), 0)
 
 
+def always_allowed(_call, _payload):
+    return True
+
+
 def trust_last_failure(call, failure):
     """Do not record that an earlier attempt may have run."""
     if failure is not None:
@@ -184,14 +193,14 @@
 class InjectedFaultsTest(unittest.TestCase):
     """Faults injected into the decisions must violate an invariant."""
 
-    def assert_detected(self, *patches, pausing=False):
+    def assert_detected(self, *patches, **settings):
         """Assert that one of 60 random runs with the fault fails a check."""
         with contextlib.ExitStack() as stack:
             for patch in patches:
                 stack.enter_context(patch)
             for seed in range(60):
                 try:
-                    run(seed, 1500, (False,), pausing)
+                    run(seed, 1500, (False,), **settings)
                 except (AssertionError, errors.BilberryError):
                     return
         self.fail("the injected fault was not detected")
@@ -234,6 +243,17 @@
             pausing=True,
         )
 
+    def test_retry_charged_before_it_waits(self):
+        guards = {
+            "may_retry": entry_calls.guards["spend_retry"],
+            "spend_retry": always_allowed,
+        }
+        self.assert_detected(
+            mock.patch.dict(entry_calls.guards, guards),
+            losing=True,
+            retry_burst=1.0,
+        )
+
     def test_memory_granted_beyond_capacity(self):
         self.assert_detected(
             mock.patch.object(ledger, "fits", always_fits),
