Forward an engine's failure when no other upstream can run the call

What callers saw: 502 in place of the 500 that an engine had answered with, if the call was to be retried and every other upstream paused or was full.

Cause: the failure was forwarded only by the branch that ends a call right after its attempt. A call that first went back to the queue, or whose retry was turned away, ended as broken, although the frontend still had the answer.

Ruled out: forwarding whatever the frontend kept. After a later attempt that may have run and broke, the answer of an earlier one says too much; so does a 503 beside another attempt that may have run.

Change: the call keeps whether its last run answered with a failure, and what that answer claims; both ways to end a call ask the same function.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/calls.py
@@ -204,6 +204,10 @@
         further arrival a retry.
     last_outcome, attempt_ended_ms
         How and when the latest attempt ended; None and 0 if none has.
+    failure_denies_run
+        Whether the failure that an upstream answered with tells clients that
+        the request did not run; None without one, or if a later attempt may
+        have run.
     wait_reason
         The resource that the call waits for, for logs and refusals.
     has_waited
@@ -246,6 +250,7 @@
     may_have_arrived: bool = False
     last_outcome: AttemptOutcome | None = None
     attempt_ended_ms: int = 0
+    failure_denies_run: bool | None = None
     wait_reason: Refusal = Refusal.OVERLOADED
     has_waited: bool = False
     last_model_request_ms: int = -(10**9)
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway.py
@@ -602,6 +602,10 @@
     if outcome is calls.AttemptOutcome.WITHHELD:
         yield from _take_back(gw, call, now_ms)
         return
+    if outcome is calls.AttemptOutcome.FAILED:
+        call.failure_denies_run = message.denies_run
+    elif outcome is calls.AttemptOutcome.BROKEN:
+        call.failure_denies_run = None
     _record_outcome(gw, call, outcome, now_ms)
     yield from suspect_evidence.record_attempt_end(
         gw.suspect_state, call, outcome, now_ms
@@ -636,7 +640,7 @@
             yield from dispatch.try_dispatch(gw, now_ms, call)
         else:
             yield dispatch.trace_refused_retry(gw, call, barrier, now_ms)
-            yield from _end_unserved(gw, call, message, now_ms)
+            yield from _end_unserved(gw, call, outcome, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -783,22 +787,16 @@
 def _end_unserved(
     gw: gateway_state.Gateway,
     call: calls.Call,
-    end: calls.AttemptEnded,
+    outcome: calls.AttemptOutcome,
     now_ms: int,
 ) -> Iterator:
     """End a call that no attempt served and that may not be retried."""
-    outcome = end.outcome
     yield from _end_call(gw, call, "failed", now_ms)
-    # What an answer says about its own attempt is wrong for the call if an
-    # earlier attempt may have run.
-    is_misleading = end.denies_run and call.attempt_count > 1
-    if outcome is calls.AttemptOutcome.FAILED and not is_misleading:
-        yield calls.ForwardFailure(call.call_id)
-    elif outcome is calls.AttemptOutcome.NOT_SENT and call.attempt_count > 0:
+    if outcome is calls.AttemptOutcome.NOT_SENT and call.attempt_count > 0:
         yield from _fail(call, calls.Failure.TIMED_OUT)
     elif outcome is calls.AttemptOutcome.BROKEN or call.attempt_count > 0:
         # An earlier attempt may have run even if the last one did not.
-        yield from _fail(call, calls.Failure.BROKEN)
+        yield from _fail_after_run(call)
     else:
         reason = (
             calls.Refusal.TOO_LATE
@@ -813,6 +811,17 @@
         )
 
 
+def _fail_after_run(call: calls.Call) -> Iterator:
+    """Forward the failure that an upstream answered with, if it is true."""
+    # What an answer says about its own attempt is wrong for the call if
+    # another attempt may have run.
+    is_misleading = call.failure_denies_run and call.attempt_count > 1
+    if call.failure_denies_run is None or is_misleading:
+        yield from _fail(call, calls.Failure.BROKEN)
+    else:
+        yield calls.ForwardFailure(call.call_id)
+
+
 def _end_call(
     gw: gateway_state.Gateway, call: calls.Call, event: str, now_ms: int
 ) -> Iterator:
@@ -871,10 +880,10 @@
     )
     yield from _end_call(gw, call, "refused", now_ms)
     if call.attempt_count > 0:
-        failure = (
-            calls.Failure.BROKEN if is_hopeless else calls.Failure.TIMED_OUT
-        )
-        yield from _fail(call, failure)
+        if is_hopeless:
+            yield from _fail_after_run(call)
+        else:
+            yield from _fail(call, calls.Failure.TIMED_OUT)
         return
     wait_details = {
         "fingerprint": call.request.fingerprint,
--- a/bilberryramp/decisions/fleet/tests/test_attempt_fuzz.py
+++ b/bilberryramp/decisions/fleet/tests/test_attempt_fuzz.py
@@ -18,6 +18,8 @@
     OUTCOMES.UNREACHABLE,
     OUTCOMES.WITHHELD,
 )
+FAILURES = (calls.Fail, calls.ForwardFailure, calls.Refuse)
+BROKEN = calls.Failure.BROKEN
 TICK_MS = 50
 
 
@@ -42,14 +44,14 @@
 def play(seed):
     """Play calls whose attempts end at random.
 
-    Return the route, the sends of each call with their outcomes, and the
-    deadlines that upstreams were handed.
+    Return the route, the outcomes of each call's attempts, its sends with
+    their times, and the failure that it ended with.
     """
     rng = random.Random(seed)
     gw, route = make_gateway(rng)
     gw.budget_limits = builders.retry_budget.Limits(1.0, 1000.0, 10_000)
     weights = [rng.random() ** 2 for _ in OUTCOMES]
-    now_ms, running, outcomes, sends = 10_000, [], {}, {}
+    now_ms, running, outcomes, sends, ends = 10_000, [], {}, {}, {}
     for number in range(CALLS_PER_SEED * 10):
         now_ms += rng.randint(0, TICK_MS)
         if number % 10 == 0:
@@ -69,7 +71,9 @@
             if isinstance(effect, calls.SendCall):
                 running.append(effect.call_id)
                 sends[effect.call_id].append((now_ms, effect))
-    return route, outcomes, sends
+            elif isinstance(effect, FAILURES):
+                ends[effect.call_id] = effect
+    return route, outcomes, sends, ends
 
 
 def _count_sends(sent, outcomes) -> int:
@@ -80,7 +84,7 @@
 class AttemptFuzzTest(unittest.TestCase):
     def test_no_more_upstreams_begin_a_request_than_its_route_allows(self):
         for seed in SEEDS:
-            route, outcomes, sends = play(seed)
+            route, outcomes, sends, _ = play(seed)
             for call_id, sent in sends.items():
                 begun = [o for o in outcomes[call_id] if o not in NOT_BEGUN]
                 # An attempt that has not ended may have begun.
@@ -95,7 +99,7 @@
 
     def test_all_attempts_of_a_call_end_at_the_same_time(self):
         for seed in SEEDS:
-            _, _, sends = play(seed)
+            _, _, sends, _ = play(seed)
             for call_id, sent in sends.items():
                 with self.subTest(seed=seed, call_id=call_id):
                     deadlines = {effect.deadline_ms for _, effect in sent}
@@ -103,11 +107,29 @@
                     for at_ms, effect in sent:
                         self.assertLess(at_ms, effect.deadline_ms)
 
+    def test_an_answered_failure_is_forwarded(self):
+        """A call fails as broken only if its last run did not answer."""
+        reported = set()
+        for seed in SEEDS:
+            _, outcomes, _, ends = play(seed)
+            for call_id, end in ends.items():
+                begun = [o for o in outcomes[call_id] if o not in NOT_BEGUN]
+                if not begun:
+                    continue
+                is_broken = end == calls.Fail(call_id, BROKEN)
+                is_forwarded = isinstance(end, calls.ForwardFailure)
+                reported.add((begun[-1], is_broken, is_forwarded))
+        failed, broken = OUTCOMES.FAILED, OUTCOMES.BROKEN
+        self.assertNotIn((failed, True, False), reported)
+        self.assertNotIn((broken, False, True), reported)
+        self.assertIn((failed, False, True), reported)
+        self.assertIn((broken, True, False), reported)
+
     def test_the_histories_reach_the_bounds(self):
         """The properties would hold if nothing were ever repeated."""
         begun_counts, send_counts = set(), set()
         for seed in SEEDS:
-            _, outcomes, sends = play(seed)
+            _, outcomes, sends, _ = play(seed)
             for call_id, sent in sends.items():
                 begun = [o for o in outcomes[call_id] if o not in NOT_BEGUN]
                 begun_counts.add(len(begun))
--- a/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
+++ b/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
@@ -93,6 +93,22 @@
 
 
 class PausedUpstreamTest(PauseCase):
+    def test_failure_of_an_upstream_was_replaced_while_the_others_paused(self):
+        call_id, effects = self.submit()
+        (receiver,) = self.receivers(effects)
+        for upstream_id in set(PLAIN_IDS) - {receiver}:
+            self.pause(upstream_id)
+        for denies_run in (False, True):
+            with self.subTest(denies_run=denies_run):
+                ended = calls.AttemptEnded(
+                    call_id, Outcome.FAILED, denies_run=denies_run
+                )
+                forwarded = builders.of_type(
+                    self.step(ended), calls.ForwardFailure
+                )
+                self.assertEqual(forwarded, [calls.ForwardFailure(call_id)])
+                call_id, _ = self.submit()
+
     def test_requests_go_to_the_others(self):
         self.pause("p1")
         self.assertEqual(self.serve_many(NOW_MS), {"p2", "p3"})
