Let a stand-in engine serve a client that has left

Cause, by reading: a stand-in that answers without length and chunks wrote to the connection of its request, which is gone if the client left while the request was read.

Change: such a request is dropped. The stand-in also waits for the end of the connection by looking every 5 ms, where it yielded to the loop without a pause. The programs are not touched.

Measured: test_stream_without_length_failed_if_the_client_had_left raised the AttributeError before and passes now.

--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -42,6 +42,8 @@
 PATH_VARIABLE = settings.PATH_VARIABLE
 # Chunks in each streamed answer.
 CHUNK_COUNT = 3
+# Interval, in seconds, at which an engine looks whether a connection closed.
+CLOSE_CHECK_S = 0.005
 # Start of the body of requests that crash each engine that runs them.
 FATAL_PREFIX = b"fatal"
 # Start of the id of a part that crashes each engine that reads it.
@@ -330,6 +332,8 @@
     """Write a stream that ends with its connection, if cut inside an event."""
     rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     transport = request.transport
+    if transport is None:
+        return web.Response()
     transport.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode())
     for number in range(CHUNK_COUNT):
         event = _event(number, body)
@@ -338,7 +342,7 @@
         await asyncio.sleep(engine.service_time_s)
     transport.close()
     while request.protocol.transport is not None:
-        await asyncio.sleep(0)
+        await asyncio.sleep(CLOSE_CHECK_S)
     return web.Response()
 
 
