Judge suspects once a whole report of losses is recorded

Cause: the coordinator judged each suspect as soon as its losses were recorded. A node that hears from a coordinator again reports all it has kept, one identity after another. The first part of all prompts, lost under a deadly part and a fatal body in turn, was judged while the losses of both were still to come in the same message, so that nothing explained its own.

Change: losses of a report, or of a request for a trial, are recorded first, then decided, then each suspect that got a new one is judged once.

Measured: test_a_part_was_judged_before_the_losses_of_its_rival_were_known failed before and passes now.

--- a/bilberryramp/decisions/fleet/coordinator_losses.py
+++ b/bilberryramp/decisions/fleet/coordinator_losses.py
@@ -19,7 +19,7 @@
     "on_lift_suspect",
     "on_loss_report",
     "on_run_report",
-    "record_loss",
+    "record_losses",
     "review_losses",
     "review_suspects",
 ]
@@ -53,33 +53,53 @@
     Publish, Trace
         The changes of suspects.
     """
-    for identity, service, reported in message.losses:
-        lost = upstream_ends.decode_loss(identity, service, reported, now_ms)
-        yield from record_loss(coord, lost, now_ms)
+    losses = [
+        upstream_ends.decode_loss(identity, service, reported, now_ms)
+        for identity, service, reported in message.losses
+    ]
+    yield from record_losses(coord, losses, now_ms)
     yield from _limit_suspects(coord, now_ms)
 
 
-def record_loss(
+def record_losses(
     coord: coordinator_state.Coordinator,
-    lost: upstream_ends.LostAttempt,
+    losses: list[upstream_ends.LostAttempt],
     now_ms: int,
 ) -> Iterator:
-    """Record a loss, and decide it as far as possible.
+    """Record losses, and decide them as far as possible.
+
+    Suspects are judged once all losses are recorded: one that is innocent
+    looks guilty while those of its rivals are missing.
 
     Parameters
     ----------
     coord
         State of the coordinator. Modified in place.
-    lost
-        The lost attempt.
+    losses
+        The lost attempts.
     now_ms
         Current time in milliseconds.
 
     Yields
     ------
     Publish, Trace
-        The changes of its suspect.
+        The changes of their suspects.
     """
+    recorded = [lost for lost in losses if _record_loss(coord, lost)]
+    for lost in recorded:
+        yield from _decide(coord, lost, now_ms)
+    changed = {
+        lost.identity: coord.suspects[lost.identity] for lost in recorded
+    }
+    for identity, suspect in changed.items():
+        if coord.suspects.get(identity) is suspect:
+            yield from fire(coord, suspect, "evidence_changed", now_ms)
+
+
+def _record_loss(
+    coord: coordinator_state.Coordinator, lost: upstream_ends.LostAttempt
+) -> bool:
+    """Add a loss to its suspect; return False if it is known."""
     upstream = coord.table.upstreams.get(lost.upstream_id)
     if upstream is not None and upstream.announcement.born_ms == lost.born_ms:
         # The node may have learned of the process after its last heartbeat.
@@ -91,10 +111,10 @@
     suspect.depth = max(suspect.depth, lost.depth)
     coord.suspects[suspect.key] = suspect
     coord.services[suspect.key] = lost.service
-    if lost.key not in suspect.losses:
-        add_loss(coord, suspect, lost, False)
-        yield from _decide(coord, lost, now_ms)
-        yield from fire(coord, suspect, "evidence_changed", now_ms)
+    if lost.key in suspect.losses:
+        return False
+    add_loss(coord, suspect, lost, False)
+    return True
 
 
 def add_loss(
--- a/bilberryramp/decisions/fleet/coordinator_trials.py
+++ b/bilberryramp/decisions/fleet/coordinator_trials.py
@@ -38,12 +38,16 @@
     Send, Publish, Trace
         The answer, and the changes by the losses in the request.
     """
-    for reported in message.losses:
-        lost = upstream_ends.decode_loss(
+    cleared_ms = coord.cleared_ms.get(message.fingerprint, 0)
+    losses = [
+        upstream_ends.decode_loss(
             message.fingerprint, message.service, reported, now_ms
         )
-        if lost.ended_ms > coord.cleared_ms.get(message.fingerprint, 0):
-            yield from coordinator_losses.record_loss(coord, lost, now_ms)
+        for reported in message.losses
+    ]
+    yield from coordinator_losses.record_losses(
+        coord, [lost for lost in losses if lost.ended_ms > cleared_ms], now_ms
+    )
     requested = message.identities or (message.fingerprint,)
     corrections = tuple(_corrections(coord, message, requested, now_ms))
     if corrections:
--- a/bilberryramp/decisions/fleet/tests/test_part_evidence.py
+++ b/bilberryramp/decisions/fleet/tests/test_part_evidence.py
@@ -194,6 +194,36 @@
         step_ = content.quarantine_coordinator.step
         return list(step_(coord, now_ms, msgs.LossReport(rows)))
 
+    def report_again(self, coord, now_ms, identities_with_depth):
+        """Report trials at three upstreams, all losses of one identity first.
+
+        A node does so when it hears from a coordinator again.
+        """
+        attempts = (("u1", 3000), ("u2", 2700), ("u3", 2400))
+        rows = tuple(
+            (
+                identity,
+                "svc",
+                msgs.ReportedLoss(
+                    upstream_id,
+                    f"{upstream_id}:80",
+                    1000,
+                    5,
+                    ended_ms_ago + 20,
+                    ended_ms_ago,
+                    ended_ms_ago + 20,
+                    10_000,
+                    True,
+                    trial_id=ended_ms_ago,
+                    depth=depth,
+                ),
+            )
+            for identity, depth in identities_with_depth
+            for upstream_id, ended_ms_ago in attempts
+        )
+        step_ = content.quarantine_coordinator.step
+        return list(step_(coord, now_ms, msgs.LossReport(rows)))
+
     def end(self, coord, upstream_id, now_ms):
         """Replace an upstream, which confirms losses at it."""
         content.beat(
@@ -252,6 +282,14 @@
             self.end(coord, upstream_id, now_ms)
         self.assertEqual(content.phase_of(coord, FIRST), "restricted")
 
+    def test_a_part_was_judged_before_the_losses_of_its_rival_were_known(self):
+        coord = content.make_coordinator()
+        for upstream_id in ("u1", "u2", "u3"):
+            self.end(coord, upstream_id, NOW_MS)
+        self.report_again(coord, NOW_MS + 3500, ((FIRST, 0), (DEADLY, 1)))
+        phases = [content.phase_of(coord, i) for i in (FIRST, DEADLY)]
+        self.assertEqual(phases, ["restricted", "quarantined"])
+
     def test_a_part_that_ran_well_needs_more_losses(self):
         coord = content.make_coordinator()
         for number, upstream_id in enumerate(("u1", "u2", "u3")):
