--- a/bilberryramp/decisions/tests/path_driver.py
+++ b/bilberryramp/decisions/tests/path_driver.py
@@ -1255,7 +1255,7 @@
             self.restart_all()
 
     def random_loss(self):
-        """End a run before its answer, or an engine; most often neither."""
+        """Break the runs of an upstream that have not answered, or end it."""
         draw = self.loss_rng.random()
         name = self.loss_rng.choice(tuple(self.engines))
         if draw < 0.01:
