Log what a connection was doing when it ended in a planned stop

Connections now know whether a head or a body is being read, whether a request waits for its handler, and what has not been sent. The stop itself is unchanged.

--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -8,9 +8,11 @@
 import aiohttp
 
 from bilberryramp.decisions.fleet import gateway
+from bilberryramp.decisions.shared import connection_stop
 from bilberryramp.platform import exchanges, standins
 from bilberryramp.standins import faulty_server
 from bilberryramp.tasks import (
+    client_connections,
     fleet_frontend,
     gateway_task,
     mailbox,
@@ -193,13 +195,22 @@
     case.addAsyncCleanup(session.http.close)
     front = fleet_frontend.Frontend(task, session, exchanges, **changes)
     loop = asyncio.get_running_loop()
+    listener = fleet_frontend.make_server(front)
     server = await loop.create_server(
-        fleet_frontend.make_server(front), "127.0.0.1", 0
+        client_connections.protocol_factory(listener), "127.0.0.1", 0
     )
     case.addCleanup(server.close)
     return front, server.sockets[0].getsockname()[1]
 
 
+def is_reading_body(front) -> bool:
+    """Return whether a request's head has been read, but not its body."""
+    return any(
+        conn.state is connection_stop.State.READING_BODY
+        for conn in client_connections.connections(front.listener)
+    )
+
+
 def open_call(session, port, request_id, path="/once/x", **headers):
     """Return a context manager that sends a request and has the response."""
     defaults = {
--- a/bilberryramp/platform/tests/test_deadlines.py
+++ b/bilberryramp/platform/tests/test_deadlines.py
@@ -88,7 +88,7 @@
     async def until_reading(self):
         """Wait until the node has read the head of a request."""
         async with asyncio.timeout(TEST_TIMEOUT_S):
-            while not self.front.busy:
+            while not builders.is_reading_body(self.front):
                 await asyncio.sleep(0.005)
 
     def handed_ms(self):
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -39,7 +39,9 @@
 from bilberryramp.settings import fleet
 from bilberryramp.storage import slots
 from bilberryramp.tasks import (
+    client_connections,
     clock,
+    connection_report,
     fleet_frontend,
     fleet_operator,
     gateway_task,
@@ -440,7 +442,15 @@
             cfg.readiness_address,
             fleet_operator.make_readiness_server(lambda: _is_ready(proc)),
         ),
-        (cfg.client_address, fleet_frontend.make_server(proc.frontend)),
+        (
+            cfg.client_address,
+            client_connections.protocol_factory(
+                fleet_frontend.make_server(proc.frontend)
+            ),
+        ),
+    )
+    proc.frontend.listener.on_end = lambda end: connection_report.report(
+        end, proc.gateway.task_metrics
     )
     loop = asyncio.get_running_loop()
     await _listen_for_metrics(proc, loop)
@@ -528,15 +538,16 @@
     deadline_s = loop.time() + proc.cfg.grace_ms / 1000 - EXIT_MARGIN_S
     fleet_frontend.begin_stop(proc.frontend, deadline_s - ANSWER_MARGIN_S)
     await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-    server, factory = proc.servers[-1]
+    server, _ = proc.servers[-1]
     server.close()
     proc.frontend.is_closing = True
     mailbox.post_now(proc.gateway.inbox, gateway.ShutdownStarted())
-    fleet_frontend.close_connections(proc.frontend, factory)
+    fleet_frontend.close_connections(proc.frontend)
     while loop.time() < deadline_s and not gateway.is_idle(proc.gateway.gw):
         await asyncio.sleep(DRAIN_POLL_S)
     # Time for the last answers to be written to their sockets.
     await asyncio.sleep(DRAIN_POLL_S)
+    client_connections.report_open(proc.frontend.listener)
 
 
 if __name__ == "__main__":
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -1,16 +1,150 @@
-"""Connections of clients, which note when each request arrived."""
+"""Connections of clients: what each one is doing, and how it is closed.
 
+The HTTP library parses requests and writes answers. What it does not tell is
+kept here: when a request arrived, whether it is still being read, whether it
+waits for its turn, and what has not been sent yet.
+"""
+
+import asyncio
 import collections
-from collections.abc import Callable
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable, Iterator
 
 from aiohttp import web
 
+from bilberryramp.decisions.shared import connection_stop
 from bilberryramp.tasks import clock
 
-__all__ = ["ARRIVED_MS", "make_server"]
+__all__ = [
+    "ARRIVED_MS",
+    "ConnectionEnd",
+    "Listener",
+    "connections",
+    "make_server",
+    "new_listener",
+    "protocol_factory",
+    "read_body",
+    "report_open",
+    "serve",
+]
 
 # Time since boot at which the head of a request was read, in milliseconds.
 ARRIVED_MS = web.RequestKey("arrived_ms", int)
+_State = connection_stop.State
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConnectionEnd:
+    """How a connection of a stopping process ended.
+
+    Attributes
+    ----------
+    listener
+        Name of the listener.
+    phase
+        Phase of the stop.
+    state
+        What the connection was doing.
+    reason
+        Why it ended.
+    request_bytes
+        Bytes read of the last request, and of those that wait behind it.
+    answer_bytes
+        Bytes written of its answer.
+    unsent_bytes
+        Bytes that were written but not sent.
+    dropped_bytes
+        Bytes of the client that were read and dropped after the last answer.
+    silent_ms
+        Time since the last byte was read, in milliseconds.
+    """
+
+    listener: str
+    phase: str
+    state: connection_stop.State
+    reason: connection_stop.Reason
+    request_bytes: int
+    answer_bytes: int
+    unsent_bytes: int
+    dropped_bytes: int
+    silent_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Listener:
+    """A listening server and what its connections share.
+
+    Attributes
+    ----------
+    name
+        Name of the listener in logs and metrics.
+    manager
+        The library's server, which hands requests to their handlers.
+    options
+        Options of the library's connections.
+    server
+        Listening sockets; None before they are open.
+    phase
+        Phase of the process's planned stop, see ``charts/shutdown.yaml``.
+    on_end
+        Called with a `ConnectionEnd` for each connection that ends while the
+        process is stopping.
+    """
+
+    name: str
+    manager: web.Server
+    options: dict
+    server: asyncio.Server | None = None
+    phase: str = "running"
+    on_end: Callable = lambda _end: None
+
+
+class _Transport:
+    """Transport of a connection, which counts what is written.
+
+    Attributes
+    ----------
+    inner
+        Transport that owns the socket.
+    written_bytes
+        Number of bytes written.
+    dropped_bytes
+        Number of bytes read after the last byte was written.
+    is_closed
+        Whether the last byte was written.
+    """
+
+    __slots__ = ("dropped_bytes", "inner", "is_closed", "written_bytes")
+
+    def __init__(self, inner: asyncio.Transport):
+        self.inner = inner
+        self.written_bytes = self.dropped_bytes = 0
+        self.is_closed = False
+
+    def __getattr__(self, name: str):
+        """Return an attribute of the inner transport."""
+        return getattr(self.inner, name)
+
+    def write(self, data) -> None:
+        """Write bytes, and count them."""
+        self.written_bytes += len(data)
+        self.inner.write(data)
+
+    def writelines(self, parts) -> None:
+        """Write several byte strings, and count their bytes."""
+        parts = list(parts)
+        self.written_bytes += sum(map(len, parts))
+        self.inner.writelines(parts)
+
+    def is_closing(self) -> bool:
+        """Return whether nothing more can be written."""
+        return self.is_closed or self.inner.is_closing()
+
+    def close(self) -> None:
+        """Close the connection once what was written has been sent."""
+        self.is_closed = True
+        self.inner.close()
 
 
 class _Connection(web.RequestHandler):
@@ -18,51 +152,186 @@
 
     Attributes
     ----------
+    listener
+        Listener that accepted the connection.
     arrivals_ms
         Times since boot at which the heads of the requests that wait for
         their turn were read, in milliseconds and oldest first.
+    link
+        Transport; None before the connection is open.
+    last_read_ms
+        Time since boot at which the last byte was read, in milliseconds.
+    read_bytes
+        Bytes read since the connection was idle.
+    written_before
+        Number of bytes written before the last answer.
+    begun_count, ended_count
+        Numbers of requests whose head was read, and whose answer was written.
+    has_partial_head
+        Whether bytes came that are not part of a request whose head was read.
+    reading
+        Request whose body is being read; None if there is none.
+    current
+        Request that is being handled; None if there is none.
+    last_body
+        Body of the last request that was handled; None if there is none.
+    end_reason
+        Why this process ended the connection; None if it did not.
     """
 
-    __slots__ = ("arrivals_ms",)
+    __slots__ = (
+        "arrivals_ms",
+        "begun_count",
+        "current",
+        "end_reason",
+        "ended_count",
+        "has_partial_head",
+        "last_body",
+        "last_read_ms",
+        "link",
+        "listener",
+        "read_bytes",
+        "reading",
+        "written_before",
+    )
 
-    def __init__(self, *args, **kwargs):
-        super().__init__(*args, **kwargs)
+    def __init__(self, listener: Listener, **options):
+        super().__init__(listener.manager, **options)
+        self.listener = listener
         self.arrivals_ms = collections.deque()
+        self.link = None
+        self.last_read_ms = clock.boot_ms()
+        self.read_bytes = self.written_before = 0
+        self.begun_count = self.ended_count = 0
+        self.has_partial_head = False
+        self.reading = self.current = self.last_body = None
+        self.end_reason = None
+
+    def connection_made(self, transport) -> None:
+        """Wrap the transport of a new connection."""
+        self.link = _Transport(transport)
+        super().connection_made(self.link)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the client, and note the requests that begin."""
+        self.last_read_ms = clock.boot_ms()
+        if self.link.is_closed:
+            self.link.dropped_bytes += len(data)
+            return
+        if self.begun_count == self.ended_count and not self.has_partial_head:
+            self.read_bytes = 0
+        self.read_bytes += len(data)
         known_count = self._request_count
+        is_body = _has_unread_body(self)
         super().data_received(data)
         if begun_count := self._request_count - known_count:
-            self.arrivals_ms.extend([clock.boot_ms()] * begun_count)
+            self.arrivals_ms.extend([self.last_read_ms] * begun_count)
+            self.begun_count += begun_count
+            self.has_partial_head = False
+        elif self.begun_count == self.ended_count and not is_body:
+            self.has_partial_head = True
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Report the end of the connection if the process is stopping."""
+        if self.listener.phase != "running":
+            self.listener.on_end(_describe_end(self))
+        super().connection_lost(exc)
+
+
+def _has_unread_body(conn: _Connection) -> bool:
+    """Return whether an answer was given before the end of its request."""
+    return conn.last_body is not None and not conn.last_body.is_eof()
+
+
+def _describe_end(conn: _Connection) -> ConnectionEnd:
+    return ConnectionEnd(
+        conn.listener.name,
+        conn.listener.phase,
+        _state_of(conn),
+        _end_reason(conn),
+        conn.read_bytes,
+        conn.link.written_bytes - conn.written_before,
+        conn.link.inner.get_write_buffer_size(),
+        conn.link.dropped_bytes,
+        clock.boot_ms() - conn.last_read_ms,
+    )
+
 
+def _end_reason(conn: _Connection) -> connection_stop.Reason:
+    if conn.end_reason is not None:
+        return conn.end_reason
+    if conn.link.is_closed:
+        return connection_stop.Reason.LAST_ANSWER
+    return connection_stop.Reason.CLIENT
 
-class _Server(web.Server):
-    """Factory of `_Connection`."""
 
-    def __call__(self) -> _Connection:
-        """Return the protocol of a new connection."""
-        return _Connection(self, loop=self._loop, **self._kwargs)
+def _state_of(conn: _Connection) -> connection_stop.State:
+    if conn.link.is_closed:
+        return _State.CLOSING
+    if conn.begun_count > conn.ended_count:
+        if conn.reading is not None:
+            return _State.READING_BODY
+        return _State.QUEUED if conn.current is None else _State.ANSWERING
+    if conn.has_partial_head:
+        return _State.READING_HEAD
+    if conn.link.inner.get_write_buffer_size():
+        return _State.ANSWERING
+    return _State.IDLE
+
+
+def new_listener(name: str, manager: web.Server, **options) -> Listener:
+    """Create a listener that has no sockets yet.
+
+    Parameters
+    ----------
+    name
+        As in `Listener`.
+    manager
+        The library's server, for example `web.AppRunner.server`. Its handlers
+        must go through `serve`.
+    options
+        Options of `web.RequestHandler`.
+
+    Returns
+    -------
+    Listener
+        The listener.
+    """
+    return Listener(name, manager, options)
+
+
+def protocol_factory(listener: Listener) -> Callable:
+    """Return the protocol factory of a listener for `loop.create_server`."""
+    loop = asyncio.get_running_loop()
+    return lambda: _Connection(listener, loop=loop, **listener.options)
 
 
 def make_server(
-    serve: Callable, make_request: Callable, **options
-) -> web.Server:
-    """Return a protocol factory whose requests have `ARRIVED_MS`.
+    name: str,
+    handle: Callable,
+    make_request: Callable,
+    handler_cancellation: bool = False,
+    **options,
+) -> Listener:
+    """Return a listener whose requests have `ARRIVED_MS`.
 
     Parameters
     ----------
-    serve
+    name
+        As in `Listener`.
+    handle
         Coroutine function that takes a request and returns its response.
     make_request
         Request factory, as `web.Server` takes it.
+    handler_cancellation
+        Whether the handling of a request ends when its client leaves.
     options
-        Further arguments of `web.Server`.
+        Options of `web.RequestHandler`.
 
     Returns
     -------
-    web.Server
-        Protocol factory for `loop.create_server`.
+    Listener
+        Listener that has no sockets yet.
     """
 
     def make_timed(message, payload, protocol, writer, task):
@@ -70,4 +339,86 @@
         request[ARRIVED_MS] = protocol.arrivals_ms.popleft()
         return request
 
-    return _Server(serve, request_factory=make_timed, **options)
+    async def handle_to_end(request: web.BaseRequest) -> web.StreamResponse:
+        return await serve(request, handle)
+
+    manager = web.Server(
+        handle_to_end,
+        request_factory=make_timed,
+        handler_cancellation=handler_cancellation,
+    )
+    return new_listener(name, manager, **options)
+
+
+async def serve(
+    request: web.BaseRequest, handle: Callable
+) -> web.StreamResponse:
+    """Handle a request until its answer has been written.
+
+    Parameters
+    ----------
+    request
+        Request on a connection of a `Listener`.
+    handle
+        Coroutine function that takes the request and returns its response.
+
+    Returns
+    -------
+    web.StreamResponse
+        Response, written to its end unless the client has left.
+    """
+    conn = request.protocol
+    conn.current = request
+    conn.written_before = conn.link.written_bytes
+    try:
+        response = await handle(request)
+        with contextlib.suppress(ConnectionError):
+            await response.prepare(request)
+            await response.write_eof()
+        return response
+    finally:
+        conn.current = None
+        conn.last_body = request.content
+        conn.ended_count += 1
+
+
+async def read_body(
+    request: web.BaseRequest, read: Callable[[web.BaseRequest], Awaitable]
+):
+    """Read the body of a request, and note meanwhile that it is read.
+
+    Parameters
+    ----------
+    request
+        Request on a connection of a `Listener`.
+    read
+        Coroutine function that takes the request and reads its body.
+
+    Returns
+    -------
+    object
+        Result of `read`.
+    """
+    conn = request.protocol
+    conn.reading = request
+    try:
+        return await read(request)
+    finally:
+        conn.reading = None
+
+
+def connections(listener: Listener) -> Iterator[connection_stop.Connection]:
+    """Yield what each connection of a listener is doing."""
+    for conn in listener.manager.connections:
+        if conn.link is not None:
+            yield connection_stop.Connection(
+                conn, _state_of(conn), conn.last_read_ms
+            )
+
+
+def report_open(listener: Listener) -> None:
+    """Report the connections that the end of the process will close."""
+    for conn in listener.manager.connections:
+        if conn.link is not None:
+            conn.end_reason = connection_stop.Reason.GRACE_OVER
+            listener.on_end(_describe_end(conn))
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -84,6 +84,9 @@
         all further requests are refused.
     busy
         Connections with a request in progress.
+    listener
+        Listener that accepts the clients' connections; None before it was
+        made.
     stop_by_s
         Time of the event loop by which a stopping node answers all requests;
         infinite until a planned stop has begun.
@@ -99,22 +102,23 @@
     is_stopping: bool = False
     is_closing: bool = False
     busy: set = dataclasses.field(default_factory=set)
+    listener: client_connections.Listener | None = None
     stop_by_s: float = math.inf
     fast_until_s: float = -math.inf
 
 
-def make_server(front: Frontend) -> web.Server:
-    """Return the protocol factory for client connections.
+def make_server(front: Frontend) -> client_connections.Listener:
+    """Return the listener for client connections.
 
     Parameters
     ----------
     front
-        State that all requests share.
+        State that all requests share. Its listener is set.
 
     Returns
     -------
-    web.Server
-        Protocol factory for `loop.create_server`.
+    Listener
+        Listener that has no sockets yet.
     """
 
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
@@ -129,7 +133,8 @@
         lambda: _limits(front).body_bytes
     )
     idle_s = documents.CallLimits().idle_timeout_ms / 1000 + IDLE_SLACK_S
-    return client_connections.make_server(
+    front.listener = client_connections.make_server(
+        "clients",
         serve,
         make_request,
         handler_cancellation=True,
@@ -140,6 +145,7 @@
         max_field_size=MAX_HEADER_LINE_BYTES,
         max_headers=MAX_HEADERS,
     )
+    return front.listener
 
 
 def _limits(front: Frontend) -> documents.CallLimits:
@@ -161,22 +167,22 @@
         As in `Frontend`.
     """
     front.is_stopping = True
+    front.listener.phase = "announced"
     front.stop_by_s = stop_by_s
     for call_id in front.gateway.attempts:
         gateway_task.end_attempt(front.gateway, call_id, stop_by_s)
 
 
-def close_connections(front: Frontend, server: web.Server) -> None:
+def close_connections(front: Frontend) -> None:
     """Close idle connections now and each busy one after its answer.
 
     Parameters
     ----------
     front
         State that all requests share.
-    server
-        Server that owns the connections.
     """
-    for conn in server.connections:
+    front.listener.phase = "draining"
+    for conn in front.listener.manager.connections:
         if conn in front.busy:
             conn.close()
         elif conn.transport is not None:
@@ -201,7 +207,9 @@
         Complete response, or a truncated one whose connection was closed.
     """
     try:
-        body, fingerprint = await http_requests.read_fingerprinted(request)
+        body, fingerprint = await client_connections.read_body(
+            request, http_requests.read_fingerprinted
+        )
     except web.HTTPRequestEntityTooLarge:
         return _error_response(front, 413, "the body exceeds the limit", 0)
     task = front.gateway
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -88,6 +88,14 @@
     "The functions that took the most processor time since the last such "
     "line. Written only if profiling was requested by a flag.",
 )
+CONNECTION_ENDED = _declare(
+    1007,
+    "connection.ended",
+    "A connection ended while the program was stopping. `state` says what it "
+    "was doing and `reason` why it ended. A `state` other than `idle` and "
+    "`closing` with the reason `grace_over` is a request without an answer: "
+    "check whether `grace_ms` suits the requests.",
+)
 ROLE_CHANGED = _declare(
     2001,
     "control.role",
