Read requests to their end in a planned stop

Cause: the stop knew calls, not connections. The HTTP library's close() of a busy connection drops all further bytes of it, the rest of a body included; a connection with a part of a head counted as idle; the exit waited for calls whose body had been read only; and the first answer closed a connection on which a second request was already waiting.

The phases of a stop now follow charts/shutdown.yaml, with the time of notice and the grace period of the process. connection_stop decides what happens with each connection and connection_drain does it: idle ones are closed, requests that began before the listener closed are read on and served, and refused if they stall for 2 s or reading would leave no time for the answer. Requests being read and answers not yet sent hold the exit. Only the last answer of a connection says Connection: close. Operators' connections are drained too, but accepted to the end, as other nodes redirect to the leader until it is gone.

The refusal of a large body is still reset, and stays listed.

--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -27,7 +27,7 @@
     suspect_memory,
     upstream_pauses,
 )
-from bilberryramp.decisions.shared import pauses, quarantine
+from bilberryramp.decisions.shared import pauses, quarantine, shutdown
 from bilberryramp.platform import (
     engine_orders,
     exchanges,
@@ -41,7 +41,7 @@
 from bilberryramp.tasks import (
     client_connections,
     clock,
-    connection_report,
+    connection_drain,
     fleet_frontend,
     fleet_operator,
     gateway_task,
@@ -61,13 +61,11 @@
 LISTEN_BACKLOG = 512
 # Time after the stop signal for which new connections are accepted. The load
 # balancer stops sending them after two failed checks, one per second.
-ACCEPT_AFTER_STOP_S = 2.6
+ACCEPT_AFTER_STOP_MS = 2600
 # Part of the grace period that is reserved for the exit of the process.
-EXIT_MARGIN_S = 0.5
+EXIT_MARGIN_MS = 500
 # Time before that at which attempts end, so that their answers are written.
-ANSWER_MARGIN_S = 0.3
-# Interval at which a stopping node checks whether all requests have ended.
-DRAIN_POLL_S = 0.05
+ANSWER_MARGIN_MS = 300
 # Interval at which the settings file is checked for changes.
 SETTINGS_POLL_S = 1.0
 # Number of heartbeat intervals within which a node that has just started
@@ -145,8 +143,10 @@
     suspects
         Task that keeps the list of suspects; None without a disk.
     servers
-        Pairs of a listening server and its protocol factory. The last pair
-        is the one for clients, which a stopping node closes first.
+        Listening servers for readiness checks and metrics, which are open
+        until the process ends.
+    listeners
+        Listeners for operators and clients, which a stopping node closes.
     stop_requested
         Set on SIGTERM or SIGINT.
     was_ready
@@ -162,6 +162,7 @@
     holder: holder_task.HolderTask | None = None
     suspects: suspect_store.SuspectStore | None = None
     servers: list = dataclasses.field(default_factory=list)
+    listeners: list = dataclasses.field(default_factory=list)
     stop_requested: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
@@ -436,31 +437,28 @@
     api = fleet_operator.OperatorApi(
         proc.register, proc.gateway, operator_calls
     )
-    servers = (
-        (cfg.operator_address, fleet_operator.make_server(api)),
-        (
-            cfg.readiness_address,
-            fleet_operator.make_readiness_server(lambda: _is_ready(proc)),
-        ),
-        (
-            cfg.client_address,
-            client_connections.protocol_factory(
-                fleet_frontend.make_server(proc.frontend)
-            ),
-        ),
-    )
-    proc.frontend.listener.on_end = lambda end: connection_report.report(
-        end, proc.gateway.task_metrics
-    )
     loop = asyncio.get_running_loop()
     await _listen_for_metrics(proc, loop)
-    for address, factory in servers:
+    if cfg.readiness_address:
+        factory = fleet_operator.make_readiness_server(lambda: _is_ready(proc))
+        proc.servers.append(
+            await _create_server(loop, cfg.readiness_address, factory)
+        )
+    for address, listener in (
+        (cfg.operator_address, fleet_operator.make_server(api)),
+        (cfg.client_address, fleet_frontend.make_server(proc.frontend)),
+    ):
         if address:
-            host, _, port = address.rpartition(":")
-            server = await loop.create_server(
-                factory, host, int(port), backlog=LISTEN_BACKLOG
-            )
-            proc.servers.append((server, factory))
+            factory = client_connections.protocol_factory(listener)
+            listener.server = await _create_server(loop, address, factory)
+            proc.listeners.append(listener)
+
+
+async def _create_server(loop, address: str, factory) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    return await loop.create_server(
+        factory, host, int(port), backlog=LISTEN_BACKLOG
+    )
 
 
 async def _listen_for_metrics(proc: NodeProcess, loop) -> None:
@@ -477,7 +475,7 @@
         # A node that cannot serve its metrics still serves requests.
         events.emit(events.METRICS_UNAVAILABLE, reason=str(exc))
         return
-    proc.servers.append((server, factory))
+    proc.servers.append(server)
 
 
 def _is_ready(proc: NodeProcess) -> bool:
@@ -534,20 +532,32 @@
 async def _shut_down_on_request(proc: NodeProcess) -> None:
     await proc.stop_requested.wait()
     events.emit(events.STOPPING)
-    loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + proc.cfg.grace_ms / 1000 - EXIT_MARGIN_S
-    fleet_frontend.begin_stop(proc.frontend, deadline_s - ANSWER_MARGIN_S)
-    await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-    server, _ = proc.servers[-1]
-    server.close()
-    proc.frontend.is_closing = True
-    mailbox.post_now(proc.gateway.inbox, gateway.ShutdownStarted())
-    fleet_frontend.close_connections(proc.frontend)
-    while loop.time() < deadline_s and not gateway.is_idle(proc.gateway.gw):
-        await asyncio.sleep(DRAIN_POLL_S)
-    # Time for the last answers to be written to their sockets.
-    await asyncio.sleep(DRAIN_POLL_S)
-    client_connections.report_open(proc.frontend.listener)
+    grace_ms = proc.cfg.grace_ms - EXIT_MARGIN_MS
+    fleet_frontend.begin_stop(
+        proc.frontend,
+        asyncio.get_running_loop().time()
+        + (grace_ms - ANSWER_MARGIN_MS) / 1000,
+    )
+    stop = shutdown.Shutdown(
+        fleet_launch.bind_chart("shutdown", shutdown),
+        lambda: (
+            gateway.is_idle(proc.gateway.gw)
+            and not connection_drain.holds_exit(proc.listeners)
+        ),
+        ACCEPT_AFTER_STOP_MS,
+        grace_ms,
+    )
+    await connection_drain.run(
+        connection_drain.Drain(
+            stop,
+            proc.listeners,
+            ANSWER_MARGIN_MS,
+            lambda: mailbox.post_now(
+                proc.gateway.inbox, gateway.ShutdownStarted()
+            ),
+            proc.gateway.task_metrics,
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -9,6 +9,7 @@
 import collections
 import contextlib
 import dataclasses
+import math
 from collections.abc import Awaitable, Callable, Iterator
 
 from aiohttp import web
@@ -20,12 +21,17 @@
     "ARRIVED_MS",
     "ConnectionEnd",
     "Listener",
+    "ReadingEndedError",
+    "began_in_drain",
+    "close",
     "connections",
+    "end_reading",
+    "is_last",
     "make_server",
+    "mark_last",
     "new_listener",
     "protocol_factory",
     "read_body",
-    "report_open",
     "serve",
 ]
 
@@ -34,6 +40,10 @@
 _State = connection_stop.State
 
 
+class ReadingEndedError(Exception):
+    """A stopping process reads no more of a request's body."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ConnectionEnd:
     """How a connection of a stopping process ended.
@@ -83,10 +93,15 @@
         The library's server, which hands requests to their handlers.
     options
         Options of the library's connections.
+    accepts_to_end
+        Whether connections are accepted until the process ends.
     server
         Listening sockets; None before they are open.
     phase
         Phase of the process's planned stop, see ``charts/shutdown.yaml``.
+    drained_ms
+        Time since boot from which requests that begin are refused, in
+        milliseconds; infinite while there is none.
     on_end
         Called with a `ConnectionEnd` for each connection that ends while the
         process is stopping.
@@ -95,8 +110,10 @@
     name: str
     manager: web.Server
     options: dict
+    accepts_to_end: bool = False
     server: asyncio.Server | None = None
     phase: str = "running"
+    drained_ms: float = math.inf
     on_end: Callable = lambda _end: None
 
 
@@ -170,7 +187,7 @@
     has_partial_head
         Whether bytes came that are not part of a request whose head was read.
     reading
-        Request whose body is being read; None if there is none.
+        Timeout of the body that is being read; None if there is none.
     current
         Request that is being handled; None if there is none.
     last_body
@@ -272,6 +289,8 @@
         if conn.reading is not None:
             return _State.READING_BODY
         return _State.QUEUED if conn.current is None else _State.ANSWERING
+    if _has_unread_body(conn):
+        return _State.ANSWERED_EARLY
     if conn.has_partial_head:
         return _State.READING_HEAD
     if conn.link.inner.get_write_buffer_size():
@@ -373,6 +392,8 @@
     try:
         response = await handle(request)
         with contextlib.suppress(ConnectionError):
+            if not response.prepared:
+                mark_last(request, response)
             await response.prepare(request)
             await response.write_eof()
         return response
@@ -385,7 +406,7 @@
 async def read_body(
     request: web.BaseRequest, read: Callable[[web.BaseRequest], Awaitable]
 ):
-    """Read the body of a request, and note meanwhile that it is read.
+    """Read the body of a request, unless a planned stop ends the reading.
 
     Parameters
     ----------
@@ -398,15 +419,55 @@
     -------
     object
         Result of `read`.
+
+    Raises
+    ------
+    ReadingEndedError
+        When the process stops, and reads no more of the body.
     """
     conn = request.protocol
-    conn.reading = request
+    timeout = asyncio.timeout(None)
     try:
-        return await read(request)
+        async with timeout:
+            conn.reading = timeout
+            return await read(request)
+    except TimeoutError:
+        raise ReadingEndedError from None
     finally:
         conn.reading = None
 
 
+def is_last(request: web.BaseRequest) -> bool:
+    """Return whether the answer to a request is its connection's last one.
+
+    That is so in a planned stop, unless more requests have arrived.
+    """
+    conn = request.protocol
+    return (
+        conn.listener.phase != "running"
+        and conn.begun_count == conn.ended_count + 1
+    )
+
+
+def began_in_drain(request: web.BaseRequest) -> bool:
+    """Return whether a request began after its listener was closed."""
+    return request[ARRIVED_MS] >= request.protocol.listener.drained_ms
+
+
+def mark_last(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Let an answer say that it is the last one, if it is.
+
+    Parameters
+    ----------
+    request
+        Request on a connection of a `Listener`.
+    response
+        Its response, whose head has not been sent. Modified in place.
+    """
+    if is_last(request):
+        response.force_close()
+
+
 def connections(listener: Listener) -> Iterator[connection_stop.Connection]:
     """Yield what each connection of a listener is doing."""
     for conn in listener.manager.connections:
@@ -416,9 +477,29 @@
             )
 
 
-def report_open(listener: Listener) -> None:
-    """Report the connections that the end of the process will close."""
-    for conn in listener.manager.connections:
-        if conn.link is not None:
-            conn.end_reason = connection_stop.Reason.GRACE_OVER
-            listener.on_end(_describe_end(conn))
+def end_reading(conn: _Connection, reason: connection_stop.Reason) -> None:
+    """Let `read_body` end before the body of the current request."""
+    if conn.reading is not None:
+        conn.end_reason = reason
+        conn.reading.reschedule(asyncio.get_running_loop().time())
+
+
+def close(conn: _Connection, reason: connection_stop.Reason) -> None:
+    """Close a connection that owes no answer.
+
+    Parameters
+    ----------
+    conn
+        Key of a `connection_stop.Connection`.
+    reason
+        Reason to report.
+    """
+    conn.end_reason = reason
+    if reason is connection_stop.Reason.GRACE_OVER:
+        conn.link.inner.abort()
+    elif reason is connection_stop.Reason.IDLE:
+        # Requests that come later are reset, so that the client knows at
+        # once that they were not read.
+        conn.link.inner.close()
+    else:
+        conn.link.close()
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -30,7 +30,6 @@
 __all__ = [
     "Frontend",
     "begin_stop",
-    "close_connections",
     "handle",
     "make_server",
 ]
@@ -38,6 +37,8 @@
 # Time added to the documented idle timeout of client connections, so that the
 # server does not close a connection before that timeout.
 IDLE_SLACK_S = 2.0
+# Time that a stopping node must have left to send a request to an upstream.
+MIN_SERVE_S = 2.0
 # Maximum length of the request line and of one header, and maximum number of
 # headers.
 MAX_HEADER_LINE_BYTES = 16384
@@ -76,14 +77,6 @@
     max_answer_bytes
         Maximum size of the body of an answer that is not a stream, in bytes;
         the attempt of a larger one fails.
-    is_stopping
-        Whether a planned stop has begun, after which each answer closes its
-        connection.
-    is_closing
-        Whether the stopping node accepts no more connections, after which
-        all further requests are refused.
-    busy
-        Connections with a request in progress.
     listener
         Listener that accepts the clients' connections; None before it was
         made.
@@ -99,9 +92,6 @@
     session: upstream_exchange.Session
     wire: ModuleType
     max_answer_bytes: int = MAX_ANSWER_BYTES
-    is_stopping: bool = False
-    is_closing: bool = False
-    busy: set = dataclasses.field(default_factory=set)
     listener: client_connections.Listener | None = None
     stop_by_s: float = math.inf
     fast_until_s: float = -math.inf
@@ -122,12 +112,7 @@
     """
 
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
-        conn = request.protocol
-        front.busy.add(conn)
-        try:
-            return await handle(front, request)
-        finally:
-            front.busy.discard(conn)
+        return await handle(front, request)
 
     make_request = http_requests.make_factory(
         lambda: _limits(front).body_bytes
@@ -154,7 +139,7 @@
 
 
 def begin_stop(front: Frontend, stop_by_s: float) -> None:
-    """Close each connection after its answer, and end attempts in time.
+    """End attempts in time for their answers to be written.
 
     A request that an upstream still runs at the end of a planned stop is
     answered as timed out.
@@ -166,29 +151,11 @@
     stop_by_s
         As in `Frontend`.
     """
-    front.is_stopping = True
-    front.listener.phase = "announced"
     front.stop_by_s = stop_by_s
     for call_id in front.gateway.attempts:
         gateway_task.end_attempt(front.gateway, call_id, stop_by_s)
 
 
-def close_connections(front: Frontend) -> None:
-    """Close idle connections now and each busy one after its answer.
-
-    Parameters
-    ----------
-    front
-        State that all requests share.
-    """
-    front.listener.phase = "draining"
-    for conn in front.listener.manager.connections:
-        if conn in front.busy:
-            conn.close()
-        elif conn.transport is not None:
-            conn.transport.close()
-
-
 async def handle(
     front: Frontend, request: web.BaseRequest
 ) -> web.StreamResponse:
@@ -211,7 +178,11 @@
             request, http_requests.read_fingerprinted
         )
     except web.HTTPRequestEntityTooLarge:
-        return _error_response(front, 413, "the body exceeds the limit", 0)
+        return _error_response(413, "the body exceeds the limit", 0)
+    except client_connections.ReadingEndedError:
+        return _error_response(
+            _REFUSED_STATUS, calls.Refusal.STOPPING.value, 0
+        )
     task = front.gateway
     call_id = task.next_call_id
     task.next_call_id += 1
@@ -221,9 +192,9 @@
         request.headers,
         fingerprint,
     )
-    if front.is_closing:
+    if _is_too_late(front, request):
         return _refusal_response(
-            front, calls.Refuse(call_id, calls.Refusal.STOPPING, 0)
+            calls.Refuse(call_id, calls.Refusal.STOPPING, 0)
         )
     fut = gateway_task.next_decision(task, call_id)
     arrived = calls.CallArrived(
@@ -238,6 +209,16 @@
         raise
 
 
+def _is_too_late(front: Frontend, request: web.BaseRequest) -> bool:
+    """Return whether a stopping node refuses a request that it has read.
+
+    It refuses those that began after its listener was closed, and those that
+    are complete so late that an upstream might not end them in time.
+    """
+    left_s = front.stop_by_s - asyncio.get_running_loop().time()
+    return client_connections.began_in_drain(request) or left_s < MIN_SERVE_S
+
+
 async def _run_attempts(
     front, request, body, req, call_id, fut
 ) -> web.StreamResponse:
@@ -248,9 +229,9 @@
         decision = await fut
         match decision:
             case calls.Refuse():
-                return _refusal_response(front, decision)
+                return _refusal_response(decision)
             case calls.Fail():
-                return _failure_response(front, decision.reason)
+                return _failure_response(decision.reason)
             case calls.ForwardFailure():
                 return _full_response(front, failed_answer)
         fut = gateway_task.next_decision(task, call_id)
@@ -276,7 +257,7 @@
         if outcome is calls.AttemptOutcome.TIMED_OUT:
             task.decisions.pop(call_id, None)
             return attempt.response or _failure_response(
-                front, calls.Failure.TIMED_OUT
+                calls.Failure.TIMED_OUT
             )
 
 
@@ -478,6 +459,7 @@
     response = _stream_response(
         attempt.front, exchange.resp.status, exchange.resp.raw_headers
     )
+    client_connections.mark_last(attempt.request, response)
     attempt.response = response
     await response.prepare(attempt.request)
     loop = asyncio.get_running_loop()
@@ -534,8 +516,6 @@
     response = web.StreamResponse(status=status)
     for name, value in front.wire.client_answer_headers(raw_headers):
         response.headers.add(name, value)
-    if front.is_stopping:
-        response.force_close()
     return response
 
 
@@ -544,28 +524,24 @@
     response.headers.pop(hdrs.CONTENT_TYPE, None)
     for name, value in front.wire.client_answer_headers(answer.raw_headers):
         response.headers.add(name, value)
-    if front.is_stopping:
-        response.force_close()
     return response
 
 
-def _refusal_response(front: Frontend, refusal: calls.Refuse) -> web.Response:
+def _refusal_response(refusal: calls.Refuse) -> web.Response:
     status = _STATUS.get(refusal.reason, _REFUSED_STATUS)
     return _error_response(
-        front, status, refusal.reason.value, refusal.retry_after_ms
+        status, refusal.reason.value, refusal.retry_after_ms
     )
 
 
-def _failure_response(front: Frontend, reason: calls.Failure) -> web.Response:
-    return _error_response(front, _STATUS[reason], reason.value, 0)
+def _failure_response(reason: calls.Failure) -> web.Response:
+    return _error_response(_STATUS[reason], reason.value, 0)
 
 
 def _error_response(
-    front: Frontend, status: int, reason: str, retry_after_ms: int
+    status: int, reason: str, retry_after_ms: int
 ) -> web.Response:
     response = web.json_response({"error": {"code": reason}}, status=status)
     if retry_after_ms:
         response.headers[hdrs.RETRY_AFTER] = f"{retry_after_ms / 1000:.3f}"
-    if front.is_stopping:
-        response.force_close()
     return response
--- a/bilberryramp/tasks/fleet_operator.py
+++ b/bilberryramp/tasks/fleet_operator.py
@@ -16,6 +16,7 @@
     suspects,
 )
 from bilberryramp.tasks import (
+    client_connections,
     clock,
     gateway_task,
     http_requests,
@@ -60,8 +61,8 @@
     wire: ModuleType
 
 
-def make_server(api: OperatorApi) -> web.Server:
-    """Return the protocol factory for operators' and upstreams' connections.
+def make_server(api: OperatorApi) -> client_connections.Listener:
+    """Return the listener for operators' and upstreams' connections.
 
     Parameters
     ----------
@@ -70,12 +71,17 @@
 
     Returns
     -------
-    web.Server
-        Protocol factory for `loop.create_server`.
+    Listener
+        Listener that has no sockets yet.
     """
 
     async def serve(request: web.BaseRequest) -> web.Response:
-        body = await request.read()
+        try:
+            body = await client_connections.read_body(
+                request, web.BaseRequest.read
+            )
+        except client_connections.ReadingEndedError:
+            return _message_response(503, "the node is stopping")
         if f"{request.path}/".startswith(f"{QUARANTINE_PATH}/"):
             return _serve_quarantine(api, request)
         call = api.wire.decode(request.method, request.path, body)
@@ -101,7 +107,12 @@
         return _message_response(404, "no such call")
 
     make_request = http_requests.make_factory(lambda: MAX_BODY_BYTES)
-    return web.Server(serve, request_factory=make_request, access_log=None)
+    listener = client_connections.make_server(
+        "operators", serve, make_request, access_log=None
+    )
+    # Other nodes redirect operators to the leader until it has gone.
+    listener.accepts_to_end = True
+    return listener
 
 
 def make_readiness_server(is_ready: Callable[[], bool]) -> web.Server:
