Read on before closing a connection whose answer is its last

A connection now sends what was written and its end, drops what still comes, and closes when the client closes, is silent for 1 s, or after 3 s. Such a connection holds the exit of a stopping process until then.

--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -37,6 +37,12 @@
 
 # Time since boot at which the head of a request was read, in milliseconds.
 ARRIVED_MS = web.RequestKey("arrived_ms", int)
+# Time without a byte of the client after which a connection whose last answer
+# was sent is closed, and longest time until then. A connection that is closed
+# with unread bytes is reset, which may take away an answer that the client has
+# not read.
+LINGER_S = 1.0
+MAX_LINGER_S = 3.0
 _State = connection_stop.State
 
 
@@ -118,7 +124,7 @@
 
 
 class _Transport:
-    """Transport of a connection, which counts what is written.
+    """Transport of a connection, which closes without a reset.
 
     Attributes
     ----------
@@ -159,9 +165,27 @@
         return self.is_closed or self.inner.is_closing()
 
     def close(self) -> None:
-        """Close the connection once what was written has been sent."""
+        """Send what was written, and read until the client closes."""
+        if self.is_closing():
+            return
         self.is_closed = True
-        self.inner.close()
+        self.inner.write_eof()
+        self.inner.resume_reading()
+        _linger(self, asyncio.get_running_loop().time() + MAX_LINGER_S)
+
+
+def _linger(link: _Transport, end_s: float) -> None:
+    """Close a socket once the client sends no more, or at a given time."""
+    loop = asyncio.get_running_loop()
+    known_bytes = link.dropped_bytes
+
+    def close_if_silent() -> None:
+        if link.dropped_bytes > known_bytes and loop.time() < end_s:
+            _linger(link, end_s)
+        else:
+            link.inner.close()
+
+    loop.call_later(LINGER_S, close_if_silent)
 
 
 class _Connection(web.RequestHandler):
