Ignore a reload signal until a starting program can obey it

Programs that reload their settings now ignore SIGHUP from the import of their package on. Stops are unchanged. test_a_reload_during_the_imports_ended_the_program fails before with code -1 for both programs.

--- a/bilberryramp/programs/__init__.py
+++ b/bilberryramp/programs/__init__.py
@@ -2,7 +2,8 @@
 
 Importing this package is the first thing that a program does, before the
 slower imports of its own module. Until a service installs its own handlers, a
-stop signal ends it with exit code 0, since it has accepted no work.
+stop signal ends it with exit code 0, since it has accepted no work, and one
+that reloads its settings on SIGHUP ignores this signal.
 """
 
 import pathlib
@@ -20,19 +21,20 @@
 ]
 
 _SERVICES = ("agent", "control", "entry", "node", "standin", "upstream")
-_SERVICE_NAMES = frozenset(
-    name
-    for service in _SERVICES
-    for name in (f"{__name__}.{service}", f"bilberry-{service}")
-)
+_RELOADING_SERVICES = ("agent", "node")
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-def _is_service(arguments: list[str]) -> bool:
-    """Return whether Python was started to run a long-running program."""
+def _was_started(services: tuple[str, ...]) -> bool:
+    """Return whether Python was started to run one of the programs."""
+    names = {
+        name
+        for service in services
+        for name in (f"{__name__}.{service}", f"bilberry-{service}")
+    }
     return any(
-        pathlib.PurePath(argument).name in _SERVICE_NAMES
-        for argument in arguments[1:]
+        pathlib.PurePath(argument).name in names
+        for argument in sys.orig_argv[1:]
     )
 
 
@@ -40,6 +42,8 @@
     sys.exit(0)
 
 
-if _is_service(sys.orig_argv):
+if _was_started(_SERVICES):
     for _signum in _STOP_SIGNALS:
         signal.signal(_signum, _exit_before_start)
+if _was_started(_RELOADING_SERVICES):
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/bilberryramp/standins/tests/test_early_stop.py
+++ b/bilberryramp/standins/tests/test_early_stop.py
@@ -5,6 +5,8 @@
 import sys
 import unittest
 
+RELOADING_SERVICES = ("agent", "node")
+EXIT_BAD_SETTINGS = 2
 SERVICES = ("agent", "control", "entry", "node", "standin", "upstream")
 PACKAGE_IMPORTED = "| bilberryramp.programs\n"
 TIMEOUT_S = 60
@@ -18,6 +20,14 @@
                 with self.subTest(service=service, signal=signum.name):
                     self.assertEqual(self.stop_early(service, signum), 0)
 
+    def test_a_reload_during_the_imports_ended_the_program(self):
+        """It goes on to read its settings, which are missing here."""
+        for service in RELOADING_SERVICES:
+            with self.subTest(service=service):
+                self.assertEqual(
+                    self.stop_early(service, signal.SIGHUP), EXIT_BAD_SETTINGS
+                )
+
     def stop_early(self, service, signum) -> int:
         """Stop a program once its package is imported; return its code."""
         child = subprocess.Popen(
