Notice a change of the settings made while a node starts

The file's signature was taken when the watching task began, after the file had been read, so that a change in between took effect with the next one only.

The signature is taken before the file is read.

--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -132,6 +132,8 @@
         Settings with which the process started.
     settings_path
         Path of the settings file.
+    settings_signature
+        Signature of the settings file before it was read last.
     register, gateway
         Tasks that own the register's and the gateway's state.
     frontend
@@ -155,6 +157,7 @@
 
     cfg: fleet.NodeSettings
     settings_path: str
+    settings_signature: tuple
     register: register_task.RegisterTask
     gateway: gateway_task.GatewayTask
     frontend: fleet_frontend.Frontend
@@ -175,12 +178,16 @@
 
 
 def _main(_argv: list[str]) -> None:
+    path = fleet_launch.settings_path()
+    signature = _file_signature(path)
     cfg = fleet_launch.start("bilberry-node")
-    sys.exit(asyncio.run(_serve(cfg, fleet_launch.settings_path())))
+    sys.exit(asyncio.run(_serve(cfg, path, signature)))
 
 
-async def _serve(cfg: fleet.NodeSettings, settings_path: str) -> int:
-    proc = _build_process(cfg, settings_path)
+async def _serve(
+    cfg: fleet.NodeSettings, settings_path: str, signature: tuple
+) -> int:
+    proc = _build_process(cfg, settings_path, signature)
     tasks = [
         asyncio.create_task(register_task.run(proc.register)),
         asyncio.create_task(gateway_task.run(proc.gateway)),
@@ -235,7 +242,9 @@
     return fleet_launch.EXIT_DEFECT
 
 
-def _build_process(cfg: fleet.NodeSettings, settings_path: str) -> NodeProcess:
+def _build_process(
+    cfg: fleet.NodeSettings, settings_path: str, signature: tuple
+) -> NodeProcess:
     now_ms = clock.boot_ms()
     rng = random.Random()
     port = cfg.peer_ports[0]
@@ -307,6 +316,7 @@
     return NodeProcess(
         cfg,
         settings_path,
+        signature,
         register_owner,
         gateway_owner,
         frontend,
@@ -508,12 +518,11 @@
 
 
 async def _watch_settings(proc: NodeProcess) -> None:
-    last_signature = _file_signature(proc.settings_path)
     while True:
         await asyncio.sleep(SETTINGS_POLL_S)
         signature = _file_signature(proc.settings_path)
-        if signature != last_signature:
-            last_signature = signature
+        if signature != proc.settings_signature:
+            proc.settings_signature = signature
             _reload_settings(proc)
 
 
