Refuse late requests only while a node is draining

test_a_planned_stop_answers_what_upstreams_still_run failed on: a request that came while connections were still accepted was refused with 503, as less than 2 s were left, where an attempt with the time left is due. The minimum is for requests whose body was read to its end after the listener had closed. The test passes again, unchanged.

--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -37,7 +37,7 @@
 # Time added to the documented idle timeout of client connections, so that the
 # server does not close a connection before that timeout.
 IDLE_SLACK_S = 2.0
-# Time that a stopping node must have left to send a request to an upstream.
+# Time that a draining node must have left to send a request to an upstream.
 MIN_SERVE_S = 2.0
 # Maximum length of the request line and of one header, and maximum number of
 # headers.
@@ -210,11 +210,13 @@
 
 
 def _is_too_late(front: Frontend, request: web.BaseRequest) -> bool:
-    """Return whether a stopping node refuses a request that it has read.
+    """Return whether a draining node refuses a request that it has read.
 
     It refuses those that began after its listener was closed, and those that
     are complete so late that an upstream might not end them in time.
     """
+    if front.listener.phase != "draining":
+        return False
     left_s = front.stop_by_s - asyncio.get_running_loop().time()
     return client_connections.began_in_drain(request) or left_s < MIN_SERVE_S
 
