Read and answer what callers have begun when an entry stops

With the real programs, 20 callers whose bodies take 2 s, in chunks or with a length, and SIGTERM to the entry in between: 20 of 20 connections ended without an answer in both framings, and the entry ran on for a minute. Its server was cleaned up by the library's runner, which calls `close()` of busy connections; from then on the library drops the rest of a body, so that the handler waits until the clean-up's own limit of 60 s.

A second fault hid behind it: the router's task ended as soon as no call was in progress, but the listener stayed open for the notice. 20 of 20 callers that sent whole requests one after another had no answer either, nor had a single request sent in the notice of an idle entry.

Control's operator interface had both. A submission that was being sent was cut after 5 s, and the process exited with code 3: the `TimeoutError` of its clean-up is an `OSError`, taken for an address in use. A status request that came after the replica's task had ended waited for ever.

Entry, control and the stand-ins now drain their listener as the node does. The entry's router runs until nothing is held. Requests that began before the listener closed are served, also in the notice, in which they were refused before. The new setting `grace_ms` bounds the stop, by default above the default deadline of routes for the entry, and 5 s, as before, for control. Half a second before the bound reading ends, calls in progress end as if their deadlines had passed, and `program.grace_over` says so.

--- a/bilberryramp/decisions/entry/entry_calls.py
+++ b/bilberryramp/decisions/entry/entry_calls.py
@@ -33,6 +33,7 @@
 
 __all__ = [
     "actions",
+    "end_all",
     "guards",
     "is_idle",
     "step",
@@ -82,6 +83,25 @@
     return dict(collections.Counter(model for model in models if model))
 
 
+def end_all(entry: entry_state.Entry, now_ms: int) -> Iterator:
+    """End all requests in progress as if their deadlines had passed.
+
+    Parameters
+    ----------
+    entry
+        Modified in place.
+    now_ms
+        Current time in milliseconds.
+
+    Yields
+    ------
+    effect
+        As `step` does.
+    """
+    for call in list(entry.calls.values()):
+        yield from _fire(call, "deadline", now_ms)
+
+
 def is_idle(entry: entry_state.Entry) -> bool:
     """Return whether a planned stop may complete.
 
--- a/bilberryramp/decisions/entry/entry_state.py
+++ b/bilberryramp/decisions/entry/entry_state.py
@@ -159,7 +159,8 @@
     fresh
         Whether the view's freshness lease is valid.
     stopping
-        Whether a planned stop has begun; new requests are refused.
+        Whether a planned stop is almost out of time; new requests are
+        refused.
     calls
         Requests in progress by request id.
     loads
--- a/bilberryramp/decisions/entry/tests/test_entry_calls.py
+++ b/bilberryramp/decisions/entry/tests/test_entry_calls.py
@@ -358,6 +358,20 @@
         harness.step(entry_messages.LinkFailed("u1"))
         self.assertEqual(len(harness.dispatches()), 2)
 
+    def test_requests_in_progress_end_when_a_stop_is_out_of_time(self):
+        harness = Harness()
+        harness.call(builders.caller_request("r1"))
+        harness.call(builders.caller_request("r2", model="m9"))
+        harness.call(builders.caller_request("r3"))
+        harness.answer("u1", harness.dispatches()[0][1])
+        harness.effects += entry_calls.end_all(harness.entry, 10)
+        replies = harness.effects_of(entry_messages.ReplyFailure)
+        self.assertEqual(
+            [(r.request_id, r.failure.code) for r in replies],
+            [("r2", CODE.MODEL_NOT_FOUND), ("r3", CODE.DEADLINE_EXCEEDED)],
+        )
+        self.assertEqual(harness.entry.calls, {})
+
     def test_refusal_before_the_key_lookup_has_unknown_outcome(self):
         harness = Harness()
         harness.entry.stopping = True
--- a/bilberryramp/programs/control.py
+++ b/bilberryramp/programs/control.py
@@ -11,8 +11,13 @@
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
 from bilberryramp.storage import journal
-from bilberryramp.tasks import control_node, mailbox, operator_api
-from bilberryramp.telemetry import events
+from bilberryramp.tasks import (
+    connection_drain,
+    control_node,
+    mailbox,
+    operator_api,
+)
+from bilberryramp.telemetry import events, metrics
 
 __all__ = ["run"]
 
@@ -49,14 +54,26 @@
         r for r in cfg.replicas if r.replica_id == cfg.replica_id
     )
     host, _, port = own_replica.operator_address.rpartition(":")
-    api = operator_api.make_app(node.inbox)
-    runner, _ = await launch.listen(api, host, int(port))
-    launch.on_stop_signal(
-        lambda: mailbox.post_now(node.inbox, control_node.StopNode())
-    )
+    ended = asyncio.Event()
+    api = operator_api.make_app(node.inbox, ended)
+    listener, _ = await launch.listen(api, "operators", host, int(port))
+    stop_requested = asyncio.Event()
+    launch.on_stop_signal(stop_requested.set)
     events.emit(events.STARTED, address=own_replica.address)
-    await control_node.run(node)
-    await asyncio.wait_for(runner.cleanup(), 5)
+    async with asyncio.TaskGroup() as group:
+        node_task = group.create_task(control_node.run(node))
+        node_task.add_done_callback(lambda _: ended.set())
+        await stop_requested.wait()
+        mailbox.post_now(node.inbox, control_node.StopNode())
+        stop = launch.new_stop(
+            lambda: (
+                ended.is_set() and not connection_drain.holds_exit([listener])
+            ),
+            control_node.STOP_DELAY_MS,
+            cfg.grace_ms,
+        )
+        await launch.drain(stop, listener, metrics.Metrics())
+        node_task.cancel()
     events.emit(events.STOPPED)
     return 0
 
--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -13,13 +13,14 @@
 )
 from bilberryramp.decisions.shared import (
     quarantine,
-    shutdown,
     subscription,
 )
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
 from bilberryramp.tasks import (
+    client_connections,
     clock,
+    connection_drain,
     control_link,
     entry_frontend,
     entry_router,
@@ -41,32 +42,55 @@
     )
     launch.start_telemetry("bilberry-entry", cfg.name, cfg.telemetry)
     router = _new_router(cfg)
+    stop_requested = asyncio.Event()
+    launch.on_stop_signal(stop_requested.set)
     api = entry_frontend.make_app(
         cfg,
         router.inbox,
         router.entry.view,
         router.metrics,
-        lambda: _is_ready(router.entry),
+        lambda: not stop_requested.is_set() and _is_ready(router.entry),
     )
-    launch.on_stop_signal(
-        lambda: mailbox.post_now(router.inbox, entry_router.StopRouter())
-    )
-    runner, port = await launch.listen(
-        api, cfg.host, cfg.port, cfg.max_header_bytes
+    listener, port = await launch.listen(
+        api, "callers", cfg.host, cfg.port, cfg.max_header_bytes
     )
     events.emit(events.STARTED, host=cfg.host, port=port)
-    await entry_router.run(router)
-    # The port stays open until the load balancer has seen the readiness check
-    # fail.
-    await asyncio.sleep(cfg.stop_notice_ms / 1000)
-    await runner.cleanup()
+    async with asyncio.TaskGroup() as group:
+        routing_task = group.create_task(entry_router.run(router))
+        await stop_requested.wait()
+        await _drain(cfg, router, listener)
+        routing_task.cancel()
     events.emit(events.STOPPED)
     return 0
 
 
+async def _drain(
+    cfg: schema.EntryProgramSettings,
+    router: entry_router.Router,
+    listener: client_connections.Listener,
+) -> None:
+    """Let all requests end that were accepted, within the grace period."""
+    stop = launch.new_stop(
+        lambda: (
+            entry_calls.is_idle(router.entry)
+            and not connection_drain.holds_exit([listener])
+        ),
+        # The port stays open until the load balancer has seen the readiness
+        # check fail.
+        cfg.stop_notice_ms,
+        cfg.grace_ms,
+    )
+    await launch.drain(
+        stop,
+        listener,
+        router.metrics,
+        lambda: mailbox.post_now(router.inbox, entry_router.EndCalls()),
+    )
+
+
 def _is_ready(entry: entry_state.Entry) -> bool:
     """Return whether the entry holds the tables in force and can serve."""
-    return entry.fresh and entry.view.version > 0 and not entry.stopping
+    return entry.fresh and entry.view.version > 0
 
 
 def _new_router(cfg: schema.EntryProgramSettings) -> entry_router.Router:
@@ -91,15 +115,10 @@
         policy=routing.make_policy(cfg.policy),
         index=route_index.RouteIndex(sub.view),
     )
-    stop = shutdown.Shutdown(
-        chart=launch.bind_chart("shutdown", shutdown),
-        is_idle=lambda: entry_calls.is_idle(entry),
-    )
     return entry_router.Router(
         name=name,
         entry=entry,
         sub=sub,
-        stop=stop,
         link_chart=launch.bind_chart("connection", links),
         inbox=mailbox.Mailbox(limit=8192),
         control=control_link.open_link(name, cfg.controls),
--- a/bilberryramp/programs/launch.py
+++ b/bilberryramp/programs/launch.py
@@ -14,9 +14,10 @@
 from aiohttp import web
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions.shared import charting, errors
+from bilberryramp.decisions.shared import charting, errors, shutdown
 from bilberryramp.settings import reader, schema
-from bilberryramp.telemetry import events, tracing
+from bilberryramp.tasks import client_connections, connection_drain
+from bilberryramp.telemetry import events, metrics, tracing
 
 __all__ = [
     "EXIT_BAD_SETTINGS",
@@ -25,7 +26,9 @@
     "EXIT_DEFECT",
     "SETTINGS_FLAG",
     "bind_chart",
+    "drain",
     "listen",
+    "new_stop",
     "on_stop_signal",
     "run_app",
     "start_telemetry",
@@ -34,6 +37,8 @@
 
 # Time for which closing sockets may still send their queued frames.
 LINGER_MS = 1000
+# Part of the time for a planned stop that is reserved for the last answers.
+ANSWER_MS = 500
 EXIT_DEFECT = 1
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_LISTEN = 3
@@ -114,16 +119,19 @@
 
 async def listen(
     application: web.Application,
+    name: str,
     host: str,
     port: int,
     max_header_bytes: int = 8190,
-) -> tuple[web.AppRunner, int]:
+) -> tuple[client_connections.Listener, int]:
     """Start an HTTP server.
 
     Parameters
     ----------
     application
-        Application that handles the requests.
+        Application that handles the requests. A middleware is added to it.
+    name
+        Name of the listener in logs and metrics.
     host, port
         Address to listen at; port 0 selects a free port.
     max_header_bytes
@@ -131,25 +139,91 @@
 
     Returns
     -------
-    tuple of (AppRunner, int)
-        Runner, which the caller must clean up, and the port in use.
+    tuple of (Listener, int)
+        Listener, for `drain`, and the port in use.
 
     Raises
     ------
     OSError
         When the server cannot listen at the address.
     """
-    runner = web.AppRunner(
-        application,
+    application.middlewares.append(_serve_to_end)
+    runner = web.AppRunner(application, handler_cancellation=True)
+    await runner.setup()
+    listener = client_connections.new_listener(
+        name,
+        runner.server,
         access_log=None,
-        handler_cancellation=True,
         max_line_size=max_header_bytes,
         max_field_size=max_header_bytes,
     )
-    await runner.setup()
-    site = web.TCPSite(runner, host, port)
-    await site.start()
-    return runner, runner.addresses[0][1]
+    listener.server = await asyncio.get_running_loop().create_server(
+        client_connections.protocol_factory(listener), host, port
+    )
+    return listener, listener.server.sockets[0].getsockname()[1]
+
+
+@web.middleware
+async def _serve_to_end(request: web.Request, handler) -> web.StreamResponse:
+    arrivals_ms = request.protocol.arrivals_ms
+    request[client_connections.ARRIVED_MS] = arrivals_ms.popleft()
+    return await client_connections.serve(request, handler)
+
+
+def new_stop(
+    is_idle: Callable[[], bool], notice_ms: int, grace_ms: int
+) -> shutdown.Shutdown:
+    """Return the planned stop of a process that has an HTTP server.
+
+    Parameters
+    ----------
+    is_idle, notice_ms, grace_ms
+        As in `shutdown.Shutdown`.
+
+    Returns
+    -------
+    Shutdown
+        Stop that was not requested yet.
+    """
+    chart = bind_chart("shutdown", shutdown)
+    return shutdown.Shutdown(chart, is_idle, notice_ms, grace_ms)
+
+
+async def drain(
+    stop: shutdown.Shutdown,
+    listener: client_connections.Listener,
+    process_metrics: metrics.Metrics,
+    end_work: Callable[[], None] = lambda: None,
+) -> None:
+    """Request a planned stop, and wait until it is complete.
+
+    Parameters
+    ----------
+    stop
+        Stop of the process. Modified in place.
+    listener
+        Listener from `listen`.
+    process_metrics
+        Metrics that count the connections that end.
+    end_work
+        Called if work is left when only `ANSWER_MS` are left. It ends the
+        work, so that the answers to it are written.
+    """
+
+    def on_time_over() -> None:
+        if not stop.is_idle():
+            events.emit(events.GRACE_OVER, grace_ms=stop.grace_ms)
+            end_work()
+
+    loop = asyncio.get_running_loop()
+    work_s = max(stop.grace_ms - ANSWER_MS, 0) / 1000
+    timer = loop.call_later(work_s, on_time_over)
+    await connection_drain.run(
+        connection_drain.Drain(
+            stop, [listener], ANSWER_MS, lambda: None, process_metrics
+        )
+    )
+    timer.cancel()
 
 
 async def _run_to_exit_code(main: Callable[[], Awaitable[int]]) -> int:
--- a/bilberryramp/programs/standin.py
+++ b/bilberryramp/programs/standin.py
@@ -6,10 +6,14 @@
 from bilberryramp.programs import launch
 from bilberryramp.settings import reader, schema
 from bilberryramp.standins import engine, plain_service
-from bilberryramp.telemetry import events
+from bilberryramp.tasks import connection_drain
+from bilberryramp.telemetry import events, metrics
 
 __all__ = ["run"]
 
+# Maximum time from the stop signal to the exit.
+GRACE_MS = 60_000
+
 
 def run() -> None:
     """Run the program."""
@@ -25,10 +29,13 @@
         app = engine.make_app(engine.new_engine(cfg))
     else:
         app = plain_service.make_app(plain_service.new_service(cfg))
-    runner, port = await launch.listen(app, cfg.host, cfg.port)
+    listener, port = await launch.listen(app, "upstreams", cfg.host, cfg.port)
     stopped = asyncio.Event()
     launch.on_stop_signal(stopped.set)
     events.emit(events.STARTED, host=cfg.host, port=port)
     await stopped.wait()
-    await runner.cleanup()
+    stop = launch.new_stop(
+        lambda: not connection_drain.holds_exit([listener]), 0, GRACE_MS
+    )
+    await launch.drain(stop, listener, metrics.Metrics())
     return 0
--- a/bilberryramp/settings/schema.py
+++ b/bilberryramp/settings/schema.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
+
+import msgspec
 
 from bilberryramp.decisions.control import demand
 from bilberryramp.decisions.shared import tables, views
@@ -19,6 +22,8 @@
     "UpstreamSettings",
 ]
 
+_Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0)]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class TelemetrySettings:
@@ -88,6 +93,10 @@
         How readily the number of a model's replicas follows demand: a
         tradeoff between the number of model loads and the share of requests
         that meet their targets. Must be equal on all control replicas.
+    grace_ms
+        Maximum time from the stop signal to the exit, in milliseconds.
+        Operators' requests that have not been read shortly before are
+        refused.
     telemetry
         Destinations of logs and trace spans.
     """
@@ -101,6 +110,7 @@
     lease_ms: int = 300
     snapshot_entries: int = 4000
     demand: demand.DemandSettings = demand.DemandSettings()
+    grace_ms: _Milliseconds = 5000
     telemetry: TelemetrySettings = TelemetrySettings()
 
 
@@ -132,6 +142,11 @@
     stop_notice_ms
         Time for which ``/readyz`` fails before the listener closes, in
         milliseconds, so that load balancers notice.
+    grace_ms
+        Maximum time from the stop signal to the exit, in milliseconds, with
+        the time for which ``/readyz`` fails. Requests that have not ended
+        shortly before are answered with 504. The default exceeds the default
+        deadline of routes.
     telemetry
         Destinations of logs and trace spans.
     """
@@ -146,7 +161,8 @@
     max_body_bytes: int = 8 * 1024 * 1024
     max_header_bytes: int = 16 * 1024
     slow_reader_ms: int = 30_000
-    stop_notice_ms: int = 200
+    stop_notice_ms: _Milliseconds = 200
+    grace_ms: _Milliseconds = 130_000
     telemetry: TelemetrySettings = TelemetrySettings()
 
 
--- a/bilberryramp/settings/tests/test_reader.py
+++ b/bilberryramp/settings/tests/test_reader.py
@@ -45,6 +45,17 @@
                 self.assertIn(expected, problem.expected)
                 self.assertIn("routes.yaml", str(problem))
 
+    def test_negative_times_of_a_stop_are_refused(self):
+        for field in ("grace_ms", "stop_notice_ms"):
+            text = f"{{name: e1, controls: [], {field}: -1}}"
+            with tempfile.TemporaryDirectory() as folder:
+                path = builders.write_file(folder, text)
+                problem = reader.read(
+                    path, schema.EntryProgramSettings
+                ).failure()
+            self.assertEqual((problem.path, problem.seen), (field, "-1"))
+            self.assertIn(">= 0", problem.expected)
+
     def test_missing_file_is_reported(self):
         problem = reader.read("/nowhere/x.yaml", schema.RoutesFile).failure()
         self.assertEqual(problem.expected, "a readable file")
--- a/bilberryramp/standins/tests/builders.py
+++ b/bilberryramp/standins/tests/builders.py
@@ -1,5 +1,7 @@
 """Builders of local systems and requests for tests with real processes."""
 
+import dataclasses
+import http.client
 import json
 import pathlib
 import tempfile
@@ -7,6 +9,8 @@
 import urllib.error
 import urllib.request
 
+import yaml
+
 from bilberryramp.decisions.shared import views
 from bilberryramp.settings import schema
 from bilberryramp.standins import local_cluster
@@ -18,6 +22,25 @@
 TIMEOUT_S = 20.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answer:
+    """Whole answer to a request.
+
+    Attributes
+    ----------
+    status
+        Status of the answer.
+    is_last
+        Whether the answer says that its connection closes.
+    body
+        Body of the answer.
+    """
+
+    status: int
+    is_last: bool
+    body: bytes
+
+
 def start_cluster(
     test_class, controls=1, traces=False
 ) -> local_cluster.Cluster:
@@ -57,6 +80,16 @@
     )
 
 
+def submission_body() -> bytes:
+    """Build the body that submits the example tables as the first ones."""
+    tables = {
+        name: yaml.safe_load((EXAMPLES_DIR / f"{name}.yaml").read_text())[name]
+        for name in ("routes", "pools")
+    }
+    fields = {"submission_id": "s-1", "submitter": "ann", "base_version": 0}
+    return json.dumps(fields | tables).encode()
+
+
 def get_status(cluster) -> dict:
     result = local_cluster.ctl(cluster, "--json", "status")
     return json.loads(result.stdout)
@@ -91,6 +124,12 @@
     raise AssertionError(f"{description} not met after {TIMEOUT_S} s")
 
 
+def read_log(cluster, name) -> str:
+    """Read what a program has logged so far."""
+    path = cluster.folder / f"{name}.log"
+    return path.read_text() if path.exists() else ""
+
+
 def poll():
     """Yield repeatedly, with pauses, until `TIMEOUT_S` has passed."""
     deadline = time.monotonic() + TIMEOUT_S
@@ -114,6 +153,42 @@
         return exc.code, json.loads(exc.read())
 
 
+def connect(port, timeout=TIMEOUT_S) -> http.client.HTTPConnection:
+    """Open a connection that is not opened again once it is closed."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    conn.connect()
+    conn.auto_open = 0
+    return conn
+
+
+def begin_post(conn, path, length=None, **headers) -> None:
+    """Send the head of a POST request, with chunks if no length is given."""
+    conn.putrequest("POST", path)
+    if length is None:
+        conn.putheader("Transfer-Encoding", "chunked")
+    else:
+        conn.putheader("Content-Length", str(length))
+    for name, value in headers.items():
+        conn.putheader(name.replace("_", "-"), value)
+    conn.endheaders()
+
+
+def encode_pieces(body, count, chunked) -> list[bytes]:
+    """Split a body into about equal parts, in the framing asked for."""
+    size = -(-len(body) // count)
+    parts = [body[n : n + size] for n in range(0, len(body), size)]
+    if not chunked:
+        return parts
+    return [b"%x\r\n%b\r\n" % (len(part), part) for part in (*parts, b"")]
+
+
+def read_answer(conn) -> Answer:
+    """Read an answer to its end; raise if it is not whole."""
+    response = conn.getresponse()
+    is_last = response.getheader("Connection", "").lower() == "close"
+    return Answer(response.status, is_last, response.read())
+
+
 def get_metrics(port) -> str:
     url = f"http://127.0.0.1:{port}/metrics"
     with urllib.request.urlopen(url, timeout=5) as answer:
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -10,10 +10,15 @@
 from aiohttp import web
 from returns import result
 
-from bilberryramp.decisions.entry import entry_messages
+from bilberryramp.decisions.entry import entry_messages, entry_refusals
 from bilberryramp.decisions.shared import errors, tables, views
 from bilberryramp.settings import schema
-from bilberryramp.tasks import clock, entry_router, mailbox
+from bilberryramp.tasks import (
+    client_connections,
+    clock,
+    entry_router,
+    mailbox,
+)
 from bilberryramp.telemetry import metrics, tracing
 
 __all__ = ["ErrorBody", "ErrorDetail", "ModelCard", "ModelList", "make_app"]
@@ -202,6 +207,7 @@
         for effect in await mailbox.receive_all(reply_mailbox):
             if isinstance(effect, entry_messages.ReplyHead):
                 response = _start_response(effect, request_id)
+                client_connections.mark_last(request, response)
                 await response.prepare(request)
             elif isinstance(effect, entry_messages.ReplyChunk):
                 await _write_chunk(cfg, inbox, response, effect)
@@ -249,12 +255,27 @@
 
 async def _read_body(request: web.Request) -> result.Result:
     try:
-        return result.Success(await request.read())
+        body = await client_connections.read_body(request, web.Request.read)
+    except client_connections.ReadingEndedError:
+        return _refuse_at_stop(request)
     except web.HTTPRequestEntityTooLarge:
         code = errors.FailureCode.BODY_TOO_LARGE
         return _invalid_request(
             "the body is larger than this entry accepts", code
         )
+    if client_connections.began_in_drain(request):
+        return _refuse_at_stop(request)
+    return result.Success(body)
+
+
+def _refuse_at_stop(request: web.Request) -> result.Result:
+    failure = errors.call_failure(
+        errors.FailureCode.SHUTTING_DOWN, "entry is stopping"
+    )
+    if request.headers.get("Idempotency-Key"):
+        # An earlier request with this key may have run.
+        failure = entry_refusals.with_unknown_outcome(failure)
+    return result.Failure(failure)
 
 
 def _parse_request(request, body: bytes, request_id: str, traceparent: str):
--- a/bilberryramp/tasks/entry_router.py
+++ b/bilberryramp/tasks/entry_router.py
@@ -21,14 +21,13 @@
     effects,
     feed_messages,
     role_messages,
-    shutdown,
     subscription,
 )
 from bilberryramp.tasks import clock, control_link, mailbox
 from bilberryramp.telemetry import events, metrics
 from bilberryramp.wire import codec
 
-__all__ = ["ChunkWritten", "NewCall", "Router", "StopRouter", "run"]
+__all__ = ["ChunkWritten", "EndCalls", "NewCall", "Router", "run"]
 
 # Number of written chunks after which the upstream receives credit, the
 # permission to send as many more chunks of an answer.
@@ -72,8 +71,8 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class StopRouter:
-    """Request to begin the planned stop."""
+class EndCalls:
+    """Request to end all calls, as a planned stop is almost out of time."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -175,8 +174,6 @@
         State of the entry's decisions.
     sub
         Subscription to control's view.
-    stop
-        State of the planned stop.
     link_chart
         Bound chart of the links.
     inbox
@@ -196,14 +193,11 @@
         received credit, by attempt id.
     last_link_number
         Number of the link that was opened last.
-    stopped
-        Whether the planned stop has completed.
     """
 
     name: str
     entry: entry_state.Entry
     sub: subscription.Subscription
-    stop: shutdown.Shutdown
     link_chart: charting.Chart
     inbox: mailbox.Mailbox
     control: control_link.ControlLink
@@ -217,11 +211,10 @@
         default_factory=collections.Counter
     )
     last_link_number: int = 0
-    stopped: bool = False
 
 
 async def run(router: Router) -> None:
-    """Handle messages until a planned stop has completed.
+    """Handle messages until the task is cancelled.
 
     Parameters
     ----------
@@ -230,20 +223,14 @@
     """
     async with asyncio.TaskGroup() as group:
         router.group = group
-        background = (
-            group.create_task(_send_heartbeats(router)),
-            group.create_task(
-                control_link.receive(router.control, router.inbox, FromControl)
-            ),
+        group.create_task(_send_heartbeats(router))
+        group.create_task(
+            control_link.receive(router.control, router.inbox, FromControl)
         )
-        while not router.stopped:
+        while True:
             batch = await mailbox.receive_all(router.inbox)
             for effect in list(_handle_all(router, batch)):
                 await _perform(router, effect)
-        for background_task in background:
-            background_task.cancel()
-        for opened in router.open_links.values():
-            opened.task.cancel()
 
 
 def _handle_all(router: Router, batch: list) -> Iterator:
@@ -283,7 +270,6 @@
             message.command_id, message.result
         )
         yield from entry_calls.step(router.entry, now_ms, answered)
-        yield from shutdown.stop_if_idle(router.stop, now_ms)
 
 
 def _on_heartbeat(router: Router, now_ms: int, _message) -> Iterator:
@@ -291,7 +277,6 @@
     yield from subscription.on_heartbeat_due(router.sub, now_ms)
     resend = role_messages.ResendCommands()
     yield from entry_calls.step(router.entry, now_ms, resend)
-    yield from shutdown.stop_if_idle(router.stop, now_ms)
     for upstream_id, opened in list(router.open_links.items()):
         if now_ms - opened.last_used_ms > LINK_IDLE_MS:
             yield from _on_link_event(
@@ -308,8 +293,9 @@
         yield from entry_calls.step(router.entry, now_ms, fired)
 
 
-def _on_stop(router: Router, now_ms: int, _message) -> Iterator:
-    yield from shutdown.request_stop(router.stop, now_ms)
+def _on_end_calls(router: Router, now_ms: int, _message) -> Iterator:
+    router.entry.stopping = True
+    yield from entry_calls.end_all(router.entry, now_ms)
 
 
 # Links.
@@ -499,10 +485,6 @@
         events.emit(events.FRESHNESS_CHANGED, fresh=effect.fresh)
         changed = role_messages.FreshnessUpdate(effect.fresh)
         mailbox.post_now(router.inbox, changed)
-    elif isinstance(effect, shutdown.NewWorkRefused):
-        router.entry.stopping = True
-    elif isinstance(effect, shutdown.Stopped):
-        router.stopped = True
     elif isinstance(effect, _REPLIES):
         _reply(router, effect)
 
@@ -559,9 +541,6 @@
             attempts=ended.attempts,
             took_ms=ended.took_ms,
         )
-    for effect in shutdown.stop_if_idle(router.stop, clock.now_ms()):
-        if isinstance(effect, shutdown.Stopped):
-            router.stopped = True
 
 
 async def _send_heartbeats(router: Router) -> None:
@@ -577,6 +556,6 @@
     HeartbeatDue: _on_heartbeat,
     LinkEvent: _on_link_event,
     LinkTimer: _on_link_timer,
-    StopRouter: _on_stop,
+    EndCalls: _on_end_calls,
     role_messages.TimerFired: _on_timer,
 }
--- a/bilberryramp/tasks/operator_api.py
+++ b/bilberryramp/tasks/operator_api.py
@@ -9,7 +9,11 @@
 
 from bilberryramp.decisions.shared import commands, tables, views
 from bilberryramp.decisions.upstream import ledger
-from bilberryramp.tasks import control_node, mailbox
+from bilberryramp.tasks import (
+    client_connections,
+    control_node,
+    mailbox,
+)
 
 __all__ = [
     "DrainReply",
@@ -23,6 +27,8 @@
 
 # Time for which an operator's command waits for its result.
 RESULT_TIMEOUT_S = 5.0
+_STOPPED = commands.Unavailable(commands.UnavailableReason.STOPPING)
+_EXPIRED = commands.Unavailable(commands.UnavailableReason.LEASE_EXPIRED)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -157,13 +163,17 @@
     pools: tuple[tables.Pool, ...]
 
 
-def make_app(inbox: mailbox.Mailbox) -> web.Application:
+def make_app(
+    inbox: mailbox.Mailbox, node_ended: asyncio.Event
+) -> web.Application:
     """Return the HTTP application.
 
     Parameters
     ----------
     inbox
         Mailbox of the control replica's task.
+    node_ended
+        Set when that task has ended, and answers nothing any more.
 
     Returns
     -------
@@ -172,22 +182,41 @@
     """
     app = web.Application(client_max_size=16 * 1024 * 1024)
 
+    async def ask(make_message):
+        return await _ask(inbox, node_ended, make_message)
+
+    async def run_command(command):
+        def make_message(reply):
+            return control_node.OperatorCommand(
+                uuid.uuid4().hex, command, reply
+            )
+
+        result = await ask(make_message)
+        if result is not None:
+            return result
+        return _STOPPED if node_ended.is_set() else _EXPIRED
+
     async def submit(request: web.Request) -> web.Response:
-        return await _submit(inbox, request)
+        return await _submit(run_command, request)
 
     async def status(_request: web.Request) -> web.Response:
-        return _json_response(_status_of(await _fetch_node(inbox)))
+        node = await ask(control_node.StatusRequest)
+        if node is None:
+            return _json_response(
+                ErrorReply("the replica does not answer"), 503
+            )
+        return _json_response(_status_of(node))
 
     async def drain(request: web.Request) -> web.Response:
         command = commands.DrainUpstream(request.match_info["upstream_id"])
-        result = await _run_command(inbox, uuid.uuid4().hex, command)
+        result = await run_command(command)
         if isinstance(result, commands.Done):
             return _json_response(DrainReply("accepted"))
         return _json_response(DrainReply("unknown", result.leader_id), 503)
 
     async def lift(request: web.Request) -> web.Response:
         command = commands.LiftQuarantine(request.match_info["fingerprint"])
-        result = await _run_command(inbox, uuid.uuid4().hex, command)
+        result = await run_command(command)
         if isinstance(result, commands.Done):
             return _json_response(DrainReply("accepted"))
         return _json_response(DrainReply("unknown", result.leader_id), 503)
@@ -199,11 +228,12 @@
     return app
 
 
-async def _submit(
-    inbox: mailbox.Mailbox, request: web.Request
-) -> web.Response:
+async def _submit(run_command, request: web.Request) -> web.Response:
     try:
-        body = msgspec.json.decode(await request.read(), type=SubmitRequest)
+        data = await client_connections.read_body(request, web.Request.read)
+        body = msgspec.json.decode(data, type=SubmitRequest)
+    except client_connections.ReadingEndedError:
+        return _submit_reply(_STOPPED)
     except msgspec.DecodeError as exc:
         return _json_response(ErrorReply(str(exc)), 400)
     command = commands.SubmitTables(
@@ -212,7 +242,7 @@
         base_version=body.base_version,
         tables=tables.Tables(body.routes, body.pools),
     )
-    return _submit_reply(await _run_command(inbox, uuid.uuid4().hex, command))
+    return _submit_reply(await run_command(command))
 
 
 def _submit_reply(result) -> web.Response:
@@ -232,22 +262,22 @@
     )
 
 
-async def _run_command(inbox: mailbox.Mailbox, command_id: str, command):
+async def _ask(inbox: mailbox.Mailbox, node_ended, make_message):
+    """Return the replica's reply to a message; None if it sends none."""
+    if node_ended.is_set():
+        return None
     reply = asyncio.get_running_loop().create_future()
-    await mailbox.post(
-        inbox, control_node.OperatorCommand(command_id, command, reply)
-    )
+    await mailbox.post(inbox, make_message(reply))
+    ended = asyncio.create_task(node_ended.wait())
     try:
-        return await asyncio.wait_for(reply, RESULT_TIMEOUT_S)
-    except TimeoutError:
-        reason = commands.UnavailableReason.LEASE_EXPIRED
-        return commands.Unavailable(reason)
-
-
-async def _fetch_node(inbox: mailbox.Mailbox) -> control_node.ControlNode:
-    reply = asyncio.get_running_loop().create_future()
-    await mailbox.post(inbox, control_node.StatusRequest(reply))
-    return await reply
+        await asyncio.wait(
+            (reply, ended),
+            timeout=RESULT_TIMEOUT_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        ended.cancel()
+    return reply.result() if reply.done() else None
 
 
 def _status_of(node: control_node.ControlNode) -> StatusReply:
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -96,6 +96,12 @@
     "`closing` with the reason `grace_over` is a request without an answer: "
     "check whether `grace_ms` suits the requests.",
 )
+GRACE_OVER = _declare(
+    1008,
+    "program.grace_over",
+    "The time for a planned stop, `grace_ms`, is almost over, and work is "
+    "left. It is ended, with answers that say so, and the program exits.",
+)
 ROLE_CHANGED = _declare(
     2001,
     "control.role",
