Answer expectations within the handling of a request

A request with `Expect: rain` got 417 from the library, beside the middlewares in which an entry counts requests that are not answered. Its connection counted as waiting for its turn, and held the exit of an idle entry to the bound of 15 s. The interfaces of entry and control now ask for the body on `100-continue` themselves and ignore other expectations, which RFC 9110 permits.

--- a/bilberryramp/standins/tests/test_stop_while_reading.py
+++ b/bilberryramp/standins/tests/test_stop_while_reading.py
@@ -166,6 +166,20 @@
         conn.close()
         self.assertEqual(child.wait(EXIT_TIMEOUT_S), 0)
 
+    def test_a_refused_expectation_does_not_hold_the_exit(self):
+        """The library answered it beside the count of open requests."""
+        port = self.start_entry("expecting")
+        conn = builders.connect(port, EXIT_TIMEOUT_S)
+        self.addCleanup(conn.close)
+        builders.begin_post(conn, PATH, 2, Expect="rain")
+        conn.send(b"{}")
+        self.assertEqual(builders.read_answer(conn).status, 400)
+        child = begin_stop(self.cluster, "expecting")
+        self.assertEqual(child.wait(EXIT_TIMEOUT_S), 0)
+        self.assertNotIn(
+            "program.grace_over", builders.read_log(self.cluster, "expecting")
+        )
+
     def test_a_stalled_body_is_refused_and_does_not_hold_the_exit(self):
         port = self.start_entry("stalled")
         conn = builders.connect(port, EXIT_TIMEOUT_S)
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -17,6 +17,7 @@
     client_connections,
     clock,
     entry_router,
+    http_requests,
     mailbox,
 )
 from bilberryramp.telemetry import metrics, tracing
@@ -167,13 +168,14 @@
     async def show_metrics(_request: web.Request) -> web.Response:
         return web.Response(text=metrics.render(process_metrics))
 
-    app.router.add_get("/v1/models", models)
-    app.router.add_get("/healthz", health)
-    app.router.add_get("/readyz", ready)
-    app.router.add_get("/metrics", show_metrics)
-    app.router.add_post("/v1/chat/completions", call)
-    app.router.add_post("/v1/completions", call)
-    app.router.add_route("*", "/{path:.*}", call)
+    options = {"expect_handler": http_requests.answer_expectation}
+    app.router.add_get("/v1/models", models, **options)
+    app.router.add_get("/healthz", health, **options)
+    app.router.add_get("/readyz", ready, **options)
+    app.router.add_get("/metrics", show_metrics, **options)
+    app.router.add_post("/v1/chat/completions", call, **options)
+    app.router.add_post("/v1/completions", call, **options)
+    app.router.add_route("*", "/{path:.*}", call, **options)
     return app
 
 
--- a/bilberryramp/tasks/http_requests.py
+++ b/bilberryramp/tasks/http_requests.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "AnswerTooLargeError",
+    "answer_expectation",
     "make_factory",
     "read_fingerprinted",
     "read_limited",
@@ -23,6 +24,21 @@
     """Raised when the body of an answer exceeds its limit."""
 
 
+async def answer_expectation(request: web.Request) -> None:
+    """Ask a client that waits for it to send the body of its request.
+
+    Other expectations are ignored, as RFC 9110 permits. The library would
+    refuse them beside the application, and so beside its middlewares.
+
+    Parameters
+    ----------
+    request
+        Request with the header ``Expect``.
+    """
+    if request.headers[hdrs.EXPECT].lower() == "100-continue":
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 async def read_fingerprinted(
     request: web.BaseRequest,
 ) -> tuple[bytes, str]:
--- a/bilberryramp/tasks/operator_api.py
+++ b/bilberryramp/tasks/operator_api.py
@@ -12,6 +12,7 @@
 from bilberryramp.tasks import (
     client_connections,
     control_node,
+    http_requests,
     mailbox,
 )
 
@@ -221,10 +222,11 @@
             return _json_response(DrainReply("accepted"))
         return _json_response(DrainReply("unknown", result.leader_id), 503)
 
-    app.router.add_post("/v1/tables", submit)
-    app.router.add_get("/v1/status", status)
-    app.router.add_post("/v1/upstreams/{upstream_id}/drain", drain)
-    app.router.add_delete("/v1/quarantine/{fingerprint}", lift)
+    options = {"expect_handler": http_requests.answer_expectation}
+    app.router.add_post("/v1/tables", submit, **options)
+    app.router.add_get("/v1/status", status, **options)
+    app.router.add_post("/v1/upstreams/{upstream_id}/drain", drain, **options)
+    app.router.add_delete("/v1/quarantine/{fingerprint}", lift, **options)
     return app
 
 
