Let a stand-in engine report how each run ended

A check of planned stops has to tell an answer that an engine broke off from one that the node gave up, and to know whether the engine was still at work at the end of the grace period. The stand-in told neither.

Change: `Engine.on_finish` is called once a run has ended, with whether the engine itself broke its answer off (a stream cut inside an event, a reset, a crash). A body that starts with `LONG_PREFIX` takes 15 times the service time, so that a stream can last longer than a body that is sent slowly. The headers of a client's request and the decoding of its answer are functions of their own, for clients that do not use aiohttp.

--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -23,10 +23,13 @@
     "DEADLY_PREFIX",
     "FATAL_PREFIX",
     "FIRST_PART",
+    "LONG_PREFIX",
     "PATH_VARIABLE",
     "Engine",
     "ClientAnswer",
     "Trouble",
+    "decode_answer",
+    "make_request_headers",
     "send_heartbeat",
     "send_request",
     "send_departure",
@@ -46,6 +49,9 @@
 CLOSE_CHECK_S = 0.005
 # Start of the body of requests that crash each engine that runs them.
 FATAL_PREFIX = b"fatal"
+# Start of the body of requests that take so many times the service time.
+LONG_PREFIX = b"long"
+LONG_FACTOR = 15
 # Start of the id of a part that crashes each engine that reads it.
 DEADLY_PREFIX = "deadly"
 # Id of the part with which each prompt begins.
@@ -127,6 +133,10 @@
     on_execute, on_order
         Called with the id of each request that starts to run, and with the
         fields of each accepted order.
+    on_finish
+        Called with the id of each such request once the engine does not work
+        on it any more, and with whether the engine itself broke its answer
+        off.
     on_crash
         Called when a request starts to run whose body starts with
         `FATAL_PREFIX`, or whose prompt has a part that starts with
@@ -156,6 +166,7 @@
     on_arrival: Callable = lambda request_id, headers: None
     on_execute: Callable = lambda request_id: None
     on_order: Callable = lambda fields: None
+    on_finish: Callable = lambda request_id, broke_off: None
     on_crash: Callable = lambda cause, is_part: None
     server: asyncio.Server | None = None
     protocol_factory: web.Server | None = None
@@ -280,32 +291,55 @@
         return web.Response(status=421, headers=headers)
     body = await request.read()
     trouble = engine.choose_trouble(request_id)
-    if trouble is None or trouble.is_executed:
-        engine.executed_ids.append(request_id)
-        engine.on_execute(request_id)
-    if trouble is not None:
+    if trouble is not None and not trouble.is_executed:
         return _fail(request, trouble, headers)
+    engine.executed_ids.append(request_id)
+    engine.on_execute(request_id)
+    broke_off = False
+    try:
+        if trouble is not None:
+            broke_off = not trouble.status
+            return _fail(request, trouble, headers)
+        response, broke_off = await _run_call(engine, request, body, headers)
+        return response
+    finally:
+        engine.on_finish(request_id, broke_off)
+
+
+async def _run_call(
+    engine, request, body: bytes, headers: dict
+) -> tuple[web.StreamResponse, bool]:
+    """Run a request; return its answer and whether the engine broke it off."""
     if body.startswith(FATAL_PREFIX):
         engine.on_crash(body.removeprefix(FATAL_PREFIX).decode(), False)
         _reset(request.transport)
-        return web.Response()
+        return web.Response(), True
     if deadly := _deadly_part(request):
         await asyncio.sleep(engine.service_time_s)
         engine.on_crash(deadly.removeprefix(DEADLY_PREFIX), True)
         _reset(request.transport)
-        return web.Response()
-    if model is None:
-        await asyncio.sleep(engine.service_time_s)
-        return web.Response(body=b"did " + body, headers=headers)
+        return web.Response(), True
+    if "X-Bilberryramp-Model" not in request.headers:
+        await asyncio.sleep(_service_time_s(engine, body))
+        return web.Response(body=b"did " + body, headers=headers), False
     headers["Content-Type"] = "text/event-stream"
     number = len(engine.executed_ids)
     if engine.unframed_every and number % engine.unframed_every == 0:
         is_cut = number // engine.unframed_every % 2 == 0
-        return await _write_unframed(engine, request, headers, body, is_cut)
+        return await _write_unframed(
+            engine, request, headers, body, is_cut
+        ), is_cut
     response = web.StreamResponse(headers=headers)
+    broke_off = False
     with contextlib.suppress(ConnectionError):
-        await _write_stream(engine, request, response, body)
-    return response
+        broke_off = await _write_stream(engine, request, response, body)
+    return response, broke_off
+
+
+def _service_time_s(engine: Engine, body: bytes) -> float:
+    """Return the duration of a plain request or of each chunk of a stream."""
+    factor = LONG_FACTOR if body.startswith(LONG_PREFIX) else 1
+    return engine.service_time_s * factor
 
 
 def _fail(request, trouble: Trouble, headers: dict) -> web.Response:
@@ -339,7 +373,7 @@
         event = _event(number, body)
         is_last = number == CHUNK_COUNT - 1
         transport.write(event[:-1] if is_cut and is_last else event)
-        await asyncio.sleep(engine.service_time_s)
+        await asyncio.sleep(_service_time_s(engine, body))
     transport.close()
     while request.protocol.transport is not None:
         await asyncio.sleep(CLOSE_CHECK_S)
@@ -350,14 +384,16 @@
     return b"id: %d\ndata: %s\n\n" % (number, body)
 
 
-async def _write_stream(engine, request, response, body: bytes) -> None:
+async def _write_stream(engine, request, response, body: bytes) -> bool:
+    """Write a stream; return whether the engine broke it off."""
     await response.prepare(request)
     for number in range(CHUNK_COUNT):
         if number == engine.break_after:
             _reset(request.transport)
-            return
+            return True
         await response.write(_event(number, body))
-        await asyncio.sleep(engine.service_time_s)
+        await asyncio.sleep(_service_time_s(engine, body))
+    return False
 
 
 async def send_heartbeat(
@@ -497,6 +533,33 @@
     aiohttp.ClientError
         When the connection fails or breaks off.
     """
+    headers = make_request_headers(request_id, deadline_ms, model, parts)
+    url = f"http://{node}{path}"
+    async with session.post(
+        url, data=content or request_id.encode(), headers=headers
+    ) as resp:
+        body = await resp.read()
+    return decode_answer(resp.status, resp.headers, body, model, content)
+
+
+def make_request_headers(
+    request_id: str,
+    deadline_ms: int,
+    model: str = "",
+    parts: tuple[str, ...] = (FIRST_PART,),
+) -> dict[str, str]:
+    """Make the headers of a client's request, without those of its framing.
+
+    Parameters
+    ----------
+    request_id, deadline_ms, model, parts
+        As for `send_request`.
+
+    Returns
+    -------
+    dict
+        Values by name.
+    """
     headers = {
         "Host": "h.example",
         _REQUEST_ID_HEADER: request_id,
@@ -508,16 +571,35 @@
         headers["X-Bilberryramp-Prompt-Prefix"] = ",".join(
             f"{part_id}:20" for part_id in (*parts, request_id)
         )
-    url = f"http://{node}{path}"
-    async with session.post(
-        url, data=content or request_id.encode(), headers=headers
-    ) as resp:
-        body = await resp.read()
-    leaving_id = _leaving_id(resp.headers)
-    if resp.status != 200:
+    return headers
+
+
+def decode_answer(
+    status: int, headers, body: bytes, model: str, content: bytes
+) -> ClientAnswer:
+    """Decode the answer to a request, which its framing says is complete.
+
+    Parameters
+    ----------
+    status
+        HTTP status.
+    headers
+        Mapping of the headers that ignores the case of names.
+    body
+        Body of the answer.
+    model, content
+        As given to `send_request`.
+
+    Returns
+    -------
+    ClientAnswer
+        The answer.
+    """
+    leaving_id = _leaving_id(headers)
+    if status != 200:
         error = _error_code(body)
-        return ClientAnswer(resp.status, False, "", error, leaving_id)
-    answered_id = resp.headers.get(_REQUEST_ID_HEADER, "")
+        return ClientAnswer(status, False, "", error, leaving_id)
+    answered_id = headers.get(_REQUEST_ID_HEADER, "")
     if not model:
         echo = body.removeprefix(b"did ")
         owner = _owner(echo, content, answered_id)
