Play planned stops, reloads and slow bodies in the fault soak

The lost requests of the record had bodies in pieces on kept connections, beside streams that held the node.

Change: `slow_senders` are clients over raw connections to the node itself, with bodies in two to eight pieces, 5 ms apart or over up to 1.5 s, with a length or in chunks. They keep a connection through a stop until the node has closed it. `draw_planned_work` adds stops, reloads (SIGHUP) and changed documents in series over all nodes that overlap. `stops_abort_no_request` leaves these requests to them, as it takes a request for read 200 ms after its first byte; for all other requests it is as before, and planned reloads and changes excuse nothing.

Ruled out as a fault of the programs: a stream that ended beside a running engine after all stops. The soak itself resets all links when it clears its faults; that is an observation now.

--- a/bilberryramp/soak/checks.py
+++ b/bilberryramp/soak/checks.py
@@ -9,7 +9,12 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.soak import budget_checks, fault_periods, observations
+from bilberryramp.soak import (
+    budget_checks,
+    fault_periods,
+    observations,
+    stop_checks,
+)
 
 __all__ = ["SAFETY", "TIMING", "Violation", "find_violations"]
 
@@ -290,8 +295,13 @@
     """Check that a graceful stop aborts no request that the node has read.
 
     A request is checked if it was sent shortly before the stop, or while the
-    node still accepted connections, and if no other fault was active.
+    node still accepted connections, and if no other fault was active. Those
+    whose bodies come in pieces are left to `stop_checks`, which knows when
+    their last bytes were written.
     """
+    in_pieces = {
+        s.request_id for s in history.of_class(observations.PiecesSent)
+    }
     answers = {
         a.request_id: a for a in history.of_class(observations.AnswerReceived)
     }
@@ -303,6 +313,7 @@
             answer = answers.get(sent.request_id)
             if (
                 sent.node == stop.target
+                and sent.request_id not in in_pieces
                 and stop.from_ms - fault_periods.FAULT_FREE_MS
                 < sent.at_ms
                 < until_ms
@@ -338,7 +349,7 @@
         (fault for fault in faults if fault != ignored),
         from_ms,
         to_ms,
-        frozenset(observations.FaultKind),
+        frozenset(observations.FaultKind) - fault_periods.PLANNED_KINDS,
     )
 
 
@@ -353,10 +364,14 @@
     leaving_answers_end_requests,
     budget_checks.repeats_stay_within_budget,
     budget_checks.attempts_stay_within_limit,
+    stop_checks.stops_lose_no_request,
+    stop_checks.stops_cut_no_request,
+    stop_checks.reloads_lose_no_request,
 )
 TIMING = (
     drained_engines_stay_idle,
     stops_abort_no_request,
+    stop_checks.stops_end_in_time,
     fatal_requests_stop_arriving,
     budget_checks.pauses_are_obeyed,
     budget_checks.deadlines_shrink,
--- a/bilberryramp/soak/fault_periods.py
+++ b/bilberryramp/soak/fault_periods.py
@@ -9,6 +9,8 @@
     "ENGINE_KINDS",
     "FAULT_FREE_MS",
     "INTERRUPTIONS",
+    "PLANNED_KINDS",
+    "UNPLANNED_KINDS",
     "is_active",
     "is_fault_free",
     "was_hit",
@@ -28,7 +30,11 @@
         _Kind.ENGINE_ERRORS,
     }
 )
-NODE_OR_LINK_KINDS = frozenset(_Kind) - ENGINE_KINDS
+# Planned work at a node that runs on, which excuses nothing.
+PLANNED_KINDS = frozenset({_Kind.RELOAD, _Kind.CHANGE})
+NODE_OR_LINK_KINDS = frozenset(_Kind) - ENGINE_KINDS - PLANNED_KINDS
+# Faults of a node or its links, without planned work.
+UNPLANNED_KINDS = NODE_OR_LINK_KINDS - {_Kind.STOP}
 # Faults after which a node may have forgotten what it knew.
 INTERRUPTIONS = frozenset(
     {_Kind.KILL, _Kind.PAUSE, _Kind.STOP, _Kind.WIPE, _Kind.KILL_ALL}
--- a/bilberryramp/soak/local_fleet.py
+++ b/bilberryramp/soak/local_fleet.py
@@ -25,6 +25,7 @@
     "Host",
     "kill_programs",
     "clear_faults",
+    "front_address",
     "inject",
     "make_fleet",
     "now_ms",
@@ -40,6 +41,8 @@
 HEARTBEAT_INTERVAL_MS = 400
 # Time after which an engine that a request crashed is restarted.
 CRASH_RESTART_S = 1.5
+# Interval at which a reload looks whether its node takes requests.
+LISTEN_POLL_S = 0.1
 # One in so many streams has neither length nor chunks.
 UNFRAMED_EVERY = 4
 # Number of model engines, and of engines of the plain service, by default.
@@ -58,6 +61,10 @@
     """Let an engine serve all requests, as `Host.choose_trouble`."""
 
 
+async def _submit_nothing(_name: str) -> None:
+    """Change nothing, as `Fleet.submit_change`."""
+
+
 @dataclasses.dataclass(slots=True)
 class Host:
     """A node or an engine, with its program and the proxied links to it.
@@ -113,8 +120,14 @@
         and crashed engines are not restarted.
     restarts
         Tasks that restart engines that requests crashed.
+    stopping
+        Names of the programs that have SIGTERM and have not ended yet.
     make_body
         Makes the body of the document with a given version.
+    last_version
+        Highest version of a document that was submitted.
+    submit_change
+        Submits a changed document to the node with a given name.
     """
 
     nodes: dict[str, Host]
@@ -122,7 +135,10 @@
     record: Callable
     is_finished: bool = False
     restarts: set = dataclasses.field(default_factory=set)
+    stopping: set = dataclasses.field(default_factory=set)
     make_body: Callable = standins.make_document_body
+    last_version: int = 1
+    submit_change: Callable = _submit_nothing
 
 
 def make_fleet(
@@ -291,7 +307,13 @@
 
 async def _stop_program(fleet: Fleet, program: processes.Program) -> None:
     if program.proc.returncode is None:
+        if program.name not in fleet.stopping:
+            fleet.record(
+                observations.SignalSent(program.name, "SIGTERM", now_ms())
+            )
+        fleet.stopping.add(program.name)
         code = await processes.stop(program)
+        fleet.stopping.discard(program.name)
         if code != -signal.SIGKILL:
             fleet.record(
                 observations.ProgramEnded(program.name, code, True, now_ms())
@@ -350,6 +372,9 @@
         on_execute=lambda request_id: fleet.record(
             observations.RunStarted(request_id, upstream_id, now_ms())
         ),
+        on_finish=lambda request_id, broke_off: fleet.record(
+            observations.RunEnded(request_id, upstream_id, broke_off, now_ms())
+        ),
         on_order=lambda fields: fleet.record(
             observations.OrderAccepted(
                 upstream_id, fields["holder"], fields["fence"], now_ms()
@@ -401,6 +426,49 @@
     await processes.start(host.program)
 
 
+async def _reload(fleet, host, fault) -> None:
+    # A node that is still starting would end by the signal.
+    if not await _is_listening_before(host, fault.to_ms):
+        return
+    fleet.record(observations.SignalSent(host.name, "SIGHUP", now_ms()))
+    processes.signal_program(host.program, signal.SIGHUP)
+
+
+async def _is_listening_before(host: Host, to_ms: int) -> bool:
+    """Wait until a node takes requests; return whether it does in time."""
+    while now_ms() < to_ms:
+        try:
+            _, writer = await asyncio.open_connection(*front_address(host))
+        except OSError:
+            await asyncio.sleep(LISTEN_POLL_S)
+        else:
+            writer.close()
+            return True
+    return False
+
+
+def front_address(host: Host) -> tuple[str, int]:
+    """Return the address at which a node itself listens for clients.
+
+    Parameters
+    ----------
+    host
+        Node.
+
+    Returns
+    -------
+    tuple
+        Host and port, behind the node's proxied links.
+    """
+    return next(
+        link.target for link in host.links if link.listen[1] == FRONT_PORT
+    )
+
+
+async def _change_document(fleet, host, _fault) -> None:
+    await fleet.submit_change(host.name)
+
+
 async def _wipe(_fleet, host, fault) -> None:
     await processes.kill(host.program)
     processes.block_writes(host.program, False)
@@ -517,6 +585,8 @@
     _Kind.KILL: _kill,
     _Kind.PAUSE: _pause,
     _Kind.STOP: _stop,
+    _Kind.RELOAD: _reload,
+    _Kind.CHANGE: _change_document,
     _Kind.WIPE: _wipe,
     _Kind.KILL_ALL: _kill_all,
     _Kind.DISK: _fail_writes,
@@ -541,6 +611,7 @@
     fleet
         Fleet without active faults. Modified in place.
     """
+    fleet.record(observations.FaultsCleared(now_ms()))
     for host in _hosts(fleet):
         _set_link_attributes(
             host,
--- a/bilberryramp/soak/observations.py
+++ b/bilberryramp/soak/observations.py
@@ -14,13 +14,17 @@
     "EngineCrashed",
     "Fault",
     "FaultKind",
+    "FaultsCleared",
     "History",
     "OrderAccepted",
     "PauseRequested",
+    "PiecesSent",
     "ProgramEnded",
     "RequestArrived",
     "RequestSent",
+    "RunEnded",
     "RunStarted",
+    "SignalSent",
 ]
 
 
@@ -33,6 +37,10 @@
     """The program gets SIGSTOP, and SIGCONT at the fault's end."""
     STOP = "stop"
     """The program gets SIGTERM and is restarted once it has exited."""
+    RELOAD = "reload"
+    """Planned: the program gets SIGHUP and reads its settings again."""
+    CHANGE = "change"
+    """Planned: an operator submits a changed document to the node."""
     WIPE = "wipe"
     """SIGKILL; the data folder is emptied before the program is restarted."""
     KILL_ALL = "kill_all"
@@ -92,6 +100,19 @@
     says_not_executed: bool = True
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class FaultsCleared:
+    """Observation that all links were reset, to clear what faults had left.
+
+    Attributes
+    ----------
+    at_ms
+        When it happened.
+    """
+
+    at_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestSent:
     """Observation that a caller sent a request to a node.
@@ -155,6 +176,49 @@
     leaving_id: str = ""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class PiecesSent:
+    """Observation of the end of a request whose body was sent in pieces.
+
+    Attributes
+    ----------
+    request_id
+        Id of the request.
+    node
+        Name of the node.
+    may_repeat
+        Whether the request may run more than once.
+    began_ms
+        When the first byte of its head was written.
+    written_ms
+        When its last byte was written; -1 if it was not.
+    span_ms
+        Time that its client takes to send a whole body, in milliseconds.
+    deadline_ms
+        Time that the client allows, in milliseconds.
+    status
+        HTTP status of the answer; 0 if no whole head came.
+    is_whole
+        Whether an answer came and was complete.
+    has_closed
+        Whether the request ended because the node closed the connection.
+    ended_ms
+        When the request ended.
+    """
+
+    request_id: str
+    node: str
+    may_repeat: bool
+    began_ms: int
+    written_ms: int
+    span_ms: int
+    deadline_ms: int
+    status: int
+    is_whole: bool
+    has_closed: bool
+    ended_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestArrived:
     """Observation that the head of a request reached an engine.
@@ -215,6 +279,26 @@
     at_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunEnded:
+    """Observation that an engine does not work on a request any more.
+
+    Attributes
+    ----------
+    request_id, upstream_id
+        Ids of the request and of the engine.
+    broke_off
+        Whether the engine itself broke its answer off.
+    at_ms
+        When the work ended.
+    """
+
+    request_id: str
+    upstream_id: str
+    broke_off: bool
+    at_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineCrashed:
     """Observation that a request crashed the engine that began to run it.
@@ -315,6 +399,25 @@
     at_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class SignalSent:
+    """Observation that a running program was sent a signal of planned work.
+
+    Attributes
+    ----------
+    name
+        Name of the program.
+    signal
+        ``SIGTERM`` or ``SIGHUP``.
+    at_ms
+        When it was sent.
+    """
+
+    name: str
+    signal: str
+    at_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ProgramEnded:
     """Observation that a program exited, other than by SIGKILL.
--- a/bilberryramp/soak/run.py
+++ b/bilberryramp/soak/run.py
@@ -12,9 +12,16 @@
 import msgspec
 
 from bilberryramp.platform import standins
-from bilberryramp.soak import local_fleet, observations, schedule
+from bilberryramp.soak import (
+    local_fleet,
+    observations,
+    schedule,
+    slow_senders,
+)
 
 __all__ = [
+    "ALL_KINDS",
+    "PLAIN_KINDS",
     "CallKind",
     "Plan",
     "execute",
@@ -89,6 +96,9 @@
 TALK = CallKind("/talk/x", "svc-llm", "m0")
 FILE = CallKind("/file/x", "svc-app")
 LOOK = CallKind("/look/x", "svc-app", may_repeat=True, max_attempts=2)
+ALL_KINDS = (TALK, FILE, LOOK)
+# Kinds whose answers are no streams.
+PLAIN_KINDS = (FILE, LOOK)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -123,6 +133,14 @@
         requests that may be repeated are sent at a fixed rate. Other callers
         pause after a connection that failed, so that requests for nodes that
         are down do not raise the budget.
+    has_stops
+        Whether nodes are stopped, reload their settings and get changed
+        documents, besides the faults.
+    sender_count
+        Number of clients that send bodies in pieces.
+    sender_kinds
+        Kinds of their requests. Streams hold a stopping node for longer than
+        other requests do.
     """
 
     seed: int
@@ -136,6 +154,9 @@
     faults: tuple[observations.Fault, ...] = ()
     has_departures: bool = False
     has_pauses: bool = False
+    has_stops: bool = False
+    sender_count: int = 0
+    sender_kinds: tuple[CallKind, ...] = ALL_KINDS
 
 
 async def execute(plan: Plan, folder: pathlib.Path) -> observations.History:
@@ -188,6 +209,7 @@
             for host in fleet.engines.values()
         ]
         await submit_first_document(fleet, session)
+        fleet.submit_change = functools.partial(_submit_change, fleet, session)
         actors.append(asyncio.create_task(_run_operator(fleet, session, rng)))
         actors += [
             asyncio.create_task(
@@ -218,6 +240,17 @@
             )
             for number in range(plan.deadly_count)
         ]
+        actors += [
+            asyncio.create_task(
+                slow_senders.run_sender(
+                    fleet,
+                    f"{plan.seed}-s{number}",
+                    tuple(look if k is LOOK else k for k in plan.sender_kinds),
+                    random.Random(f"sender {number} {plan.seed}"),
+                )
+            )
+            for number in range(plan.sender_count)
+        ]
         if plan.has_pauses:
             actors.append(
                 asyncio.create_task(
@@ -264,6 +297,10 @@
         faults += schedule.draw_troubles(
             plan.seed, plan.length_ms, services, core, nodes, faults
         )
+    if plan.has_stops:
+        faults += schedule.draw_planned_work(
+            plan.seed, plan.length_ms, core, nodes, faults
+        )
     return faults
 
 
@@ -372,8 +409,28 @@
             await asyncio.sleep(OPERATOR_PAUSE_S)
 
 
+async def _submit_change(fleet, session, name: str) -> None:
+    """Submit a document with one more route."""
+    fleet.last_version += 1
+    version = fleet.last_version
+    body = fleet.make_body(version)
+    fields = msgspec.json.decode(body)
+    fields["routes"].append(
+        standins.make_route_fields(f"/added-{version}/", "svc-app")
+    )
+    await _submit_body(
+        fleet, session, name, version, msgspec.json.encode(fields)
+    )
+
+
 async def _submit_document(fleet, session, name: str, version: int) -> bool:
     body = fleet.make_body(version)
+    return await _submit_body(fleet, session, name, version, body)
+
+
+async def _submit_body(
+    fleet, session, name: str, version: int, body: bytes
+) -> bool:
     status = await _call_or_none(
         OPERATOR_TIMEOUT_S,
         lambda: standins.submit_document(
@@ -389,11 +446,11 @@
 
 async def _run_operator(fleet: local_fleet.Fleet, session, rng) -> None:
     """Submit documents and read them back, each at a random node."""
-    version = 1
     names = list(fleet.nodes)
     while not fleet.is_finished:
         await asyncio.sleep(rng.uniform(0, 2 * OPERATOR_PAUSE_S))
-        version += rng.randint(1, 3)
+        fleet.last_version += rng.randint(1, 3)
+        version = fleet.last_version
         for _ in range(rng.randint(1, 3)):
             if await _submit_document(
                 fleet, session, rng.choice(names), version
--- a/bilberryramp/soak/schedule.py
+++ b/bilberryramp/soak/schedule.py
@@ -11,6 +11,7 @@
     "ENGINE_FAULTS",
     "draw",
     "draw_departures",
+    "draw_planned_work",
     "draw_troubles",
 ]
 
@@ -62,6 +63,17 @@
 KILL_EACH_INTERVAL_MS = 1000
 KILL_ALL_INTERVAL_MS = 3500
 KILL_MS = 300
+# Mean time between the starts of two series of planned work, and the shortest
+# and longest time from one node to the next in a series. A stopped node needs
+# some seconds to end and to start, so that stops overlap too.
+MEAN_SERIES_INTERVAL_MS = 4000
+PLANNED_WORK = (
+    (_Kind.STOP, 1500, 6000),
+    (_Kind.RELOAD, 50, 1500),
+    (_Kind.CHANGE, 50, 1500),
+)
+# A reload waits this long for a node that is stopped or starting.
+MAX_RELOAD_MS = 5000
 # A graceful stop takes at most the grace period, `NodeSettings.grace_ms` in
 # the soak.
 MAX_STOP_MS = 8000
@@ -196,11 +208,7 @@
         services fail requests at the same time.
     """
     rng = random.Random(f"troubles {seed}")
-    recoveries = [
-        (fault.from_ms, fault.to_ms + CATCH_UP_MS)
-        for fault in faults
-        if fault.kind is _Kind.WIPE
-    ]
+    recoveries = _recoveries(faults)
     now_ms = 0
     while True:
         now_ms += int(rng.expovariate(1 / MEAN_TROUBLE_INTERVAL_MS))
@@ -213,12 +221,74 @@
         for kill in _draw_kills(rng, now_ms, nodes):
             affects_core = kill.target in core or kill.kind is _Kind.KILL_ALL
             if kill.from_ms < length_ms and not (
-                affects_core
-                and any(start <= kill.to_ms < end for start, end in recoveries)
+                affects_core and _is_in(recoveries, kill.to_ms)
             ):
                 yield kill
 
 
+def draw_planned_work(
+    seed: int, length_ms: int, core: list, nodes: list, faults: list
+) -> Iterator[observations.Fault]:
+    """Draw stops, reloads and changes, each in series over all nodes.
+
+    They do not change the faults that `draw` yields for the same seed.
+
+    Parameters
+    ----------
+    seed
+        Seed of the random generator.
+    length_ms
+        Period in which planned work begins, in milliseconds.
+    core, nodes
+        Names of the nodes with a data folder and of all nodes.
+    faults
+        Faults that `draw` has drawn. As there, no core node is stopped while
+        one recovers its data.
+
+    Yields
+    ------
+    Fault
+        Planned work, with times from the start of the schedule. Series of
+        different kinds overlap.
+    """
+    rng = random.Random(f"planned {seed}")
+    recoveries = _recoveries(faults)
+    for kind, min_ms, max_ms in PLANNED_WORK:
+        now_ms = 0
+        while True:
+            now_ms += int(rng.expovariate(1 / MEAN_SERIES_INTERVAL_MS))
+            if now_ms >= length_ms:
+                break
+            for target in rng.sample(nodes, len(nodes)):
+                if now_ms < length_ms and not (
+                    kind is _Kind.STOP
+                    and target in core
+                    and _is_in(recoveries, now_ms)
+                ):
+                    yield _plan(kind, target, now_ms)
+                now_ms += rng.randint(min_ms, max_ms)
+
+
+def _plan(kind, target: str, now_ms: int) -> observations.Fault:
+    lengths_ms = {_Kind.STOP: MAX_STOP_MS, _Kind.RELOAD: MAX_RELOAD_MS}
+    return observations.Fault(
+        kind, target, now_ms, now_ms + lengths_ms.get(kind, 0)
+    )
+
+
+def _recoveries(faults) -> list[tuple[int, int]]:
+    """Return the periods in which a core node recovers its data."""
+    return [
+        (fault.from_ms, fault.to_ms + CATCH_UP_MS)
+        for fault in faults
+        if fault.kind is _Kind.WIPE
+    ]
+
+
+def _is_in(periods: list[tuple[int, int]], at_ms: int) -> bool:
+    return any(start <= at_ms < end for start, end in periods)
+
+
 def _draw_pauses(rng, now_ms, engines) -> Iterator[observations.Fault]:
     count = rng.choice((1, 1, rng.randint(1, len(engines)), len(engines)))
     share = rng.choice(PAUSE_SHARES)
--- a/bilberryramp/soak/tests/builders.py
+++ b/bilberryramp/soak/tests/builders.py
@@ -84,3 +84,37 @@
 
 def crashed(cause="7-f0", upstream_id="e1-1", at_ms=DEFAULT_MS, is_part=False):
     return observations.EngineCrashed(cause, upstream_id, at_ms, is_part)
+
+
+def run_ended(
+    request_id="q1",
+    upstream_id="e1-1",
+    at_ms=DEFAULT_MS + 1800,
+    broke_off=False,
+):
+    return observations.RunEnded(request_id, upstream_id, broke_off, at_ms)
+
+
+def signalled(name="n1", signal="SIGTERM", at_ms=DEFAULT_MS):
+    return observations.SignalSent(name, signal, at_ms)
+
+
+def ended(name="n1", at_ms=DEFAULT_MS + 4000, code=0):
+    return observations.ProgramEnded(name, code, True, at_ms)
+
+
+def in_pieces(request_id="q1", **changes):
+    """Build a request that was read whole and lost as its node stopped."""
+    fields = {
+        "node": "n1",
+        "may_repeat": False,
+        "began_ms": DEFAULT_MS + 1000,
+        "written_ms": DEFAULT_MS + 2500,
+        "span_ms": 1500,
+        "deadline_ms": 6000,
+        "status": 0,
+        "is_whole": False,
+        "has_closed": True,
+        "ended_ms": DEFAULT_MS + 4000,
+    }
+    return observations.PiecesSent(request_id, **(fields | changes))
--- a/bilberryramp/soak/tests/test_soak.py
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -37,6 +37,8 @@
             observations.FaultKind.ENGINE_LEAVE,
             observations.FaultKind.ENGINE_PAUSE,
             observations.FaultKind.ENGINE_ERRORS,
+            observations.FaultKind.RELOAD,
+            observations.FaultKind.CHANGE,
         }
         self.assertEqual({f.kind for f in faults}, kinds)
         self.assertTrue(
@@ -119,6 +121,51 @@
                             wipe.from_ms <= fault.to_ms < until_ms
                         )
 
+    def draw_planned(self, seed, faults=()):
+        return list(
+            schedule.draw_planned_work(seed, 60_000, CORE, NODES, list(faults))
+        )
+
+    def test_planned_work_comes_in_series_that_overlap(self):
+        self.assertEqual(self.draw_planned(4), self.draw_planned(4))
+        self.assertNotEqual(self.draw_planned(4), self.draw_planned(5))
+        work = self.draw_planned(1)
+        for kind in (
+            observations.FaultKind.STOP,
+            observations.FaultKind.RELOAD,
+            observations.FaultKind.CHANGE,
+        ):
+            series = [f for f in work if f.kind is kind][: len(NODES)]
+            self.assertEqual(sorted(f.target for f in series), sorted(NODES))
+            self.assertEqual(series, sorted(series, key=lambda f: f.from_ms))
+        stops = [f for f in work if f.kind is observations.FaultKind.STOP]
+        self.assertTrue(
+            any(
+                stop.from_ms < other.from_ms < stop.to_ms
+                for stop in stops
+                for other in work
+                if other.kind is not observations.FaultKind.STOP
+            )
+        )
+
+    def test_no_core_node_is_stopped_while_one_recovers_its_data(self):
+        for seed in range(20):
+            wipes = [
+                f
+                for f in self.draw(seed)
+                if f.kind is observations.FaultKind.WIPE
+            ]
+            for fault in self.draw_planned(seed, wipes):
+                if (
+                    fault.kind is observations.FaultKind.STOP
+                    and fault.target in CORE
+                ):
+                    for wipe in wipes:
+                        until_ms = wipe.to_ms + schedule.CATCH_UP_MS
+                        self.assertFalse(
+                            wipe.from_ms <= fault.from_ms < until_ms
+                        )
+
     def test_core_nodes_get_no_faults_while_one_recovers_its_data(self):
         for seed in range(20):
             protected_until_ms = 0
--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -13,7 +13,13 @@
 
 from absl import app, flags
 
-from bilberryramp.soak import budget_checks, checks, observations, run
+from bilberryramp.soak import (
+    budget_checks,
+    checks,
+    observations,
+    run,
+    stop_checks,
+)
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the first soak.")
 _SEEDS = flags.DEFINE_integer("seeds", 1, "Number of seeds.")
@@ -27,10 +33,19 @@
 _PAUSES = flags.DEFINE_bool(
     "pauses", True, "Let engines pause and fail requests, too."
 )
+_STOPS = flags.DEFINE_bool(
+    "stops",
+    True,
+    "Stop nodes, reload their settings and change the document in series, "
+    "too, with clients that send bodies in pieces.",
+)
 _FIRST_SLOT = flags.DEFINE_integer(
     "first_slot", 0, "First number that selects loopback addresses."
 )
 
+SENDER_COUNT = 16
+# One in so many seeds has no streams among the bodies sent in pieces.
+PLAIN_EVERY = 3
 SOAKS_DIR = pathlib.Path(__file__).parent.parent / "var" / "soak"
 
 
@@ -41,6 +56,7 @@
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     duration_ms = int(60_000 * _MINUTES.value)
+    kinds = run.PLAIN_KINDS if seed % PLAIN_EVERY == 0 else run.ALL_KINDS
     plan = run.Plan(
         seed,
         slot,
@@ -49,6 +65,9 @@
         _OTHERS.value,
         has_departures=_DEPARTURES.value,
         has_pauses=_PAUSES.value,
+        has_stops=_STOPS.value,
+        sender_count=SENDER_COUNT * _STOPS.value,
+        sender_kinds=kinds,
     )
     try:
         history = await run.execute(plan, folder)
@@ -78,6 +97,7 @@
         f"{len(violations)} violations",
         flush=True,
     )
+    print(f"  in pieces: {stop_checks.summary(history)}")
     for service, worst in budget_checks.worst_windows(history):
         print(
             f"  {service}: {worst.repeats} repeats in the worst window, "
