Check that reloads cut no body, and print violations of each check

The rule on reloads names whole requests only, but a reload gives a node no reason to close a connection on which a body is still being sent.

Change: `reloads_cut_no_request`, as for stops but without the grace period.

--- a/bilberryramp/soak/checks.py
+++ b/bilberryramp/soak/checks.py
@@ -367,6 +367,7 @@
     stop_checks.stops_lose_no_request,
     stop_checks.stops_cut_no_request,
     stop_checks.reloads_lose_no_request,
+    stop_checks.reloads_cut_no_request,
 )
 TIMING = (
     drained_engines_stay_idle,
--- a/bilberryramp/soak/stop_checks.py
+++ b/bilberryramp/soak/stop_checks.py
@@ -11,6 +11,7 @@
 from bilberryramp.soak import fault_periods, observations
 
 __all__ = [
+    "reloads_cut_no_request",
     "reloads_lose_no_request",
     "stops_cut_no_request",
     "stops_end_in_time",
@@ -132,22 +133,23 @@
     sixth of the grace period.
     """
     for stop in _signals(history, "SIGTERM"):
-        for sent in history.of_class(observations.PiecesSent):
+        for sent in _cut(history, stop, stop.at_ms + LAST_SIXTH_MS):
             if (
-                sent.node == stop.name
-                and sent.has_closed
-                and not sent.is_whole
-                and sent.written_ms < 0
-                and sent.span_ms <= MAX_SPAN_MS
+                sent.span_ms <= MAX_SPAN_MS
                 and sent.began_ms <= stop.at_ms + READ_AFTER_STOP_MS
-                and stop.at_ms < sent.ended_ms < stop.at_ms + LAST_SIXTH_MS
-                and sent.ended_ms - sent.began_ms > LOSS_SLACK_MS
-                and _is_calm(history, sent.node, sent.began_ms, sent.ended_ms)
             ):
-                yield (
-                    f"{_text(sent, stop)}: cut after "
-                    f"{sent.ended_ms - sent.began_ms} ms of its body"
-                )
+                yield f"{_text(sent, stop)}: {_how_cut(sent)}"
+
+
+def reloads_cut_no_request(history: observations.History) -> Iterator[str]:
+    """Check that a reload of settings cuts no request, as for a stop."""
+    for reload in _signals(history, "SIGHUP"):
+        until_ms = reload.at_ms + APPLY_MS + ROUTE_TIMEOUT_MS
+        for sent in _cut(history, reload, until_ms):
+            if sent.began_ms <= reload.at_ms + APPLY_MS and not _has_stopped(
+                history, sent
+            ):
+                yield f"{_text(sent, reload)}: {_how_cut(sent)}"
 
 
 def stops_end_in_time(history: observations.History) -> Iterator[str]:
@@ -215,6 +217,25 @@
             yield sent
 
 
+def _cut(
+    history, work: observations.SignalSent, until_ms: int
+) -> Iterator[observations.PiecesSent]:
+    """Yield the requests whose bodies a node cut after a signal.
+
+    One that merely crosses the close of an idle connection is left out.
+    """
+    for sent in history.of_class(observations.PiecesSent):
+        if (
+            sent.node == work.name
+            and sent.has_closed
+            and sent.written_ms < 0
+            and work.at_ms < sent.ended_ms < until_ms
+            and sent.ended_ms - sent.began_ms > LOSS_SLACK_MS
+            and _is_calm(history, sent.node, sent.began_ms, sent.ended_ms)
+        ):
+            yield sent
+
+
 def _is_calm(history, name: str, from_ms: int, to_ms: int) -> bool:
     """Return whether a node had no unplanned disturbance in a period.
 
@@ -305,3 +326,7 @@
         f"byte), {given_up} given up; {len(stops)} stops in "
         f"{stops[0] if stops else 0} to {stops[-1] if stops else 0} ms"
     )
+
+
+def _how_cut(sent) -> str:
+    return f"cut after {sent.ended_ms - sent.began_ms} ms of its body"
--- a/bilberryramp/soak/tests/test_stop_checks.py
+++ b/bilberryramp/soak/tests/test_stop_checks.py
@@ -149,6 +149,23 @@
     def test_a_stop_is_judged_by_its_own_check(self):
         self.assertFalse(self.lost(builders.signalled(at_ms=NOW_MS + 1500)))
 
+    def test_a_cut_body_is_reported(self):
+        reload = builders.signalled(signal="SIGHUP")
+        cut = builders.in_pieces(written_ms=-1)
+        check = stop_checks.reloads_cut_no_request
+        self.assertEqual(
+            found(check, reload, cut),
+            [
+                "q1 to n1, begun 1000 ms after SIGHUP: cut after 3000 ms of "
+                "its body"
+            ],
+        )
+        self.assertFalse(found(check, reload, cut, builders.signalled()))
+        late = builders.in_pieces(
+            written_ms=-1, began_ms=NOW_MS + stop_checks.APPLY_MS + 1
+        )
+        self.assertFalse(found(check, reload, late))
+
 
 class CutTest(unittest.TestCase):
     def cut(self, *observed, **changes):
--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -106,8 +106,9 @@
     counts = collections.Counter(v.check for v in violations)
     for check, count in counts.items():
         print(f"  {check}: {count} violations", flush=True)
-    for violation in violations[:20]:
-        print(f"  {violation.check}: {violation.detail}", flush=True)
+    for check in counts:
+        for violation in [v for v in violations if v.check == check][:20]:
+            print(f"  {check}: {violation.detail}", flush=True)
     return not violations
 
 
