Send the soak's reloads to starting nodes too

A reload waited until its node took requests, because SIGHUP ended a node that was still starting. Since it does not, so the soak sends it whenever the process runs.

--- a/bilberryramp/soak/local_fleet.py
+++ b/bilberryramp/soak/local_fleet.py
@@ -41,8 +41,6 @@
 HEARTBEAT_INTERVAL_MS = 400
 # Time after which an engine that a request crashed is restarted.
 CRASH_RESTART_S = 1.5
-# Interval at which a reload looks whether its node takes requests.
-LISTEN_POLL_S = 0.1
 # One in so many streams has neither length nor chunks.
 UNFRAMED_EVERY = 4
 # Number of model engines, and of engines of the plain service, by default.
@@ -426,25 +424,10 @@
     await processes.start(host.program)
 
 
-async def _reload(fleet, host, fault) -> None:
-    # A node that is still starting would end by the signal.
-    if not await _is_listening_before(host, fault.to_ms):
-        return
-    fleet.record(observations.SignalSent(host.name, "SIGHUP", now_ms()))
-    processes.signal_program(host.program, signal.SIGHUP)
-
-
-async def _is_listening_before(host: Host, to_ms: int) -> bool:
-    """Wait until a node takes requests; return whether it does in time."""
-    while now_ms() < to_ms:
-        try:
-            _, writer = await asyncio.open_connection(*front_address(host))
-        except OSError:
-            await asyncio.sleep(LISTEN_POLL_S)
-        else:
-            writer.close()
-            return True
-    return False
+async def _reload(fleet, host, _fault) -> None:
+    if host.program.proc.returncode is None:
+        fleet.record(observations.SignalSent(host.name, "SIGHUP", now_ms()))
+        processes.signal_program(host.program, signal.SIGHUP)
 
 
 def front_address(host: Host) -> tuple[str, int]:
--- a/bilberryramp/soak/schedule.py
+++ b/bilberryramp/soak/schedule.py
@@ -72,8 +72,6 @@
     (_Kind.RELOAD, 50, 1500),
     (_Kind.CHANGE, 50, 1500),
 )
-# A reload waits this long for a node that is stopped or starting.
-MAX_RELOAD_MS = 5000
 # A graceful stop takes at most the grace period, `NodeSettings.grace_ms` in
 # the soak.
 MAX_STOP_MS = 8000
@@ -270,10 +268,8 @@
 
 
 def _plan(kind, target: str, now_ms: int) -> observations.Fault:
-    lengths_ms = {_Kind.STOP: MAX_STOP_MS, _Kind.RELOAD: MAX_RELOAD_MS}
-    return observations.Fault(
-        kind, target, now_ms, now_ms + lengths_ms.get(kind, 0)
-    )
+    length_ms = MAX_STOP_MS if kind is _Kind.STOP else 0
+    return observations.Fault(kind, target, now_ms, now_ms + length_ms)
 
 
 def _recoveries(faults) -> list[tuple[int, int]]:
