--- a/bilberryramp/soak/tests/test_soak.py
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -15,6 +15,7 @@
     repeats,
     run,
     schedule,
+    stop_checks,
 )
 
 NODES = ["n1", "n2", "n3", "n4"]
@@ -410,5 +411,62 @@
         self.assertEqual(violations, [])
 
 
+class StopsTest(unittest.IsolatedAsyncioTestCase):
+    """Stops all nodes in series while clients send bodies in pieces.
+
+    Nodes dropped the rest of a body that came after they had begun to close
+    connections, and ended while requests were being read.
+    """
+
+    LENGTH_MS = 7000
+    SENDER_COUNT = 24
+    # Two fleets at the same time: streams hold the nodes of the first for as
+    # long as bodies are being sent, and nothing holds those of the second.
+    FLEETS = ((40, 7, run.ALL_KINDS), (41, 8, run.PLAIN_KINDS))
+    FAULTS = tuple(
+        observations.Fault(kind, f"n{number}", from_ms, from_ms + 8000)
+        for kind, first_ms, interval_ms in (
+            (observations.FaultKind.STOP, 1000, 2500),
+            (observations.FaultKind.RELOAD, 500, 1000),
+            (observations.FaultKind.CHANGE, 1500, 1500),
+        )
+        for number in (1, 2, 3)
+        for from_ms in (first_ms + (number - 1) * interval_ms,)
+    )
+
+    async def play(self, seed, slot, kinds):
+        with tempfile.TemporaryDirectory() as folder:
+            plan = run.Plan(
+                seed,
+                slot,
+                self.LENGTH_MS,
+                others=0,
+                fatal_count=0,
+                deadly_count=0,
+                fault_groups=(),
+                faults=self.FAULTS,
+                sender_count=self.SENDER_COUNT,
+                sender_kinds=kinds,
+            )
+            return await run.execute(plan, pathlib.Path(folder))
+
+    async def test_stops_and_reloads_lose_and_cut_no_request(self):
+        histories = await asyncio.gather(
+            *(self.play(*fleet) for fleet in self.FLEETS)
+        )
+        for history in histories:
+            last = history.of_class(observations.PiecesSent)[-1]
+            signals = collections.Counter(
+                s.signal
+                for s in history.of_class(observations.SignalSent)
+                if s.at_ms < last.ended_ms
+            )
+            self.assertEqual(signals, {"SIGTERM": 3, "SIGHUP": 3})
+            violations = list(checks.find_violations(history, checks.SAFETY))
+            counts = collections.Counter(v.check for v in violations)
+            with self.subTest(counts=counts):
+                self.assertEqual(violations, [], stop_checks.summary(history))
+
+
 if __name__ == "__main__":
     unittest.main()
