Add failing tests of connections that a planned stop closes

A close raises if the client's reset has arrived and was not read; so did the task of the stop in an experiment that paused the reading of such a connection, and the process exits once that task has ended. An answer that is complete in the kernel's buffer counts as sent, so that its connection is closed as idle; a request that comes then resets it. A part of a head that arrives behind another request counts as idle. Nothing asks for a body whose client waits for "100 Continue".

--- /dev/null
+++ b/bilberryramp/platform/tests/test_connection_close.py
@@ -0,0 +1,46 @@
+"""Tests of connections that end while they are closed."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from bilberryramp.decisions.shared import connection_stop
+from bilberryramp.platform.tests import builders
+from bilberryramp.tasks import client_connections
+from bilberryramp.tasks.tests import builders as task_builders
+
+TIMEOUT_S = 60
+# Ends a connection with a reset when its socket is closed.
+RESET = struct.pack("ii", 1, 0)
+
+
+class ConnectionCloseTest(unittest.IsolatedAsyncioTestCase):
+    async def test_close_after_a_reset_raised_and_ended_the_stop(self):
+        """The reset has arrived, and the event loop has not read it."""
+        server = await task_builders.start_faulty_server(
+            self, builders.platform_answer
+        )
+        front, port = await builders.start_frontend(
+            self, [f"127.0.0.1:{server.port}"]
+        )
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        sock.send(b"POST /x")
+        conns = client_connections.connections
+        async with asyncio.timeout(TIMEOUT_S):
+            while not any(
+                conn.state is connection_stop.State.READING_HEAD
+                for conn in conns(front.listener)
+            ):
+                await asyncio.sleep(0.01)
+        conn = next(conns(front.listener))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.close()
+        client_connections.close(conn.key, connection_stop.Reason.STALLED)
+        async with asyncio.timeout(TIMEOUT_S):
+            while any(conns(front.listener)):
+                await asyncio.sleep(0.01)
--- a/bilberryramp/platform/tests/test_planned_stop.py
+++ b/bilberryramp/platform/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 
 from bilberryramp.platform import standins
 from bilberryramp.platform.tests import builders, node_process
@@ -152,6 +153,80 @@
         self.assertEqual(headers["connection"], "close")
         await self.assert_exits()
 
+    async def test_answer_on_the_wire_was_reset_by_the_next_request(self):
+        """The rest of an answer was in the kernel, its connection closed."""
+        size = 900_000
+        limits = {"maxBodyBytes": 2 * size}
+        body = builders.make_document_body(version=4, limits=limits)
+        self.assertEqual(await self.submit_document(body), 200)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(("127.0.0.1", self.ports["front"]))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+        self.addCleanup(writer.close)
+        request = head_bytes("q1", f"Content-Length: {size}")
+        writer.write(request + b"x" * size)
+
+        async def is_run():
+            return "q1" in self.plain_upstream.executed_ids
+
+        await self.wait_until(is_run)
+        await self.begin_stop()
+        await self.until_refused()
+        # Longer than the interval at which connections are examined.
+        await asyncio.sleep(0.3)
+        writer.write(head_bytes("q2") + b"body")
+        status, _, answered = await read_answer(reader)
+        self.assertEqual((status, len(answered)), (200, size + 4))
+        await self.assert_exits()
+
+    async def test_part_of_a_head_behind_a_request_was_closed_as_idle(self):
+        self.plain_upstream.service_time_s = 0.5
+        reader, writer = await self.connect()
+        second = head_bytes("q2")
+        writer.write(head_bytes("q1") + b"one.")
+
+        async def is_run():
+            return "q1" in self.plain_upstream.executed_ids
+
+        await self.wait_until(is_run)
+        writer.write(second[:25])
+        status, _, _ = await read_answer(reader)
+        self.assertEqual(status, 200)
+        await self.begin_stop()
+        await self.until_refused()
+        await asyncio.sleep(0.3)
+        writer.write(second[25:] + b"two.")
+        status, _, _ = await read_answer(reader)
+        self.assertIn(status, (200, 503))
+        await self.assert_exits()
+
+    async def test_part_of_a_head_in_one_segment_was_closed_as_idle(self):
+        """It came with the end of the request before."""
+        reader, writer = await self.connect()
+        second = head_bytes("q2")
+        writer.write(head_bytes("q1") + b"one." + second[:25])
+        status, _, _ = await read_answer(reader)
+        self.assertEqual(status, 200)
+        await self.begin_stop()
+        await self.until_refused()
+        await asyncio.sleep(0.3)
+        writer.write(second[25:] + b"two.")
+        status, _, _ = await read_answer(reader)
+        self.assertIn(status, (200, 503))
+        await self.assert_exits()
+
+    async def test_body_that_waits_for_100_continue_was_not_asked_for(self):
+        """The node waited for the body, and the client for the node."""
+        reader, writer = await self.connect()
+        writer.write(head_bytes("q1", f"Expect: 100-continue\r\n{SIZED}"))
+        async with asyncio.timeout(10):
+            line = await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(line, b"HTTP/1.1 100 Continue\r\n\r\n")
+        writer.write(b"body")
+        status, _, body = await read_answer(reader)
+        self.assertEqual((status, body), (200, b"did body"))
+
     async def test_refusal_of_a_large_body_was_reset_in_a_stop(self):
         size = 3_000_000
         reader, writer = await self.connect()
