Close a connection whose client has reset it

A close sends what was written and shuts the socket's writing side down. If a reset has arrived that the event loop has not read, the shutdown raises: in a planned stop the drain's task ended by it, with all requests in progress, and a connection whose reading was paused stayed open for good. The error is of no use to the caller, as the reset is read next, and the lingering ends the connection otherwise.

The test in test_connection_close passes, and the drain, run with such a connection whose reading was paused, ends as it should instead of raising (one run each before and after).

--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -169,7 +169,9 @@
         if self.is_closing():
             return
         self.is_closed = True
-        self.inner.write_eof()
+        # A reset that has arrived, and was not read yet, is an error here.
+        with contextlib.suppress(OSError):
+            self.inner.write_eof()
         self.inner.resume_reading()
         _linger(self, asyncio.get_running_loop().time() + MAX_LINGER_S)
 
