Keep a stopping connection open until its answer has arrived

An answer whose bytes were all in the kernel's buffer counted as sent, so a planned stop closed its connection as idle. A request that the client sent afterwards, without waiting for the end of the answer, was met with a reset, which drops what is left in the buffer: a slow reader received 4,096 of 900,004 bytes that an engine had answered. The connection counts as answering while the client's host has yet to acknowledge bytes, at the price of one system call for each otherwise idle connection and review of a stop.

--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -9,7 +9,10 @@
 import collections
 import contextlib
 import dataclasses
+import fcntl
 import math
+import struct
+import termios
 from collections.abc import Awaitable, Callable, Iterator
 
 from aiohttp import web
@@ -319,11 +322,23 @@
         return _State.ANSWERED_EARLY
     if conn.has_partial_head:
         return _State.READING_HEAD
-    if conn.link.inner.get_write_buffer_size():
+    if conn.link.inner.get_write_buffer_size() or _has_unsent_bytes(conn):
         return _State.ANSWERING
     return _State.IDLE
 
 
+def _has_unsent_bytes(conn: _Connection) -> bool:
+    """Return whether the client's host has yet to receive written bytes."""
+    sock = conn.link.inner.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    # A socket that has been reset has no bytes left to send.
+    with contextlib.suppress(OSError):
+        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return struct.unpack("i", size)[0] > 0
+    return False
+
+
 def new_listener(name: str, manager: web.Server, **options) -> Listener:
     """Create a listener that has no sockets yet.
 
