Read a request that begins behind another one in a stop

A part of a head counted as a request in progress only if it came while none other was. If it came while a request before it was answered, the connection counted as idle after that answer, and a planned stop closed it with most of the grace period left; and the answer before said that it was the last one, so that the rest of the request was dropped. Bytes that come once the body before has been read to its end now are a part of the next request. Calls of data_received without bytes, which the library makes to read on, are none.

A part of a head in one segment with the end of the request before stays listed.

--- a/bilberryramp/platform/tests/test_planned_stop.py
+++ b/bilberryramp/platform/tests/test_planned_stop.py
@@ -201,6 +201,26 @@
         self.assertIn(status, (200, 503))
         await self.assert_exits()
 
+    async def test_request_begun_behind_another_in_a_stop_was_dropped(self):
+        """The answer before said that it was the last one."""
+        self.plain_upstream.service_time_s = 1
+        reader, writer = await self.connect()
+        await self.begin_stop()
+        second = head_bytes("q2")
+        writer.write(head_bytes("q1") + b"one.")
+
+        async def is_run():
+            return "q1" in self.plain_upstream.executed_ids
+
+        await self.wait_until(is_run)
+        writer.write(second[:25])
+        status, _, _ = await read_answer(reader)
+        self.assertEqual(status, 200)
+        writer.write(second[25:] + b"two.")
+        status, headers, _ = await read_answer(reader)
+        self.assertEqual((status, headers["connection"]), (200, "close"))
+        await self.assert_exits()
+
     async def test_part_of_a_head_in_one_segment_was_closed_as_idle(self):
         """It came with the end of the request before."""
         reader, writer = await self.connect()
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -268,13 +268,14 @@
             self.read_bytes = 0
         self.read_bytes += len(data)
         known_count = self._request_count
-        is_body = _has_unread_body(self)
+        is_between = _is_between_requests(self)
         super().data_received(data)
         if begun_count := self._request_count - known_count:
             self.arrivals_ms.extend([self.last_read_ms] * begun_count)
             self.begun_count += begun_count
             self.has_partial_head = False
-        elif self.begun_count == self.ended_count and not is_body:
+        # The library calls this method without bytes when it reads on.
+        elif is_between and data:
             self.has_partial_head = True
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -289,6 +290,17 @@
     return conn.last_body is not None and not conn.last_body.is_eof()
 
 
+def _is_between_requests(conn: _Connection) -> bool:
+    """Return whether the next byte is known to be part of a new request."""
+    if conn.begun_count == conn.ended_count:
+        return not _has_unread_body(conn)
+    return (
+        conn.begun_count == conn.ended_count + 1
+        and conn.current is not None
+        and conn.current.content.is_eof()
+    )
+
+
 def _describe_end(conn: _Connection) -> ConnectionEnd:
     return ConnectionEnd(
         conn.listener.name,
@@ -481,12 +493,14 @@
 def is_last(request: web.BaseRequest) -> bool:
     """Return whether the answer to a request is its connection's last one.
 
-    That is so in a planned stop, unless more requests have arrived.
+    That is so in a planned stop, unless more requests, or a part of one, have
+    arrived.
     """
     conn = request.protocol
     return (
         conn.listener.phase != "running"
         and conn.begun_count == conn.ended_count + 1
+        and not conn.has_partial_head
     )
 
 
