Ask for the body of a request that expects 100 Continue

The library answers "Expect: 100-continue" only in its application layer, which the listeners do not use. Clients that wait for the interim answer sent no body: without a stop neither side went on until the client's time-out, and in a stop the request was refused after 2 s as stalled. The body is asked for when its reading begins, unless it has arrived already.

--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -15,7 +15,8 @@
 import termios
 from collections.abc import Awaitable, Callable, Iterator
 
-from aiohttp import web
+import aiohttp
+from aiohttp import hdrs, web
 
 from bilberryramp.decisions.shared import connection_stop
 from bilberryramp.tasks import clock
@@ -483,6 +484,7 @@
     try:
         async with timeout:
             conn.reading = timeout
+            _ask_for_body(request)
             return await read(request)
     except TimeoutError:
         raise ReadingEndedError from None
@@ -490,6 +492,19 @@
         conn.reading = None
 
 
+def _ask_for_body(request: web.BaseRequest) -> None:
+    """Tell a client that waits for it to send the body."""
+    expected = request.headers.get(hdrs.EXPECT, "").lower()
+    link = request.protocol.link
+    if (
+        expected == "100-continue"
+        and request.version >= aiohttp.HttpVersion11
+        and not request.content.is_eof()
+        and not link.is_closing()
+    ):
+        link.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 def is_last(request: web.BaseRequest) -> bool:
     """Return whether the answer to a request is its connection's last one.
 
