--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -9,10 +9,14 @@
 import collections
 import contextlib
 import dataclasses
+import fcntl
 import math
+import struct
+import termios
 from collections.abc import Awaitable, Callable, Iterator
 
-from aiohttp import web
+import aiohttp
+from aiohttp import hdrs, web
 
 from bilberryramp.decisions.shared import connection_stop
 from bilberryramp.tasks import clock
@@ -169,7 +173,9 @@
         if self.is_closing():
             return
         self.is_closed = True
-        self.inner.write_eof()
+        # A reset that has arrived, and was not read yet, is an error here.
+        with contextlib.suppress(OSError):
+            self.inner.write_eof()
         self.inner.resume_reading()
         _linger(self, asyncio.get_running_loop().time() + MAX_LINGER_S)
 
@@ -263,13 +269,14 @@
             self.read_bytes = 0
         self.read_bytes += len(data)
         known_count = self._request_count
-        is_body = _has_unread_body(self)
+        is_between = _is_between_requests(self)
         super().data_received(data)
         if begun_count := self._request_count - known_count:
             self.arrivals_ms.extend([self.last_read_ms] * begun_count)
             self.begun_count += begun_count
             self.has_partial_head = False
-        elif self.begun_count == self.ended_count and not is_body:
+        # The library calls this method without bytes when it reads on.
+        elif is_between and data:
             self.has_partial_head = True
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -284,6 +291,17 @@
     return conn.last_body is not None and not conn.last_body.is_eof()
 
 
+def _is_between_requests(conn: _Connection) -> bool:
+    """Return whether the next byte is known to be part of a new request."""
+    if conn.begun_count == conn.ended_count:
+        return not _has_unread_body(conn)
+    return (
+        conn.begun_count == conn.ended_count + 1
+        and conn.current is not None
+        and conn.current.content.is_eof()
+    )
+
+
 def _describe_end(conn: _Connection) -> ConnectionEnd:
     return ConnectionEnd(
         conn.listener.name,
@@ -317,11 +335,23 @@
         return _State.ANSWERED_EARLY
     if conn.has_partial_head:
         return _State.READING_HEAD
-    if conn.link.inner.get_write_buffer_size():
+    if conn.link.inner.get_write_buffer_size() or _has_unsent_bytes(conn):
         return _State.ANSWERING
     return _State.IDLE
 
 
+def _has_unsent_bytes(conn: _Connection) -> bool:
+    """Return whether the client's host has yet to receive written bytes."""
+    sock = conn.link.inner.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    # A socket that has been reset has no bytes left to send.
+    with contextlib.suppress(OSError):
+        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return struct.unpack("i", size)[0] > 0
+    return False
+
+
 def new_listener(name: str, manager: web.Server, **options) -> Listener:
     """Create a listener that has no sockets yet.
 
@@ -454,6 +484,7 @@
     try:
         async with timeout:
             conn.reading = timeout
+            _ask_for_body(request)
             return await read(request)
     except TimeoutError:
         raise ReadingEndedError from None
@@ -461,15 +492,30 @@
         conn.reading = None
 
 
+def _ask_for_body(request: web.BaseRequest) -> None:
+    """Tell a client that waits for it to send the body."""
+    expected = request.headers.get(hdrs.EXPECT, "").lower()
+    link = request.protocol.link
+    if (
+        expected == "100-continue"
+        and request.version >= aiohttp.HttpVersion11
+        and not request.content.is_eof()
+        and not link.is_closing()
+    ):
+        link.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 def is_last(request: web.BaseRequest) -> bool:
     """Return whether the answer to a request is its connection's last one.
 
-    That is so in a planned stop, unless more requests have arrived.
+    That is so in a planned stop, unless more requests, or a part of one, have
+    arrived.
     """
     conn = request.protocol
     return (
         conn.listener.phase != "running"
         and conn.begun_count == conn.ended_count + 1
+        and not conn.has_partial_head
     )
 
 
