Answer an expectation at one place

Both the application layer of entry and control and read_body asked for the body of a request with Expect: 100-continue, so that a caller got two interim answers. Only read_body asks now.

--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -168,7 +168,7 @@
     async def show_metrics(_request: web.Request) -> web.Response:
         return web.Response(text=metrics.render(process_metrics))
 
-    options = {"expect_handler": http_requests.answer_expectation}
+    options = {"expect_handler": http_requests.accept_expectation}
     app.router.add_get("/v1/models", models, **options)
     app.router.add_get("/healthz", health, **options)
     app.router.add_get("/readyz", ready, **options)
--- a/bilberryramp/tasks/http_requests.py
+++ b/bilberryramp/tasks/http_requests.py
@@ -9,7 +9,7 @@
 
 __all__ = [
     "AnswerTooLargeError",
-    "answer_expectation",
+    "accept_expectation",
     "make_factory",
     "read_fingerprinted",
     "read_limited",
@@ -24,19 +24,13 @@
     """Raised when the body of an answer exceeds its limit."""
 
 
-async def answer_expectation(request: web.Request) -> None:
-    """Ask a client that waits for it to send the body of its request.
+async def accept_expectation(_request: web.Request) -> None:
+    """Let the reading of a request's body answer its expectation.
 
-    Other expectations are ignored, as RFC 9110 permits. The library would
-    refuse them beside the application, and so beside its middlewares.
-
-    Parameters
-    ----------
-    request
-        Request with the header ``Expect``.
+    The header ``Expect`` is answered by `client_connections.read_body`. Other
+    expectations than ``100-continue`` are ignored, as RFC 9110 permits. The
+    library would refuse them beside the application's middlewares.
     """
-    if request.headers[hdrs.EXPECT].lower() == "100-continue":
-        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
 
 async def read_fingerprinted(
--- a/bilberryramp/tasks/operator_api.py
+++ b/bilberryramp/tasks/operator_api.py
@@ -222,7 +222,7 @@
             return _json_response(DrainReply("accepted"))
         return _json_response(DrainReply("unknown", result.leader_id), 503)
 
-    options = {"expect_handler": http_requests.answer_expectation}
+    options = {"expect_handler": http_requests.accept_expectation}
     app.router.add_post("/v1/tables", submit, **options)
     app.router.add_get("/v1/status", status, **options)
     app.router.add_post("/v1/upstreams/{upstream_id}/drain", drain, **options)
