Wait for the first request of a connection that was just accepted

A caller that connects in the last moment before a stopping node closes its listener had the connection reset under its first request.

A connection counts as new for 200 ms, and holds the exit for that time; its request is refused with 503. The test that lands plays the drain in one process, so that it does not depend on pace.

--- a/bilberryramp/decisions/shared/connection_stop.py
+++ b/bilberryramp/decisions/shared/connection_stop.py
@@ -24,6 +24,8 @@
 
     IDLE = "idle"
     """No request is in progress."""
+    NEW = "new"
+    """Just accepted; the first request may be on its way."""
     READING_HEAD = "reading_head"
     """A part of a request's head has been read."""
     READING_BODY = "reading_body"
--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -9,10 +9,12 @@
 
 from bilberryramp.decisions.fleet import gateway
 from bilberryramp.decisions.shared import connection_stop
+from bilberryramp.decisions.shared.tests import builders as shutdown_builders
 from bilberryramp.platform import exchanges, standins
 from bilberryramp.standins import faulty_server
 from bilberryramp.tasks import (
     client_connections,
+    connection_drain,
     fleet_frontend,
     gateway_task,
     mailbox,
@@ -20,6 +22,7 @@
     upstream_exchange,
 )
 from bilberryramp.tasks.tests import builders as task_builders
+from bilberryramp.telemetry import metrics
 
 make_route_fields = standins.make_route_fields
 make_document_body = standins.make_document_body
@@ -211,6 +214,26 @@
     )
 
 
+def make_drain(listener, on_draining) -> connection_drain.Drain:
+    """Make the drain of one listener, without a notice."""
+    stop = shutdown_builders.make_shutdown(
+        lambda: not connection_drain.holds_exit([listener]), grace_ms=60_000
+    )
+    return connection_drain.Drain(
+        stop, [listener], 0, on_draining, metrics.Metrics()
+    )
+
+
+def request_bytes(request_id: str, path="/once/x") -> bytes:
+    """Encode a request whose body is its id."""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {task_builders.HOST}\r\n"
+        f"X-Bilberryramp-Request-Id: {request_id}\r\n"
+        "X-Bilberryramp-Deadline-Ms: 3000\r\n"
+        f"Content-Length: {len(request_id)}\r\n\r\n{request_id}"
+    ).encode()
+
+
 def open_call(session, port, request_id, path="/once/x", **headers):
     """Return a context manager that sends a request and has the response."""
     defaults = {
--- a/bilberryramp/platform/tests/test_connection_close.py
+++ b/bilberryramp/platform/tests/test_connection_close.py
@@ -4,10 +4,11 @@
 import socket
 import struct
 import unittest
+from unittest import mock
 
 from bilberryramp.decisions.shared import connection_stop
 from bilberryramp.platform.tests import builders
-from bilberryramp.tasks import client_connections
+from bilberryramp.tasks import client_connections, connection_drain
 from bilberryramp.tasks.tests import builders as task_builders
 
 TIMEOUT_S = 60
@@ -44,3 +45,38 @@
         async with asyncio.timeout(TIMEOUT_S):
             while any(conns(front.listener)):
                 await asyncio.sleep(0.01)
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """The drain of a listener, within this process."""
+
+    async def test_first_request_of_a_new_connection_was_reset(self):
+        """It came when the listener had just been closed."""
+        server = await task_builders.start_faulty_server(
+            self, builders.platform_answer
+        )
+        front, port = await builders.start_frontend(
+            self, [f"127.0.0.1:{server.port}"]
+        )
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(TIMEOUT_S):
+            while not any(client_connections.connections(front.listener)):
+                await asyncio.sleep(0.01)
+        draining = asyncio.Event()
+        with mock.patch.object(
+            client_connections, "FIRST_REQUEST_MS", 1000 * TIMEOUT_S
+        ):
+            drain = asyncio.create_task(
+                connection_drain.run(
+                    builders.make_drain(front.listener, draining.set)
+                )
+            )
+            async with asyncio.timeout(TIMEOUT_S):
+                await draining.wait()
+                writer.write(builders.request_bytes("q1"))
+                answer = await reader.read()
+                await drain
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"\r\nConnection: close\r\n", answer)
+        self.assertEqual(server.requests, [])
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -41,6 +41,9 @@
 
 # Time since boot at which the head of a request was read, in milliseconds.
 ARRIVED_MS = web.RequestKey("arrived_ms", int)
+# Time from the acceptance of a connection for which its first request may be
+# on its way.
+FIRST_REQUEST_MS = 200
 # Time without a byte of the client after which a connection whose last answer
 # was sent is closed, and longest time until then. A connection that is closed
 # with unread bytes is reset, which may take away an answer that the client has
@@ -206,8 +209,9 @@
         their turn were read, in milliseconds and oldest first.
     link
         Transport; None before the connection is open.
-    last_read_ms
-        Time since boot at which the last byte was read, in milliseconds.
+    accepted_ms, last_read_ms
+        Times since boot at which the connection was accepted and the last
+        byte was read, in milliseconds.
     read_bytes
         Bytes read since the connection was idle.
     written_before
@@ -227,6 +231,7 @@
     """
 
     __slots__ = (
+        "accepted_ms",
         "arrivals_ms",
         "begun_count",
         "current",
@@ -247,7 +252,7 @@
         self.listener = listener
         self.arrivals_ms = collections.deque()
         self.link = None
-        self.last_read_ms = clock.boot_ms()
+        self.accepted_ms = self.last_read_ms = clock.boot_ms()
         self.read_bytes = self.written_before = 0
         self.begun_count = self.ended_count = 0
         self.has_partial_head = False
@@ -337,6 +342,9 @@
         return _State.READING_HEAD
     if conn.link.inner.get_write_buffer_size() or _has_unsent_bytes(conn):
         return _State.ANSWERING
+    if not conn.begun_count:
+        age_ms = clock.boot_ms() - conn.accepted_ms
+        return _State.NEW if age_ms < FIRST_REQUEST_MS else _State.IDLE
     return _State.IDLE
 
 
