Report a planned stop that failed as a failure

The node exits when a task ends. If the ended task was that of the planned stop, the process logged that it had stopped and returned 0, also when the task had raised, as it did for a connection that its client had reset: the logs of such a node showed an ordinary stop that was only short. It now logs task_failed with the reason, and returns 1.

The condition moved to a function of its own; without the change of the condition its test fails with status 0 instead of 1.

--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -227,7 +227,12 @@
     done, _ = await asyncio.wait(
         [*tasks, stopped], return_when=asyncio.FIRST_COMPLETED
     )
-    if stopped in done:
+    return _exit_status(done, stopped)
+
+
+def _exit_status(done: set[asyncio.Task], stopped: asyncio.Task) -> int:
+    """Return the exit status once the stop, or a task that never ends, has."""
+    if stopped in done and stopped.exception() is None:
         events.emit(events.STOPPED)
         return 0
     for task in done:
