Refuse requests that reach an upstream process while it ends

An upstream process without work ended in the moment of its stop, and entries learned it from the broken connection. A request on its way then may have run, as far as its entry knows: it failed with 502 and `unknown`, or was tried again, and a strike was recorded against it as if it had taken the upstream down. Two strikes quarantine its content for ten minutes. With the real programs, six callers of one content and twelve stops of two upstreams in turn, 951 requests got 200, then 22,636 were refused as quarantined. If an order to the engine was unanswered, the process waited for it, up to 4 s, with its socket open and unread: six callers lost a request each, with six strikes, and in a second run, in which they repeat their contents, went on to be refused as quarantined.

A stopping process now stays for 1 s, in which each entry with a connection pings and is told that it is leaving, and refuses what reaches it. Before it closes its socket it refuses what has arrived unread, and it closes the socket before it waits for orders.

--- a/bilberryramp/decisions/upstream/upstream_work.py
+++ b/bilberryramp/decisions/upstream/upstream_work.py
@@ -179,7 +179,7 @@
         The announcement, and the replicas that accept requests; none while
         the engine does not answer.
     """
-    leaving = state.stop is not None and shutdown.is_draining(state.stop)
+    leaving = state.stop is not None and shutdown.is_stopping(state.stop)
     upstream = dataclasses.replace(state.upstream, leaving=leaving)
     if state.orders is None or not state.engine_up:
         return upstream, ()
@@ -300,7 +300,7 @@
             code.WRONG_INCARNATION,
             "another process was meant",
         )
-    if state.stop is not None and shutdown.is_draining(state.stop):
+    if state.stop is not None and shutdown.is_stopping(state.stop):
         return _failure(code.LEAVING, "the upstream is leaving")
     if _is_leaving_in_view(state):
         return _failure(code.LEAVING, "the upstream is being drained")
@@ -652,11 +652,11 @@
 
 def _check_stop(state: UpstreamState, now_ms: int) -> Iterator:
     if state.stop is not None:
-        yield from shutdown.stop_if_idle(state.stop, now_ms)
+        yield from shutdown.review(state.stop, now_ms)
 
 
 def _pong(state: UpstreamState) -> call_messages.Pong:
-    leaving = state.stop is not None and shutdown.is_draining(state.stop)
+    leaving = state.stop is not None and shutdown.is_stopping(state.stop)
     return call_messages.Pong(
         state.upstream.incarnation,
         state.view.index,
--- a/bilberryramp/programs/upstream.py
+++ b/bilberryramp/programs/upstream.py
@@ -36,6 +36,11 @@
 
 __all__ = ["run"]
 
+# Time for which a stopping process answers entries that it is leaving, though
+# it has no work. Each entry with a connection pings within it, see
+# ``charts/connection.yaml``, and sends no more requests from then on.
+LEAVING_NOTICE_MS = 1000
+
 
 def run() -> None:
     """Run the program."""
@@ -87,6 +92,7 @@
     state.stop = shutdown.Shutdown(
         chart=launch.bind_chart("shutdown", shutdown),
         is_idle=lambda: upstream_work.is_idle(state),
+        notice_ms=LEAVING_NOTICE_MS,
     )
     return upstream_node.UpstreamNode(
         cfg=cfg,
--- a/bilberryramp/tasks/mailbox.py
+++ b/bilberryramp/tasks/mailbox.py
@@ -8,7 +8,14 @@
 from bilberryramp.decisions.shared import effects
 from bilberryramp.tasks import clock
 
-__all__ = ["Mailbox", "start_timer", "post", "post_now", "receive_all"]
+__all__ = [
+    "Mailbox",
+    "post",
+    "post_now",
+    "receive_all",
+    "start_timer",
+    "wait_for_room",
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,10 +53,21 @@
     message
         Message to queue.
     """
+    await wait_for_room(mailbox)
+    post_now(mailbox, message)
+
+
+async def wait_for_room(mailbox: Mailbox) -> None:
+    """Wait while a mailbox is full.
+
+    Parameters
+    ----------
+    mailbox
+        Mailbox of the receiver. Modified in place.
+    """
     while len(mailbox.messages) >= mailbox.limit:
         mailbox.not_full.clear()
         await mailbox.not_full.wait()
-    post_now(mailbox, message)
 
 
 def post_now(mailbox: Mailbox, message) -> None:
--- a/bilberryramp/tasks/upstream_node.py
+++ b/bilberryramp/tasks/upstream_node.py
@@ -129,7 +129,9 @@
         await _send_last_heartbeat(node)
         for background_task in background:
             background_task.cancel()
-    node.listener.close()
+        await _answer_unread(node)
+        # Orders that are still unanswered must not keep entries waiting.
+        node.listener.close()
     await node.session.http.close()
     await node.order_session.close()
 
@@ -338,17 +340,42 @@
 async def _receive(node: UpstreamNode) -> None:
     while True:
         sender, data = await node.listener.recv_multipart()
+        await mailbox.wait_for_room(node.inbox)
+        _post_frame(node, sender, data)
+
+
+def _post_frame(node: UpstreamNode, sender: bytes, data: bytes) -> None:
+    try:
+        frame = codec.decode(data)
+    except codec.MalformedMessageError as exc:
+        events.emit(events.FRAME_DROPPED, reason=str(exc))
+        return
+    name = sender.decode(errors="replace")
+    arrived = upstream_messages.FrameArrived(name, frame)
+    mailbox.post_now(node.inbox, arrived)
+    index = getattr(frame, "view_index", 0)
+    if subscription.record_peer_index(node.sub, index):
+        mailbox.post_now(node.inbox, HeartbeatDue())
+
+
+async def _answer_unread(node: UpstreamNode) -> None:
+    """Refuse the requests that arrived but were not read.
+
+    A request that an entry sent on a connection that then breaks may have run,
+    so that its entry reports the loss of the upstream under it.
+    """
+    await asyncio.sleep(0)
+    plain = zmq.Socket(shadow=node.listener)
+    while True:
         try:
-            frame = codec.decode(data)
-        except codec.MalformedMessageError as exc:
-            events.emit(events.FRAME_DROPPED, reason=str(exc))
-            continue
-        name = sender.decode(errors="replace")
-        arrived = upstream_messages.FrameArrived(name, frame)
-        await mailbox.post(node.inbox, arrived)
-        index = getattr(frame, "view_index", 0)
-        if subscription.record_peer_index(node.sub, index):
-            await mailbox.post(node.inbox, HeartbeatDue())
+            sender, data = plain.recv_multipart(zmq.NOBLOCK)
+        except zmq.Again:
+            break
+        _post_frame(node, sender, data)
+    if node.inbox.messages:
+        batch = await mailbox.receive_all(node.inbox)
+        for effect in list(_handle_all(node, batch)):
+            await _perform(node, effect)
 
 
 async def _send_heartbeats(node: UpstreamNode) -> None:
