--- a/bilberryramp/soak/tests/test_soak.py
+++ b/bilberryramp/soak/tests/test_soak.py
@@ -15,6 +15,7 @@
     repeats,
     run,
     schedule,
+    stop_checks,
 )
 
 NODES = ["n1", "n2", "n3", "n4"]
@@ -37,6 +38,8 @@
             observations.FaultKind.ENGINE_LEAVE,
             observations.FaultKind.ENGINE_PAUSE,
             observations.FaultKind.ENGINE_ERRORS,
+            observations.FaultKind.RELOAD,
+            observations.FaultKind.CHANGE,
         }
         self.assertEqual({f.kind for f in faults}, kinds)
         self.assertTrue(
@@ -119,6 +122,51 @@
                             wipe.from_ms <= fault.to_ms < until_ms
                         )
 
+    def draw_planned(self, seed, faults=()):
+        return list(
+            schedule.draw_planned_work(seed, 60_000, CORE, NODES, list(faults))
+        )
+
+    def test_planned_work_comes_in_series_that_overlap(self):
+        self.assertEqual(self.draw_planned(4), self.draw_planned(4))
+        self.assertNotEqual(self.draw_planned(4), self.draw_planned(5))
+        work = self.draw_planned(1)
+        for kind in (
+            observations.FaultKind.STOP,
+            observations.FaultKind.RELOAD,
+            observations.FaultKind.CHANGE,
+        ):
+            series = [f for f in work if f.kind is kind][: len(NODES)]
+            self.assertEqual(sorted(f.target for f in series), sorted(NODES))
+            self.assertEqual(series, sorted(series, key=lambda f: f.from_ms))
+        stops = [f for f in work if f.kind is observations.FaultKind.STOP]
+        self.assertTrue(
+            any(
+                stop.from_ms < other.from_ms < stop.to_ms
+                for stop in stops
+                for other in work
+                if other.kind is not observations.FaultKind.STOP
+            )
+        )
+
+    def test_no_core_node_is_stopped_while_one_recovers_its_data(self):
+        for seed in range(20):
+            wipes = [
+                f
+                for f in self.draw(seed)
+                if f.kind is observations.FaultKind.WIPE
+            ]
+            for fault in self.draw_planned(seed, wipes):
+                if (
+                    fault.kind is observations.FaultKind.STOP
+                    and fault.target in CORE
+                ):
+                    for wipe in wipes:
+                        until_ms = wipe.to_ms + schedule.CATCH_UP_MS
+                        self.assertFalse(
+                            wipe.from_ms <= fault.from_ms < until_ms
+                        )
+
     def test_core_nodes_get_no_faults_while_one_recovers_its_data(self):
         for seed in range(20):
             protected_until_ms = 0
@@ -363,5 +411,62 @@
         self.assertEqual(violations, [])
 
 
+class StopsTest(unittest.IsolatedAsyncioTestCase):
+    """Stops all nodes in series while clients send bodies in pieces.
+
+    Nodes dropped the rest of a body that came after they had begun to close
+    connections, and ended while requests were being read.
+    """
+
+    LENGTH_MS = 7000
+    SENDER_COUNT = 24
+    # Two fleets at the same time: streams hold the nodes of the first for as
+    # long as bodies are being sent, and nothing holds those of the second.
+    FLEETS = ((40, 7, run.ALL_KINDS), (41, 8, run.PLAIN_KINDS))
+    FAULTS = tuple(
+        observations.Fault(kind, f"n{number}", from_ms, from_ms + 8000)
+        for kind, first_ms, interval_ms in (
+            (observations.FaultKind.STOP, 1000, 2500),
+            (observations.FaultKind.RELOAD, 500, 1000),
+            (observations.FaultKind.CHANGE, 1500, 1500),
+        )
+        for number in (1, 2, 3)
+        for from_ms in (first_ms + (number - 1) * interval_ms,)
+    )
+
+    async def play(self, seed, slot, kinds):
+        with tempfile.TemporaryDirectory() as folder:
+            plan = run.Plan(
+                seed,
+                slot,
+                self.LENGTH_MS,
+                others=0,
+                fatal_count=0,
+                deadly_count=0,
+                fault_groups=(),
+                faults=self.FAULTS,
+                sender_count=self.SENDER_COUNT,
+                sender_kinds=kinds,
+            )
+            return await run.execute(plan, pathlib.Path(folder))
+
+    async def test_stops_and_reloads_lose_and_cut_no_request(self):
+        histories = await asyncio.gather(
+            *(self.play(*fleet) for fleet in self.FLEETS)
+        )
+        for history in histories:
+            last = history.of_class(observations.PiecesSent)[-1]
+            signals = collections.Counter(
+                s.signal
+                for s in history.of_class(observations.SignalSent)
+                if s.at_ms < last.ended_ms
+            )
+            self.assertEqual(signals, {"SIGTERM": 3, "SIGHUP": 3})
+            violations = list(checks.find_violations(history, checks.SAFETY))
+            counts = collections.Counter(v.check for v in violations)
+            with self.subTest(counts=counts):
+                self.assertEqual(violations, [], stop_checks.summary(history))
+
+
 if __name__ == "__main__":
     unittest.main()
