Linger until the last answer has arrived

A connection lingers after its last answer so that bytes of the client are read and do not reset it. The time began when the last byte was written, not when the client's host had it: for a slow reader the socket was closed after 1 s with most of a large answer in the kernel, and a request that it had sent in the meantime reset the rest. Bytes that have not been acknowledged now count as activity, up to the same limit of 3 s; beyond it, a client that reads more slowly and sends further requests can still lose the answer.

--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -45,9 +45,9 @@
 # on its way.
 FIRST_REQUEST_MS = 200
 # Time without a byte of the client after which a connection whose last answer
-# was sent is closed, and longest time until then. A connection that is closed
-# with unread bytes is reset, which may take away an answer that the client has
-# not read.
+# has arrived is closed, and longest time until then. A connection that is
+# closed with unread bytes is reset, which may take away an answer that the
+# client has not read.
 LINGER_S = 1.0
 MAX_LINGER_S = 3.0
 _State = connection_stop.State
@@ -183,13 +183,26 @@
         _linger(self, asyncio.get_running_loop().time() + MAX_LINGER_S)
 
 
+def _has_unsent_bytes(link: _Transport) -> bool:
+    """Return whether the client's host has yet to receive written bytes."""
+    sock = link.inner.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    # A socket that has been reset has no bytes left to send.
+    with contextlib.suppress(OSError):
+        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return struct.unpack("i", size)[0] > 0
+    return False
+
+
 def _linger(link: _Transport, end_s: float) -> None:
-    """Close a socket once the client sends no more, or at a given time."""
+    """Close a socket once no bytes are on their way, or at a given time."""
     loop = asyncio.get_running_loop()
     known_bytes = link.dropped_bytes
 
     def close_if_silent() -> None:
-        if link.dropped_bytes > known_bytes and loop.time() < end_s:
+        is_busy = link.dropped_bytes > known_bytes or _has_unsent_bytes(link)
+        if is_busy and loop.time() < end_s:
             _linger(link, end_s)
         else:
             link.inner.close()
@@ -340,7 +353,7 @@
         return _State.ANSWERED_EARLY
     if conn.has_partial_head:
         return _State.READING_HEAD
-    if conn.link.inner.get_write_buffer_size() or _has_unsent_bytes(conn):
+    if conn.link.inner.get_write_buffer_size() or _has_unsent_bytes(conn.link):
         return _State.ANSWERING
     if not conn.begun_count:
         age_ms = clock.boot_ms() - conn.accepted_ms
@@ -348,18 +361,6 @@
     return _State.IDLE
 
 
-def _has_unsent_bytes(conn: _Connection) -> bool:
-    """Return whether the client's host has yet to receive written bytes."""
-    sock = conn.link.inner.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return False
-    # A socket that has been reset has no bytes left to send.
-    with contextlib.suppress(OSError):
-        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        return struct.unpack("i", size)[0] > 0
-    return False
-
-
 def new_listener(name: str, manager: web.Server, **options) -> Listener:
     """Create a listener that has no sockets yet.
 
