--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -9,17 +9,14 @@
 import collections
 import contextlib
 import dataclasses
-import fcntl
 import math
-import struct
-import termios
 from collections.abc import Awaitable, Callable, Iterator
 
 import aiohttp
 from aiohttp import hdrs, web
 
 from bilberryramp.decisions.shared import connection_stop
-from bilberryramp.tasks import clock
+from bilberryramp.tasks import clock, lingering_transport
 
 __all__ = [
     "ARRIVED_MS",
@@ -44,12 +41,6 @@
 # Time from the acceptance of a connection for which its first request may be
 # on its way.
 FIRST_REQUEST_MS = 200
-# Time without a byte of the client after which a connection whose last answer
-# has arrived is closed, and longest time until then. A connection that is
-# closed with unread bytes is reset, which may take away an answer that the
-# client has not read.
-LINGER_S = 1.0
-MAX_LINGER_S = 3.0
 _State = connection_stop.State
 
 
@@ -130,86 +121,6 @@
     on_end: Callable = lambda _end: None
 
 
-class _Transport:
-    """Transport of a connection, which closes without a reset.
-
-    Attributes
-    ----------
-    inner
-        Transport that owns the socket.
-    written_bytes
-        Number of bytes written.
-    dropped_bytes
-        Number of bytes read after the last byte was written.
-    is_closed
-        Whether the last byte was written.
-    """
-
-    __slots__ = ("dropped_bytes", "inner", "is_closed", "written_bytes")
-
-    def __init__(self, inner: asyncio.Transport):
-        self.inner = inner
-        self.written_bytes = self.dropped_bytes = 0
-        self.is_closed = False
-
-    def __getattr__(self, name: str):
-        """Return an attribute of the inner transport."""
-        return getattr(self.inner, name)
-
-    def write(self, data) -> None:
-        """Write bytes, and count them."""
-        self.written_bytes += len(data)
-        self.inner.write(data)
-
-    def writelines(self, parts) -> None:
-        """Write several byte strings, and count their bytes."""
-        parts = list(parts)
-        self.written_bytes += sum(map(len, parts))
-        self.inner.writelines(parts)
-
-    def is_closing(self) -> bool:
-        """Return whether nothing more can be written."""
-        return self.is_closed or self.inner.is_closing()
-
-    def close(self) -> None:
-        """Send what was written, and read until the client closes."""
-        if self.is_closing():
-            return
-        self.is_closed = True
-        # A reset that has arrived, and was not read yet, is an error here.
-        with contextlib.suppress(OSError):
-            self.inner.write_eof()
-        self.inner.resume_reading()
-        _linger(self, asyncio.get_running_loop().time() + MAX_LINGER_S)
-
-
-def _has_unsent_bytes(link: _Transport) -> bool:
-    """Return whether the client's host has yet to receive written bytes."""
-    sock = link.inner.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return False
-    # A socket that has been reset has no bytes left to send.
-    with contextlib.suppress(OSError):
-        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        return struct.unpack("i", size)[0] > 0
-    return False
-
-
-def _linger(link: _Transport, end_s: float) -> None:
-    """Close a socket once no bytes are on their way, or at a given time."""
-    loop = asyncio.get_running_loop()
-    known_bytes = link.dropped_bytes
-
-    def close_if_silent() -> None:
-        is_busy = link.dropped_bytes > known_bytes or _has_unsent_bytes(link)
-        if is_busy and loop.time() < end_s:
-            _linger(link, end_s)
-        else:
-            link.inner.close()
-
-    loop.call_later(LINGER_S, close_if_silent)
-
-
 class _Connection(web.RequestHandler):
     """Connection of a client.
 
@@ -274,7 +185,7 @@
 
     def connection_made(self, transport) -> None:
         """Wrap the transport of a new connection."""
-        self.link = _Transport(transport)
+        self.link = lingering_transport.Transport(transport)
         super().connection_made(self.link)
 
     def data_received(self, data: bytes) -> None:
@@ -353,7 +264,10 @@
         return _State.ANSWERED_EARLY
     if conn.has_partial_head:
         return _State.READING_HEAD
-    if conn.link.inner.get_write_buffer_size() or _has_unsent_bytes(conn.link):
+    if (
+        conn.link.inner.get_write_buffer_size()
+        or lingering_transport.has_unsent_bytes(conn.link)
+    ):
         return _State.ANSWERING
     if not conn.begun_count:
         age_ms = clock.boot_ms() - conn.accepted_ms
