--- a/bilberryramp/decisions/shared/connection_stop.py
+++ b/bilberryramp/decisions/shared/connection_stop.py
@@ -112,8 +112,25 @@
     reason: Reason
 
 
-def holds_exit(conn: Connection) -> bool:
-    """Return whether the process must not end for the sake of a connection."""
+def holds_exit(conn: Connection, accepts_to_end: bool = False) -> bool:
+    """Return whether the process must not end for the sake of a connection.
+
+    Parameters
+    ----------
+    conn
+        The connection.
+    accepts_to_end
+        Whether its listener accepts connections until the process ends.
+        There may then always be one whose last answer has just been written,
+        so that these do not count.
+
+    Returns
+    -------
+    bool
+        Whether an answer is due or may not have arrived.
+    """
+    if accepts_to_end and conn.state in (State.NEW, State.CLOSING):
+        return False
     return conn.state is not State.IDLE
 
 
--- a/bilberryramp/decisions/shared/tests/test_connection_stop.py
+++ b/bilberryramp/decisions/shared/tests/test_connection_stop.py
@@ -66,6 +66,15 @@
         }
         self.assertEqual(free, {STATE.IDLE})
 
+    def test_clients_that_keep_answered_connections_held_a_stop_for_good(self):
+        """A listener that accepts to the end has always one of them."""
+        for state in STATE:
+            conn = connection_stop.Connection("c", state, 0)
+            self.assertEqual(
+                connection_stop.holds_exit(conn, accepts_to_end=True),
+                state not in (STATE.IDLE, STATE.NEW, STATE.CLOSING),
+            )
+
 
 class ShutdownTest(unittest.TestCase):
     def setUp(self):
--- a/bilberryramp/tasks/connection_drain.py
+++ b/bilberryramp/tasks/connection_drain.py
@@ -56,7 +56,7 @@
 def holds_exit(listeners: list[client_connections.Listener]) -> bool:
     """Return whether a connection of any listener holds the exit."""
     return any(
-        connection_stop.holds_exit(conn)
+        connection_stop.holds_exit(conn, listener.accepts_to_end)
         for listener in listeners
         for conn in client_connections.connections(listener)
     )
