Leave time to drain in a short grace period

The notice of a stop took 2.6 s whatever the grace period. With one shorter than that, requests in progress would have been closed without a drain. By reading; the deployments in force have 8 s. The notice is half of the grace period at most.

--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -558,7 +558,7 @@
             gateway.is_idle(proc.gateway.gw)
             and not connection_drain.holds_exit(proc.listeners)
         ),
-        ACCEPT_AFTER_STOP_MS,
+        min(ACCEPT_AFTER_STOP_MS, grace_ms // 2),
         grace_ms,
     )
     await connection_drain.run(
