--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -94,6 +94,9 @@
         Address in its heartbeats; empty to send `address`.
     zone
         Failure domain.
+    slots
+        Number of requests that it serves at the same time, as its heartbeats
+        say.
     models
         Resident models, as the JSON objects of reports and heartbeats: name,
         version and names of the resident adapters.
@@ -108,6 +111,10 @@
         Of the streams, each one of this number is sent without length and
         chunks and ends with its connection, every second of them inside an
         event; 0 for none.
+    streams_plain
+        Whether plain requests are answered with streams, too.
+    answer_bytes
+        Minimum size of a plain answer, which is padded with spaces.
     service_time_s
         Duration of a plain request, or of each chunk of a stream, in seconds.
     born_ms
@@ -141,11 +148,14 @@
     address: str = ""
     advertised_address: str = ""
     zone: str = "a"
+    slots: int = 8
     models: list = dataclasses.field(default_factory=list)
     executed_ids: list = dataclasses.field(default_factory=list)
     last_headers: dict = dataclasses.field(default_factory=dict)
     break_after: int = -1
     unframed_every: int = 0
+    streams_plain: bool = False
+    answer_bytes: int = 0
     service_time_s: float = 0.0
     born_ms: int = 1000
     is_leaving: bool = False
@@ -294,9 +304,10 @@
         engine.on_crash(deadly.removeprefix(DEADLY_PREFIX), True)
         _reset(request.transport)
         return web.Response()
-    if model is None:
+    if model is None and not engine.streams_plain:
         await asyncio.sleep(engine.service_time_s)
-        return web.Response(body=b"did " + body, headers=headers)
+        answer = (b"did " + body).ljust(engine.answer_bytes)
+        return web.Response(body=answer, headers=headers)
     headers["Content-Type"] = "text/event-stream"
     number = len(engine.executed_ids)
     if engine.unframed_every and number % engine.unframed_every == 0:
@@ -391,7 +402,7 @@
             "address": engine.advertised_address or engine.address,
             "zone": engine.zone,
             "version": "v1",
-            "slots": 8,
+            "slots": engine.slots,
             "state": state,
             "seq": engine.heartbeat_count,
             "coldLeftMs": 0,
