--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -27,7 +27,7 @@
     suspect_memory,
     upstream_pauses,
 )
-from bilberryramp.decisions.shared import pauses, quarantine
+from bilberryramp.decisions.shared import pauses, quarantine, shutdown
 from bilberryramp.platform import (
     engine_orders,
     exchanges,
@@ -39,7 +39,9 @@
 from bilberryramp.settings import fleet
 from bilberryramp.storage import slots
 from bilberryramp.tasks import (
+    client_connections,
     clock,
+    connection_drain,
     fleet_frontend,
     fleet_operator,
     gateway_task,
@@ -59,13 +61,11 @@
 LISTEN_BACKLOG = 512
 # Time after the stop signal for which new connections are accepted. The load
 # balancer stops sending them after two failed checks, one per second.
-ACCEPT_AFTER_STOP_S = 2.6
+ACCEPT_AFTER_STOP_MS = 2600
 # Part of the grace period that is reserved for the exit of the process.
-EXIT_MARGIN_S = 0.5
+EXIT_MARGIN_MS = 500
 # Time before that at which attempts end, so that their answers are written.
-ANSWER_MARGIN_S = 0.3
-# Interval at which a stopping node checks whether all requests have ended.
-DRAIN_POLL_S = 0.05
+ANSWER_MARGIN_MS = 300
 # Interval at which the settings file is checked for changes.
 SETTINGS_POLL_S = 1.0
 # Number of heartbeat intervals within which a node that has just started
@@ -132,6 +132,8 @@
         Settings with which the process started.
     settings_path
         Path of the settings file.
+    settings_signature
+        Signature of the settings file before it was read last.
     register, gateway
         Tasks that own the register's and the gateway's state.
     frontend
@@ -143,8 +145,10 @@
     suspects
         Task that keeps the list of suspects; None without a disk.
     servers
-        Pairs of a listening server and its protocol factory. The last pair
-        is the one for clients, which a stopping node closes first.
+        Listening servers for readiness checks and metrics, which are open
+        until the process ends.
+    listeners
+        Listeners for operators and clients, which a stopping node closes.
     stop_requested
         Set on SIGTERM or SIGINT.
     was_ready
@@ -153,6 +157,7 @@
 
     cfg: fleet.NodeSettings
     settings_path: str
+    settings_signature: tuple
     register: register_task.RegisterTask
     gateway: gateway_task.GatewayTask
     frontend: fleet_frontend.Frontend
@@ -160,6 +165,7 @@
     holder: holder_task.HolderTask | None = None
     suspects: suspect_store.SuspectStore | None = None
     servers: list = dataclasses.field(default_factory=list)
+    listeners: list = dataclasses.field(default_factory=list)
     stop_requested: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
@@ -172,12 +178,16 @@
 
 
 def _main(_argv: list[str]) -> None:
+    path = fleet_launch.settings_path()
+    signature = _file_signature(path)
     cfg = fleet_launch.start("bilberry-node")
-    sys.exit(asyncio.run(_serve(cfg, fleet_launch.settings_path())))
+    sys.exit(asyncio.run(_serve(cfg, path, signature)))
 
 
-async def _serve(cfg: fleet.NodeSettings, settings_path: str) -> int:
-    proc = _build_process(cfg, settings_path)
+async def _serve(
+    cfg: fleet.NodeSettings, settings_path: str, signature: tuple
+) -> int:
+    proc = _build_process(cfg, settings_path, signature)
     tasks = [
         asyncio.create_task(register_task.run(proc.register)),
         asyncio.create_task(gateway_task.run(proc.gateway)),
@@ -232,7 +242,9 @@
     return fleet_launch.EXIT_DEFECT
 
 
-def _build_process(cfg: fleet.NodeSettings, settings_path: str) -> NodeProcess:
+def _build_process(
+    cfg: fleet.NodeSettings, settings_path: str, signature: tuple
+) -> NodeProcess:
     now_ms = clock.boot_ms()
     rng = random.Random()
     port = cfg.peer_ports[0]
@@ -304,6 +316,7 @@
     return NodeProcess(
         cfg,
         settings_path,
+        signature,
         register_owner,
         gateway_owner,
         frontend,
@@ -434,23 +447,28 @@
     api = fleet_operator.OperatorApi(
         proc.register, proc.gateway, operator_calls
     )
-    servers = (
-        (cfg.operator_address, fleet_operator.make_server(api)),
-        (
-            cfg.readiness_address,
-            fleet_operator.make_readiness_server(lambda: _is_ready(proc)),
-        ),
-        (cfg.client_address, fleet_frontend.make_server(proc.frontend)),
-    )
     loop = asyncio.get_running_loop()
     await _listen_for_metrics(proc, loop)
-    for address, factory in servers:
+    if cfg.readiness_address:
+        factory = fleet_operator.make_readiness_server(lambda: _is_ready(proc))
+        proc.servers.append(
+            await _create_server(loop, cfg.readiness_address, factory)
+        )
+    for address, listener in (
+        (cfg.operator_address, fleet_operator.make_server(api)),
+        (cfg.client_address, fleet_frontend.make_server(proc.frontend)),
+    ):
         if address:
-            host, _, port = address.rpartition(":")
-            server = await loop.create_server(
-                factory, host, int(port), backlog=LISTEN_BACKLOG
-            )
-            proc.servers.append((server, factory))
+            factory = client_connections.protocol_factory(listener)
+            listener.server = await _create_server(loop, address, factory)
+            proc.listeners.append(listener)
+
+
+async def _create_server(loop, address: str, factory) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    return await loop.create_server(
+        factory, host, int(port), backlog=LISTEN_BACKLOG
+    )
 
 
 async def _listen_for_metrics(proc: NodeProcess, loop) -> None:
@@ -467,7 +485,7 @@
         # A node that cannot serve its metrics still serves requests.
         events.emit(events.METRICS_UNAVAILABLE, reason=str(exc))
         return
-    proc.servers.append((server, factory))
+    proc.servers.append(server)
 
 
 def _is_ready(proc: NodeProcess) -> bool:
@@ -500,12 +518,11 @@
 
 
 async def _watch_settings(proc: NodeProcess) -> None:
-    last_signature = _file_signature(proc.settings_path)
     while True:
         await asyncio.sleep(SETTINGS_POLL_S)
         signature = _file_signature(proc.settings_path)
-        if signature != last_signature:
-            last_signature = signature
+        if signature != proc.settings_signature:
+            proc.settings_signature = signature
             _reload_settings(proc)
 
 
@@ -524,19 +541,32 @@
 async def _shut_down_on_request(proc: NodeProcess) -> None:
     await proc.stop_requested.wait()
     events.emit(events.STOPPING)
-    loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + proc.cfg.grace_ms / 1000 - EXIT_MARGIN_S
-    fleet_frontend.begin_stop(proc.frontend, deadline_s - ANSWER_MARGIN_S)
-    await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-    server, factory = proc.servers[-1]
-    server.close()
-    proc.frontend.is_closing = True
-    mailbox.post_now(proc.gateway.inbox, gateway.ShutdownStarted())
-    fleet_frontend.close_connections(proc.frontend, factory)
-    while loop.time() < deadline_s and not gateway.is_idle(proc.gateway.gw):
-        await asyncio.sleep(DRAIN_POLL_S)
-    # Time for the last answers to be written to their sockets.
-    await asyncio.sleep(DRAIN_POLL_S)
+    grace_ms = proc.cfg.grace_ms - EXIT_MARGIN_MS
+    fleet_frontend.begin_stop(
+        proc.frontend,
+        asyncio.get_running_loop().time()
+        + (grace_ms - ANSWER_MARGIN_MS) / 1000,
+    )
+    stop = shutdown.Shutdown(
+        fleet_launch.bind_chart("shutdown", shutdown),
+        lambda: (
+            gateway.is_idle(proc.gateway.gw)
+            and not connection_drain.holds_exit(proc.listeners)
+        ),
+        ACCEPT_AFTER_STOP_MS,
+        grace_ms,
+    )
+    await connection_drain.run(
+        connection_drain.Drain(
+            stop,
+            proc.listeners,
+            ANSWER_MARGIN_MS,
+            lambda: mailbox.post_now(
+                proc.gateway.inbox, gateway.ShutdownStarted()
+            ),
+            proc.gateway.task_metrics,
+        )
+    )
 
 
 if __name__ == "__main__":
