Accept clients that have connected before a listener closes

A duplicate of the listening socket is emptied before it is closed. Whether work is left is asked afterwards; it was asked before the listeners closed, so that a node without work exited under such a client all the same.

The test connects and writes while the event loop does not run.

--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -199,11 +199,11 @@
     front = fleet_frontend.Frontend(task, session, exchanges, **changes)
     loop = asyncio.get_running_loop()
     listener = fleet_frontend.make_server(front)
-    server = await loop.create_server(
+    listener.server = await loop.create_server(
         client_connections.protocol_factory(listener), "127.0.0.1", 0
     )
-    case.addCleanup(server.close)
-    return front, server.sockets[0].getsockname()[1]
+    case.addCleanup(listener.server.close)
+    return front, listener.server.sockets[0].getsockname()[1]
 
 
 def is_reading_body(front) -> bool:
--- a/bilberryramp/platform/tests/test_connection_close.py
+++ b/bilberryramp/platform/tests/test_connection_close.py
@@ -80,3 +80,20 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
         self.assertIn(b"\r\nConnection: close\r\n", answer)
         self.assertEqual(server.requests, [])
+
+    async def test_client_that_was_not_accepted_yet_was_reset(self):
+        """It had connected before the listener closed."""
+        server = await task_builders.start_faulty_server(
+            self, builders.platform_answer
+        )
+        front, port = await builders.start_frontend(
+            self, [f"127.0.0.1:{server.port}"]
+        )
+        # The event loop does not run between these calls and the close.
+        sock = socket.create_connection(("127.0.0.1", port), TIMEOUT_S)
+        self.addCleanup(sock.close)
+        sock.sendall(builders.request_bytes("q1"))
+        drain = builders.make_drain(front.listener, lambda: None)
+        async with asyncio.timeout(TIMEOUT_S):
+            await connection_drain.run(drain)
+        self.assertRegex(sock.recv(65536), rb"^HTTP/1\.1 (200|503) ")
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -34,6 +34,7 @@
     "protocol_factory",
     "read_body",
     "serve",
+    "stop_accepting",
 ]
 
 # Time since boot at which the head of a request was read, in milliseconds.
@@ -302,6 +303,32 @@
     return lambda: _Connection(listener, loop=loop, **listener.options)
 
 
+async def stop_accepting(listener: Listener) -> None:
+    """Close the sockets of a listener.
+
+    Clients that have connected, and of which the event loop has not heard,
+    are accepted; otherwise their connections would be reset.
+
+    Parameters
+    ----------
+    listener
+        Listener with open sockets.
+    """
+    loop = asyncio.get_running_loop()
+    socks = [sock.dup() for sock in listener.server.sockets]
+    listener.server.close()
+    accepted = []
+    for sock in socks:
+        with sock, contextlib.suppress(OSError):
+            while True:
+                conn, _ = sock.accept()
+                conn.setblocking(False)
+                accepted.append(conn)
+    factory = protocol_factory(listener)
+    for conn in accepted:
+        await loop.connect_accepted_socket(factory, conn)
+
+
 def make_server(
     name: str,
     handle: Callable,
--- a/bilberryramp/tasks/connection_drain.py
+++ b/bilberryramp/tasks/connection_drain.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from bilberryramp.decisions.shared import connection_stop, shutdown
 from bilberryramp.tasks import (
@@ -76,15 +76,18 @@
         listener.on_end = lambda end: connection_report.report(
             end, drain.task_metrics
         )
-    effects = list(shutdown.request_stop(drain.stop, now_ms))
+    effects = shutdown.request_stop(drain.stop, now_ms)
     while not await _perform(drain, effects):
         await asyncio.sleep(POLL_S)
-        effects = list(shutdown.review(drain.stop, clock.boot_ms()))
+        effects = shutdown.review(drain.stop, clock.boot_ms())
     await _close_all(drain)
 
 
-async def _perform(drain: Drain, effects: list) -> bool:
-    """Perform the effects of a review; return whether the stop is complete."""
+async def _perform(drain: Drain, effects: Iterator) -> bool:
+    """Perform the effects of a review; return whether the stop is complete.
+
+    Whether work is left is asked after the listeners have been closed.
+    """
     for effect in effects:
         if isinstance(effect, shutdown.NewWorkRefused):
             await _close_listeners(drain)
@@ -99,7 +102,7 @@
     closing = [item for item in drain.listeners if not item.accepts_to_end]
     for listener in closing:
         if listener.server is not None:
-            listener.server.close()
+            await client_connections.stop_accepting(listener)
     # What clients sent before must not be unread when connections are closed.
     for _ in range(READ_ROUNDS):
         await asyncio.sleep(0)
