Take the linger time of a test from the module that holds it

test_last_answer_on_the_wire_was_reset_by_a_request failed in each run since with an AttributeError: the constant had moved with the transport, and only the tests of the module that changed had been run. Same test, same time.

--- a/bilberryramp/platform/tests/test_planned_stop.py
+++ b/bilberryramp/platform/tests/test_planned_stop.py
@@ -6,7 +6,7 @@
 
 from bilberryramp.platform import standins
 from bilberryramp.platform.tests import builders, node_process
-from bilberryramp.tasks import client_connections
+from bilberryramp.tasks import lingering_transport
 
 TIMEOUT_S = 60
 HEAD = (
@@ -199,7 +199,7 @@
         async with asyncio.timeout(TIMEOUT_S):
             head = await reader.readuntil(b"\r\n\r\n")
         self.assertIn(b"Connection: close", head)
-        await asyncio.sleep(client_connections.LINGER_S + 0.5)
+        await asyncio.sleep(lingering_transport.LINGER_S + 0.5)
         writer.write(head_bytes("q2") + b"body")
         async with asyncio.timeout(TIMEOUT_S):
             await reader.readexactly(size + 4)
