Move the fleet's decisions into packages by job

Cause: decisions/fleet was one flat folder of 37 files, in which neither the register nor the quarantine nor the choice of upstreams could be told apart.

--- a/bilberryramp/decisions/fleet/calls.py
+++ b/bilberryramp/decisions/fleet/core/calls.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from bilberryramp.decisions.fleet import (
+from bilberryramp.decisions.fleet.core import (
     documents,
     identities,
     prefix_cache,
--- a/bilberryramp/decisions/fleet/hosts.py
+++ b/bilberryramp/decisions/fleet/core/hosts.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from bilberryramp.decisions.fleet import documents
+from bilberryramp.decisions.fleet.core import documents
 
 __all__ = ["HostIndex", "build_index", "find_route", "pick_service"]
 
--- a/bilberryramp/decisions/fleet/prefix_cache.py
+++ b/bilberryramp/decisions/fleet/core/prefix_cache.py
@@ -7,7 +7,7 @@
 import collections
 import dataclasses
 
-from bilberryramp.decisions.fleet import keys
+from bilberryramp.decisions.fleet.core import keys
 
 __all__ = [
     "PromptPart",
--- a/bilberryramp/decisions/fleet/sharing.py
+++ b/bilberryramp/decisions/fleet/core/sharing.py
@@ -15,7 +15,7 @@
 import enum
 import operator
 
-from bilberryramp.decisions.fleet import keys, prefix_cache
+from bilberryramp.decisions.fleet.core import keys, prefix_cache
 
 __all__ = [
     "Audience",
--- a/bilberryramp/decisions/fleet/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -3,23 +3,22 @@
 import collections
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
-    agent,
+from bilberryramp.decisions.fleet.core import (
     calls,
     documents,
-    gateway_state,
-    health,
-    placement,
-    planner,
     presence,
-    retry_budget,
-    scheduling,
     sharing,
-    suspect_trials,
-    suspects,
+)
+from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.gateway import gateway_state
+from bilberryramp.decisions.fleet.limits import retry_budget
+from bilberryramp.decisions.fleet.orders import agent, placement, planner
+from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
+from bilberryramp.decisions.fleet.routing import (
+    health,
+    scheduling,
     upstream_pauses,
 )
-from bilberryramp.decisions.fleet.traces import Trace
 
 __all__ = [
     "holders",
--- a/bilberryramp/decisions/fleet/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -8,30 +8,34 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
-    agent,
+from bilberryramp.decisions.fleet.core import (
     calls,
-    dispatch,
     documents,
-    gateway_state,
-    health,
     hosts,
-    placement,
     presence,
-    retry_budget,
-    retry_shares,
-    scheduling,
     sharing,
+)
+from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.gateway import (
+    dispatch,
+    gateway_state,
+    waiting_times,
+)
+from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.orders import agent, placement
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import (
     suspect_evidence,
     suspect_memory,
     suspect_publications,
     suspect_trials,
     suspects,
+)
+from bilberryramp.decisions.fleet.routing import (
+    health,
+    scheduling,
     upstream_pauses,
-    waiting_times,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
-from bilberryramp.decisions.fleet.traces import Trace
 
 __all__ = [
     "CoordinatorChanged",
--- a/bilberryramp/decisions/fleet/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -4,20 +4,17 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
+from bilberryramp.decisions.fleet.core import (
     calls,
     documents,
-    health,
     hosts,
-    placement,
     presence,
-    retry_budget,
-    retry_shares,
     sharing,
-    suspect_trials,
-    suspects,
-    upstream_pauses,
 )
+from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.orders import placement
+from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
+from bilberryramp.decisions.fleet.routing import health, upstream_pauses
 from bilberryramp.decisions.shared import charting
 
 __all__ = [
--- a/bilberryramp/decisions/fleet/waiting_times.py
+++ b/bilberryramp/decisions/fleet/gateway/waiting_times.py
@@ -1,16 +1,10 @@
 """Estimates of how long calls wait, and when refused clients may retry."""
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    dispatch,
-    gateway_state,
-    placement,
-    presence,
-    scheduling,
-    sharing,
-    suspects,
-    upstream_pauses,
-)
+from bilberryramp.decisions.fleet.core import calls, presence, sharing
+from bilberryramp.decisions.fleet.gateway import dispatch, gateway_state
+from bilberryramp.decisions.fleet.orders import placement
+from bilberryramp.decisions.fleet.quarantine import suspects
+from bilberryramp.decisions.fleet.routing import scheduling, upstream_pauses
 
 __all__ = ["load_time_ms", "pause_details", "retry_after_ms"]
 
--- a/bilberryramp/decisions/fleet/retry_budget.py
+++ b/bilberryramp/decisions/fleet/limits/retry_budget.py
@@ -15,7 +15,7 @@
 import dataclasses
 import enum
 
-from bilberryramp.decisions.fleet import calls
+from bilberryramp.decisions.fleet.core import calls
 
 __all__ = [
     "ARRIVAL_DELAY_MS",
--- a/bilberryramp/decisions/fleet/agent.py
+++ b/bilberryramp/decisions/fleet/orders/agent.py
@@ -18,8 +18,8 @@
 import enum
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import documents, presence
-from bilberryramp.decisions.fleet.traces import Trace
+from bilberryramp.decisions.fleet.core import documents, presence
+from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.shared import charting
 
 __all__ = [
--- a/bilberryramp/decisions/fleet/order_holders.py
+++ b/bilberryramp/decisions/fleet/orders/order_holders.py
@@ -14,7 +14,8 @@
 import zlib
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import agent, presence
+from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.decisions.shared import charting
 
 __all__ = [
--- a/bilberryramp/decisions/fleet/placement.py
+++ b/bilberryramp/decisions/fleet/orders/placement.py
@@ -10,7 +10,12 @@
 import math
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import documents, keys, presence, sharing
+from bilberryramp.decisions.fleet.core import (
+    documents,
+    keys,
+    presence,
+    sharing,
+)
 
 __all__ = [
     "Demand",
--- a/bilberryramp/decisions/fleet/planner.py
+++ b/bilberryramp/decisions/fleet/orders/planner.py
@@ -8,15 +8,9 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
-    agent,
-    documents,
-    order_holders,
-    placement,
-    presence,
-    sharing,
-)
-from bilberryramp.decisions.fleet.traces import Trace
+from bilberryramp.decisions.fleet.core import documents, presence, sharing
+from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.orders import agent, order_holders, placement
 
 __all__ = [
     "Planner",
--- a/bilberryramp/decisions/fleet/coordinator_guilt.py
+++ b/bilberryramp/decisions/fleet/quarantine/coordinator_guilt.py
@@ -6,7 +6,8 @@
 were lost at all of the same upstreams.
 """
 
-from bilberryramp.decisions.fleet import coordinator_state, identities
+from bilberryramp.decisions.fleet.core import identities
+from bilberryramp.decisions.fleet.quarantine import coordinator_state
 from bilberryramp.decisions.shared import quarantine
 
 __all__ = ["assess"]
--- a/bilberryramp/decisions/fleet/coordinator_publications.py
+++ b/bilberryramp/decisions/fleet/quarantine/coordinator_publications.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
+from bilberryramp.decisions.fleet.core import identities
+from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
-    identities,
     upstream_ends,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
-from bilberryramp.decisions.fleet.traces import Trace
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.shared import effects, quarantine
 
 __all__ = [
--- a/bilberryramp/decisions/fleet/coordinator_state.py
+++ b/bilberryramp/decisions/fleet/quarantine/coordinator_state.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 
-from bilberryramp.decisions.fleet import identities, presence, upstream_ends
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.core import identities, presence
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import upstream_ends
 from bilberryramp.decisions.shared import charting, quarantine
 
 __all__ = [
--- a/bilberryramp/decisions/fleet/coordinator_trials.py
+++ b/bilberryramp/decisions/fleet/quarantine/coordinator_trials.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_losses,
     coordinator_publications,
     coordinator_state,
     upstream_ends,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.shared import effects, quarantine
 
 __all__ = ["on_trial_ended", "on_trial_request"]
--- a/bilberryramp/decisions/fleet/quarantine_coordinator.py
+++ b/bilberryramp/decisions/fleet/quarantine/quarantine_coordinator.py
@@ -9,14 +9,14 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_losses,
     coordinator_publications,
     coordinator_state,
     coordinator_trials,
     upstream_ends,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.shared import quarantine
 
 __all__ = ["Tick", "resign", "start_leading", "step"]
--- a/bilberryramp/decisions/fleet/suspect_evidence.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspect_evidence.py
@@ -11,13 +11,9 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    identities,
-    suspects,
-    upstream_ends,
-)
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.core import calls, identities
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import suspects, upstream_ends
 
 __all__ = [
     "MAX_IDENTITIES",
--- a/bilberryramp/decisions/fleet/suspect_memory.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspect_memory.py
@@ -7,12 +7,12 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_losses,
     suspect_publications,
     suspects,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 
 __all__ = ["KeepSuspects", "StoredSuspects", "keep", "restore"]
 
--- a/bilberryramp/decisions/fleet/suspect_publications.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspect_publications.py
@@ -3,13 +3,9 @@
 import dataclasses
 from collections.abc import Iterable, Iterator
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    identities,
-    suspect_evidence,
-    suspects,
-)
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.core import calls, identities
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import suspect_evidence, suspects
 
 __all__ = [
     "accept_list",
--- a/bilberryramp/decisions/fleet/suspect_trials.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspect_trials.py
@@ -2,14 +2,13 @@
 
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    identities,
+from bilberryramp.decisions.fleet.core import calls, identities
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import (
     suspect_evidence,
     suspects,
     upstream_ends,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
 
 __all__ = [
     "accept_grant",
--- a/bilberryramp/decisions/fleet/suspects.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspects.py
@@ -10,14 +10,12 @@
 import dataclasses
 import enum
 
-from bilberryramp.decisions.fleet import (
-    calls,
+from bilberryramp.decisions.fleet.core import calls, identities, presence
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
-    identities,
-    presence,
     upstream_ends,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.shared import quarantine
 
 __all__ = [
--- a/bilberryramp/decisions/fleet/upstream_ends.py
+++ b/bilberryramp/decisions/fleet/quarantine/upstream_ends.py
@@ -9,7 +9,8 @@
 import dataclasses
 import enum
 
-from bilberryramp.decisions.fleet import presence, quarantine_messages
+from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages
 
 __all__ = [
     "Fate",
--- a/bilberryramp/decisions/fleet/electorate.py
+++ b/bilberryramp/decisions/fleet/register/electorate.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from bilberryramp.decisions.fleet import register_messages as msgs
+from bilberryramp.decisions.fleet.register import register_messages as msgs
 
 __all__ = ["is_quorum", "voters", "desired_voters"]
 
--- a/bilberryramp/decisions/fleet/operator_calls.py
+++ b/bilberryramp/decisions/fleet/register/operator_calls.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from bilberryramp.decisions.fleet import agent, documents, presence
+from bilberryramp.decisions.fleet.core import documents, presence
+from bilberryramp.decisions.fleet.orders import agent
 
 __all__ = [
     "Departure",
--- a/bilberryramp/decisions/fleet/register.py
+++ b/bilberryramp/decisions/fleet/register/register.py
@@ -20,13 +20,10 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import (
-    agent,
-    electorate,
-    order_holders,
-    retry_shares,
-)
-from bilberryramp.decisions.fleet import register_messages as msgs
+from bilberryramp.decisions.fleet.limits import retry_shares
+from bilberryramp.decisions.fleet.orders import agent, order_holders
+from bilberryramp.decisions.fleet.register import electorate
+from bilberryramp.decisions.fleet.register import register_messages as msgs
 from bilberryramp.decisions.shared import charting, effects
 
 __all__ = [
--- a/bilberryramp/decisions/fleet/scheduling.py
+++ b/bilberryramp/decisions/fleet/routing/scheduling.py
@@ -14,7 +14,7 @@
 import math
 from collections.abc import Iterable
 
-from bilberryramp.decisions.fleet import (
+from bilberryramp.decisions.fleet.core import (
     calls,
     documents,
     prefix_cache,
--- a/bilberryramp/decisions/fleet/upstream_pauses.py
+++ b/bilberryramp/decisions/fleet/routing/upstream_pauses.py
@@ -9,8 +9,9 @@
 import dataclasses
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet import calls, order_holders, presence
-from bilberryramp.decisions.fleet.traces import Trace
+from bilberryramp.decisions.fleet.core import calls, presence
+from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.orders import order_holders
 from bilberryramp.decisions.shared import charting, pauses
 
 __all__ = [
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -3,22 +3,17 @@
 import random
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions.fleet import (
-    agent,
+from bilberryramp.decisions.fleet.core import (
     calls,
     documents,
-    gateway,
-    gateway_state,
-    health,
-    placement,
     prefix_cache,
     presence,
-    register,
-    register_messages,
-    retry_budget,
-    retry_shares,
-    upstream_pauses,
 )
+from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
+from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.orders import agent, placement
+from bilberryramp.decisions.fleet.register import register, register_messages
+from bilberryramp.decisions.fleet.routing import health, upstream_pauses
 from bilberryramp.decisions.shared import charting, pauses
 
 
--- a/bilberryramp/decisions/fleet/tests/holder_driver.py
+++ b/bilberryramp/decisions/fleet/tests/holder_driver.py
@@ -7,13 +7,9 @@
 
 import dataclasses
 
-from bilberryramp.decisions.fleet import (
-    agent,
-    documents,
-    order_holders,
-    presence,
-    register,
-)
+from bilberryramp.decisions.fleet.core import documents, presence
+from bilberryramp.decisions.fleet.orders import agent, order_holders
+from bilberryramp.decisions.fleet.register import register
 from bilberryramp.decisions.fleet.tests import builders, register_driver
 
 LEASE_MS = 3000
--- a/bilberryramp/decisions/fleet/tests/pause_driver.py
+++ b/bilberryramp/decisions/fleet/tests/pause_driver.py
@@ -11,12 +11,9 @@
 import itertools
 import random
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    gateway,
-    gateway_state,
-    upstream_pauses,
-)
+from bilberryramp.decisions.fleet.core import calls
+from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
+from bilberryramp.decisions.fleet.routing import upstream_pauses
 from bilberryramp.decisions.fleet.tests import builders
 
 START_MS = 100_000
--- a/bilberryramp/decisions/fleet/tests/quarantine_driver.py
+++ b/bilberryramp/decisions/fleet/tests/quarantine_driver.py
@@ -14,20 +14,17 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import (
-    calls,
+from bilberryramp.decisions.fleet.core import calls, presence
+from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
+from bilberryramp.decisions.fleet.limits import retry_budget
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
-    gateway,
-    gateway_state,
-    health,
-    presence,
     quarantine_coordinator,
-    retry_budget,
     suspect_memory,
     suspect_publications,
     suspects,
-    upstream_pauses,
 )
+from bilberryramp.decisions.fleet.routing import health, upstream_pauses
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.shared import effects, pauses, quarantine
 from bilberryramp.wire import fleet_codec
--- a/bilberryramp/decisions/fleet/tests/register_driver.py
+++ b/bilberryramp/decisions/fleet/tests/register_driver.py
@@ -9,7 +9,7 @@
 import heapq
 import random
 
-from bilberryramp.decisions.fleet import (
+from bilberryramp.decisions.fleet.register import (
     electorate,
     register,
     register_messages,
--- a/bilberryramp/decisions/fleet/tests/retry_driver.py
+++ b/bilberryramp/decisions/fleet/tests/retry_driver.py
@@ -11,11 +11,8 @@
 import itertools
 from collections.abc import Callable
 
-from bilberryramp.decisions.fleet import (
-    register,
-    retry_budget,
-    retry_shares,
-)
+from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.register import register
 from bilberryramp.decisions.fleet.tests import builders, register_driver
 
 LIMITS = retry_budget.Limits(0.2, 60.0, 10_000)
--- a/bilberryramp/decisions/fleet/tests/test_agent.py
+++ b/bilberryramp/decisions/fleet/tests/test_agent.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from bilberryramp.decisions.fleet import agent, presence
+from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.decisions.fleet.tests import builders
 
 NOW_MS = 20_000
--- a/bilberryramp/decisions/fleet/tests/test_attempt_fuzz.py
+++ b/bilberryramp/decisions/fleet/tests/test_attempt_fuzz.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from bilberryramp.decisions.fleet import calls, gateway
+from bilberryramp.decisions.fleet.core import calls
+from bilberryramp.decisions.fleet.gateway import gateway
 from bilberryramp.decisions.fleet.tests import builders
 
 SEEDS = range(300)
--- a/bilberryramp/decisions/fleet/tests/test_fleet_size.py
+++ b/bilberryramp/decisions/fleet/tests/test_fleet_size.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from bilberryramp.decisions.fleet import register, sharing
+from bilberryramp.decisions.fleet.core import sharing
+from bilberryramp.decisions.fleet.register import register
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.shared import effects
 from bilberryramp.wire import fleet_codec
--- a/bilberryramp/decisions/fleet/tests/test_gateway.py
+++ b/bilberryramp/decisions/fleet/tests/test_gateway.py
@@ -2,20 +2,17 @@
 
 import unittest
 
-from bilberryramp.decisions.fleet import (
-    agent,
+from bilberryramp.decisions.fleet.core import (
     calls,
     documents,
-    gateway,
-    gateway_state,
-    health,
-    placement,
-    planner,
     presence,
-    retry_budget,
     sharing,
     traces,
 )
+from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
+from bilberryramp.decisions.fleet.limits import retry_budget
+from bilberryramp.decisions.fleet.orders import agent, placement, planner
+from bilberryramp.decisions.fleet.routing import health
 from bilberryramp.decisions.fleet.tests import builders
 
 NOW_MS = 10_000
--- a/bilberryramp/decisions/fleet/tests/test_order_holders.py
+++ b/bilberryramp/decisions/fleet/tests/test_order_holders.py
@@ -4,7 +4,8 @@
 import dataclasses
 import unittest
 
-from bilberryramp.decisions.fleet import agent, order_holders, presence
+from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.orders import agent, order_holders
 from bilberryramp.decisions.fleet.tests import (
     builders,
     holder_driver,
--- a/bilberryramp/decisions/fleet/tests/test_part_evidence.py
+++ b/bilberryramp/decisions/fleet/tests/test_part_evidence.py
@@ -2,15 +2,14 @@
 
 import unittest
 
-from bilberryramp.decisions.fleet import (
-    calls,
+from bilberryramp.decisions.fleet.core import calls, identities
+from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
-    gateway,
-    identities,
     suspect_evidence,
     suspects,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.fleet.tests import test_quarantine as content
 from bilberryramp.decisions.shared import effects
--- a/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
+++ b/bilberryramp/decisions/fleet/tests/test_placement_fleet.py
@@ -3,7 +3,8 @@
 import dataclasses
 import unittest
 
-from bilberryramp.decisions.fleet import keys, placement
+from bilberryramp.decisions.fleet.core import keys
+from bilberryramp.decisions.fleet.orders import placement
 from bilberryramp.decisions.fleet.tests import builders
 
 NOW_MS = 100_000
--- a/bilberryramp/decisions/fleet/tests/test_presence.py
+++ b/bilberryramp/decisions/fleet/tests/test_presence.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bilberryramp.decisions.fleet import presence
+from bilberryramp.decisions.fleet.core import presence
 from bilberryramp.decisions.fleet.tests import builders
 
 
--- a/bilberryramp/decisions/fleet/tests/test_quarantine.py
+++ b/bilberryramp/decisions/fleet/tests/test_quarantine.py
@@ -3,18 +3,17 @@
 import unittest
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions.fleet import (
-    calls,
+from bilberryramp.decisions.fleet.core import calls, presence
+from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_publications,
     coordinator_state,
-    gateway,
-    presence,
     quarantine_coordinator,
     suspect_evidence,
     suspects,
     upstream_ends,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.fleet.tests import quarantine_driver as driver
 from bilberryramp.decisions.shared import charting, effects, quarantine
--- a/bilberryramp/decisions/fleet/tests/test_register_documents.py
+++ b/bilberryramp/decisions/fleet/tests/test_register_documents.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from bilberryramp.decisions.fleet import register, register_messages
+from bilberryramp.decisions.fleet.register import register, register_messages
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.shared import effects
 
--- a/bilberryramp/decisions/fleet/tests/test_restart.py
+++ b/bilberryramp/decisions/fleet/tests/test_restart.py
@@ -3,15 +3,10 @@
 import random
 import unittest
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    gateway,
-    placement,
-    planner,
-    presence,
-    register,
-    register_messages,
-)
+from bilberryramp.decisions.fleet.core import calls, presence
+from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.orders import placement, planner
+from bilberryramp.decisions.fleet.register import register, register_messages
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.shared import effects
 
--- a/bilberryramp/decisions/fleet/tests/test_restart_of_all.py
+++ b/bilberryramp/decisions/fleet/tests/test_restart_of_all.py
@@ -2,14 +2,14 @@
 
 import unittest
 
-from bilberryramp.decisions.fleet import (
-    calls,
+from bilberryramp.decisions.fleet.core import calls
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_losses,
     suspect_memory,
     suspect_publications,
     suspects,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.fleet.tests import quarantine_driver as driver
 from bilberryramp.decisions.fleet.tests import test_quarantine_fuzz as fuzz
--- a/bilberryramp/decisions/fleet/tests/test_retry_budget_fuzz.py
+++ b/bilberryramp/decisions/fleet/tests/test_retry_budget_fuzz.py
@@ -6,7 +6,7 @@
 
 import unittest
 
-from bilberryramp.decisions.fleet import retry_budget
+from bilberryramp.decisions.fleet.limits import retry_budget
 from bilberryramp.decisions.fleet.tests import register_driver, retry_driver
 
 LIMITS = retry_driver.LIMITS
--- a/bilberryramp/decisions/fleet/tests/test_retry_shares.py
+++ b/bilberryramp/decisions/fleet/tests/test_retry_shares.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bilberryramp.decisions.fleet import retry_shares
+from bilberryramp.decisions.fleet.limits import retry_shares
 from bilberryramp.decisions.fleet.tests import builders
 
 NOW_MS = 100_000
--- a/bilberryramp/decisions/fleet/tests/test_sharing.py
+++ b/bilberryramp/decisions/fleet/tests/test_sharing.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bilberryramp.decisions.fleet import keys, prefix_cache, sharing
+from bilberryramp.decisions.fleet.core import keys, prefix_cache, sharing
 
 PARTS = (prefix_cache.PromptPart("aa", 100), prefix_cache.PromptPart("bb", 50))
 
--- a/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
+++ b/bilberryramp/decisions/fleet/tests/test_upstream_pauses.py
@@ -3,17 +3,13 @@
 import dataclasses
 import unittest
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    gateway,
-    health,
-    planner,
-    presence,
-    upstream_pauses,
-)
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.core import calls, presence
+from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.orders import planner
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.routing import health, upstream_pauses
 from bilberryramp.decisions.fleet.tests import builders
-from bilberryramp.decisions.fleet.traces import Trace
 
 NOW_MS = 10_000
 PAUSE_MS = 4000
--- a/bilberryramp/decisions/shared/tests/test_charting.py
+++ b/bilberryramp/decisions/shared/tests/test_charting.py
@@ -4,13 +4,11 @@
 from bilberryramp.charts import loader
 from bilberryramp.decisions.control import replication
 from bilberryramp.decisions.entry import entry_calls, links
-from bilberryramp.decisions.fleet import (
-    agent,
-    gateway_state,
-    health,
-    register,
-    retry_shares,
-)
+from bilberryramp.decisions.fleet.gateway import gateway_state
+from bilberryramp.decisions.fleet.limits import retry_shares
+from bilberryramp.decisions.fleet.orders import agent
+from bilberryramp.decisions.fleet.register import register
+from bilberryramp.decisions.fleet.routing import health
 from bilberryramp.decisions.shared import (
     charting,
     pauses,
--- a/bilberryramp/platform/announcements.py
+++ b/bilberryramp/platform/announcements.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import presence
+from bilberryramp.decisions.fleet.core import presence
 from bilberryramp.decisions.shared import errors
 
 __all__ = [
--- a/bilberryramp/platform/engine_orders.py
+++ b/bilberryramp/platform/engine_orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import agent
+from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.platform import announcements, exchanges
 
 __all__ = [
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from bilberryramp.decisions.fleet import calls, prefix_cache
+from bilberryramp.decisions.fleet.core import calls, prefix_cache
 from bilberryramp.wire import retry_after
 
 __all__ = [
--- a/bilberryramp/platform/operator_calls.py
+++ b/bilberryramp/platform/operator_calls.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import operator_calls as calls
-from bilberryramp.decisions.fleet import presence
+from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.register import operator_calls as calls
 from bilberryramp.decisions.shared import errors
 from bilberryramp.platform import announcements, service_documents
 
--- a/bilberryramp/platform/service_documents.py
+++ b/bilberryramp/platform/service_documents.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import documents
+from bilberryramp.decisions.fleet.core import documents
 from bilberryramp.decisions.shared import errors
 
 __all__ = ["MalformedDocumentError", "decode"]
--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from bilberryramp.decisions.fleet import gateway
+from bilberryramp.decisions.fleet.gateway import gateway
 from bilberryramp.decisions.shared import connection_stop
 from bilberryramp.decisions.shared.tests import builders as shutdown_builders
 from bilberryramp.platform import exchanges, standins
--- a/bilberryramp/platform/tests/test_decoders.py
+++ b/bilberryramp/platform/tests/test_decoders.py
@@ -6,7 +6,9 @@
 import msgspec
 from hypothesis import strategies as st
 
-from bilberryramp.decisions.fleet import agent, keys, operator_calls
+from bilberryramp.decisions.fleet.core import keys
+from bilberryramp.decisions.fleet.orders import agent
+from bilberryramp.decisions.fleet.register import operator_calls
 from bilberryramp.decisions.shared import errors
 from bilberryramp.platform import (
     announcements,
--- a/bilberryramp/platform/tests/test_endless_answers.py
+++ b/bilberryramp/platform/tests/test_endless_answers.py
@@ -5,7 +5,8 @@
 
 import aiohttp
 
-from bilberryramp.decisions.fleet import agent, health
+from bilberryramp.decisions.fleet.orders import agent
+from bilberryramp.decisions.fleet.routing import health
 from bilberryramp.platform import engine_orders as order_wire
 from bilberryramp.platform.tests import builders
 from bilberryramp.tasks import answer_limits, engine_orders, fleet_frontend
--- a/bilberryramp/platform/tests/test_leaving.py
+++ b/bilberryramp/platform/tests/test_leaving.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from bilberryramp.decisions.fleet import agent
+from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.platform import engine_orders as order_wire
 from bilberryramp.platform.tests import builders
 from bilberryramp.tasks import engine_orders, mailbox
--- a/bilberryramp/platform/tests/test_pauses.py
+++ b/bilberryramp/platform/tests/test_pauses.py
@@ -9,7 +9,8 @@
 import aiohttp
 import multidict
 
-from bilberryramp.decisions.fleet import agent, gateway
+from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.platform import engine_orders as order_wire
 from bilberryramp.platform import exchanges
 from bilberryramp.platform.tests import builders
--- a/bilberryramp/platform/tests/test_platform.py
+++ b/bilberryramp/platform/tests/test_platform.py
@@ -2,7 +2,9 @@
 import re
 import unittest
 
-from bilberryramp.decisions.fleet import agent, calls, operator_calls
+from bilberryramp.decisions.fleet.core import calls
+from bilberryramp.decisions.fleet.orders import agent
+from bilberryramp.decisions.fleet.register import operator_calls
 from bilberryramp.platform import (
     announcements,
     engine_orders,
--- a/bilberryramp/programs/agent.py
+++ b/bilberryramp/programs/agent.py
@@ -6,7 +6,7 @@
 
 from absl import app
 
-from bilberryramp.decisions.fleet import agent
+from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.platform import engine_orders
 from bilberryramp.programs import fleet_launch
 from bilberryramp.tasks import (
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -11,22 +11,16 @@
 
 from absl import app, flags
 
-from bilberryramp.decisions.fleet import (
-    agent,
+from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
+from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.orders import agent, order_holders, planner
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
-    gateway,
-    gateway_state,
-    health,
-    order_holders,
-    planner,
-    presence,
-    register,
-    register_messages,
-    retry_budget,
-    retry_shares,
     suspect_memory,
-    upstream_pauses,
 )
+from bilberryramp.decisions.fleet.register import register, register_messages
+from bilberryramp.decisions.fleet.routing import health, upstream_pauses
 from bilberryramp.decisions.shared import pauses, quarantine, shutdown
 from bilberryramp.platform import (
     engine_orders,
--- a/bilberryramp/storage/slots.py
+++ b/bilberryramp/storage/slots.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import register_messages as msgs
+from bilberryramp.decisions.fleet.register import register_messages as msgs
 
 __all__ = ["FILE_NAMES", "read", "write"]
 
--- a/bilberryramp/storage/tests/test_slots.py
+++ b/bilberryramp/storage/tests/test_slots.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import register_messages as msgs
+from bilberryramp.decisions.fleet.register import register_messages as msgs
 from bilberryramp.storage import slots
 from bilberryramp.storage.tests import builders
 
--- a/bilberryramp/tasks/engine_orders.py
+++ b/bilberryramp/tasks/engine_orders.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from bilberryramp.decisions.fleet import agent
+from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.tasks import (
     answer_limits,
     http_requests,
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -8,13 +8,9 @@
 import aiohttp
 from aiohttp import hdrs, web
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    documents,
-    gateway,
-    presence,
-    upstream_pauses,
-)
+from bilberryramp.decisions.fleet.core import calls, documents, presence
+from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.routing import upstream_pauses
 from bilberryramp.decisions.shared import stream_progress
 from bilberryramp.tasks import (
     client_connections,
--- a/bilberryramp/tasks/fleet_operator.py
+++ b/bilberryramp/tasks/fleet_operator.py
@@ -7,14 +7,13 @@
 
 from aiohttp import web
 
-from bilberryramp.decisions.fleet import (
-    identities,
-    operator_calls,
+from bilberryramp.decisions.fleet.core import identities
+from bilberryramp.decisions.fleet.quarantine import (
     quarantine_messages,
-    register,
     suspect_publications,
     suspects,
 )
+from bilberryramp.decisions.fleet.register import operator_calls, register
 from bilberryramp.tasks import (
     client_connections,
     clock,
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -6,28 +6,26 @@
 import itertools
 from collections.abc import Callable
 
-from bilberryramp.decisions.fleet import (
-    agent,
+from bilberryramp.decisions.fleet.core import (
     calls,
-    coordinator_state,
-    gateway,
-    gateway_state,
     identities,
-    operator_calls,
-    order_holders,
-    planner,
     presence,
+    sharing,
+)
+from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
+from bilberryramp.decisions.fleet.limits import retry_budget
+from bilberryramp.decisions.fleet.orders import agent, order_holders, planner
+from bilberryramp.decisions.fleet.quarantine import (
+    coordinator_state,
     quarantine_coordinator,
     quarantine_messages,
-    register,
-    retry_budget,
-    sharing,
     suspect_memory,
     suspect_publications,
     suspects,
-    upstream_pauses,
 )
-from bilberryramp.decisions.fleet.traces import Trace
+from bilberryramp.decisions.fleet.register import operator_calls, register
+from bilberryramp.decisions.fleet.routing import upstream_pauses
 from bilberryramp.decisions.shared import effects
 from bilberryramp.tasks import clock, mailbox, peer_mesh
 from bilberryramp.telemetry import events, metrics
--- a/bilberryramp/tasks/holder_task.py
+++ b/bilberryramp/tasks/holder_task.py
@@ -3,8 +3,8 @@
 import dataclasses
 from collections.abc import Callable
 
-from bilberryramp.decisions.fleet import agent, order_holders
-from bilberryramp.decisions.fleet.traces import Trace
+from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.orders import agent, order_holders
 from bilberryramp.tasks import clock, mailbox, peer_mesh
 from bilberryramp.telemetry import events
 
--- a/bilberryramp/tasks/register_task.py
+++ b/bilberryramp/tasks/register_task.py
@@ -7,11 +7,8 @@
 import asyncio
 import dataclasses
 
-from bilberryramp.decisions.fleet import (
-    operator_calls,
-    register,
-    retry_shares,
-)
+from bilberryramp.decisions.fleet.limits import retry_shares
+from bilberryramp.decisions.fleet.register import operator_calls, register
 from bilberryramp.decisions.shared import effects
 from bilberryramp.storage import slots
 from bilberryramp.tasks import clock, mailbox, peer_mesh
--- a/bilberryramp/tasks/suspect_store.py
+++ b/bilberryramp/tasks/suspect_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from bilberryramp.decisions.fleet import suspect_memory
+from bilberryramp.decisions.fleet.quarantine import suspect_memory
 from bilberryramp.storage import slots
 from bilberryramp.tasks import mailbox
 from bilberryramp.telemetry import events
--- a/bilberryramp/tasks/tests/builders.py
+++ b/bilberryramp/tasks/tests/builders.py
@@ -7,19 +7,12 @@
 from aiohttp import client_proto
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions.fleet import (
-    coordinator_state,
-    documents,
-    gateway,
-    gateway_state,
-    health,
-    placement,
-    planner,
-    presence,
-    retry_budget,
-    retry_shares,
-    upstream_pauses,
-)
+from bilberryramp.decisions.fleet.core import documents, presence
+from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
+from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.orders import placement, planner
+from bilberryramp.decisions.fleet.quarantine import coordinator_state
+from bilberryramp.decisions.fleet.routing import health, upstream_pauses
 from bilberryramp.decisions.shared import (
     call_messages,
     charting,
--- a/bilberryramp/tasks/tests/test_gateway_task.py
+++ b/bilberryramp/tasks/tests/test_gateway_task.py
@@ -4,12 +4,10 @@
 import dataclasses
 import unittest
 
-from bilberryramp.decisions.fleet import (
-    calls,
-    gateway,
-    order_holders,
-    upstream_pauses,
-)
+from bilberryramp.decisions.fleet.core import calls
+from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.orders import order_holders
+from bilberryramp.decisions.fleet.routing import upstream_pauses
 from bilberryramp.tasks import clock, gateway_task, mailbox
 from bilberryramp.tasks.tests import builders
 
--- a/bilberryramp/tasks/tests/test_retry_share_updates.py
+++ b/bilberryramp/tasks/tests/test_retry_share_updates.py
@@ -4,12 +4,9 @@
 import unittest
 from unittest import mock
 
-from bilberryramp.decisions.fleet import (
-    gateway_state,
-    register,
-    retry_budget,
-    retry_shares,
-)
+from bilberryramp.decisions.fleet.gateway import gateway_state
+from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.register import register
 from bilberryramp.tasks import gateway_task, mailbox, register_task
 from bilberryramp.tasks.tests import builders
 
--- a/bilberryramp/tasks/tests/test_suspect_store.py
+++ b/bilberryramp/tasks/tests/test_suspect_store.py
@@ -6,8 +6,8 @@
 import unittest
 from unittest import mock
 
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
-from bilberryramp.decisions.fleet import suspect_memory
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import suspect_memory
 from bilberryramp.storage import slots
 from bilberryramp.tasks import mailbox, suspect_store
 
--- a/bilberryramp/tasks/upstream_exchange.py
+++ b/bilberryramp/tasks/upstream_exchange.py
@@ -11,7 +11,7 @@
 import yarl
 from aiohttp import hdrs, web
 
-from bilberryramp.decisions.fleet import calls
+from bilberryramp.decisions.fleet.core import calls
 from bilberryramp.decisions.shared import errors
 from bilberryramp.tasks import (
     answer_framing,
--- a/bilberryramp/wire/outer_names.py
+++ b/bilberryramp/wire/outer_names.py
@@ -11,14 +11,12 @@
     idempotency,
     replication_messages,
 )
-from bilberryramp.decisions.fleet import (
-    agent,
+from bilberryramp.decisions.fleet.core import presence, sharing
+from bilberryramp.decisions.fleet.orders import agent, planner
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages
+from bilberryramp.decisions.fleet.register import (
     operator_calls,
-    planner,
-    presence,
-    quarantine_messages,
     register_messages,
-    sharing,
 )
 from bilberryramp.decisions.shared import (
     call_messages,
--- a/bilberryramp/wire/tests/test_fleet_codec.py
+++ b/bilberryramp/wire/tests/test_fleet_codec.py
@@ -3,7 +3,8 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet import presence, register_messages
+from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.register import register_messages
 from bilberryramp.wire import errors, fleet_codec
 
 BODY = (
--- a/bilberryramp/wire/tests/test_outer_names.py
+++ b/bilberryramp/wire/tests/test_outer_names.py
@@ -6,7 +6,7 @@
     idempotency,
     replication_messages,
 )
-from bilberryramp.decisions.fleet import register_messages
+from bilberryramp.decisions.fleet.register import register_messages
 from bilberryramp.decisions.shared import (
     call_messages,
     commands,
--- a/tools/measure_quarantine.py
+++ b/tools/measure_quarantine.py
@@ -9,15 +9,15 @@
 
 from absl import app
 
-from bilberryramp.decisions.fleet import (
-    calls,
+from bilberryramp.decisions.fleet.core import calls
+from bilberryramp.decisions.fleet.quarantine import (
     coordinator_publications,
     coordinator_state,
     quarantine_coordinator,
     suspect_evidence,
     suspects,
 )
-from bilberryramp.decisions.fleet import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.fleet.tests import test_part_evidence as evidence
 from bilberryramp.decisions.shared import quarantine
