Add the types of workspaces, usage limits and pauses between events

Cause: workspaces, usage limits and routing by pauses are built side by side and need the same types.

Change: the document's workspaces with keys and limits, a route's objective for pauses and whether it is public, the key of a request, the workspace of a call, two refusals, and the settings that state how exactly limits bind. Nothing reads them yet except the decoders of routes and settings.

--- a/bilberryramp/decisions/fleet/core/calls.py
+++ b/bilberryramp/decisions/fleet/core/calls.py
@@ -75,6 +75,10 @@
     """The service has no usable upstream."""
     NO_MODEL = "no_model"
     """No available engine holds the model or adapter."""
+    UNKNOWN_KEY = "unknown_key"
+    """The request's key names no workspace of the document in force."""
+    USAGE_LIMIT = "usage_limit"
+    """The request would exceed the usage limit of its workspace."""
     OVERLOADED = "overloaded"
     """No upstream has capacity to start the request in time."""
     TOO_LATE = "too_late"
@@ -150,6 +154,8 @@
     fingerprint
         Hash of caller and content, which is the same for a request that is
         sent again under another identifier; empty if unknown.
+    key
+        Key of a workspace, a secret; empty if the request has none.
     """
 
     request_id: str
@@ -158,6 +164,7 @@
     client_timeout_ms: int
     prompt: Prompt | None
     fingerprint: str = ""
+    key: str = dataclasses.field(default="", repr=False)
 
 
 @dataclasses.dataclass(slots=True)
@@ -222,6 +229,8 @@
     has_survived
         Whether the present attempt has been answered for so long that no
         part of the prompt can have crashed its upstream.
+    workspace
+        Workspace that the request's key names; None without workspaces.
     identities
         Identities of the request, from `identities.of_request`.
     """
@@ -257,6 +266,7 @@
     trial_id: int = 0
     trial_identities: tuple[str, ...] = ()
     has_survived: bool = False
+    workspace: documents.Workspace | None = None
     identities: tuple[str, ...] = dataclasses.field(init=False)
 
     def __post_init__(self):
@@ -382,6 +392,9 @@
         Number of times that the request has been sent, including this time.
     decided_ms
         When the decision was made, in milliseconds of the gateway's clock.
+    workspace
+        Name of the client's workspace, which the upstream is told; empty
+        without workspaces.
     """
 
     call_id: int
@@ -392,6 +405,7 @@
     send: int
     born_ms: int = -1
     decided_ms: int = 0
+    workspace: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/core/documents.py
+++ b/bilberryramp/decisions/fleet/core/documents.py
@@ -1,6 +1,7 @@
 """Types of the service document, which configures routes and services."""
 
 import dataclasses
+import enum
 from collections.abc import Iterable
 
 __all__ = [
@@ -12,6 +13,9 @@
     "Route",
     "Service",
     "Share",
+    "UsageLimit",
+    "UsageUnit",
+    "Workspace",
     "capacity",
 ]
 
@@ -58,6 +62,11 @@
         Rank among routes; 0 is the most urgent.
     max_attempts
         Maximum number of attempts that may have run a request.
+    gap_target_ms
+        Objective for the longest pause between two events of a stream, in
+        milliseconds; 0 if there is none.
+    is_public
+        Whether requests need no key even if the document has workspaces.
     """
 
     name: str
@@ -71,6 +80,8 @@
     target_ms: int
     urgency: int
     max_attempts: int
+    gap_target_ms: int = 0
+    is_public: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -218,6 +229,61 @@
     idle_timeout_ms: int = 15000
 
 
+class UsageUnit(enum.Enum):
+    """What a usage limit counts."""
+
+    REQUEST = "request"
+    """Each request counts 1."""
+    TOKEN = "token"
+    """A request counts the tokens of its prompt and of its longest answer."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UsageLimit:
+    """Limit on what the requests of a workspace use, over all nodes.
+
+    Attributes
+    ----------
+    unit
+        What is counted.
+    rate
+        Amount allowed per second.
+    burst
+        Amount allowed beyond the rate.
+    plain_tokens
+        Tokens that a request without a stated size counts.
+    """
+
+    unit: UsageUnit
+    rate: float
+    burst: float
+    plain_tokens: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Workspace:
+    """A group of clients who share keys and a usage limit.
+
+    Attributes
+    ----------
+    name
+        Name of the workspace, which upstreams are told.
+    keys
+        Keys that name this workspace. They are secrets: neither logs nor
+        messages to upstreams contain them.
+    urgency
+        Rank of its requests, which takes precedence over that of the route;
+        None to use that of the route.
+    usage_limit
+        Limit on its usage; None if there is none.
+    """
+
+    name: str
+    keys: tuple[str, ...] = dataclasses.field(repr=False)
+    urgency: int | None
+    usage_limit: UsageLimit | None
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Document:
     """A complete version of the service configuration.
@@ -232,9 +298,13 @@
         All services, by name.
     limits
         Limits on client requests.
+    workspaces
+        All workspaces. If there are any, a request on a route that is not
+        public needs the key of one.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallLimits
+    workspaces: tuple[Workspace, ...] = ()
--- a/bilberryramp/platform/service_documents.py
+++ b/bilberryramp/platform/service_documents.py
@@ -90,6 +90,8 @@
         target_ms=int(raw.get("latencyTargetMs", raw["timeoutMs"])),
         urgency=int(raw.get("priority", 5)),
         max_attempts=int(raw.get("maxAttempts", 1)),
+        gap_target_ms=int(raw.get("gapAimMs") or 0),
+        is_public=bool(raw.get("public", False)),
     )
 
 
--- a/bilberryramp/platform/settings.py
+++ b/bilberryramp/platform/settings.py
@@ -81,6 +81,10 @@
         retry_window_ms=int(1000 * bounds["budgetWindowS"]),
         memory_mb=int(raw["limits"]["memoryMb"]),
         link_mbps=float(raw["limits"]["linkMbps"]),
+        max_descriptors=int(raw["limits"].get("maxFds", 0)),
+        usage_window_ms=int(1000 * bounds.get("quotaWindowS", 1)),
+        usage_overage=float(bounds.get("quotaOverage", 0)),
+        usage_slack=float(bounds.get("quotaSlack", 0)),
     )
 
 
--- a/bilberryramp/settings/fleet.py
+++ b/bilberryramp/settings/fleet.py
@@ -54,6 +54,12 @@
         Memory limit of the instance, in MB.
     link_mbps
         Bandwidth of the instance's network link, in Mbit/s.
+    max_descriptors
+        Limit on the open descriptors of the process; 0 if unknown.
+    usage_window_ms, usage_overage, usage_slack
+        How exactly usage limits bind: in any window of `usage_window_ms`
+        milliseconds, the usage of a workspace over all nodes may exceed its
+        limit by the ratio `usage_overage` and by the amount `usage_slack`.
     """
 
     name: str
@@ -77,3 +83,7 @@
     retry_window_ms: int
     memory_mb: int
     link_mbps: float
+    max_descriptors: int = 0
+    usage_window_ms: int = 1000
+    usage_overage: float = 0.0
+    usage_slack: float = 0.0
