Limit the usage of workspaces over the whole fleet

Cause: a document may limit what the requests of a workspace use per second, summed over all nodes, and nothing enforced it.

Change: the leader of the register keeps a bucket for each workspace and issues credits to the nodes that ask for them. A new leader starts with empty buckets. The gateway charges a call when it is sent, lets it wait while its node asks, refuses it with the time after which credit will be there, and gives back what surely did not run. Without limits nothing is asked or sent.

--- a/bilberryramp/decisions/fleet/core/calls.py
+++ b/bilberryramp/decisions/fleet/core/calls.py
@@ -231,6 +231,9 @@
         part of the prompt can have crashed its upstream.
     workspace
         Workspace that the request's key names; None without workspaces.
+    usage_parts
+        What the present attempt was charged to: amounts of credit, when each
+        ends, and whether it is a reserve; empty without a usage limit.
     identities
         Identities of the request, from `identities.of_request`.
     """
@@ -267,6 +270,7 @@
     trial_identities: tuple[str, ...] = ()
     has_survived: bool = False
     workspace: documents.Workspace | None = None
+    usage_parts: tuple[tuple[float, int, bool], ...] = ()
     identities: tuple[str, ...] = dataclasses.field(init=False)
 
     def __post_init__(self):
@@ -395,6 +399,8 @@
     workspace
         Name of the client's workspace, which the upstream is told; empty
         without workspaces.
+    is_charged
+        Whether the attempt was charged to a usage limit.
     """
 
     call_id: int
@@ -406,6 +412,7 @@
     born_ms: int = -1
     decided_ms: int = 0
     workspace: str = ""
+    is_charged: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -11,7 +11,11 @@
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway_state
-from bilberryramp.decisions.fleet.limits import retry_budget
+from bilberryramp.decisions.fleet.limits import (
+    retry_budget,
+    usage_asks,
+    usage_credits,
+)
 from bilberryramp.decisions.fleet.orders import agent, placement, planner
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
 from bilberryramp.decisions.fleet.routing import (
@@ -58,7 +62,7 @@
 
     Yields
     ------
-    SendCall, SendResidencyRequest, WantModel, ToCoordinator, Trace
+    SendCall, SendResidencyRequest, WantModel, ToCoordinator, AskLeader, Trace
         No `SendCall` if the call should wait; `call.wait_reason` then names
         the resource that it waits for. A call whose request may not run now
         is held; one that waits in vain waits until the caller refuses it.
@@ -466,6 +470,11 @@
             barrier = retry_budget.Barrier.BUDGET
             yield trace_refused_retry(gw, call, barrier, now_ms)
             return
+    if not usage_credits.charge(gw.usage, call, now_ms):
+        call.wait_reason = calls.Refusal.USAGE_LIMIT
+        yield from usage_asks.due_ask(gw.usage, gw.address, now_ms)
+        return
+    if call.may_have_arrived:
         budget = gateway_state.service_budget(gw, call.service)
         retry_budget.record_retry(budget, gw.budget_limits, now_ms)
     if call.send_count > 0:
@@ -518,6 +527,7 @@
         call.send_count,
         upstream.announcement.born_ms,
         now_ms,
+        is_charged=bool(call.usage_parts),
     )
 
 
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -21,7 +21,13 @@
     gateway_state,
     waiting_times,
 )
-from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.limits import (
+    retry_budget,
+    retry_shares,
+    usage_asks,
+    usage_credits,
+    usage_messages,
+)
 from bilberryramp.decisions.fleet.orders import agent, placement
 from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.quarantine import (
@@ -77,6 +83,12 @@
     calls.Refusal.UPSTREAM_FULL,
     calls.Refusal.UPSTREAMS_PAUSED,
 )
+# Outcomes of attempts that surely did not run, which are not charged.
+_NOT_CHARGED = (
+    *calls.NOTHING_SENT,
+    calls.AttemptOutcome.NOT_RUN,
+    calls.AttemptOutcome.TARGET_MISSING,
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -255,6 +267,7 @@
         return
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
+    usage_credits.set_document(gw.usage, message.doc)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -377,6 +390,7 @@
     yield from suspect_evidence.review(gw.suspect_state, now_ms)
     yield from _clear_survivors(gw, now_ms)
     yield from _review_held(gw, now_ms)
+    yield from usage_asks.due_ask(gw.usage, gw.address, now_ms)
     yield from _serve_queue(gw, now_ms)
     yield from _report_load(gw, now_ms)
 
@@ -603,6 +617,8 @@
     outcome = message.outcome
     call.last_outcome, call.attempt_ended_ms = outcome, now_ms
     call.may_have_arrived |= outcome not in calls.NOTHING_SENT
+    if outcome in _NOT_CHARGED:
+        usage_credits.refund(gw.usage, call, now_ms)
     if outcome is calls.AttemptOutcome.WITHHELD:
         yield from _take_back(gw, call, now_ms)
         return
@@ -831,6 +847,7 @@
 ) -> Iterator:
     gw.active.pop(call.call_id, None)
     gw.queue.pop(call.call_id, None)
+    usage_credits.forget(gw.usage, call)
     yield from gateway_state.fire(gw, call, event, now_ms)
 
 
@@ -846,13 +863,16 @@
         key=lambda call: scheduling.queue_sort_key(call, now_ms),
     )
     # A call that cannot be sent blocks later calls for the same service and
-    # weights.
+    # weights, unless only its workspace lacks credit.
     blocked: set[tuple[str, str]] = set()
     for call in waiting[:MAX_QUEUE_SCAN_CALLS]:
         blocking_key = (call.service, _weights(call))
         if blocking_key not in blocked:
             yield from dispatch.try_dispatch(gw, now_ms, call)
-            if call.phase == "waiting" and call.wait_reason not in _HOPELESS:
+            if call.phase == "waiting" and call.wait_reason not in (
+                *_HOPELESS,
+                calls.Refusal.USAGE_LIMIT,
+            ):
                 blocked.add(blocking_key)
     for call in waiting:
         if call.phase == "waiting":
@@ -869,7 +889,10 @@
     gw: gateway_state.Gateway, now_ms: int, call
 ) -> Iterator:
     remaining_ms = call.deadline_ms - now_ms
-    is_hopeless = call.wait_reason in _HOPELESS
+    if call.wait_reason is not calls.Refusal.USAGE_LIMIT:
+        usage_credits.forget(gw.usage, call)
+    usage_ms = usage_credits.refusal_ms(gw.usage, call)
+    is_hopeless = call.wait_reason in _HOPELESS or usage_ms > 0
     if (
         not gw.is_shutting_down
         and not is_hopeless
@@ -882,6 +905,8 @@
     reason = (
         calls.Refusal.STOPPING if gw.is_shutting_down else call.wait_reason
     )
+    if usage_ms and not gw.is_shutting_down:
+        reason = calls.Refusal.USAGE_LIMIT
     yield from _end_call(gw, call, "refused", now_ms)
     if call.attempt_count > 0:
         if is_hopeless:
@@ -897,15 +922,25 @@
         "waited_ms": now_ms - call.arrived_ms,
         **waiting_times.pause_details(gw, call, now_ms),
     }
+    if reason is calls.Refusal.USAGE_LIMIT:
+        wait_details |= usage_credits.details(gw.usage, call, now_ms)
     yield from _refuse(
         call.call_id,
         call.request,
         reason,
-        waiting_times.retry_after_ms(gw, call, now_ms),
+        usage_ms or waiting_times.retry_after_ms(gw, call, now_ms),
         wait_details,
     )
 
 
+def _on_usage_answer(
+    gw: gateway_state.Gateway, now_ms: int, message: usage_messages.UsageAnswer
+) -> Iterator:
+    if usage_asks.accept_answer(gw.usage, message, now_ms):
+        yield from _serve_queue(gw, now_ms)
+        yield from usage_asks.due_ask(gw.usage, gw.address, now_ms)
+
+
 _HANDLERS = {
     CoordinatorChanged: _on_coordinator_changed,
     DocumentInForce: _on_document_in_force,
@@ -914,6 +949,7 @@
     PauseSeen: _on_pause_seen,
     presence.LeavingNotice: _on_leaving_notice,
     retry_shares.Share: _on_share,
+    usage_messages.UsageAnswer: _on_usage_answer,
     msgs.SuspectDigest: _on_suspect_digest,
     msgs.SuspectList: _on_suspect_list,
     msgs.TrialGrant: _on_trial_grant,
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -11,7 +11,11 @@
     presence,
     sharing,
 )
-from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.limits import (
+    retry_budget,
+    retry_shares,
+    usage_credits,
+)
 from bilberryramp.decisions.fleet.orders import placement
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
 from bilberryramp.decisions.fleet.routing import health, upstream_pauses
@@ -84,6 +88,8 @@
         node.
     retry_share
         This node's part of the slack of the retry budgets.
+    usage
+        This node's credits for the usage of workspaces.
     started_ms
         When this process started.
     is_shutting_down
@@ -123,6 +129,9 @@
     )
     discovery_deadline_ms: int = 0
     retry_share: retry_shares.Share = retry_shares.Share()
+    usage: usage_credits.Credits = dataclasses.field(
+        default_factory=usage_credits.Credits
+    )
     started_ms: int = 0
     is_shutting_down: bool = False
     served_ms: int = 0
--- a/bilberryramp/decisions/fleet/limits/__init__.py
+++ b/bilberryramp/decisions/fleet/limits/__init__.py
@@ -2,4 +2,7 @@
 
 retry_budget, retry_shares
     Limits on retries, and the part that each node may spend.
+usage_terms, usage_issuer, usage_credits, usage_asks, usage_messages
+    Limits on the usage of workspaces: what may be issued, the leader's issue
+    of credits, the credits of a node, its asks, and the messages between them.
 """
--- a/bilberryramp/decisions/fleet/limits/retry_budget.py
+++ b/bilberryramp/decisions/fleet/limits/retry_budget.py
@@ -202,7 +202,7 @@
 
 
 def is_outdated(send_call: calls.SendCall, now_ms: int) -> bool:
-    """Return whether a retry waited for so long that it must be judged anew.
+    """Return whether a send waited for so long that it must be judged anew.
 
     Parameters
     ----------
@@ -214,11 +214,12 @@
     Returns
     -------
     bool
-        True for a retry that would no longer arrive within
-        `ARRIVAL_DELAY_MS` of its record.
+        True for a retry, or a request that was charged to a usage limit,
+        that would no longer arrive within `ARRIVAL_DELAY_MS` of its record.
     """
     waited_ms = now_ms - send_call.decided_ms
-    return send_call.send > 1 and waited_ms >= ARRIVAL_DELAY_MS
+    is_counted = send_call.send > 1 or send_call.is_charged
+    return is_counted and waited_ms >= ARRIVAL_DELAY_MS
 
 
 def _earning_window_ms(limits: Limits) -> int:
--- a/bilberryramp/decisions/fleet/register/register.py
+++ b/bilberryramp/decisions/fleet/register/register.py
@@ -20,7 +20,7 @@
 import random
 from collections.abc import Iterator
 
-from bilberryramp.decisions.fleet.limits import retry_shares
+from bilberryramp.decisions.fleet.limits import retry_shares, usage_issuer
 from bilberryramp.decisions.fleet.orders import agent, order_holders
 from bilberryramp.decisions.fleet.register import electorate
 from bilberryramp.decisions.fleet.register import register_messages as msgs
@@ -39,6 +39,7 @@
     "Tick",
     "actions",
     "guards",
+    "leadership",
     "leads",
     "new_node",
     "recent_leader_address",
@@ -451,6 +452,30 @@
     )
 
 
+def leadership(node: Node, now_ms: int) -> usage_issuer.Leadership:
+    """Return the proof that this node leads.
+
+    Parameters
+    ----------
+    node
+        State of the node.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    Leadership
+        With the time until which no other node can lead; with -1 if another
+        may.
+    """
+    if not leads(node, now_ms):
+        return usage_issuer.Leadership()
+    sent_ms = (p.acked_sent_ms for p in node.followers.values())
+    ends_ms = sorted({ms + LEASE_MS - 1 for ms in sent_ms}, reverse=True)
+    until_ms = next((ms for ms in ends_ms if _has_lease(node, ms)), now_ms)
+    return usage_issuer.Leadership(node.term, max(until_ms, now_ms))
+
+
 def recent_leader_address(node: Node, now_ms: int) -> str:
     """Return the operator address of the leader if it was heard from recently.
 
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -79,6 +79,23 @@
     )
 
 
+def make_workspace(name="w1", rate=1000.0, burst=1000.0, **changes):
+    """Build a workspace with a limit by token and the key ``key-NAME``."""
+    fields = {"unit": documents.UsageUnit.TOKEN, "plain_tokens": 100}
+    limit = documents.UsageLimit(rate=rate, burst=burst, **(fields | changes))
+    return documents.Workspace(name, (f"key-{name}",), None, limit)
+
+
+def make_limited_call(call_id, tokens, workspace, now_ms=10_000):
+    """Build a call of a workspace that counts a number of tokens."""
+    request = make_request(prompt=make_prompt(tokens, 0))
+    call = calls.Call(
+        call_id, request, make_route(), "engines", now_ms, now_ms + 6000
+    )
+    call.workspace = workspace
+    return call
+
+
 def make_announcement(upstream_id="u1", **changes):
     """Build an announcement of an engine that holds the model ``m0``."""
     fields = {
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -13,7 +13,13 @@
 
 from bilberryramp.decisions.fleet.core import presence
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
-from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.limits import (
+    retry_budget,
+    retry_shares,
+    usage_credits,
+    usage_issuer,
+    usage_terms,
+)
 from bilberryramp.decisions.fleet.orders import agent, order_holders, planner
 from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
@@ -69,6 +75,8 @@
 PROCESS_NUMBER_BITS = 20
 # Size of the random numbers with which a coordinator's numbering starts.
 COORDINATOR_NUMBER_BITS = 40
+# Length of the random number from which a process counts its asks for credit.
+ASK_ID_BITS = 40
 
 
 METRICS_PORT_FLAG = flags.DEFINE_integer(
@@ -271,6 +279,7 @@
         cfg.failure_domain,
     )
     gw.started_ms = now_ms
+    gw.usage = usage_credits.Credits(ask_id=rng.getrandbits(ASK_ID_BITS))
     gw.discovery_deadline_ms = now_ms + round(
         DISCOVERY_HEARTBEATS * cfg.heartbeat_ms
     )
@@ -296,6 +305,11 @@
         service_documents.decode,
         cfg.peer_ports[0],
         holder_inbox=holder_inbox,
+        issuer=usage_issuer.Issuer(
+            usage_terms.Exactness(
+                cfg.usage_window_ms, cfg.usage_overage, cfg.usage_slack
+            )
+        ),
     )
     suspects = _open_suspects(cfg, gateway_owner, now_ms)
     register_owner = _open_register(
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -14,7 +14,12 @@
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
-from bilberryramp.decisions.fleet.limits import retry_budget
+from bilberryramp.decisions.fleet.limits import (
+    retry_budget,
+    usage_asks,
+    usage_issuer,
+    usage_messages,
+)
 from bilberryramp.decisions.fleet.orders import agent, order_holders, planner
 from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
@@ -117,6 +122,8 @@
         leader only.
     coordinator
         State of the coordinator of the quarantine; active on the leader only.
+    issuer
+        Issue of usage credits; active on the leader only.
     inbox
         Mailbox of the task.
     mesh
@@ -180,6 +187,9 @@
     )
     next_call_id: int = 1
     next_relay_id: int = 1
+    issuer: usage_issuer.Issuer = dataclasses.field(
+        default_factory=usage_issuer.Issuer
+    )
 
 
 async def run(task: GatewayTask) -> None:
@@ -283,6 +293,11 @@
             _coordinate(task, now_ms, quarantine_coordinator.Tick())
         case suspects.ToCoordinator():
             _perform(task, now_ms, message)
+        case usage_issuer.Leadership():
+            usage_issuer.set_leadership(task.issuer, message, now_ms)
+        case usage_messages.UsageAsk():
+            for effect in usage_issuer.answer(task.issuer, message, now_ms):
+                _perform(task, now_ms, effect)
         case _ if isinstance(message, _TO_COORDINATOR):
             _coordinate(task, now_ms, message)
         case _:
@@ -403,6 +418,8 @@
             _send(task, task.gw.address, effect.message)
         case suspect_memory.KeepSuspects():
             _keep_suspects(task, effect)
+        case usage_asks.AskLeader():
+            _send(task, task.leader, effect.ask)
         case gateway.TellPeers():
             peer_mesh.broadcast(task.mesh, task.peers, effect.message)
         case order_holders.EnginePaused():
@@ -588,6 +605,7 @@
         record=list(committed.record_id),
     )
     _step(task, now_ms, message)
+    usage_issuer.set_document(task.issuer, task.gw.doc, now_ms)
 
 
 # Announcements that upstreams sent to this node.
--- a/bilberryramp/tasks/register_task.py
+++ b/bilberryramp/tasks/register_task.py
@@ -7,14 +7,21 @@
 import asyncio
 import dataclasses
 
-from bilberryramp.decisions.fleet.limits import retry_shares
+from bilberryramp.decisions.fleet.limits import retry_shares, usage_issuer
 from bilberryramp.decisions.fleet.register import operator_calls, register
 from bilberryramp.decisions.shared import effects
 from bilberryramp.storage import slots
 from bilberryramp.tasks import clock, mailbox, peer_mesh
 from bilberryramp.telemetry import events
 
-__all__ = ["RegisterTask", "post_ticks", "publish_share", "request", "run"]
+__all__ = [
+    "RegisterTask",
+    "post_ticks",
+    "publish_leadership",
+    "publish_share",
+    "request",
+    "run",
+]
 
 # Interval between ticks; a fraction of the register's heartbeat interval.
 TICK_INTERVAL_S = 0.05
@@ -44,7 +51,7 @@
         Mailbox of the task.
     gateway_inbox
         Mailbox of the gateway's task, which receives `Committed`,
-        `LeaderChanged`, `Roster` and `Share`.
+        `LeaderChanged`, `Leadership`, `Roster` and `Share`.
     holder_inbox
         Mailbox of the holder's task, which receives each `Standing`; None if
         this node orders no engines.
@@ -61,6 +68,8 @@
         Time of the proof of the `Standing` that was last published.
     published_share
         Share of the retry budgets that was last published.
+    published_leadership
+        Proof of leadership that was last published.
     """
 
     node: register.Node
@@ -77,6 +86,7 @@
     roster: tuple = ()
     published_as_of_ms: int = -1
     published_share: retry_shares.Share = retry_shares.Share()
+    published_leadership: usage_issuer.Leadership = usage_issuer.Leadership()
 
 
 async def run(task: RegisterTask) -> None:
@@ -97,6 +107,7 @@
         _publish_standing(task)
         if register.Tick() in messages:
             publish_share(task)
+            publish_leadership(task)
 
 
 async def post_ticks(inbox: mailbox.Mailbox, message) -> None:
@@ -213,6 +224,20 @@
         mailbox.post_now(task.gateway_inbox, share)
 
 
+def publish_leadership(task: RegisterTask) -> None:
+    """Tell the gateway of each newer proof that this node leads.
+
+    Parameters
+    ----------
+    task
+        State of the task. Modified in place.
+    """
+    leadership = register.leadership(task.node, clock.boot_ms())
+    if leadership.until_ms > task.published_leadership.until_ms:
+        task.published_leadership = leadership
+        mailbox.post_now(task.gateway_inbox, leadership)
+
+
 def _publish_roster(task: RegisterTask) -> None:
     node = task.node
     holders = node.record.holders if node.record is not None else ()
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -336,7 +336,11 @@
 CALL_REFUSED = _declare(
     5105,
     "call.refused",
-    "A request was refused without being run; `reason` says why.",
+    "A request was refused without being run; `reason` says why. With "
+    "`usage_limit`, it needed `usage_needed` of the limit of its `workspace`; "
+    "this node held `usage_held` and, for times without a leader, "
+    "`usage_reserve`, its calls use `usage_demand_per_s`, and a leader last "
+    "answered `usage_answered_ms_ago`.",
 )
 CALL_FAILED = _declare(
     5106,
@@ -429,8 +433,26 @@
     "call.withheld",
     "A request was not sent after all: its upstream asked for a pause, or "
     "another process took its place, before the connection was available, or "
-    "it is a retry that waited too long for the connection. Where it is sent "
-    "is decided anew.",
+    "it is a retry, or charged to a usage limit, and waited too long for the "
+    "connection. Where it is sent is decided anew.",
+)
+USAGE_REFUSED = _declare(
+    5140,
+    "usage.refused",
+    "The leader refused credit to calls at a `node` that the usage limit of "
+    "their `workspace` does not cover. They `needed` an amount, and `granted` "
+    "was issued. The bucket holds `level` of at most `depth` and fills by "
+    "`rate` a second since this node became the leader, `led_ms` ago; "
+    "`recently_refused` is what was refused in about the last second. The "
+    "callers may return in `retry_after_ms`.",
+)
+USAGE_UNANSWERED = _declare(
+    5141,
+    "usage.unanswered",
+    "The leader has not answered this node's ask for usage credit, made "
+    "`asked_ms_ago`, after a last answer `answered_ms_ago`. Calls are charged "
+    "to the `reserve` of their workspace and wait when it is spent; `waiting` "
+    "do. Check whether there is a leader that this node reaches.",
 )
 HOLDERS_CHANGED = _declare(
     5204,
--- a/bilberryramp/wire/outer_names.py
+++ b/bilberryramp/wire/outer_names.py
@@ -12,6 +12,7 @@
     replication_messages,
 )
 from bilberryramp.decisions.fleet.core import presence, sharing
+from bilberryramp.decisions.fleet.limits import usage_messages
 from bilberryramp.decisions.fleet.orders import agent, planner
 from bilberryramp.decisions.fleet.quarantine import quarantine_messages
 from bilberryramp.decisions.fleet.register import (
@@ -142,4 +143,6 @@
     quarantine_messages.TrialEnded: "TrialEnded",
     quarantine_messages.TrialGrant: "TrialGrant",
     quarantine_messages.TrialRequest: "TrialRequest",
+    usage_messages.UsageAnswer: "UsageAnswer",
+    usage_messages.UsageAsk: "UsageAsk",
 }
