Ask ahead for usage credit at intervals only

Cause: a node whose leader had no credit to issue ahead asked for it again with each answer; with itself as the leader it asked without a pause.

Change: an ask ahead is repeated after 100 ms, and calls that are about to be refused are not asked for again.

--- a/bilberryramp/decisions/fleet/limits/usage_asks.py
+++ b/bilberryramp/decisions/fleet/limits/usage_asks.py
@@ -22,9 +22,11 @@
 RESERVED_MS = 2000
 # A node without a request of a workspace for this time forgets it.
 IDLE_MS = 10_000
-# Part of the reserve that is left when it is asked for again, and the time
-# after which an ask for a reserve that was not granted is repeated.
+# Part of the reserve that is left when it is asked for again.
 LOW_RESERVE_FRACTION = 0.5
+# Times after which a node asks again for credit ahead, and for a reserve,
+# which the leader may not have granted.
+AHEAD_REPEAT_MS = 100
 RESERVE_REPEAT_MS = 1000
 
 
@@ -162,7 +164,12 @@
     """Return what to ask for one workspace; None if nothing is wanted now."""
     usage_credits.drop_ended(account, now_ms)
     held = sum(lot.amount for lot in account.lots if not lot.is_reserve)
-    waiting = account.waiting if now_ms >= account.held_until_ms else {}
+    is_held = now_ms < account.held_until_ms
+    waiting = {
+        call_id: amount
+        for call_id, amount in account.waiting.items()
+        if not is_held and call_id not in account.refused
+    }
     needed = max(sum(waiting.values()) - held, 0.0)
     demand = usage_credits.demand_per_s(account, now_ms)
     ahead = demand * AHEAD_MS / 1000
@@ -173,10 +180,15 @@
         reserved <= LOW_RESERVE_FRACTION * reserve
         and now_ms >= account.reserved_until_ms
     )
-    lacks_ahead = held < ahead / 2 and not account.waiting
+    lacks_ahead = (
+        held < ahead / 2
+        and not account.waiting
+        and now_ms >= account.ahead_until_ms
+    )
     if needed <= 0 and not lacks_ahead and not lacks_reserve:
         return None
     account.asked = set(waiting)
+    account.ahead_until_ms = now_ms + AHEAD_REPEAT_MS
     if lacks_reserve:
         # An ask for a reserve that is not granted is not repeated at once.
         account.reserved_until_ms = now_ms + RESERVE_REPEAT_MS
--- a/bilberryramp/decisions/fleet/limits/usage_credits.py
+++ b/bilberryramp/decisions/fleet/limits/usage_credits.py
@@ -81,8 +81,8 @@
         When a call last needed credit.
     held_until_ms
         Until when waiting calls have been told to wait.
-    reserved_until_ms
-        Until when no more reserve is asked for.
+    ahead_until_ms, reserved_until_ms
+        Until when neither credit ahead nor a reserve is asked for.
     """
 
     unit: documents.UsageUnit
@@ -94,6 +94,7 @@
     size: float = 0.0
     seen_ms: int = 0
     held_until_ms: int = 0
+    ahead_until_ms: int = 0
     reserved_until_ms: int = 0
 
 
