Refuse requests whose key names no workspace

Cause: a document's `tenants` were ignored. A request without a key, or with an unknown one, was served with 200, the key and a forged tenant header went to the upstream, and two tenants with one key were accepted with 200.

Change: the document's rows of workspaces are decoded with their limits and checked; errors name no key. The index of a document finds the workspace of a key at a constant cost. A request on a route that is not public gets 401 without the key of a workspace, and the log tells the cause by a digest of the key. Upstreams get the name of the workspace as the system knows it, and no header that contains the key. The rank of a workspace precedes that of the route, in the queue and at the engine.

The tests of headers look a header up in a multidict now, as the front end does, since several values matter.

--- a/bilberryramp/decisions/fleet/core/__init__.py
+++ b/bilberryramp/decisions/fleet/core/__init__.py
@@ -2,6 +2,8 @@
 
 documents, hosts
     Types of the service document, and the lookup of its routes.
+workspaces
+    Which workspace a request's key names, and whether it may be sent.
 calls, identities
     A client's request at a node, and what identifies its content.
 presence
--- a/bilberryramp/decisions/fleet/core/hosts.py
+++ b/bilberryramp/decisions/fleet/core/hosts.py
@@ -1,4 +1,4 @@
-"""Match requests to routes by host and longest path prefix."""
+"""Index of a document: routes by host and path prefix, workspaces by key."""
 
 import dataclasses
 import random
@@ -10,19 +10,25 @@
 
 @dataclasses.dataclass(slots=True)
 class HostIndex:
-    """Index of the routes of a document.
+    """Index of the routes and workspaces of a document.
 
     Attributes
     ----------
     by_host
         Routes by host name, then by path prefix.
+    by_key
+        Workspaces by key.
+    needs_key
+        Whether requests on routes that are not public need a key.
     """
 
     by_host: dict[str, dict[str, documents.Route]]
+    by_key: dict[str, documents.Workspace] = dataclasses.field(repr=False)
+    needs_key: bool
 
 
 def build_index(doc: documents.Document) -> HostIndex:
-    """Build the index of a document's routes.
+    """Build the index of a document's routes and workspaces.
 
     Parameters
     ----------
@@ -32,12 +38,17 @@
     Returns
     -------
     HostIndex
-        Index for `find_route`.
+        Index for `find_route` and `workspaces.find`.
     """
     by_host: dict[str, dict[str, documents.Route]] = {}
     for route in doc.routes:
         by_host.setdefault(route.host, {})[route.prefix] = route
-    return HostIndex(by_host)
+    by_key = {
+        key: workspace
+        for workspace in doc.workspaces
+        for key in workspace.keys
+    }
+    return HostIndex(by_host, by_key, bool(doc.workspaces))
 
 
 def find_route(
--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -8,6 +8,7 @@
     documents,
     presence,
     sharing,
+    workspaces,
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway_state
@@ -500,6 +501,7 @@
             "route": call.route.name,
             "weights": prompt.weights if prompt is not None else "",
             "document": gw.doc.version,
+            "workspace": workspaces.name(call),
             "upstream": upstream_id,
             "heard_ms_ago": now_ms - upstream.heard_ms,
             "cached_tokens": choice.cached_tokens if choice else 0,
@@ -518,6 +520,7 @@
         call.send_count,
         upstream.announcement.born_ms,
         now_ms,
+        workspaces.name(call),
     )
 
 
@@ -556,4 +559,4 @@
     """
     if now_ms - call.arrived_ms >= call.route.target_ms:
         return LATE_URGENCY
-    return min(call.route.urgency, LATE_URGENCY - 1)
+    return min(workspaces.urgency(call), LATE_URGENCY - 1)
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -14,6 +14,7 @@
     hosts,
     presence,
     sharing,
+    workspaces,
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import (
@@ -520,6 +521,13 @@
     if route is None:
         yield from _refuse(message.call_id, req, calls.Refusal.NO_ROUTE, 0)
         return
+    workspace = workspaces.find(gw.index, req.key)
+    if not workspaces.admits(gw.index, route, workspace):
+        details = _key_details(gw, route, req.key)
+        yield from _refuse(
+            message.call_id, req, calls.Refusal.UNKNOWN_KEY, 0, details
+        )
+        return
     allowed_ms = route.timeout_ms
     if req.client_timeout_ms >= 0:
         allowed_ms = min(allowed_ms, req.client_timeout_ms)
@@ -530,6 +538,7 @@
         hosts.pick_service(route, gw.rng),
         message.arrived_ms,
         message.arrived_ms + allowed_ms,
+        workspace=workspace,
     )
     if now_ms - message.arrived_ms <= retry_budget.ARRIVAL_DELAY_MS:
         retry_budget.record_request(
@@ -551,6 +560,18 @@
         yield from _refuse_if_unservable(gw, now_ms, call)
 
 
+def _key_details(
+    gw: gateway_state.Gateway, route: documents.Route, key: str
+) -> dict:
+    """Describe for the log why a key is not admitted, without naming it."""
+    return {
+        "cause": "no_such_key" if key else "no_key",
+        "key_digest": workspaces.digest(key),
+        "route": route.name,
+        "document": gw.doc.version,
+    }
+
+
 def _on_answer_started(
     gw: gateway_state.Gateway, now_ms: int, message
 ) -> Iterator:
--- a/bilberryramp/decisions/fleet/routing/scheduling.py
+++ b/bilberryramp/decisions/fleet/routing/scheduling.py
@@ -20,6 +20,7 @@
     prefix_cache,
     presence,
     sharing,
+    workspaces,
 )
 
 __all__ = [
@@ -407,4 +408,4 @@
         The key; the smallest is served first.
     """
     is_late = now_ms - call.arrived_ms > call.route.target_ms
-    return (is_late, call.route.urgency, call.arrived_ms)
+    return (is_late, workspaces.urgency(call), call.arrived_ms)
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -59,7 +59,12 @@
     return documents.Route(**(fields | changes))
 
 
-def make_document(version=1, routes=None, engine=None):
+def make_workspace(name="w1", keys=("key-1",), urgency=None, limit=None):
+    """Build a workspace without a limit."""
+    return documents.Workspace(name, tuple(keys), urgency, limit)
+
+
+def make_document(version=1, routes=None, engine=None, workspaces=()):
     """Build a document with a service of engines and a plain service.
 
     Unless `routes` is given, the plain service has a route with retries and a
@@ -75,7 +80,11 @@
     filing_route = make_route("/file/", "plain", streaming=False)
     all_routes = routes or (make_route(), plain_route, filing_route)
     return documents.Document(
-        version, tuple(all_routes), services, documents.CallLimits()
+        version,
+        tuple(all_routes),
+        services,
+        documents.CallLimits(),
+        tuple(workspaces),
     )
 
 
@@ -115,13 +124,17 @@
 
 
 def make_request(
-    path="/chat/x", prompt=None, client_timeout_ms=6000, request_id="q"
+    path="/chat/x",
+    prompt=None,
+    client_timeout_ms=6000,
+    request_id="q",
+    **changes,
 ):
     """Build a request; those below ``/chat/`` have a prompt by default."""
     if prompt is None and path.startswith("/chat/"):
         prompt = make_prompt()
     return calls.Request(
-        request_id, "a.example", path, client_timeout_ms, prompt
+        request_id, "a.example", path, client_timeout_ms, prompt, **changes
     )
 
 
--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -3,6 +3,7 @@
 import enum
 
 from bilberryramp.decisions.fleet.core import calls, prefix_cache
+from bilberryramp.platform import service_documents
 from bilberryramp.wire import retry_after
 
 __all__ = [
@@ -27,6 +28,8 @@
 _DEADLINE_HEADER = "X-Bilberryramp-Deadline-Ms"
 _EXPECTED_INSTANCE_HEADER = "X-Bilberryramp-Expected-Instance"
 _PRIORITY_HEADER = "X-Bilberryramp-Request-Priority"
+_KEY_HEADER = "x-api-key"
+_WORKSPACE_HEADER = "X-Bilberryramp-Tenant"
 _SIGNATURE_HEADER = "X-Bilberryramp-Server-Signature"
 _LEAVING_HEADER = "Server-Leaving"
 _NOT_EXECUTED_HEADER = "X-Bilberryramp-Not-Executed"
@@ -53,6 +56,8 @@
 # Headers that only the system may set, removed from clients' requests.
 _RESERVED_HEADERS = frozenset(
     {
+        _KEY_HEADER,
+        _WORKSPACE_HEADER.lower(),
         _HEADER_PREFIX + "hold",
         _HEADER_PREFIX + "pin-ms",
         _HEADER_PREFIX + "kv-backup",
@@ -65,6 +70,10 @@
     }
 )
 
+# A header that contains a key of this length is dropped, since that is no
+# coincidence; shorter keys count only if they are the whole value.
+_MIN_SECRET_CHARS = 8
+
 # Upper bound of numbers in headers. A larger one is treated as missing; no
 # real number of tokens or milliseconds comes near it.
 _MAX_NUMBER = 10**9
@@ -93,7 +102,7 @@
     path
         Path and query as the client sent them.
     headers
-        Case-insensitive mapping of the headers.
+        Case-insensitive multidict of the headers.
     fingerprint
         As in `calls.Request`.
 
@@ -101,18 +110,43 @@
     -------
     Request
         The request. A number of tokens that is missing or invalid is 0, a
-        time that is missing or invalid is -1.
+        time that is missing or invalid is -1. A key that is also in another
+        header which the log names is dropped, together with those headers.
     """
+    key = _decode_key(headers.getall(_KEY_HEADER, ()))
+    request_id = headers.get(REQUEST_ID_HEADER, "")
+    prompt = _decode_prompt(headers)
+    if key and _is_exposed(key, headers):
+        key, request_id, prompt = "", "", None
     return calls.Request(
-        request_id=headers.get(REQUEST_ID_HEADER, ""),
+        request_id=request_id,
         host=host.partition(":")[0],
         path=path,
         client_timeout_ms=_int_or_default(headers.get(_DEADLINE_HEADER), -1),
-        prompt=_decode_prompt(headers),
+        prompt=prompt,
         fingerprint=fingerprint,
+        key=key,
+    )
+
+
+def _decode_key(values) -> str:
+    """Return the key; a text that is no key of any document if invalid."""
+    # No key of a document contains a space or is longer than the maximum.
+    return ", ".join(values)[: service_documents.MAX_KEY_CHARS + 1]
+
+
+def _is_exposed(key: str, headers) -> bool:
+    """Return whether a header whose value is logged contains the key."""
+    return any(
+        _contains_key(headers.get(name, ""), key)
+        for name in (REQUEST_ID_HEADER, _MODEL_HEADER, _PROMPT_PREFIX_HEADER)
     )
 
 
+def _contains_key(value: str, key: str) -> bool:
+    return value == key or (len(key) >= _MIN_SECRET_CHARS and key in value)
+
+
 def _decode_prompt(headers) -> calls.Prompt | None:
     name = _replace_surrogates(headers.get(_MODEL_HEADER, ""))
     if not name:
@@ -171,26 +205,36 @@
     raw_headers
         Names and values of the client's headers, as pairs of bytes.
     send_call
-        Decision to send the request, with the upstream's id and the urgency.
+        Decision to send the request, with the upstream's id, the urgency and
+        the workspace.
 
     Returns
     -------
     list of (str, str)
-        The client's headers without hop-by-hop and reserved ones, followed by
-        those of the system except for `deadline_header`.
+        The client's headers without hop-by-hop and reserved ones and without
+        those that contain its key, followed by those of the system except for
+        `deadline_header`.
     """
     headers = [
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in raw_headers
     ]
+    sent_keys = [
+        value
+        for name, value in headers
+        if value and name.lower() == _KEY_HEADER
+    ]
     headers = [
         (name, value)
         for name, value in headers
         if name.lower() not in _HOP_BY_HOP_HEADERS
         and name.lower() not in _RESERVED_HEADERS
+        and not any(_contains_key(value, key) for key in sent_keys)
     ]
     headers.append((_EXPECTED_INSTANCE_HEADER, send_call.upstream_id))
     headers.append((_PRIORITY_HEADER, str(send_call.urgency)))
+    if send_call.workspace:
+        headers.append((_WORKSPACE_HEADER, send_call.workspace))
     return headers
 
 
--- a/bilberryramp/platform/service_documents.py
+++ b/bilberryramp/platform/service_documents.py
@@ -1,11 +1,38 @@
 """Decode and check the service document that an operator submits."""
 
+import re
+
 import msgspec
 
-from bilberryramp.decisions.fleet.core import documents
+from bilberryramp.decisions.fleet.core import documents, workspaces
 from bilberryramp.decisions.shared import errors
 
-__all__ = ["MalformedDocumentError", "decode"]
+__all__ = ["MAX_KEY_CHARS", "MalformedDocumentError", "decode"]
+
+# Maximum length of a key of a workspace; longer ones name none.
+MAX_KEY_CHARS = 1024
+# Maximum rate, burst and number of tokens; a float can hold any sum of some
+# such numbers to the unit.
+MAX_AMOUNT = 10**15
+# Keys and names are sent as headers: a key is one word of ASCII, a name must
+# come back as it was written.
+_KEY = re.compile(r"[!-~]+")
+_CONTROL_CHARS = re.compile(r"[\x00-\x1f\x7f]")
+_TOKEN_UNIT = "token_stream"
+
+
+class _WorkspaceRow(msgspec.Struct):
+    """Row of a workspace, as operators write it."""
+
+    name: str
+    api_keys: list[str] = msgspec.field(name="apiKeys")
+    priority: float | None = None
+    unit: str | None = None
+    rate_per_s: float | None = msgspec.field(name="ratePerS", default=None)
+    burst: float | None = None
+    plain_tokens: float | None = msgspec.field(
+        name="plainTokens", default=None
+    )
 
 
 class MalformedDocumentError(errors.BilberryError):
@@ -32,9 +59,11 @@
     ------
     MalformedDocumentError
         When `body` is not JSON, a field is missing or has the wrong type, two
-        routes have the same host and prefix, or a route has a negative
-        weight, weights that add up to 0, a timeout that is not positive, or
-        a service that is not in the document.
+        routes have the same host and prefix, a route has a negative weight,
+        weights that add up to 0, a timeout that is not positive, or a service
+        that is not in the document, or a workspace has no or another's name,
+        an invalid or another's key, or a number out of range. The message
+        names no key.
     """
     try:
         raw = msgspec.json.decode(body)
@@ -65,6 +94,7 @@
         routes=tuple(_decode_route(row) for row in raw["routes"]),
         services={service.name: service for service in services},
         limits=_decode_limits(raw.get("limits") or {}),
+        workspaces=_decode_workspaces(raw.get("tenants")),
     )
 
 
@@ -137,7 +167,83 @@
     )
 
 
+def _decode_workspaces(raw) -> tuple[documents.Workspace, ...]:
+    if raw is None:
+        return ()
+    try:
+        rows = msgspec.convert(raw, list[_WorkspaceRow])
+    except msgspec.ValidationError as exc:
+        raise MalformedDocumentError(f"tenants: {exc}") from exc
+    return tuple(_decode_workspace(row) for row in rows)
+
+
+def _decode_workspace(row: _WorkspaceRow) -> documents.Workspace:
+    label = f"tenant {row.name!r}"
+    if not row.name or row.name != row.name.strip():
+        raise MalformedDocumentError(
+            f"{label}: a name must not be empty, or begin or end with a space"
+        )
+    if _CONTROL_CHARS.search(row.name):
+        raise MalformedDocumentError(
+            f"{label}: a name must not have control characters"
+        )
+    for index, key in enumerate(row.api_keys):
+        if len(key) > MAX_KEY_CHARS or not _KEY.fullmatch(key):
+            raise MalformedDocumentError(
+                f"{label}: key {index} must have 1 to {MAX_KEY_CHARS} visible "
+                "ASCII characters and no space"
+            )
+    for field, value in (
+        ("priority", row.priority),
+        ("ratePerS", row.rate_per_s),
+        ("burst", row.burst),
+        ("plainTokens", row.plain_tokens),
+    ):
+        if value is not None and not 0 <= value <= MAX_AMOUNT:
+            raise MalformedDocumentError(
+                f"{label}: {field} is {value}, expected 0 to {MAX_AMOUNT}"
+            )
+    return documents.Workspace(
+        name=row.name,
+        keys=tuple(row.api_keys),
+        urgency=None if row.priority is None else int(row.priority),
+        usage_limit=_decode_usage_limit(row),
+    )
+
+
+def _decode_usage_limit(row: _WorkspaceRow) -> documents.UsageLimit | None:
+    if not row.rate_per_s and not row.burst:
+        return None
+    return documents.UsageLimit(
+        unit=documents.UsageUnit.TOKEN
+        if row.unit == _TOKEN_UNIT
+        else documents.UsageUnit.REQUEST,
+        rate=row.rate_per_s or 0.0,
+        burst=row.burst or 0.0,
+        plain_tokens=int(row.plain_tokens or 0),
+    )
+
+
+def _check_workspaces(doc: documents.Document) -> None:
+    names = set()
+    by_key = {}
+    for workspace in doc.workspaces:
+        if workspace.name in names:
+            raise MalformedDocumentError(
+                f"two tenants have the name {workspace.name!r}"
+            )
+        names.add(workspace.name)
+        for key in workspace.keys:
+            other = by_key.setdefault(key, workspace)
+            if other is not workspace:
+                raise MalformedDocumentError(
+                    f"tenants {other.name!r} and {workspace.name!r} share the "
+                    f"key with the digest {workspaces.digest(key)}"
+                )
+
+
 def _check_document(doc: documents.Document) -> None:
+    _check_workspaces(doc)
     seen_prefixes = set()
     for route in doc.routes:
         route_label = f"route {route.name}"
--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -30,6 +30,11 @@
 EVENT_BYTES = task_builders.EVENT_BYTES
 
 
+def make_workspace_fields(**changes):
+    """Build the row of a workspace with one key."""
+    return {"name": "w1", "apiKeys": ["asnmgkcuyj8pjbvk9m68"]} | changes
+
+
 def make_heartbeat_body(**changes):
     fields = {
         "service": "svc-llm",
--- a/bilberryramp/platform/tests/test_decoders.py
+++ b/bilberryramp/platform/tests/test_decoders.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 import msgspec
+import multidict
 from hypothesis import strategies as st
 
 from bilberryramp.decisions.fleet.core import keys
@@ -124,7 +125,9 @@
             "x-bilberryramp-model": model,
             "x-bilberryramp-prompt-prefix": prefix,
         }
-        req = exchanges.decode_request("h", "/x", headers)
+        req = exchanges.decode_request(
+            "h", "/x", multidict.CIMultiDict(headers)
+        )
         self.assertLess(req.client_timeout_ms, 2**40)
         if req.prompt is not None:
             keys.short_key(req.prompt.weights)
--- a/bilberryramp/platform/tests/test_platform.py
+++ b/bilberryramp/platform/tests/test_platform.py
@@ -2,6 +2,8 @@
 import re
 import unittest
 
+import multidict
+
 from bilberryramp.decisions.fleet.core import calls
 from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.decisions.fleet.register import operator_calls
@@ -157,7 +159,9 @@
             "x-bilberryramp-prompt-prefix": "aa:100,bb:50",
             "X-Bilberryramp-Deadline-Ms": "900",
         }
-        req = exchanges.decode_request("h.example:80", "/talk/x", headers)
+        req = exchanges.decode_request(
+            "h.example:80", "/talk/x", multidict.CIMultiDict(headers)
+        )
         self.assertEqual((req.host, req.client_timeout_ms), ("h.example", 900))
         self.assertEqual(req.prompt.weights, "m0/a1")
         self.assertEqual([p.tokens for p in req.prompt.parts], [100, 50])
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -51,6 +51,8 @@
 
 _STATUS = {
     calls.Refusal.NO_ROUTE: 404,
+    calls.Refusal.UNKNOWN_KEY: 401,
+    calls.Refusal.USAGE_LIMIT: 429,
     calls.Failure.BROKEN: 502,
     calls.Failure.TIMED_OUT: 504,
 }
