Arrange who waits where workspaces share upstreams

Cause: the queue knows urgency and lateness, not whose call it is, so a workspace at six times its usual takes the room of all others; calls that join a queue that is too long are held until their time is nearly over, and all that are refused return at once.

Change: the package queueing. turns orders waiting calls by what their workspace has used of late, lanes measures how fast the calls for one set of weights leave the queue; a call that would wait too long is refused as it arrives, and those that are refused are told to return one after another. In force only where the document has workspaces.

--- a/bilberryramp/decisions/fleet/__init__.py
+++ b/bilberryramp/decisions/fleet/__init__.py
@@ -16,6 +16,8 @@
     Replication of the service document.
 routing
     Selection of the upstream for a call.
+queueing
+    Who waits, who goes first and who is turned away.
 gateway
     Life cycle of a call.
 
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -19,6 +19,7 @@
 from bilberryramp.decisions.fleet.gateway import (
     dispatch,
     gateway_state,
+    queue_waits,
     waiting_times,
 )
 from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
@@ -31,6 +32,7 @@
     suspect_trials,
     suspects,
 )
+from bilberryramp.decisions.fleet.queueing import turns
 from bilberryramp.decisions.fleet.routing import (
     health,
     scheduling,
@@ -255,6 +257,7 @@
         return
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
+    gw.workspace_turns.weights = turns.make_weights(message.doc.workspaces)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -548,7 +551,8 @@
     yield from dispatch.try_dispatch(gw, now_ms, call)
     if call.phase == "waiting":
         call.has_waited = True
-        yield from _refuse_if_unservable(gw, now_ms, call)
+        wait_ms = queue_waits.wait_of_arrival(gw, call, now_ms)
+        yield from _refuse_if_unservable(gw, now_ms, call, wait_ms)
 
 
 def _on_answer_started(
@@ -841,22 +845,18 @@
     if not gw.queue:
         return
     gw.served_ms = now_ms
-    waiting = sorted(
-        gw.queue.values(),
-        key=lambda call: scheduling.queue_sort_key(call, now_ms),
-    )
+    waiting = queue_waits.in_order(gw, now_ms)
     # A call that cannot be sent blocks later calls for the same service and
     # weights.
     blocked: set[tuple[str, str]] = set()
     for call in waiting[:MAX_QUEUE_SCAN_CALLS]:
-        blocking_key = (call.service, _weights(call))
+        blocking_key = gateway_state.lane_key(call)
         if blocking_key not in blocked:
             yield from dispatch.try_dispatch(gw, now_ms, call)
             if call.phase == "waiting" and call.wait_reason not in _HOPELESS:
                 blocked.add(blocking_key)
-    for call in waiting:
-        if call.phase == "waiting":
-            yield from _refuse_if_unservable(gw, now_ms, call)
+    for call, wait_ms in list(queue_waits.expected_waits(gw, waiting, now_ms)):
+        yield from _refuse_if_unservable(gw, now_ms, call, wait_ms)
 
 
 def _weights(call: calls.Call) -> str:
@@ -866,7 +866,7 @@
 
 
 def _refuse_if_unservable(
-    gw: gateway_state.Gateway, now_ms: int, call
+    gw: gateway_state.Gateway, now_ms: int, call, wait_ms: float = 0.0
 ) -> Iterator:
     remaining_ms = call.deadline_ms - now_ms
     is_hopeless = call.wait_reason in _HOPELESS
@@ -875,7 +875,7 @@
         and not is_hopeless
         and remaining_ms >= MIN_ATTEMPT_TIME_MS
         and scheduling.should_keep_waiting(
-            call, waiting_times.load_time_ms(gw, call, now_ms), now_ms
+            call, waiting_times.load_time_ms(gw, call, now_ms), now_ms, wait_ms
         )
     ):
         return
@@ -895,13 +895,14 @@
         "route": call.route.name,
         "weights": _weights(call),
         "waited_ms": now_ms - call.arrived_ms,
+        "expected_wait_ms": round(wait_ms),
         **waiting_times.pause_details(gw, call, now_ms),
     }
     yield from _refuse(
         call.call_id,
         call.request,
         reason,
-        waiting_times.retry_after_ms(gw, call, now_ms),
+        queue_waits.return_time_ms(gw, call, wait_ms, now_ms),
         wait_details,
     )
 
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -14,7 +14,12 @@
 from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
 from bilberryramp.decisions.fleet.orders import placement
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
-from bilberryramp.decisions.fleet.routing import health, upstream_pauses
+from bilberryramp.decisions.fleet.queueing import lanes, turns
+from bilberryramp.decisions.fleet.routing import (
+    health,
+    scheduling,
+    upstream_pauses,
+)
 from bilberryramp.decisions.shared import charting
 
 __all__ = [
@@ -24,9 +29,11 @@
     "engine_spec",
     "fire",
     "guards",
+    "lane_key",
     "retry_account",
     "retry_details",
     "service_budget",
+    "work_of",
 ]
 
 
@@ -86,6 +93,10 @@
         This node's part of the slack of the retry budgets.
     started_ms
         When this process started.
+    queue_lanes
+        Queues that waiting calls form, by service and weights.
+    workspace_turns
+        What the workspaces have used of late.
     is_shutting_down
         Whether the process is about to end, so that no call may wait.
     served_ms
@@ -124,6 +135,12 @@
     discovery_deadline_ms: int = 0
     retry_share: retry_shares.Share = retry_shares.Share()
     started_ms: int = 0
+    queue_lanes: dict[tuple[str, str], lanes.Lane] = dataclasses.field(
+        default_factory=dict
+    )
+    workspace_turns: turns.Turns = dataclasses.field(
+        default_factory=turns.Turns
+    )
     is_shutting_down: bool = False
     served_ms: int = 0
 
@@ -219,6 +236,20 @@
     }
 
 
+def lane_key(call: calls.Call) -> tuple[str, str]:
+    """Return the service and weights of a call, which name its lane."""
+    prompt = call.request.prompt
+    return call.service, prompt.weights if prompt is not None else ""
+
+
+def work_of(call: calls.Call) -> float:
+    """Return the work of a call: prompt tokens, or 1 without a prompt."""
+    prompt = call.request.prompt
+    if prompt is None:
+        return 1.0
+    return scheduling.uncached_work_tokens(prompt)
+
+
 def cache_capacity_tokens(gw: Gateway) -> int:
     """Return the largest key-value cache of all services' engines in tokens.
 
@@ -237,8 +268,13 @@
 # Actions of the chart of a call.
 
 
-def _add_load(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+def _add_load(call: calls.Call, now_ms: int, gw: Gateway) -> Iterator:
     gw.queue.pop(call.call_id, None)
+    if gw.doc.workspaces:
+        work = work_of(call)
+        lane = gw.queue_lanes.setdefault(lane_key(call), lanes.Lane())
+        lanes.record_sent(lane, call.route.urgency, work, now_ms)
+        turns.record_sent(gw.workspace_turns, call.workspace, work, now_ms)
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.calls += 1
     load.reserved_tokens += call.reserved_tokens
--- a/bilberryramp/decisions/fleet/routing/scheduling.py
+++ b/bilberryramp/decisions/fleet/routing/scheduling.py
@@ -357,7 +357,10 @@
 
 
 def should_keep_waiting(
-    call: calls.Call, model_load_ms: float, now_ms: int
+    call: calls.Call,
+    model_load_ms: float,
+    now_ms: int,
+    expected_wait_ms: float = 0.0,
 ) -> bool:
     """Return whether a call should remain in the gateway's queue.
 
@@ -375,6 +378,9 @@
         a load.
     now_ms
         Current time in milliseconds.
+    expected_wait_ms
+        Time for which the call is expected to wait from now on, in
+        milliseconds; 0 if it is unknown.
 
     Returns
     -------
@@ -385,7 +391,7 @@
     limit_ms = max(call.route.target_ms, MAX_WAIT_RATIO * total_ms)
     if model_load_ms + LOAD_OVERHEAD_MS <= MAX_LOAD_WAIT_RATIO * total_ms:
         limit_ms = max(limit_ms, model_load_ms + LOAD_OVERHEAD_MS)
-    return now_ms - call.arrived_ms < limit_ms
+    return now_ms + expected_wait_ms - call.arrived_ms < limit_ms
 
 
 def queue_sort_key(call: calls.Call, now_ms: int) -> tuple:
--- a/bilberryramp/decisions/fleet/tests/test_import_direction.py
+++ b/bilberryramp/decisions/fleet/tests/test_import_direction.py
@@ -13,6 +13,7 @@
     "orders",
     "register",
     "routing",
+    "queueing",
     "gateway",
 )
 PREFIX = "bilberryramp.decisions.fleet."
