Replay overload that workspaces share

Change: replays through the real decisions of a gateway: one workspace that sends five times the room beside another, and three times the room for six seconds. Lanes are forgotten when nothing waits. The rank of a workspace is used where the route's was.

--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -382,6 +382,7 @@
     yield from _clear_survivors(gw, now_ms)
     yield from _review_held(gw, now_ms)
     yield from _serve_queue(gw, now_ms)
+    queue_waits.forget_unused_lanes(gw, now_ms)
     yield from _report_load(gw, now_ms)
 
 
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -10,6 +10,7 @@
     hosts,
     presence,
     sharing,
+    workspaces,
 )
 from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
 from bilberryramp.decisions.fleet.orders import placement
@@ -273,7 +274,7 @@
     if gw.doc.workspaces:
         work = work_of(call)
         lane = gw.queue_lanes.setdefault(lane_key(call), lanes.Lane())
-        lanes.record_sent(lane, call.route.urgency, work, now_ms)
+        lanes.record_sent(lane, workspaces.urgency(call), work, now_ms)
         turns.record_sent(gw.workspace_turns, call.workspace, work, now_ms)
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.calls += 1
--- a/bilberryramp/decisions/fleet/gateway/queue_waits.py
+++ b/bilberryramp/decisions/fleet/gateway/queue_waits.py
@@ -7,12 +7,18 @@
 import collections
 from collections.abc import Iterable, Iterator
 
-from bilberryramp.decisions.fleet.core import calls
+from bilberryramp.decisions.fleet.core import calls, workspaces
 from bilberryramp.decisions.fleet.gateway import gateway_state, waiting_times
 from bilberryramp.decisions.fleet.queueing import lanes, turns
 from bilberryramp.decisions.fleet.routing import scheduling
 
-__all__ = ["expected_waits", "in_order", "return_time_ms", "wait_of_arrival"]
+__all__ = [
+    "expected_waits",
+    "forget_unused_lanes",
+    "in_order",
+    "return_time_ms",
+    "wait_of_arrival",
+]
 
 
 def in_order(gw: gateway_state.Gateway, now_ms: int) -> list[calls.Call]:
@@ -68,12 +74,13 @@
     still_waiting = [call for call in ordered if call.phase == "waiting"]
     if gw.doc.workspaces:
         _note_blocked(gw, still_waiting, now_ms)
+        forget_unused_lanes(gw, now_ms)
     for call in still_waiting:
         works = ahead.setdefault(
             gateway_state.lane_key(call), collections.Counter()
         )
         yield call, _wait_ms(gw, call, works, now_ms)
-        works[call.route.urgency] += gateway_state.work_of(call)
+        works[workspaces.urgency(call)] += gateway_state.work_of(call)
 
 
 def wait_of_arrival(
@@ -136,7 +143,7 @@
     due_ms = lanes.promise_return(
         lane,
         wait_ms,
-        call.route.urgency,
+        workspaces.urgency(call),
         gateway_state.work_of(call),
         now_ms,
     )
@@ -150,14 +157,34 @@
     return lanes.expected_wait_ms(
         lane,
         works,
-        call.route.urgency,
+        workspaces.urgency(call),
         gateway_state.work_of(call),
         now_ms,
     )
 
 
+def forget_unused_lanes(gw: gateway_state.Gateway, now_ms: int) -> None:
+    """Forget the lanes in which nothing happened of late.
+
+    Parameters
+    ----------
+    gw
+        State of the gateway. Modified in place.
+    now_ms
+        Current time in milliseconds.
+    """
+    if not gw.queue:
+        for lane in gw.queue_lanes.values():
+            lane.blocked_since_ms = -1
+    gw.queue_lanes = {
+        key: lane
+        for key, lane in gw.queue_lanes.items()
+        if not lanes.is_unused(lane, now_ms)
+    }
+
+
 def _note_blocked(gw, still_waiting, now_ms: int) -> None:
-    """Keep since when calls wait in each lane, and forget unused lanes."""
+    """Note since when calls have been waiting for room in each lane."""
     blocked = {
         gateway_state.lane_key(call)
         for call in still_waiting
@@ -167,8 +194,6 @@
         lane = gw.queue_lanes.setdefault(key, lanes.Lane())
         if lane.blocked_since_ms < 0:
             lane.blocked_since_ms = now_ms
-    for key in [key for key in gw.queue_lanes if key not in blocked]:
-        lane = gw.queue_lanes[key]
-        lane.blocked_since_ms = -1
-        if lanes.is_unused(lane, now_ms):
-            del gw.queue_lanes[key]
+    for key, lane in gw.queue_lanes.items():
+        if key not in blocked:
+            lane.blocked_since_ms = -1
--- a/bilberryramp/decisions/fleet/queueing/tests/builders.py
+++ b/bilberryramp/decisions/fleet/queueing/tests/builders.py
@@ -8,13 +8,15 @@
 
 # Time for which the one engine of the replays reads a prompt.
 READ_MS = 50
+# Interval at which the engine announces itself.
+ANNOUNCE_MS = 1000
 PROMPT_TOKENS = 2000
 
 
 def make_workspace(name, rate=0.0, unit=documents.UsageUnit.TOKEN):
     """Build a workspace; a rate of 0 means that it has no limit."""
     limit = documents.UsageLimit(unit, rate, rate, 100) if rate else None
-    return documents.Workspace(name, (f"key-{name}",), None, limit)
+    return builders.make_workspace(name, (f"key-{name}",), limit=limit)
 
 
 def make_call(call_id=1, workspace=None, arrived_ms=0, urgency=1):
@@ -59,6 +61,10 @@
     """
     events = [(at_ms, number, "arrive", at_ms) for at_ms, number in arrivals]
     events += [(at_ms, -1, "tick", 0) for at_ms in range(10_000, until_ms, 50)]
+    events += [
+        (at_ms, -1, "announce", 0)
+        for at_ms in range(10_000, until_ms, ANNOUNCE_MS)
+    ]
     heapq.heapify(events)
     ended, returns, first_ms = {}, {}, {}
     while events:
@@ -75,6 +81,8 @@
             message = calls.CallArrived(number, req, now_ms)
         elif kind == "tick":
             message = gateway.Tick()
+        elif kind == "announce":
+            message = builders.make_announcement("u1", seq=2 + now_ms)
         else:
             message = calls.AttemptEnded(
                 number, calls.AttemptOutcome.DELIVERED
@@ -92,7 +100,7 @@
                     if effect.call_id not in returns:
                         returns[effect.call_id] = now_ms
                         left_ms = 6000 - took_ms
-                        wait_ms = min(effect.retry_after_ms, left_ms / 3)
+                        wait_ms = min(effect.retry_after_ms, left_ms // 3)
                         again = (now_ms + wait_ms, effect.call_id)
                         heapq.heappush(events, (*again, "return", 0))
     return ended, returns
