--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from bilberryramp.platform import settings
+from bilberryramp.tasks import http_requests
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -47,6 +48,8 @@
 CHUNK_COUNT = 3
 # Interval, in seconds, at which an engine looks whether a connection closed.
 CLOSE_CHECK_S = 0.005
+# Largest body that an engine reads.
+MAX_BODY_BYTES = 8 * 2**20
 # Start of the body of requests that crash each engine that runs them.
 FATAL_PREFIX = b"fatal"
 # Start of the body of requests that take so many times the service time.
@@ -208,7 +211,11 @@
             response.headers[_LEAVING_HEADER] = "1"
         return response
 
-    engine.protocol_factory = web.Server(serve, access_log=None)
+    engine.protocol_factory = web.Server(
+        serve,
+        request_factory=http_requests.make_factory(lambda: MAX_BODY_BYTES),
+        access_log=None,
+    )
     engine.server = await loop.create_server(
         engine.protocol_factory, host, port
     )
@@ -679,7 +686,8 @@
 ready = "{ready}"
 control = "{control}"
 [limits]
-memoryMb = 300
+memoryMb = {memory_mb}
+maxFds = {max_descriptors}
 linkMbps = 1000.0
 [bounds]
 graceS = 8
@@ -788,8 +796,10 @@
         Operator addresses of the nodes to contact first, as ``host:port``.
     **fields
         Data folder as `folder`, addresses as `engine`, `front`, `ready` and
-        `control`, all empty by default, and the interval of heartbeats as
-        `heartbeat_ms`, by default 1200 ms.
+        `control`, all empty by default, the interval of heartbeats as
+        `heartbeat_ms`, by default 1200 ms, and the instance's limits as
+        `memory_mb`, by default 300 MB, and `max_descriptors`, by default 0,
+        which means none.
 
     Returns
     -------
@@ -799,7 +809,7 @@
     defaults = dict.fromkeys(
         ("folder", "engine", "front", "ready", "control"), ""
     )
-    defaults |= {"heartbeat_ms": 1200}
+    defaults |= {"heartbeat_ms": 1200, "memory_mb": 300, "max_descriptors": 0}
     return SETTINGS_TEMPLATE.format(
         name=name,
         ip=ip,
--- a/bilberryramp/platform/tests/node_process.py
+++ b/bilberryramp/platform/tests/node_process.py
@@ -30,6 +30,9 @@
 
 
 class NodeProcessCase(unittest.IsolatedAsyncioTestCase):
+    # Further fields of the settings, as `standins.make_settings_text` takes.
+    settings = {}
+
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -50,6 +53,7 @@
             front=addresses["front"],
             ready=addresses["ready"],
             control=addresses["control"],
+            **self.settings,
         )
         path.write_text(text)
         self.node_process = await asyncio.create_subprocess_exec(
