Judge waiting requests anew when a document changes keys

Cause: a request was judged by the document of its arrival only. One that waited, was held for a trial, connected or was repeated went to an upstream after its key had been taken away, or with the name of the workspace that no longer had the key.

Change: each call notes the version that judged it. Calls that wait or are held are judged as soon as a document comes into force, and refused with 401 if their key is gone; all others when they would next be sent, and once more when the connection is there, before the request is written. A call at an upstream keeps the workspace that the upstream was told, and ends as before; a call that may have run fails instead of being refused. The event `call.judged_anew` names both versions and both workspaces.

--- a/bilberryramp/decisions/fleet/core/calls.py
+++ b/bilberryramp/decisions/fleet/core/calls.py
@@ -231,6 +231,9 @@
         part of the prompt can have crashed its upstream.
     workspace
         Workspace that the request's key names; None without workspaces.
+    judged_version, is_admitted
+        Version of the document by which the call was last judged, and whether
+        that document lets it be sent; None and False before the first time.
     identities
         Identities of the request, from `identities.of_request`.
     """
@@ -267,6 +270,8 @@
     trial_identities: tuple[str, ...] = ()
     has_survived: bool = False
     workspace: documents.Workspace | None = None
+    judged_version: int | None = None
+    is_admitted: bool = False
     identities: tuple[str, ...] = dataclasses.field(init=False)
 
     def __post_init__(self):
--- a/bilberryramp/decisions/fleet/core/hosts.py
+++ b/bilberryramp/decisions/fleet/core/hosts.py
@@ -18,12 +18,15 @@
         Routes by host name, then by path prefix.
     by_key
         Workspaces by key.
+    version
+        Version of the document.
     needs_key
         Whether requests on routes that are not public need a key.
     """
 
     by_host: dict[str, dict[str, documents.Route]]
     by_key: dict[str, documents.Workspace] = dataclasses.field(repr=False)
+    version: int
     needs_key: bool
 
 
@@ -48,7 +51,7 @@
         for workspace in doc.workspaces
         for key in workspace.keys
     }
-    return HostIndex(by_host, by_key, bool(doc.workspaces))
+    return HostIndex(by_host, by_key, doc.version, bool(doc.workspaces))
 
 
 def find_route(
--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -11,7 +11,7 @@
     workspaces,
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
-from bilberryramp.decisions.fleet.gateway import gateway_state
+from bilberryramp.decisions.fleet.gateway import admission, gateway_state
 from bilberryramp.decisions.fleet.limits import retry_budget
 from bilberryramp.decisions.fleet.orders import agent, placement, planner
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
@@ -64,6 +64,10 @@
         the resource that it waits for. A call whose request may not run now
         is held; one that waits in vain waits until the caller refuses it.
     """
+    yield from admission.judge(gw, call)
+    if not call.is_admitted:
+        call.wait_reason = calls.Refusal.UNKNOWN_KEY
+        return
     if call.deadline_ms <= now_ms:
         call.wait_reason = calls.Refusal.TOO_LATE
         return
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -14,10 +14,10 @@
     hosts,
     presence,
     sharing,
-    workspaces,
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import (
+    admission,
     dispatch,
     gateway_state,
     waiting_times,
@@ -73,6 +73,7 @@
 MAX_QUEUE_SCAN_CALLS = 64
 # Reasons for which a call is refused at once, since waiting does not help.
 _HOPELESS = (
+    calls.Refusal.UNKNOWN_KEY,
     calls.Refusal.QUARANTINED,
     calls.Refusal.UPSTREAM_FAULTY,
     calls.Refusal.UPSTREAM_FULL,
@@ -256,6 +257,11 @@
         return
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
+    for call in admission.waiting_calls(gw):
+        yield from admission.judge(gw, call)
+        if not call.is_admitted:
+            call.wait_reason = calls.Refusal.UNKNOWN_KEY
+            yield from _refuse_if_unservable(gw, now_ms, call)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -521,13 +527,6 @@
     if route is None:
         yield from _refuse(message.call_id, req, calls.Refusal.NO_ROUTE, 0)
         return
-    workspace = workspaces.find(gw.index, req.key)
-    if not workspaces.admits(gw.index, route, workspace):
-        details = _key_details(gw, route, req.key)
-        yield from _refuse(
-            message.call_id, req, calls.Refusal.UNKNOWN_KEY, 0, details
-        )
-        return
     allowed_ms = route.timeout_ms
     if req.client_timeout_ms >= 0:
         allowed_ms = min(allowed_ms, req.client_timeout_ms)
@@ -538,8 +537,14 @@
         hosts.pick_service(route, gw.rng),
         message.arrived_ms,
         message.arrived_ms + allowed_ms,
-        workspace=workspace,
     )
+    yield from admission.judge(gw, call)
+    if not call.is_admitted:
+        details = admission.key_details(gw, call)
+        yield from _refuse(
+            call.call_id, req, calls.Refusal.UNKNOWN_KEY, 0, details
+        )
+        return
     if now_ms - message.arrived_ms <= retry_budget.ARRIVAL_DELAY_MS:
         retry_budget.record_request(
             gateway_state.service_budget(gw, call.service),
@@ -560,18 +565,6 @@
         yield from _refuse_if_unservable(gw, now_ms, call)
 
 
-def _key_details(
-    gw: gateway_state.Gateway, route: documents.Route, key: str
-) -> dict:
-    """Describe for the log why a key is not admitted, without naming it."""
-    return {
-        "cause": "no_such_key" if key else "no_key",
-        "key_digest": workspaces.digest(key),
-        "route": route.name,
-        "document": gw.doc.version,
-    }
-
-
 def _on_answer_started(
     gw: gateway_state.Gateway, now_ms: int, message
 ) -> Iterator:
@@ -917,6 +910,7 @@
         "weights": _weights(call),
         "waited_ms": now_ms - call.arrived_ms,
         **waiting_times.pause_details(gw, call, now_ms),
+        **admission.key_details(gw, call),
     }
     yield from _refuse(
         call.call_id,
--- a/bilberryramp/decisions/fleet/gateway/waiting_times.py
+++ b/bilberryramp/decisions/fleet/gateway/waiting_times.py
@@ -64,7 +64,8 @@
 ) -> int:
     """Estimate when a refused client may retry.
 
-    A quarantined request may be sent again when its quarantine ends, and one
+    One without a known key may not be sent again. A quarantined request may be
+    sent again when its quarantine ends, and one
     whose upstreams all pause or are barred when the first of them is called
     again. If that concerns only those that hold its model, a copy may be
     loaded elsewhere sooner. Otherwise the time is that in which the least busy
@@ -85,6 +86,8 @@
     int
         Time in milliseconds from now.
     """
+    if not call.is_admitted:
+        return 0
     quarantine_ms = suspects.remaining_quarantine_ms(
         gw.suspect_state, call, now_ms
     )
--- a/bilberryramp/decisions/fleet/tests/test_workspaces.py
+++ b/bilberryramp/decisions/fleet/tests/test_workspaces.py
@@ -8,6 +8,7 @@
     traces,
     workspaces,
 )
+from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
 from bilberryramp.decisions.fleet.routing import scheduling
 from bilberryramp.decisions.fleet.tests import builders
 
@@ -110,5 +111,136 @@
         self.assertNotIn("secret-9", repr((request, workspace, index)))
 
 
+class VersionTest(unittest.TestCase):
+    """Tests of documents that change keys while calls are active."""
+
+    def setUp(self):
+        self.workspace = builders.make_workspace("w1", ("key-1",))
+
+    def start(self, *upstreams):
+        """Submit a call, which waits unless there is an upstream."""
+        self.gw = make_gateway(self.workspace, upstreams=upstreams)
+        return submit(self.gw, "key-1")
+
+    def step(self, message):
+        return builders.collect(gateway.step(self.gw, NOW_MS + 20, message))
+
+    def apply(self, *rows, version=2):
+        doc = builders.make_document(version, workspaces=rows)
+        return self.step(gateway.DocumentInForce(doc))
+
+    def announce(self, upstream_id="p1"):
+        return self.step(builders.make_plain_announcement(upstream_id))
+
+    def refusal(self, effects):
+        (refusal,) = builders.of_type(effects, calls.Refuse)
+        self.assertFalse(builders.of_type(effects, calls.SendCall))
+        self.assertFalse(self.gw.active)
+        return refusal.reason, refusal.retry_after_ms
+
+    def test_a_waiting_call_without_its_key_is_refused_at_once(self):
+        self.start()
+        effects = self.apply(builders.make_workspace("w1", ("key-2",)))
+        self.assertEqual(self.refusal(effects), (calls.Refusal.UNKNOWN_KEY, 0))
+        causes = {
+            trace.name: trace.fields.get("cause")
+            for trace in builders.of_type(effects, traces.Trace)
+        }
+        self.assertEqual(
+            causes, {"call.judged_anew": None, "call.refused": "key_removed"}
+        )
+
+    def test_a_waiting_call_goes_with_its_key_to_another_workspace(self):
+        self.start()
+        self.apply(builders.make_workspace("w2", ("key-1",), urgency=0))
+        (sent,) = builders.of_type(self.announce(), calls.SendCall)
+        self.assertEqual((sent.workspace, sent.urgency), ("w2", 0))
+
+    def test_an_older_document_takes_no_key(self):
+        self.start()
+        self.assertFalse(self.apply(version=0))
+        (sent,) = builders.of_type(self.announce(), calls.SendCall)
+        self.assertEqual(sent.workspace, "w1")
+
+    def test_a_call_under_way_ends_as_its_upstream_was_told(self):
+        for rows in ((builders.make_workspace("w2", ("key-1",)),), ()):
+            self.start("p1")
+            self.assertFalse(self.apply(*rows))
+            self.assertEqual(self.gw.active[1].workspace.name, "w1")
+            delivered = calls.AttemptOutcome.DELIVERED
+            effects = self.step(calls.AttemptEnded(1, delivered))
+            self.assertFalse(builders.of_type(effects, calls.Refuse))
+            self.assertFalse(self.gw.active)
+
+    def test_a_retry_without_its_key_is_not_sent(self):
+        """Only a call that no upstream can have run may get a refusal."""
+        for outcome, kind in (
+            (calls.AttemptOutcome.FAILED, calls.ForwardFailure),
+            (calls.AttemptOutcome.BROKEN, calls.Fail),
+            (calls.AttemptOutcome.NOT_RUN, calls.Refuse),
+            (calls.AttemptOutcome.UNREACHABLE, calls.Refuse),
+            (calls.AttemptOutcome.WITHHELD, calls.Refuse),
+        ):
+            with self.subTest(outcome=outcome):
+                self.start("p1", "p2")
+                self.apply(builders.make_workspace(keys=()))
+                effects = self.step(calls.AttemptEnded(1, outcome))
+                self.assertFalse(builders.of_type(effects, calls.SendCall))
+                (end,) = builders.of_type(effects, kind)
+                if kind is calls.Refuse:
+                    self.assertIs(end.reason, calls.Refusal.UNKNOWN_KEY)
+                self.assertFalse(self.gw.active)
+
+    def test_a_retry_names_the_workspace_that_has_the_key_now(self):
+        self.start("p1", "p2")
+        self.apply(builders.make_workspace("w2", ("key-1",)))
+        effects = self.step(
+            calls.AttemptEnded(1, calls.AttemptOutcome.UNREACHABLE)
+        )
+        (sent,) = builders.of_type(effects, calls.SendCall)
+        self.assertEqual(sent.workspace, "w2")
+
+    def test_a_decision_holds_only_while_the_key_stays(self):
+        (sent,) = builders.of_type(self.start("p1"), calls.SendCall)
+        other = builders.make_workspace("w3", ("key-3",))
+        for version, rows, holds in (
+            (2, (self.workspace, other), True),
+            (3, (other,), False),
+            (4, (builders.make_workspace("w2", ("key-1",)),), False),
+            (5, (self.workspace,), True),
+            (6, (), False),
+        ):
+            self.apply(*rows, version=version)
+            is_current = workspaces.is_current(
+                self.gw.index, self.gw.active[1], sent
+            )
+            self.assertEqual(is_current, holds, version)
+
+    def test_a_held_call_without_its_key_is_refused(self):
+        self.start()
+        call = self.gw.active[1]
+        builders.collect(gateway_state.fire(self.gw, call, "held", NOW_MS))
+        effects = self.apply(builders.make_workspace(keys=()))
+        self.assertEqual(self.refusal(effects), (calls.Refusal.UNKNOWN_KEY, 0))
+        self.assertFalse(self.gw.held)
+
+    def test_routes_that_become_public_or_not_are_judged_too(self):
+        def route(is_public):
+            return builders.make_route(
+                "/look/", "plain", streaming=False, is_public=is_public
+            )
+
+        doc = builders.make_document(
+            routes=[route(True)], workspaces=[self.workspace]
+        )
+        self.gw = builders.make_gateway(doc)
+        submit(self.gw, "")
+        doc = builders.make_document(
+            2, routes=[route(False)], workspaces=[self.workspace]
+        )
+        effects = self.step(gateway.DocumentInForce(doc))
+        self.assertEqual(self.refusal(effects), (calls.Refusal.UNKNOWN_KEY, 0))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -11,6 +11,7 @@
     identities,
     presence,
     sharing,
+    workspaces,
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
@@ -458,11 +459,16 @@
     -------
     bool
         As `upstream_pauses.may_send`; False also for a retry that has become
-        outdated.
+        outdated, and if a document has taken away or moved the key.
     """
     gw, now_ms = task.gw, clock.boot_ms()
     if retry_budget.is_outdated(send_call, now_ms):
         return False
+    call = gw.active.get(send_call.call_id)
+    if call is not None and not workspaces.is_current(
+        gw.index, call, send_call
+    ):
+        return False
     return upstream_pauses.may_send(gw.pauses, gw.table, send_call, now_ms)
 
 
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -336,7 +336,9 @@
 CALL_REFUSED = _declare(
     5105,
     "call.refused",
-    "A request was refused without being run; `reason` says why.",
+    "A request was refused without being run; `reason` says why. With "
+    "`unknown_key`, `cause` says what was wrong with its key, and "
+    "`key_digest` names the key.",
 )
 CALL_FAILED = _declare(
     5106,
@@ -429,8 +431,15 @@
     "call.withheld",
     "A request was not sent after all: its upstream asked for a pause, or "
     "another process took its place, before the connection was available, or "
-    "it is a retry that waited too long for the connection. Where it is sent "
-    "is decided anew.",
+    "it is a retry that waited too long for the connection, or a document "
+    "took away or moved its key. Where it is sent is decided anew.",
+)
+CALL_JUDGED_ANEW = _declare(
+    5140,
+    "call.judged_anew",
+    "A new `document` gives the key of a waiting request to another "
+    "`workspace`, or no longer admits it. If `is_admitted` is false, the "
+    "request is not sent (again); `workspace` is then the former one.",
 )
 HOLDERS_CHANGED = _declare(
     5204,
