Keep the text of unreadable requests out of logs and answers

Cause: the HTTP library logs a request that it cannot read with the line that it stumbled over, and answers with it. A key with a byte too many, a missing colon or too many characters stood in the log in full.

Change: such a request is answered with its status alone, and the event `request.malformed` names the kind of fault.

--- a/bilberryramp/platform/tests/node_process.py
+++ b/bilberryramp/platform/tests/node_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import socket
 import sys
 import tempfile
@@ -33,10 +34,11 @@
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.output_path = pathlib.Path(folder.name, "output")
         self.ports = dict(
             zip(PORT_NAMES, free_ports(len(PORT_NAMES)), strict=True)
         )
-        path = pathlib.Path(folder.name, "node.toml")
+        self.settings_path = pathlib.Path(folder.name, "node.toml")
         data = pathlib.Path(folder.name, "data")
         addresses = {
             name: f"127.0.0.1:{port}" for name, port in self.ports.items()
@@ -51,15 +53,8 @@
             ready=addresses["ready"],
             control=addresses["control"],
         )
-        path.write_text(text)
-        self.node_process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "bilberryramp.programs.node",
-            f"--metrics_port={self.ports['metrics']}",
-            env={**os.environ, standins.PATH_VARIABLE: str(path)},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        self.settings_path.write_text(text)
+        await self.start_node()
         self.session = aiohttp.ClientSession()
         self.engine_upstream = standins.Engine(
             "i-1", "svc-llm", models=RESIDENT_MODELS
@@ -76,6 +71,27 @@
             await standins.stop(engine)
         await self.session.close()
 
+    async def start_node(self):
+        """Start the node, which writes to a file, for the first time or anew.
+
+        The errors of a test's run show in the file only.
+        """
+        settings = {standins.PATH_VARIABLE: str(self.settings_path)}
+        with self.output_path.open("ab") as output:
+            self.node_process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bilberryramp.programs.node",
+                f"--metrics_port={self.ports['metrics']}",
+                env=os.environ | settings,
+                stdout=output,
+                stderr=output,
+            )
+
+    async def stop_node(self):
+        self.node_process.send_signal(signal.SIGTERM)
+        return await self.node_process.wait()
+
     def url_of(self, name, path=""):
         return f"http://127.0.0.1:{self.ports[name]}{path}"
 
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -13,10 +13,11 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 import aiohttp
-from aiohttp import hdrs, web
+from aiohttp import hdrs, http_exceptions, web
 
 from bilberryramp.decisions.shared import connection_stop
 from bilberryramp.tasks import clock, lingering_transport
+from bilberryramp.telemetry import events
 
 __all__ = [
     "ARRIVED_MS",
@@ -209,6 +210,25 @@
         elif is_between and data:
             self.has_partial_head = True
 
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Answer a request that cannot be read.
+
+        The library would log and answer what it cannot read, which may be a
+        key or a password.
+        """
+        if not isinstance(exc, http_exceptions.HttpProcessingError):
+            return super().handle_error(request, status, exc, message)
+        events.emit(
+            events.REQUEST_MALFORMED,
+            listener=self.listener.name,
+            reason=type(exc).__name__,
+            status=status,
+        )
+        response = web.Response(status=status)
+        response.text = f"{status} {response.reason}"
+        response.force_close()
+        return response
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report the end of the connection if the process is stopping."""
         if self.listener.phase != "running":
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -102,6 +102,12 @@
     "The time for a planned stop, `grace_ms`, is almost over, and work is "
     "left. It is ended, with answers that say so, and the program exits.",
 )
+REQUEST_MALFORMED = _declare(
+    1009,
+    "request.malformed",
+    "A request could not be read as HTTP and got `status`; `reason` names the "
+    "kind of fault. Its text is not logged, since it may hold a secret.",
+)
 ROLE_CHANGED = _declare(
     2001,
     "control.role",
