--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -102,6 +102,12 @@
     "The time for a planned stop, `grace_ms`, is almost over, and work is "
     "left. It is ended, with answers that say so, and the program exits.",
 )
+REQUEST_MALFORMED = _declare(
+    1009,
+    "request.malformed",
+    "A request could not be read as HTTP and got `status`; `reason` names the "
+    "kind of fault. Its text is not logged, since it may hold a secret.",
+)
 ROLE_CHANGED = _declare(
     2001,
     "control.role",
@@ -336,7 +342,9 @@
 CALL_REFUSED = _declare(
     5105,
     "call.refused",
-    "A request was refused without being run; `reason` says why.",
+    "A request was refused without being run; `reason` says why. With "
+    "`unknown_key`, `cause` says what was wrong with its key, and "
+    "`key_digest` names the key.",
 )
 CALL_FAILED = _declare(
     5106,
@@ -429,8 +437,15 @@
     "call.withheld",
     "A request was not sent after all: its upstream asked for a pause, or "
     "another process took its place, before the connection was available, or "
-    "it is a retry that waited too long for the connection. Where it is sent "
-    "is decided anew.",
+    "it is a retry that waited too long for the connection, or a document "
+    "took away or moved its key. Where it is sent is decided anew.",
+)
+CALL_JUDGED_ANEW = _declare(
+    5140,
+    "call.judged_anew",
+    "A new `document` gives the key of a waiting request to another "
+    "`workspace`, or no longer admits it. If `is_admitted` is false, the "
+    "request is not sent (again); `workspace` is then the former one.",
 )
 HOLDERS_CHANGED = _declare(
     5204,
