Keep losses that make no suspect yet over a restart of all nodes

Callers saw: a fatal request, or prompts with a deadly part, ended engines without end when all nodes restarted between two losses (rule BUDGET).

Disks had the published list, which is sent when a suspect's state changes. So single losses were on no disk, nor were the losses of a restricted suspect after the first ones: the third never counted. The same cause elsewhere: a coordinator that had a loss of a suspect already dropped what a disk knew of it, a quarantine too; and restored losses looked as if their upstream had been heard of just before the restart.

Change: the coordinator lets its own node keep the newest losses of suspects that are not quarantined (`GatheredLosses`, at most twice a second while they change, 256 suspects, no message to other nodes); the node's disk has them beside the list. A started node reports both, and the coordinator adds them to what it knows, unless it knows of a run. Nodes leave out what ran well at them since. Lists of earlier versions are read as before.

--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -23,14 +23,15 @@
 )
 from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
 from bilberryramp.decisions.fleet.orders import agent, placement
-from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.quarantine import (
+    coordinator_state,
     suspect_evidence,
     suspect_memory,
     suspect_publications,
     suspect_trials,
     suspects,
 )
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.routing import (
     health,
     scheduling,
@@ -436,9 +437,23 @@
 def _on_coordinator_changed(
     gw: gateway_state.Gateway, now_ms: int, message: CoordinatorChanged
 ) -> Iterator:
+    had_gathered = bool(gw.suspect_state.gathered)
     yield from suspect_publications.change_coordinator(
         gw.suspect_state, message.address, now_ms
     )
+    if had_gathered and not gw.suspect_state.gathered:
+        yield from suspect_memory.keep(gw.suspect_state, now_ms)
+
+
+def _on_gathered_losses(
+    gw: gateway_state.Gateway,
+    now_ms: int,
+    message: coordinator_state.GatheredLosses,
+) -> Iterator:
+    gw.suspect_state.gathered = {
+        entry.fingerprint: (entry, now_ms) for entry in message.suspects
+    }
+    yield from suspect_memory.keep(gw.suspect_state, now_ms)
 
 
 def _on_suspect_list(
@@ -914,6 +929,7 @@
     PauseSeen: _on_pause_seen,
     presence.LeavingNotice: _on_leaving_notice,
     retry_shares.Share: _on_share,
+    coordinator_state.GatheredLosses: _on_gathered_losses,
     msgs.SuspectDigest: _on_suspect_digest,
     msgs.SuspectList: _on_suspect_list,
     msgs.TrialGrant: _on_trial_grant,
--- a/bilberryramp/decisions/fleet/quarantine/coordinator_losses.py
+++ b/bilberryramp/decisions/fleet/quarantine/coordinator_losses.py
@@ -145,6 +145,7 @@
         lost.trial_id > 0,
         trial_id=lost.trial_id,
     )
+    coord.is_evidence_new = True
     coord.lost[(suspect.key, *lost.key)] = lost
     coord.identities_at.setdefault(lost.key, set()).add(suspect.key)
     first_ms = coord.first_breaks_ms.pop(lost.key, lost.ended_ms)
@@ -160,6 +161,7 @@
     suspect: quarantine.Suspect,
     key: tuple,
 ) -> None:
+    coord.is_evidence_new = True
     del suspect.losses[key]
     coord.lost.pop((suspect.key, *key), None)
     _unlist(coord, suspect, key)
@@ -231,6 +233,7 @@
     if not loss.is_confirmed:
         _remove_loss(coord, suspect, lost.key)
     if loss.is_confirmed and not was_confirmed:
+        coord.is_evidence_new = True
         yield Trace(
             "request.loss_confirmed",
             {
@@ -352,6 +355,7 @@
     suspect: quarantine.Suspect,
     now_ms: int,
 ) -> None:
+    coord.is_evidence_new = True
     coord.suspects.pop(suspect.key, None)
     coord.services.pop(suspect.key, None)
     coord.cleared_ms[suspect.key] = now_ms
--- a/bilberryramp/decisions/fleet/quarantine/coordinator_state.py
+++ b/bilberryramp/decisions/fleet/quarantine/coordinator_state.py
@@ -12,6 +12,7 @@
     "MAX_SUSPECTS",
     "PUBLICATION_MEMORY_MS",
     "Coordinator",
+    "GatheredLosses",
     "Publish",
     "Trial",
     "make_suspect",
@@ -54,6 +55,19 @@
     message: object
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class GatheredLosses:
+    """Effect: let this node remember the losses that are not published.
+
+    Attributes
+    ----------
+    suspects
+        Suspects that are not quarantined, with their newest losses.
+    """
+
+    suspects: tuple[msgs.PublishedSuspect, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class Trial:
     """The attempt that a node may make although it is restricted.
@@ -122,6 +136,10 @@
         Suspects whose new state is not published yet, by identity.
     published_ms, digest_ms
         When something was last published, and the last reminder sent.
+    is_evidence_new
+        Whether losses changed since the last `GatheredLosses`.
+    remembered_ms
+        When the last `GatheredLosses` was made.
     reviewed_ms, expired_ms
         When the losses, and all suspects, were last reviewed.
     """
@@ -154,6 +172,8 @@
     )
     published_ms: int = -PUBLICATION_MEMORY_MS
     digest_ms: int = 0
+    is_evidence_new: bool = False
+    remembered_ms: int = 0
     reviewed_ms: int = 0
     expired_ms: int = 0
 
--- a/bilberryramp/decisions/fleet/quarantine/quarantine_coordinator.py
+++ b/bilberryramp/decisions/fleet/quarantine/quarantine_coordinator.py
@@ -11,13 +11,13 @@
 
 from bilberryramp.decisions.fleet.quarantine import (
     coordinator_losses,
+    coordinator_memory,
     coordinator_publications,
     coordinator_state,
     coordinator_trials,
     upstream_ends,
 )
 from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
-from bilberryramp.decisions.shared import quarantine
 
 __all__ = ["Tick", "resign", "start_leading", "step"]
 
@@ -59,7 +59,7 @@
     coord.is_leading = True
     coord.listening = upstream_ends.Listening(now_ms, now_ms, now_ms)
     for entry in known:
-        _adopt(coord, entry, now_ms)
+        coordinator_memory.take_over(coord, entry, now_ms)
     if known:
         coord.changed.clear()
         coord.revision += 1
@@ -115,51 +115,6 @@
         yield from coordinator_publications.flush(coord, now_ms)
 
 
-def _on_known_suspects(
-    coord: coordinator_state.Coordinator,
-    now_ms: int,
-    message: msgs.KnownSuspects,
-) -> Iterator:
-    for entry in message.suspects:
-        if (
-            entry.fingerprint in coord.suspects
-            or entry.fingerprint in coord.cleared_ms
-        ):
-            continue
-        suspect = _adopt(coord, entry, now_ms)
-        yield from coordinator_publications.publish(
-            coord, suspect, "adopted", now_ms
-        )
-
-
-def _adopt(
-    coord: coordinator_state.Coordinator,
-    entry: msgs.PublishedSuspect,
-    now_ms: int,
-) -> quarantine.Suspect:
-    """Continue with a suspect in the state that was published."""
-    suspect = coordinator_state.make_suspect(
-        entry.fingerprint,
-        phase=entry.phase,
-        quarantine_count=entry.quarantine_count,
-        until_ms=now_ms + entry.remaining_ms,
-        has_run=entry.has_run,
-        depth=entry.depth,
-    )
-    coord.suspects[suspect.key] = suspect
-    coord.services[suspect.key] = entry.service
-    for reported in entry.losses:
-        lost = upstream_ends.decode_loss(
-            entry.fingerprint, entry.service, reported, now_ms
-        )
-        coordinator_losses.add_loss(
-            coord, suspect, lost, reported.is_confirmed
-        )
-        if reported.is_confirmed and not reported.address:
-            del coord.lost[(suspect.key, *lost.key)]
-    return suspect
-
-
 def _on_tick(
     coord: coordinator_state.Coordinator, now_ms: int, _message
 ) -> Iterator:
@@ -175,11 +130,12 @@
         if now_ms - cleared_ms > CLEARED_TTL_MS:
             del coord.cleared_ms[fingerprint]
     yield from coordinator_publications.remind(coord, now_ms)
+    yield from coordinator_memory.remember(coord, now_ms)
 
 
 _HANDLERS = {
     Tick: _on_tick,
-    msgs.KnownSuspects: _on_known_suspects,
+    msgs.KnownSuspects: coordinator_memory.on_known_suspects,
     msgs.LiftSuspect: coordinator_losses.on_lift_suspect,
     msgs.ListRequest: coordinator_publications.on_list_request,
     msgs.LossReport: coordinator_losses.on_loss_report,
--- a/bilberryramp/decisions/fleet/quarantine/suspect_memory.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspect_memory.py
@@ -29,9 +29,12 @@
     ----------
     suspects
         Restricted and quarantined suspects.
+    gathered
+        Suspects with losses that may not be published.
     """
 
     suspects: tuple[msgs.PublishedSuspect, ...]
+    gathered: tuple[msgs.PublishedSuspect, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -42,12 +45,13 @@
     ----------
     wall_ms
         Wall-clock time at which the list was current, in milliseconds.
-    suspects
+    suspects, gathered
         As in `KeepSuspects`, with times relative to `wall_ms`.
     """
 
     wall_ms: int
     suspects: tuple[msgs.PublishedSuspect, ...]
+    gathered: tuple[msgs.PublishedSuspect, ...] = ()
 
 
 def keep(state: suspects.Suspects, now_ms: int) -> Iterator[KeepSuspects]:
@@ -73,7 +77,10 @@
             _last_loss_ms_ago(entry),
         ),
     )
-    yield KeepSuspects(tuple(ranked[:MAX_STORED_SUSPECTS]))
+    yield KeepSuspects(
+        tuple(ranked[:MAX_STORED_SUSPECTS]),
+        suspect_publications.gathered_suspects(state, now_ms),
+    )
 
 
 def restore(
@@ -108,6 +115,13 @@
             and _last_loss_ms_ago(entry) > coordinator_losses.RETENTION_MS
         ):
             del state.published[entry.fingerprint]
+    for entry in stored.gathered:
+        state.gathered[entry.fingerprint] = (entry, now_ms - elapsed_ms)
+    state.gathered = {
+        entry.fingerprint: (entry, now_ms)
+        for entry in suspect_publications.gathered_suspects(state, now_ms)
+        if _last_loss_ms_ago(entry) <= coordinator_losses.RETENTION_MS
+    }
 
 
 def _last_loss_ms_ago(entry: msgs.PublishedSuspect) -> int:
--- a/bilberryramp/decisions/fleet/quarantine/suspect_publications.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspect_publications.py
@@ -11,6 +11,7 @@
     "accept_list",
     "change_coordinator",
     "check_digest",
+    "gathered_suspects",
     "known_suspects",
     "to_recall",
 ]
@@ -44,6 +45,9 @@
     if not address:
         return
     known = known_suspects(state, now_ms)[-MAX_KNOWN_SUSPECTS:]
+    if address != state.address:
+        known += gathered_suspects(state, now_ms)
+        state.gathered.clear()
     if known and address != state.address:
         yield suspects.ToCoordinator(msgs.KnownSuspects(known))
     state.unsent = [
@@ -81,6 +85,41 @@
     )
 
 
+def gathered_suspects(
+    state: suspects.Suspects, now_ms: int
+) -> tuple[msgs.PublishedSuspect, ...]:
+    """Return the suspects with losses that may not be published as of now.
+
+    Parameters
+    ----------
+    state
+        State of this node.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    tuple of PublishedSuspect
+        The suspects, with times relative to `now_ms`, without those that ran
+        well at this node after their losses.
+    """
+    return tuple(
+        _age(entry, now_ms - heard_ms)
+        for entry, heard_ms in state.gathered.values()
+        if not _has_run_since(state, entry, heard_ms)
+    )
+
+
+def _has_run_since(
+    state: suspects.Suspects, entry: msgs.PublishedSuspect, heard_ms: int
+) -> bool:
+    runs_ms = state.runs_ms[identities.kind_of(entry.fingerprint)]
+    ran_ms = runs_ms.get(entry.fingerprint)
+    return ran_ms is not None and all(
+        heard_ms - loss.ended_ms_ago <= ran_ms for loss in entry.losses
+    )
+
+
 def _age(
     entry: msgs.PublishedSuspect, elapsed_ms: int
 ) -> msgs.PublishedSuspect:
@@ -92,6 +131,8 @@
                 loss,
                 started_ms_ago=loss.started_ms_ago + elapsed_ms,
                 ended_ms_ago=loss.ended_ms_ago + elapsed_ms,
+                heard_ms_ago=loss.heard_ms_ago + elapsed_ms,
+                answered_ms_ago=loss.answered_ms_ago + elapsed_ms,
             )
             for loss in entry.losses
         ),
--- a/bilberryramp/decisions/fleet/quarantine/suspects.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspects.py
@@ -97,6 +97,10 @@
     published
         Suspects that the coordinator has published, with the time of
         arrival, by identity.
+    gathered
+        Suspects with losses that may not be published, with the time of
+        arrival, by identity: those of this node as the coordinator, or of
+        an earlier process until they are reported.
     lost
         Lost attempts by identity and by key, the oldest first.
     runs_ms
@@ -126,6 +130,9 @@
     published: dict[str, tuple[msgs.PublishedSuspect, int]] = (
         dataclasses.field(default_factory=dict)
     )
+    gathered: dict[str, tuple[msgs.PublishedSuspect, int]] = dataclasses.field(
+        default_factory=dict
+    )
     lost: dict[str, dict[tuple, KeptAttempt]] = dataclasses.field(
         default_factory=dict
     )
--- a/bilberryramp/decisions/fleet/tests/quarantine_driver.py
+++ b/bilberryramp/decisions/fleet/tests/quarantine_driver.py
@@ -257,13 +257,17 @@
             case coordinator_state.Publish():
                 for address in fleet.nodes:
                     send(fleet, node, address, effect.message)
+            case coordinator_state.GatheredLosses():
+                at(fleet, 0, _deliver, fleet, node, node.boot, effect)
             case suspect_memory.KeepSuspects():
                 if node.disk is not None:
-                    _write_later(fleet, node, effect.suspects)
+                    _write_later(fleet, node, effect)
 
 
 def _write_later(fleet, node, kept):
-    stored = suspect_memory.StoredSuspects(fleet.now_ms, kept)
+    stored = suspect_memory.StoredSuspects(
+        fleet.now_ms, kept.suspects, kept.gathered
+    )
     data = msgspec.msgpack.encode(stored)
     delay_ms = fleet.rng.randint(*WRITE_MS)
     at(fleet, delay_ms, _write, node, node.boot, data)
@@ -319,9 +323,9 @@
         if node.address != address:
             quarantine_coordinator.resign(node.coord)
     leader = fleet.nodes[address]
-    known = suspect_publications.known_suspects(
-        leader.gw.suspect_state, fleet.now_ms
-    )
+    state = leader.gw.suspect_state
+    known = suspect_publications.known_suspects(state, fleet.now_ms)
+    known += suspect_publications.gathered_suspects(state, fleet.now_ms)
     _perform_all(
         fleet,
         leader,
--- a/bilberryramp/decisions/fleet/tests/test_restart_of_all.py
+++ b/bilberryramp/decisions/fleet/tests/test_restart_of_all.py
@@ -5,6 +5,8 @@
 from bilberryramp.decisions.fleet.core import calls
 from bilberryramp.decisions.fleet.quarantine import (
     coordinator_losses,
+    coordinator_memory,
+    coordinator_state,
     suspect_memory,
     suspect_publications,
     suspects,
@@ -12,6 +14,7 @@
 from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.tests import builders
 from bilberryramp.decisions.fleet.tests import quarantine_driver as driver
+from bilberryramp.decisions.fleet.tests import test_quarantine as quarantine
 from bilberryramp.decisions.fleet.tests import test_quarantine_fuzz as fuzz
 
 SEEDS = range(3)
@@ -21,6 +24,11 @@
 FATAL_PAUSE_MS = 2500
 # Arrivals that the platform's rules allow after the third or fifth crash.
 MAX_LATE_ARRIVALS = 3
+# Restarts of all nodes between losses, and the times from a restart to the
+# next loss and from there to the next restart.
+SERIES_RESTARTS = 12
+SETTLING_MS = 3700
+SERIES_PAUSE_MS = 1300
 RANDOM_LENGTH_MS = 60_000
 NOW_MS = 100_000
 
@@ -76,6 +84,20 @@
     return fleet
 
 
+def play_between_losses(seed, send):
+    """Restart all nodes after each loss of a request that is not repeated."""
+    fleet = driver.make_fleet(seed, model_engine_count=6, disk_count=3)
+    fleet.deadly_parts.add("deadly")
+    fuzz.send_innocent(fleet)
+    send_sound(fleet)
+    for _ in range(SERIES_RESTARTS):
+        driver.run(fleet, SETTLING_MS)
+        send(fleet)
+        driver.run(fleet, SERIES_PAUSE_MS)
+        driver.restart_all_nodes(fleet)
+    return fleet
+
+
 class RestartOfAllTest(unittest.TestCase):
     # Guards against a quarantine that is forgotten when no node stays up.
 
@@ -98,6 +120,24 @@
     def test_a_deadly_part_stays_quarantined(self):
         self.check(send_deadly, "deadly", 5, 3)
 
+    def test_restarts_between_losses_forgot_each_of_them(self):
+        for send, name, crash_count in (
+            (lambda f: driver.submit(f, "fatal", True, "/file/x"), "fatal", 3),
+            (
+                lambda f: driver.submit_prompt(f, ("first", "deadly")),
+                "deadly",
+                5,
+            ),
+        ):
+            for seed in SEEDS:
+                fleet = play_between_losses(seed, send)
+                with self.subTest(name=name, seed=seed):
+                    self.assertLessEqual(
+                        driver.late_arrivals(fleet, name, crash_count),
+                        MAX_LATE_ARRIVALS,
+                    )
+                    self.assertEqual(driver.wrongly_quarantined(fleet), [])
+
     def test_fatal_requests_stop_beside_other_faults(self):
         for seed in SEEDS:
             for has_faults in (False, True):
@@ -156,6 +196,47 @@
         known = self.restore(entries, elapsed_ms)
         self.assertEqual([entry.fingerprint for entry in known], ["c"])
 
+    def test_losses_that_were_not_published_are_restored_by_age(self):
+        stored = suspect_memory.StoredSuspects(
+            0, (), (make_entry(phase="observed", remaining_ms=0),)
+        )
+        retention_ms = coordinator_losses.RETENTION_MS
+        for elapsed_ms, count in ((20_000, 1), (retention_ms, 0)):
+            suspect_memory.restore(self.state, stored, elapsed_ms, NOW_MS)
+            known = suspect_publications.gathered_suspects(self.state, NOW_MS)
+            self.assertEqual(len(known), count)
+            for entry in known:
+                (loss,) = entry.losses
+                self.assertEqual(
+                    (loss.ended_ms_ago, loss.heard_ms_ago), (20_200, 20_300)
+                )
+        self.assertFalse(self.state.published)
+
+    def test_the_coordinator_keeps_a_bounded_number_of_losses(self):
+        limit = coordinator_memory.MAX_REMEMBERED
+        coord = quarantine.make_coordinator()
+        for number in range(limit + 5):
+            quarantine.report(coord, "u1", NOW_MS, f"f{number}")
+        quarantine.report(coord, "u2", NOW_MS + 500, "f0")
+        produced = quarantine.run_until(
+            coord, NOW_MS + 500, NOW_MS + 3000, ("u1", "u2", "u3", "u4")
+        )
+        lists = builders.of_type(produced, coordinator_state.GatheredLosses)
+        self.assertLessEqual(len(lists), 5)
+        names = [entry.fingerprint for entry in lists[0].suspects]
+        self.assertEqual(len(names), limit)
+        self.assertEqual(names[0], "f0")
+
+    def test_a_new_loss_hid_a_quarantine_from_a_disk(self):
+        """A node without a disk lost an upstream before one with a disk."""
+        coord = quarantine.make_coordinator()
+        quarantine.report(coord, "u1", NOW_MS, "f")
+        message = msgs.KnownSuspects((make_entry(),))
+        step = quarantine.quarantine_coordinator.step
+        list(step(coord, NOW_MS, message))
+        self.assertEqual(quarantine.phase_of(coord, "f"), "quarantined")
+        self.assertEqual(len(coord.suspects["f"].losses), 2)
+
     def test_a_bounded_number_is_kept_and_quarantined_ones_first(self):
         limit = suspect_memory.MAX_STORED_SUSPECTS
         for number in range(limit):
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -343,7 +343,9 @@
     if not leads:
         quarantine_coordinator.resign(task.coordinator)
         return
-    known = suspect_publications.known_suspects(task.gw.suspect_state, now_ms)
+    state = task.gw.suspect_state
+    known = suspect_publications.known_suspects(state, now_ms)
+    known += suspect_publications.gathered_suspects(state, now_ms)
     for effect in quarantine_coordinator.start_leading(
         task.coordinator, known, now_ms
     ):
@@ -401,6 +403,8 @@
         case coordinator_state.Publish():
             peer_mesh.broadcast(task.mesh, task.peers, effect.message)
             _send(task, task.gw.address, effect.message)
+        case coordinator_state.GatheredLosses():
+            _send(task, task.gw.address, effect)
         case suspect_memory.KeepSuspects():
             _keep_suspects(task, effect)
         case gateway.TellPeers():
@@ -422,7 +426,7 @@
 ) -> None:
     if task.suspect_inbox is not None:
         stored = suspect_memory.StoredSuspects(
-            clock.wall_ms(), effect.suspects
+            clock.wall_ms(), effect.suspects, effect.gathered
         )
         mailbox.post_now(task.suspect_inbox, stored)
 
