--- a/bilberryramp/decisions/fleet/core/calls.py
+++ b/bilberryramp/decisions/fleet/core/calls.py
@@ -232,8 +232,12 @@
     workspace
         Workspace that the request's key names; None without workspaces.
     usage_parts
-        What the present attempt was charged to: amounts of credit, when each
-        ends, and whether it is a reserve; empty without a usage limit.
+        What the present attempt was charged to: workspaces, amounts of their
+        credit, when each ends, and whether it is a reserve; empty without a
+        usage limit.
+    judged_version, is_admitted
+        Version of the document by which the call was last judged, and whether
+        that document lets it be sent; None and False before the first time.
     identities
         Identities of the request, from `identities.of_request`.
     """
@@ -270,7 +274,9 @@
     trial_identities: tuple[str, ...] = ()
     has_survived: bool = False
     workspace: documents.Workspace | None = None
-    usage_parts: tuple[tuple[float, int, bool], ...] = ()
+    usage_parts: tuple[tuple[str, float, int, bool], ...] = ()
+    judged_version: int | None = None
+    is_admitted: bool = False
     identities: tuple[str, ...] = dataclasses.field(init=False)
 
     def __post_init__(self):
--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -8,9 +8,10 @@
     documents,
     presence,
     sharing,
+    workspaces,
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
-from bilberryramp.decisions.fleet.gateway import gateway_state
+from bilberryramp.decisions.fleet.gateway import admission, gateway_state
 from bilberryramp.decisions.fleet.limits import (
     retry_budget,
     usage_asks,
@@ -67,6 +68,10 @@
         the resource that it waits for. A call whose request may not run now
         is held; one that waits in vain waits until the caller refuses it.
     """
+    yield from admission.judge(gw, call)
+    if not call.is_admitted:
+        call.wait_reason = calls.Refusal.UNKNOWN_KEY
+        return
     if call.deadline_ms <= now_ms:
         call.wait_reason = calls.Refusal.TOO_LATE
         return
@@ -509,6 +514,7 @@
             "route": call.route.name,
             "weights": prompt.weights if prompt is not None else "",
             "document": gw.doc.version,
+            "workspace": workspaces.name(call),
             "upstream": upstream_id,
             "heard_ms_ago": now_ms - upstream.heard_ms,
             "cached_tokens": choice.cached_tokens if choice else 0,
@@ -527,6 +533,7 @@
         call.send_count,
         upstream.announcement.born_ms,
         now_ms,
+        workspaces.name(call),
         is_charged=bool(call.usage_parts),
     )
 
@@ -566,4 +573,4 @@
     """
     if now_ms - call.arrived_ms >= call.route.target_ms:
         return LATE_URGENCY
-    return min(call.route.urgency, LATE_URGENCY - 1)
+    return min(workspaces.urgency(call), LATE_URGENCY - 1)
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -17,8 +17,10 @@
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import (
+    admission,
     dispatch,
     gateway_state,
+    queue_waits,
     waiting_times,
 )
 from bilberryramp.decisions.fleet.limits import (
@@ -29,14 +31,16 @@
     usage_messages,
 )
 from bilberryramp.decisions.fleet.orders import agent, placement
-from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.quarantine import (
+    coordinator_state,
     suspect_evidence,
     suspect_memory,
     suspect_publications,
     suspect_trials,
     suspects,
 )
+from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
+from bilberryramp.decisions.fleet.queueing import turns
 from bilberryramp.decisions.fleet.routing import (
     health,
     scheduling,
@@ -78,6 +82,7 @@
 MAX_QUEUE_SCAN_CALLS = 64
 # Reasons for which a call is refused at once, since waiting does not help.
 _HOPELESS = (
+    calls.Refusal.UNKNOWN_KEY,
     calls.Refusal.QUARANTINED,
     calls.Refusal.UPSTREAM_FAULTY,
     calls.Refusal.UPSTREAM_FULL,
@@ -268,6 +273,12 @@
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
     usage_credits.set_document(gw.usage, message.doc)
+    gw.workspace_turns.weights = turns.make_weights(message.doc.workspaces)
+    for call in admission.waiting_calls(gw):
+        yield from admission.judge(gw, call)
+        if not call.is_admitted:
+            call.wait_reason = calls.Refusal.UNKNOWN_KEY
+            yield from _refuse_if_unservable(gw, now_ms, call)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -392,6 +403,7 @@
     yield from _review_held(gw, now_ms)
     yield from usage_asks.due_ask(gw.usage, gw.address, now_ms)
     yield from _serve_queue(gw, now_ms)
+    queue_waits.forget_unused_lanes(gw, now_ms)
     yield from _report_load(gw, now_ms)
 
 
@@ -450,9 +462,23 @@
 def _on_coordinator_changed(
     gw: gateway_state.Gateway, now_ms: int, message: CoordinatorChanged
 ) -> Iterator:
+    had_gathered = bool(gw.suspect_state.gathered)
     yield from suspect_publications.change_coordinator(
         gw.suspect_state, message.address, now_ms
     )
+    if had_gathered and not gw.suspect_state.gathered:
+        yield from suspect_memory.keep(gw.suspect_state, now_ms)
+
+
+def _on_gathered_losses(
+    gw: gateway_state.Gateway,
+    now_ms: int,
+    message: coordinator_state.GatheredLosses,
+) -> Iterator:
+    gw.suspect_state.gathered = {
+        entry.fingerprint: (entry, now_ms) for entry in message.suspects
+    }
+    yield from suspect_memory.keep(gw.suspect_state, now_ms)
 
 
 def _on_suspect_list(
@@ -545,6 +571,13 @@
         message.arrived_ms,
         message.arrived_ms + allowed_ms,
     )
+    yield from admission.judge(gw, call)
+    if not call.is_admitted:
+        details = admission.key_details(gw, call)
+        yield from _refuse(
+            call.call_id, req, calls.Refusal.UNKNOWN_KEY, 0, details
+        )
+        return
     if now_ms - message.arrived_ms <= retry_budget.ARRIVAL_DELAY_MS:
         retry_budget.record_request(
             gateway_state.service_budget(gw, call.service),
@@ -562,7 +595,8 @@
     yield from dispatch.try_dispatch(gw, now_ms, call)
     if call.phase == "waiting":
         call.has_waited = True
-        yield from _refuse_if_unservable(gw, now_ms, call)
+        wait_ms = queue_waits.wait_of_arrival(gw, call, now_ms)
+        yield from _refuse_if_unservable(gw, now_ms, call, wait_ms)
 
 
 def _on_answer_started(
@@ -858,15 +892,12 @@
     if not gw.queue:
         return
     gw.served_ms = now_ms
-    waiting = sorted(
-        gw.queue.values(),
-        key=lambda call: scheduling.queue_sort_key(call, now_ms),
-    )
+    waiting = queue_waits.in_order(gw, now_ms)
     # A call that cannot be sent blocks later calls for the same service and
     # weights, unless only its workspace lacks credit.
     blocked: set[tuple[str, str]] = set()
     for call in waiting[:MAX_QUEUE_SCAN_CALLS]:
-        blocking_key = (call.service, _weights(call))
+        blocking_key = gateway_state.lane_key(call)
         if blocking_key not in blocked:
             yield from dispatch.try_dispatch(gw, now_ms, call)
             if call.phase == "waiting" and call.wait_reason not in (
@@ -874,9 +905,8 @@
                 calls.Refusal.USAGE_LIMIT,
             ):
                 blocked.add(blocking_key)
-    for call in waiting:
-        if call.phase == "waiting":
-            yield from _refuse_if_unservable(gw, now_ms, call)
+    for call, wait_ms in list(queue_waits.expected_waits(gw, waiting, now_ms)):
+        yield from _refuse_if_unservable(gw, now_ms, call, wait_ms)
 
 
 def _weights(call: calls.Call) -> str:
@@ -886,7 +916,7 @@
 
 
 def _refuse_if_unservable(
-    gw: gateway_state.Gateway, now_ms: int, call
+    gw: gateway_state.Gateway, now_ms: int, call, wait_ms: float = 0.0
 ) -> Iterator:
     remaining_ms = call.deadline_ms - now_ms
     if call.wait_reason is not calls.Refusal.USAGE_LIMIT:
@@ -898,7 +928,7 @@
         and not is_hopeless
         and remaining_ms >= MIN_ATTEMPT_TIME_MS
         and scheduling.should_keep_waiting(
-            call, waiting_times.load_time_ms(gw, call, now_ms), now_ms
+            call, waiting_times.load_time_ms(gw, call, now_ms), now_ms, wait_ms
         )
     ):
         return
@@ -920,7 +950,9 @@
         "route": call.route.name,
         "weights": _weights(call),
         "waited_ms": now_ms - call.arrived_ms,
+        "expected_wait_ms": round(wait_ms),
         **waiting_times.pause_details(gw, call, now_ms),
+        **admission.key_details(gw, call),
     }
     if reason is calls.Refusal.USAGE_LIMIT:
         wait_details |= usage_credits.details(gw.usage, call, now_ms)
@@ -928,7 +960,7 @@
         call.call_id,
         call.request,
         reason,
-        usage_ms or waiting_times.retry_after_ms(gw, call, now_ms),
+        usage_ms or queue_waits.return_time_ms(gw, call, wait_ms, now_ms),
         wait_details,
     )
 
@@ -950,6 +982,7 @@
     presence.LeavingNotice: _on_leaving_notice,
     retry_shares.Share: _on_share,
     usage_messages.UsageAnswer: _on_usage_answer,
+    coordinator_state.GatheredLosses: _on_gathered_losses,
     msgs.SuspectDigest: _on_suspect_digest,
     msgs.SuspectList: _on_suspect_list,
     msgs.TrialGrant: _on_trial_grant,
--- a/bilberryramp/decisions/fleet/limits/usage_credits.py
+++ b/bilberryramp/decisions/fleet/limits/usage_credits.py
@@ -127,6 +127,9 @@
 def set_document(credits_: Credits, doc: documents.Document) -> None:
     """Drop the accounts of workspaces without a limit in the same unit.
 
+    The needs of waiting calls are dropped as well, since their keys may name
+    other workspaces now.
+
     Parameters
     ----------
     credits_
@@ -144,6 +147,9 @@
         for name, account in credits_.accounts.items()
         if units.get(name) is account.unit
     }
+    for account in credits_.accounts.values():
+        account.waiting.clear()
+        account.refused.clear()
 
 
 def charge(credits_: Credits, call: calls.Call, now_ms: int) -> bool:
@@ -178,7 +184,8 @@
         return False
     account.waiting.pop(call.call_id, None)
     account.refused.pop(call.call_id, None)
-    call.usage_parts = tuple(_take(lots, amount))
+    name = call.workspace.name
+    call.usage_parts = tuple((name, *part) for part in _take(lots, amount))
     return True
 
 
@@ -201,21 +208,13 @@
         is lost.
     """
     parts, call.usage_parts = call.usage_parts, ()
-    limit = _limit_of(call)
-    account = (
-        credits_.accounts.get(call.workspace.name)
-        if limit is not None
-        else None
-    )
-    if account is None or account.unit is not limit.unit:
-        return 0.0
-    lots = [
-        Lot(amount, until_ms, is_reserve)
-        for amount, until_ms, is_reserve in parts
-        if now_ms <= until_ms
-    ]
-    account.lots += lots
-    return sum(lot.amount for lot in lots)
+    returned = 0.0
+    for name, amount, until_ms, is_reserve in parts:
+        account = credits_.accounts.get(name)
+        if account is not None and now_ms <= until_ms:
+            account.lots.append(Lot(amount, until_ms, is_reserve))
+            returned += amount
+    return returned
 
 
 def forget(credits_: Credits, call: calls.Call) -> None:
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -59,7 +59,12 @@
     return documents.Route(**(fields | changes))
 
 
-def make_document(version=1, routes=None, engine=None):
+def make_workspace(name="w1", keys=("key-1",), urgency=None, limit=None):
+    """Build a workspace without a limit."""
+    return documents.Workspace(name, tuple(keys), urgency, limit)
+
+
+def make_document(version=1, routes=None, engine=None, workspaces=()):
     """Build a document with a service of engines and a plain service.
 
     Unless `routes` is given, the plain service has a route with retries and a
@@ -75,15 +80,19 @@
     filing_route = make_route("/file/", "plain", streaming=False)
     all_routes = routes or (make_route(), plain_route, filing_route)
     return documents.Document(
-        version, tuple(all_routes), services, documents.CallLimits()
+        version,
+        tuple(all_routes),
+        services,
+        documents.CallLimits(),
+        tuple(workspaces),
     )
 
 
-def make_workspace(name="w1", rate=1000.0, burst=1000.0, **changes):
+def make_limited_workspace(name="w1", rate=1000.0, burst=1000.0, **changes):
     """Build a workspace with a limit by token and the key ``key-NAME``."""
     fields = {"unit": documents.UsageUnit.TOKEN, "plain_tokens": 100}
     limit = documents.UsageLimit(rate=rate, burst=burst, **(fields | changes))
-    return documents.Workspace(name, (f"key-{name}",), None, limit)
+    return make_workspace(name, (f"key-{name}",), limit=limit)
 
 
 def make_limited_call(call_id, tokens, workspace, now_ms=10_000):
@@ -132,13 +141,17 @@
 
 
 def make_request(
-    path="/chat/x", prompt=None, client_timeout_ms=6000, request_id="q"
+    path="/chat/x",
+    prompt=None,
+    client_timeout_ms=6000,
+    request_id="q",
+    **changes,
 ):
     """Build a request; those below ``/chat/`` have a prompt by default."""
     if prompt is None and path.startswith("/chat/"):
         prompt = make_prompt()
     return calls.Request(
-        request_id, "a.example", path, client_timeout_ms, prompt
+        request_id, "a.example", path, client_timeout_ms, prompt, **changes
     )
 
 
--- a/bilberryramp/decisions/fleet/tests/test_usage_credits.py
+++ b/bilberryramp/decisions/fleet/tests/test_usage_credits.py
@@ -14,7 +14,7 @@
 from bilberryramp.decisions.fleet.tests import builders
 
 EXACTNESS = usage_terms.Exactness(8000, 0.1, 4000.0)
-WORKSPACE = builders.make_workspace(rate=10_000.0, burst=10_000.0)
+WORKSPACE = builders.make_limited_workspace(rate=10_000.0, burst=10_000.0)
 TERMS = usage_terms.make_terms(WORKSPACE.usage_limit, EXACTNESS)
 START_MS = 100_000
 FULL_MS = START_MS + 60_000
@@ -68,7 +68,9 @@
             self.assertGreaterEqual(terms.depth, 1)
 
     def test_the_slack_of_a_large_deployment_leaves_the_whole_rate(self):
-        limit = builders.make_workspace(rate=230e3, burst=230e3).usage_limit
+        limit = builders.make_limited_workspace(
+            rate=230e3, burst=230e3
+        ).usage_limit
         exactness = usage_terms.Exactness(8000, 0.1, 110_000)
         self.assertEqual(usage_terms.make_terms(limit, exactness).rate, 230e3)
 
@@ -125,7 +127,7 @@
     def test_a_lower_limit_shrinks_the_bucket_at_once(self):
         issuer = make_issuer()
         usage_issuer.level_of(issuer, "w1", FULL_MS)
-        lower = builders.make_workspace(rate=100.0, burst=100.0)
+        lower = builders.make_limited_workspace(rate=100.0, burst=100.0)
         doc = dataclasses.replace(
             builders.make_document(), workspaces=(lower,)
         )
--- a/bilberryramp/decisions/fleet/tests/usage_driver.py
+++ b/bilberryramp/decisions/fleet/tests/usage_driver.py
@@ -24,8 +24,8 @@
 from bilberryramp.decisions.shared import effects
 
 EXACTNESS = usage_terms.Exactness(8000, 0.1, 110_000.0)
-# Limits that a workspace may have, in tokens per second and as burst.
-LIMITS = (230_000.0, 230_000.0, 60_000.0, 600_000.0)
+# Limits that workspaces may have: tokens per second, and burst.
+LIMITS = ((230e3, 230e3), (230e3, 230e3), (60e3, 500e3), (600e3, 100e3))
 STEP_MS = 10
 # Sizes of requests in tokens, and the times in which they arrive.
 SIZES = (300, 900, 9200, 9200)
@@ -135,9 +135,9 @@
     return fleet
 
 
-def set_limit(fleet, rate) -> None:
+def set_limit(fleet, limit) -> None:
     """Give all workspaces a limit, which nodes learn of one by one."""
-    fleet.limits.append((fleet.cluster.now_ms, rate))
+    fleet.limits.append((fleet.cluster.now_ms, limit))
 
 
 def start(fleet, name) -> None:
@@ -170,8 +170,8 @@
 
 def workspace(fleet, name, version=-1) -> documents.Workspace:
     """Return a workspace with the limit of a version."""
-    _, rate = fleet.limits[version]
-    return builders.make_workspace(name, rate, rate)
+    _, limit = fleet.limits[version]
+    return builders.make_limited_workspace(name, *limit)
 
 
 # Virtual time.
@@ -354,9 +354,10 @@
 # What the upstreams see.
 
 
-def bound(rate) -> float:
+def bound(limit) -> float:
     """Return what may arrive in a window under a limit."""
-    amount = rate * EXACTNESS.window_ms / 1000 + rate
+    rate, burst = limit
+    amount = rate * EXACTNESS.window_ms / 1000 + burst
     return amount * (1 + EXACTNESS.overage) + EXACTNESS.slack
 
 
@@ -384,18 +385,17 @@
             while arrivals[first][0] < time_ms - EXACTNESS.window_ms:
                 total -= arrivals[first][1]
                 first += 1
-            rate = _highest_rate(fleet, time_ms)
-            worst = max(worst, total - bound(rate))
+            worst = max(worst, total - _highest_bound(fleet, time_ms))
     return worst
 
 
-def _highest_rate(fleet, end_ms) -> float:
-    """Return the highest limit that binds a window that ends at a time."""
+def _highest_bound(fleet, end_ms) -> float:
+    """Return the highest bound of a window that ends at a time."""
     start_ms = end_ms - 2 * EXACTNESS.window_ms - DOCUMENT_LAG_MS
     ends_ms = [ms for ms, _ in fleet.limits[1:]] + [float("inf")]
     return max(
-        rate
-        for (since_ms, rate), until_ms in zip(
+        bound(limit)
+        for (since_ms, limit), until_ms in zip(
             fleet.limits, ends_ms, strict=True
         )
         if since_ms <= end_ms and until_ms >= start_ms
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -11,6 +11,7 @@
     identities,
     presence,
     sharing,
+    workspaces,
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
@@ -358,7 +359,9 @@
     if not leads:
         quarantine_coordinator.resign(task.coordinator)
         return
-    known = suspect_publications.known_suspects(task.gw.suspect_state, now_ms)
+    state = task.gw.suspect_state
+    known = suspect_publications.known_suspects(state, now_ms)
+    known += suspect_publications.gathered_suspects(state, now_ms)
     for effect in quarantine_coordinator.start_leading(
         task.coordinator, known, now_ms
     ):
@@ -416,6 +419,8 @@
         case coordinator_state.Publish():
             peer_mesh.broadcast(task.mesh, task.peers, effect.message)
             _send(task, task.gw.address, effect.message)
+        case coordinator_state.GatheredLosses():
+            _send(task, task.gw.address, effect)
         case suspect_memory.KeepSuspects():
             _keep_suspects(task, effect)
         case usage_asks.AskLeader():
@@ -439,7 +444,7 @@
 ) -> None:
     if task.suspect_inbox is not None:
         stored = suspect_memory.StoredSuspects(
-            clock.wall_ms(), effect.suspects
+            clock.wall_ms(), effect.suspects, effect.gathered
         )
         mailbox.post_now(task.suspect_inbox, stored)
 
@@ -475,11 +480,16 @@
     -------
     bool
         As `upstream_pauses.may_send`; False also for a retry that has become
-        outdated.
+        outdated, and if a document has taken away or moved the key.
     """
     gw, now_ms = task.gw, clock.boot_ms()
     if retry_budget.is_outdated(send_call, now_ms):
         return False
+    call = gw.active.get(send_call.call_id)
+    if call is not None and not workspaces.is_current(
+        gw.index, call, send_call
+    ):
+        return False
     return upstream_pauses.may_send(gw.pauses, gw.table, send_call, now_ms)
 
 
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -102,6 +102,12 @@
     "The time for a planned stop, `grace_ms`, is almost over, and work is "
     "left. It is ended, with answers that say so, and the program exits.",
 )
+REQUEST_MALFORMED = _declare(
+    1009,
+    "request.malformed",
+    "A request could not be read as HTTP and got `status`; `reason` names the "
+    "kind of fault. Its text is not logged, since it may hold a secret.",
+)
 ROLE_CHANGED = _declare(
     2001,
     "control.role",
@@ -337,6 +343,8 @@
     5105,
     "call.refused",
     "A request was refused without being run; `reason` says why. With "
+    "`unknown_key`, `cause` says what was wrong with its key, and "
+    "`key_digest` names the key. With "
     "`usage_limit`, it needed `usage_needed` of the limit of its `workspace`; "
     "this node held `usage_held` and, for times without a leader, "
     "`usage_reserve`, its calls use `usage_demand_per_s`, and a leader last "
@@ -434,10 +442,18 @@
     "A request was not sent after all: its upstream asked for a pause, or "
     "another process took its place, before the connection was available, or "
     "it is a retry, or charged to a usage limit, and waited too long for the "
-    "connection. Where it is sent is decided anew.",
+    "connection, or a document took away or moved its key. Where it is sent "
+    "is decided anew.",
 )
-USAGE_REFUSED = _declare(
+CALL_JUDGED_ANEW = _declare(
     5140,
+    "call.judged_anew",
+    "A new `document` gives the key of a waiting request to another "
+    "`workspace`, or no longer admits it. If `is_admitted` is false, the "
+    "request is not sent (again); `workspace` is then the former one.",
+)
+USAGE_REFUSED = _declare(
+    5145,
     "usage.refused",
     "The leader refused credit to calls at a `node` that the usage limit of "
     "their `workspace` does not cover. They `needed` an amount, and `granted` "
@@ -447,7 +463,7 @@
     "callers may return in `retry_after_ms`.",
 )
 USAGE_UNANSWERED = _declare(
-    5141,
+    5146,
     "usage.unanswered",
     "The leader has not answered this node's ask for usage credit, made "
     "`asked_ms_ago`, after a last answer `answered_ms_ago`. Calls are charged "
--- a/bilberryramp/wire/tests/test_outer_names.py
+++ b/bilberryramp/wire/tests/test_outer_names.py
@@ -146,6 +146,8 @@
     "TrialEnded",
     "TrialGrant",
     "TrialRequest",
+    "UsageAnswer",
+    "UsageAsk",
     "VoteReply",
     "WantModel",
 }
