--- a/bilberryramp/decisions/fleet/core/calls.py
+++ b/bilberryramp/decisions/fleet/core/calls.py
@@ -231,6 +231,10 @@
         part of the prompt can have crashed its upstream.
     workspace
         Workspace that the request's key names; None without workspaces.
+    usage_parts
+        What the present attempt was charged to: workspaces, amounts of their
+        credit, when each ends, and whether it is a reserve; empty without a
+        usage limit.
     judged_version, is_admitted
         Version of the document by which the call was last judged, and whether
         that document lets it be sent; None and False before the first time.
@@ -270,6 +274,7 @@
     trial_identities: tuple[str, ...] = ()
     has_survived: bool = False
     workspace: documents.Workspace | None = None
+    usage_parts: tuple[tuple[str, float, int, bool], ...] = ()
     judged_version: int | None = None
     is_admitted: bool = False
     identities: tuple[str, ...] = dataclasses.field(init=False)
@@ -400,6 +405,8 @@
     workspace
         Name of the client's workspace, which the upstream is told; empty
         without workspaces.
+    is_charged
+        Whether the attempt was charged to a usage limit.
     """
 
     call_id: int
@@ -411,6 +418,7 @@
     born_ms: int = -1
     decided_ms: int = 0
     workspace: str = ""
+    is_charged: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -12,7 +12,11 @@
     sharing,
     workspaces,
 )
-from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.limits import (
+    retry_budget,
+    retry_shares,
+    usage_credits,
+)
 from bilberryramp.decisions.fleet.orders import placement
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
 from bilberryramp.decisions.fleet.queueing import lanes, turns
@@ -92,6 +96,8 @@
         node.
     retry_share
         This node's part of the slack of the retry budgets.
+    usage
+        This node's credits for the usage of workspaces.
     started_ms
         When this process started.
     queue_lanes
@@ -135,6 +141,9 @@
     )
     discovery_deadline_ms: int = 0
     retry_share: retry_shares.Share = retry_shares.Share()
+    usage: usage_credits.Credits = dataclasses.field(
+        default_factory=usage_credits.Credits
+    )
     started_ms: int = 0
     queue_lanes: dict[tuple[str, str], lanes.Lane] = dataclasses.field(
         default_factory=dict
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -344,7 +344,11 @@
     "call.refused",
     "A request was refused without being run; `reason` says why. With "
     "`unknown_key`, `cause` says what was wrong with its key, and "
-    "`key_digest` names the key.",
+    "`key_digest` names the key. With "
+    "`usage_limit`, it needed `usage_needed` of the limit of its `workspace`; "
+    "this node held `usage_held` and, for times without a leader, "
+    "`usage_reserve`, its calls use `usage_demand_per_s`, and a leader last "
+    "answered `usage_answered_ms_ago`.",
 )
 CALL_FAILED = _declare(
     5106,
@@ -437,8 +441,9 @@
     "call.withheld",
     "A request was not sent after all: its upstream asked for a pause, or "
     "another process took its place, before the connection was available, or "
-    "it is a retry that waited too long for the connection, or a document "
-    "took away or moved its key. Where it is sent is decided anew.",
+    "it is a retry, or charged to a usage limit, and waited too long for the "
+    "connection, or a document took away or moved its key. Where it is sent "
+    "is decided anew.",
 )
 CALL_JUDGED_ANEW = _declare(
     5140,
@@ -447,6 +452,24 @@
     "`workspace`, or no longer admits it. If `is_admitted` is false, the "
     "request is not sent (again); `workspace` is then the former one.",
 )
+USAGE_REFUSED = _declare(
+    5145,
+    "usage.refused",
+    "The leader refused credit to calls at a `node` that the usage limit of "
+    "their `workspace` does not cover. They `needed` an amount, and `granted` "
+    "was issued. The bucket holds `level` of at most `depth` and fills by "
+    "`rate` a second since this node became the leader, `led_ms` ago; "
+    "`recently_refused` is what was refused in about the last second. The "
+    "callers may return in `retry_after_ms`.",
+)
+USAGE_UNANSWERED = _declare(
+    5146,
+    "usage.unanswered",
+    "The leader has not answered this node's ask for usage credit, made "
+    "`asked_ms_ago`, after a last answer `answered_ms_ago`. Calls are charged "
+    "to the `reserve` of their workspace and wait when it is spent; `waiting` "
+    "do. Check whether there is a leader that this node reaches.",
+)
 HOLDERS_CHANGED = _declare(
     5204,
     "holders.changed",
