Refuse a withheld request whose key is gone at once

Cause: a request that was withheld because its key had been taken away went back to the queue, where requests before it for the same service kept it from being judged. It was never sent, but waited in vain.

Change: a withheld request is judged when it returns to the queue.

--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -258,13 +258,20 @@
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
     for call in admission.waiting_calls(gw):
-        yield from admission.judge(gw, call)
-        if not call.is_admitted:
-            call.wait_reason = calls.Refusal.UNKNOWN_KEY
-            yield from _refuse_if_unservable(gw, now_ms, call)
+        yield from _judge_waiting(gw, call, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
+def _judge_waiting(
+    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
+) -> Iterator:
+    """Judge a call by the document in force, and refuse it unless admitted."""
+    yield from admission.judge(gw, call)
+    if not call.is_admitted:
+        call.wait_reason = calls.Refusal.UNKNOWN_KEY
+        yield from _refuse_if_unservable(gw, now_ms, call)
+
+
 def _on_announcement(
     gw: gateway_state.Gateway, now_ms: int, announcement
 ) -> Iterator:
@@ -682,6 +689,8 @@
     call.attempt_count -= 1
     call.tried_upstreams.discard(call.upstream_id)
     yield from gateway_state.fire(gw, call, "repeatable", now_ms)
+    # Calls before it in the queue may keep it from being dispatched.
+    yield from _judge_waiting(gw, call, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
--- a/bilberryramp/decisions/fleet/tests/test_workspaces.py
+++ b/bilberryramp/decisions/fleet/tests/test_workspaces.py
@@ -191,6 +191,20 @@
                     self.assertIs(end.reason, calls.Refusal.UNKNOWN_KEY)
                 self.assertFalse(self.gw.active)
 
+    def test_a_withheld_call_without_its_key_does_not_wait_behind_others(self):
+        self.workspace = builders.make_workspace("w1", ("key-1", "key-2"))
+        self.start("p1")
+        self.apply(builders.make_workspace("w1", ("key-2",)))
+        self.step(builders.make_plain_announcement("p1", seq=2, leaving=True))
+        submit(self.gw, "key-2", call_id=2)
+        withheld = calls.AttemptOutcome.WITHHELD
+        effects = self.step(calls.AttemptEnded(1, withheld))
+        (refusal,) = builders.of_type(effects, calls.Refuse)
+        self.assertEqual(
+            (refusal.call_id, refusal.reason), (1, calls.Refusal.UNKNOWN_KEY)
+        )
+        self.assertEqual(list(self.gw.queue), [2])
+
     def test_a_retry_names_the_workspace_that_has_the_key_now(self):
         self.start("p1", "p2")
         self.apply(builders.make_workspace("w2", ("key-1",)))
@@ -241,6 +255,15 @@
         effects = self.step(gateway.DocumentInForce(doc))
         self.assertEqual(self.refusal(effects), (calls.Refusal.UNKNOWN_KEY, 0))
 
+    def test_a_call_whose_route_is_dropped_keeps_its_workspace(self):
+        self.start()
+        doc = builders.make_document(
+            2, routes=[builders.make_route()], workspaces=[self.workspace]
+        )
+        self.step(gateway.DocumentInForce(doc))
+        (sent,) = builders.of_type(self.announce(), calls.SendCall)
+        self.assertEqual(sent.workspace, "w1")
+
 
 if __name__ == "__main__":
     unittest.main()
