Tell how many keys a node knows

Cause: an operator could not see whether a node has a document's keys without reading the document.

Change: gauges `workspaces` and `workspace_keys`.

Result: the test of a node process reads `workspace_keys 1` from its metrics beside a document with one key; the gauge did not exist before.

--- a/bilberryramp/platform/tests/test_key_secrecy.py
+++ b/bilberryramp/platform/tests/test_key_secrecy.py
@@ -48,7 +48,9 @@
 
     async def read_metrics(self):
         async with self.session.get(self.url_of("metrics", "/metrics")) as r:
-            self.received.append(await r.read())
+            text = await r.read()
+        self.assertIn(b"workspace_keys 1\n", text)
+        self.received.append(text)
 
     def sent_to_engines(self):
         return [
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -555,6 +555,8 @@
         "upstreams_known": len(gw.table.upstreams),
         "nodes_heard": len(task.peers),
         "document_version": gw.doc.version if gw.doc is not None else -1,
+        "workspaces": len(gw.doc.workspaces) if gw.doc is not None else 0,
+        "workspace_keys": len(gw.index.by_key) if gw.index is not None else 0,
         "peer_messages_dropped": task.mesh.dropped,
     }
     for name, value in gauges.items():
