--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -275,13 +275,20 @@
     usage_credits.set_document(gw.usage, message.doc)
     gw.workspace_turns.weights = turns.make_weights(message.doc.workspaces)
     for call in admission.waiting_calls(gw):
-        yield from admission.judge(gw, call)
-        if not call.is_admitted:
-            call.wait_reason = calls.Refusal.UNKNOWN_KEY
-            yield from _refuse_if_unservable(gw, now_ms, call)
+        yield from _judge_waiting(gw, call, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
+def _judge_waiting(
+    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
+) -> Iterator:
+    """Judge a call by the document in force, and refuse it unless admitted."""
+    yield from admission.judge(gw, call)
+    if not call.is_admitted:
+        call.wait_reason = calls.Refusal.UNKNOWN_KEY
+        yield from _refuse_if_unservable(gw, now_ms, call)
+
+
 def _on_announcement(
     gw: gateway_state.Gateway, now_ms: int, announcement
 ) -> Iterator:
@@ -718,6 +725,8 @@
     call.attempt_count -= 1
     call.tried_upstreams.discard(call.upstream_id)
     yield from gateway_state.fire(gw, call, "repeatable", now_ms)
+    # Calls before it in the queue may keep it from being dispatched.
+    yield from _judge_waiting(gw, call, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
