Show usage limits in metrics, and wait longer under a new leader

Cause: a new leader's bucket is empty, whatever the demand, so that calls far below their limit were refused after each change of the leader. Whether a workspace is short of credit could only be read from logs.

Change: in the first 1.5 s of a leadership calls wait up to half a second for credit instead of a tenth. Nodes and the leader have gauges for each workspace with recent requests. A limit that is only a burst is issued over the window.

--- a/bilberryramp/decisions/fleet/limits/usage_issuer.py
+++ b/bilberryramp/decisions/fleet/limits/usage_issuer.py
@@ -28,8 +28,11 @@
     "set_leadership",
 ]
 
-# Calls for which credit will be there within this time wait for it.
+# Calls for which credit will be there within this time wait for it. Under a
+# new leader, whose bucket says nothing about the demand, they wait longer.
 MAX_WAIT_MS = 100
+NEW_LEADER_MAX_WAIT_MS = 500
+NEW_LEADER_MS = 1500
 # Bounds of the time after which a refused caller is told to return.
 MIN_RETRY_MS = 200
 MAX_RETRY_MS = 2000
@@ -242,7 +245,9 @@
         bucket.level -= ahead
         reserve = _reserve(issuer, bucket, want.reserve, now_ms)
         bucket.level -= reserve
-    wait_ms, is_refused = _delay(bucket, want, missing)
+    is_new = now_ms - issuer.led_since_ms < NEW_LEADER_MS
+    patience_ms = NEW_LEADER_MAX_WAIT_MS if is_new else MAX_WAIT_MS
+    wait_ms, is_refused = _delay(bucket, want, missing, patience_ms)
     return usage_messages.Grant(
         want.workspace,
         want.unit,
@@ -310,7 +315,10 @@
 
 
 def _delay(
-    bucket: Bucket, want: usage_messages.Want, missing: float
+    bucket: Bucket,
+    want: usage_messages.Want,
+    missing: float,
+    patience_ms: int,
 ) -> tuple[int, bool]:
     """Return when the missing credit is there, and whether to refuse."""
     if missing <= 0:
@@ -318,7 +326,7 @@
     rate = max(bucket.terms.rate, 1e-9)
     first = max(want.least - bucket.level, 0.0)
     wait_ms = 1 + int(1000 * (first + bucket.promised) / rate)
-    if wait_ms <= MAX_WAIT_MS and want.least <= bucket.terms.depth:
+    if wait_ms <= patience_ms and want.least <= bucket.terms.depth:
         bucket.promised += missing
         return wait_ms, False
     bucket.refused += missing
--- a/bilberryramp/decisions/fleet/limits/usage_terms.py
+++ b/bilberryramp/decisions/fleet/limits/usage_terms.py
@@ -92,7 +92,8 @@
     -------
     Terms
         The rate is that of the limit, unless the window leaves too little
-        beside it for a request.
+        beside it for a request. A limit that is only a burst is issued over
+        the window.
     """
     window_ms = exactness.window_ms
     short_ms = min(MAX_SHORT_MS, int(window_ms * SHORT_FRACTION))
@@ -104,7 +105,9 @@
     is_by_token = limit.unit is documents.UsageUnit.TOKEN
     request = max(limit.plain_tokens, 1) if is_by_token else 1
     least = max(min(limit.burst, allowance) / 2, min(request, allowance))
-    rate = min(limit.rate, (allowance - least) / span_s)
+    rate = (allowance - least) / span_s
+    if limit.rate > 0:
+        rate = min(limit.rate, rate)
     room = allowance - rate * span_s
     reserve = max(min(RESERVE_SHARE * room, room - least), 0.0)
     return Terms(rate, room - reserve, reserve, short_ms, reserve_ms)
--- a/bilberryramp/decisions/fleet/tests/test_usage_credits.py
+++ b/bilberryramp/decisions/fleet/tests/test_usage_credits.py
@@ -53,6 +53,7 @@
             (230_000, 230_000, usage_terms.Exactness(8000, 0.1, 110_000)),
             (50, 0, usage_terms.Exactness(8000, 0.1, 0)),
             (1, 1, usage_terms.Exactness(1000, 0, 0)),
+            (0, 5, usage_terms.Exactness(8000, 0.1, 0)),
             (0.1, 3, usage_terms.Exactness(2000, 0.05, 1)),
         ):
             limit = documents.UsageLimit(
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -33,7 +33,7 @@
 from bilberryramp.decisions.fleet.register import operator_calls, register
 from bilberryramp.decisions.fleet.routing import upstream_pauses
 from bilberryramp.decisions.shared import effects
-from bilberryramp.tasks import clock, mailbox, peer_mesh
+from bilberryramp.tasks import clock, mailbox, peer_mesh, usage_gauges
 from bilberryramp.telemetry import events, metrics
 
 __all__ = [
@@ -558,6 +558,9 @@
     }
     for name, value in gauges.items():
         metrics.set_gauge(task.task_metrics, name, value)
+    usage_gauges.set_gauges(
+        task.task_metrics, gw.usage, task.issuer, clock.boot_ms()
+    )
     _set_retry_gauges(task)
     _set_quarantine_gauges(task)
     return metrics.render(task.task_metrics)
