Judge losses just after a node's start at the coordinator

Cause: evidence was thrown away where it could not be judged, though another process could judge it. For two heartbeats after a start or a suspension a node does not know which upstreams have ended, so it dropped what it lost; the losses of sound requests through other nodes counted.

Change: such a loss is reported with `is_unverified`. The coordinator counts it only if it had heard from that very process within two heartbeats before the attempt, and was not started or resumed in these itself; it takes neither the node's word nor its answers as a sign of life. By itself the node does not go by it. A coordinator that takes over counts from when its node was started, not from when it took over. Attempts from before a suspension accuse nobody still.

Result: in test_losses_just_after_a_start_count and _a_suspension_count a fatal request that had ended three engines ended a fourth before in 6 of 6 histories; it is refused now.

--- a/bilberryramp/decisions/fleet/quarantine/coordinator_losses.py
+++ b/bilberryramp/decisions/fleet/quarantine/coordinator_losses.py
@@ -99,9 +99,18 @@
 def _record_loss(
     coord: coordinator_state.Coordinator, lost: upstream_ends.LostAttempt
 ) -> bool:
-    """Add a loss to its suspect; return False if it is known."""
+    """Add a loss to its suspect; return False if it tells nothing new."""
     upstream = coord.table.upstreams.get(lost.upstream_id)
-    if upstream is not None and upstream.announcement.born_ms == lost.born_ms:
+    is_known = (
+        upstream is not None and upstream.announcement.born_ms == lost.born_ms
+    )
+    if lost.is_unverified:
+        if not is_known or upstream_ends.is_uncertain_at(
+            coord.listening, coord.table.heartbeat_ms, lost.started_ms
+        ):
+            return False
+        lost.heard_ms = upstream.heard_ms
+    elif is_known:
         # The node may have learned of the process after its last heartbeat.
         lost.heard_ms = max(lost.answered_ms, upstream.heard_ms)
     suspect = coord.suspects.pop(
--- a/bilberryramp/decisions/fleet/quarantine/quarantine_coordinator.py
+++ b/bilberryramp/decisions/fleet/quarantine/quarantine_coordinator.py
@@ -37,6 +37,7 @@
     coord: coordinator_state.Coordinator,
     known: tuple[msgs.PublishedSuspect, ...],
     now_ms: int,
+    resumed_ms: int | None = None,
 ) -> Iterator:
     """Start to coordinate with what this node knows as one of the nodes.
 
@@ -48,6 +49,8 @@
         Requests that the previous coordinator has published.
     now_ms
         Current time in milliseconds.
+    resumed_ms
+        When this node was last started or resumed; by default now.
 
     Yields
     ------
@@ -57,7 +60,9 @@
     if coord.is_leading:
         return
     coord.is_leading = True
-    coord.listening = upstream_ends.Listening(now_ms, now_ms, now_ms)
+    coord.listening = upstream_ends.Listening(
+        now_ms, now_ms if resumed_ms is None else resumed_ms, now_ms
+    )
     for entry in known:
         coordinator_memory.take_over(coord, entry, now_ms)
     if known:
--- a/bilberryramp/decisions/fleet/quarantine/quarantine_messages.py
+++ b/bilberryramp/decisions/fleet/quarantine/quarantine_messages.py
@@ -49,6 +49,9 @@
         From `identities.depth_of`.
     has_run
         Whether the sender knows a complete run of the suspect.
+    is_unverified
+        Whether the sender could not tell if the process still lived when the
+        attempt was sent.
     """
 
     upstream_id: str
@@ -64,6 +67,7 @@
     trial_id: int = 0
     depth: int = 0
     has_run: bool = False
+    is_unverified: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/quarantine/suspect_evidence.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspect_evidence.py
@@ -28,9 +28,6 @@
     "survivors",
 ]
 
-# Number of heartbeat intervals after a start or a suspension in which a node
-# learns which upstreams have ended.
-UNCERTAIN_HEARTBEATS = 2
 # Time for which a lost attempt is kept, so that it can be reported to a new
 # coordinator.
 LOST_TTL_MS = 60_000
@@ -226,14 +223,14 @@
 ) -> bool:
     """Keep a lost attempt unless its upstream was leaving or silent before.
 
-    After a suspension, this node does not know yet which upstreams have
-    ended, so its attempts accuse nobody for some time.
+    After a start or a suspension, this node does not know yet which upstreams
+    have ended. Its attempts then accuse somebody only if the coordinator knows
+    that the upstream lived, and those from before a suspension nobody.
     """
     if call.target is None or not call.identities:
         return False
     _update_listening_if_late(state, now_ms)
-    uncertain_ms = UNCERTAIN_HEARTBEATS * state.table.heartbeat_ms
-    if call.sent_ms < state.listening.resumed_ms + uncertain_ms:
+    if call.sent_ms < state.listening.resumed_ms:
         return False
     attempt = _lost_attempt(state, call, now_ms)
     if attempt is None or upstream_ends.was_silent_before(
@@ -286,6 +283,9 @@
         max(heard_ms, answered_ms),
         answered_ms,
         call.trial_id,
+        is_unverified=upstream_ends.is_uncertain_at(
+            state.listening, state.table.heartbeat_ms, call.sent_ms
+        ),
     )
 
 
--- a/bilberryramp/decisions/fleet/quarantine/suspects.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspects.py
@@ -222,7 +222,7 @@
             key, key[0], k.lost.started_ms, k.lost.ended_ms, k.is_ended
         )
         for key, k in kept.items()
-        if k.is_reported
+        if _is_evidence(k)
     ]
     count = quarantine.count_successive(losses, False)
     return count >= _LIMITS.restrict_losses
@@ -277,7 +277,12 @@
     kept = suspects.lost.get(identity)
     if not kept or identity in suspects.runs_ms[identities.Kind.PART]:
         return False
-    return any(attempt.is_reported for attempt in kept.values())
+    return any(_is_evidence(attempt) for attempt in kept.values())
+
+
+def _is_evidence(attempt: KeptAttempt) -> bool:
+    """Return whether an attempt counts for this node by itself."""
+    return attempt.is_reported and not attempt.lost.is_unverified
 
 
 def remaining_quarantine_ms(
--- a/bilberryramp/decisions/fleet/quarantine/upstream_ends.py
+++ b/bilberryramp/decisions/fleet/quarantine/upstream_ends.py
@@ -19,6 +19,8 @@
     "decode_loss",
     "encode_loss",
     "fate_of",
+    "is_uncertain_at",
+    "resumed_ms",
     "update_listening",
     "was_silent_before",
 ]
@@ -29,6 +31,9 @@
 # Number of intervals without a heartbeat after which an upstream may already
 # have ended before a request was sent to it.
 MISSED_HEARTBEATS_BEFORE = 2
+# Number of heartbeat intervals after a start or a suspension in which a node
+# learns which upstreams have ended.
+UNCERTAIN_HEARTBEATS = 2
 # A process that handled no message for this long was suspended.
 SUSPENSION_MS = 1000
 # Number of intervals without a heartbeat after which an upstream no longer
@@ -76,6 +81,9 @@
         As in `quarantine.Loss`.
     depth, has_run
         As in `quarantine.Suspect`, as far as the node knows.
+    is_unverified
+        Whether the node had just started or resumed, so that it could not
+        tell if the process lived when the attempt was sent.
     """
 
     identity: str
@@ -91,6 +99,7 @@
     trial_id: int = 0
     depth: int = 0
     has_run: bool = False
+    is_unverified: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -132,13 +141,54 @@
         Current time in milliseconds.
     """
     was_suspended = now_ms - listening.checked_ms > SUSPENSION_MS
+    listening.resumed_ms = resumed_ms(listening, now_ms)
     listening.checked_ms = now_ms
-    if was_suspended:
-        listening.resumed_ms = now_ms
     if was_suspended or not _hears_most(table, now_ms):
         listening.since_ms = now_ms
 
 
+def is_uncertain_at(
+    listening: Listening, heartbeat_ms: int, sent_ms: int
+) -> bool:
+    """Return whether a node did not know yet which upstreams have ended.
+
+    Parameters
+    ----------
+    listening
+        Since when the node hears from the upstreams.
+    heartbeat_ms
+        Interval between heartbeats in milliseconds.
+    sent_ms
+        When an attempt was sent.
+
+    Returns
+    -------
+    bool
+        True from before a suspension until `UNCERTAIN_HEARTBEATS` after it,
+        and as long after a start.
+    """
+    return sent_ms < listening.resumed_ms + UNCERTAIN_HEARTBEATS * heartbeat_ms
+
+
+def resumed_ms(listening: Listening, now_ms: int) -> int:
+    """Return when a node was last started or resumed, as of now.
+
+    Parameters
+    ----------
+    listening
+        Since when the node hears from the upstreams.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    int
+        Time in milliseconds.
+    """
+    was_suspended = now_ms - listening.checked_ms > SUSPENSION_MS
+    return now_ms if was_suspended else listening.resumed_ms
+
+
 def _hears_most(table: presence.Table, now_ms: int) -> bool:
     silent_ms = [
         now_ms - upstream.heard_ms
@@ -256,6 +306,7 @@
         lost.trial_id,
         lost.depth,
         lost.has_run,
+        lost.is_unverified,
     )
 
 
@@ -295,4 +346,5 @@
         reported.trial_id or int(reported.is_trial),
         reported.depth,
         reported.has_run,
+        reported.is_unverified,
     )
--- a/bilberryramp/decisions/fleet/tests/quarantine_driver.py
+++ b/bilberryramp/decisions/fleet/tests/quarantine_driver.py
@@ -23,6 +23,7 @@
     suspect_memory,
     suspect_publications,
     suspects,
+    upstream_ends,
 )
 from bilberryramp.decisions.fleet.routing import health, upstream_pauses
 from bilberryramp.decisions.fleet.tests import builders
@@ -330,7 +331,10 @@
         fleet,
         leader,
         quarantine_coordinator.start_leading(
-            leader.coord, known, fleet.now_ms
+            leader.coord,
+            known,
+            fleet.now_ms,
+            upstream_ends.resumed_ms(state.listening, fleet.now_ms),
         ),
     )
     for node in fleet.nodes.values():
--- a/bilberryramp/decisions/fleet/tests/test_restart_of_all.py
+++ b/bilberryramp/decisions/fleet/tests/test_restart_of_all.py
@@ -1,5 +1,6 @@
 """Tests of the quarantine when all nodes restart at the same moment."""
 
+import dataclasses
 import unittest
 
 from bilberryramp.decisions.fleet.core import calls
@@ -29,6 +30,11 @@
 SERIES_RESTARTS = 12
 SETTLING_MS = 3700
 SERIES_PAUSE_MS = 1300
+# Ends after which a request is refused, the time from a start or suspension
+# to the next of them, and a time after which a node is no longer disturbed.
+CRASHES = 3
+UNCERTAIN_MS = 500
+STABLE_MS = 3500
 RANDOM_LENGTH_MS = 60_000
 NOW_MS = 100_000
 
@@ -98,6 +104,62 @@
     return fleet
 
 
+def play_losses_at_an_uncertain_node(seed, disturb):
+    """Lose three upstreams through a node that was disturbed just before."""
+    fleet = driver.make_fleet(seed)
+    fuzz.send_innocent(fleet)
+    node = fleet.nodes["n4:1"]
+    driver.run(fleet, STABLE_MS)
+    for _ in range(CRASHES):
+        disturb(fleet, node)
+        driver.run(fleet, max(node.thaw_ms - fleet.now_ms, 0) + UNCERTAIN_MS)
+        driver.submit(fleet, "fatal", True, "/file/x", node)
+        driver.run(fleet, STABLE_MS)
+    return fleet
+
+
+class UncertainNodeTest(unittest.TestCase):
+    """Losses just after a start or a suspension of their node were dropped."""
+
+    def check(self, disturb):
+        for seed in SEEDS:
+            fleet = play_losses_at_an_uncertain_node(seed, disturb)
+            request = driver.submit(fleet, "fatal", True, "/file/x")
+            driver.run(fleet, 100)
+            with self.subTest(seed=seed):
+                self.assertEqual(len(fleet.crashes), CRASHES)
+                self.assertEqual(
+                    request.outcome, calls.Refusal.QUARANTINED.value
+                )
+                self.assertEqual(driver.wrongly_quarantined(fleet), [])
+
+    def test_losses_just_after_a_start_count(self):
+        self.check(driver.restart_node)
+
+    def test_losses_just_after_a_suspension_count(self):
+        self.check(lambda fleet, node: driver.suspend_node(fleet, node, 2000))
+
+    def test_they_count_only_if_the_coordinator_had_heard_the_upstream(self):
+        for name, born_ms, silent_ms, resumed_ms_ago, phase in (
+            ("heard", 1000, 0, 10_000, "observed"),
+            ("another process", 999, 0, 10_000, "unknown"),
+            ("silent", 1000, 3 * quarantine.HEARTBEAT_MS, 10_000, "unknown"),
+            ("coordinator resumed", 1000, 0, 100, "unknown"),
+        ):
+            coord = quarantine.make_coordinator()
+            now_ms = NOW_MS + silent_ms
+            coord.listening.resumed_ms = now_ms - resumed_ms_ago
+            loss = msgs.ReportedLoss(
+                "u1", "u1:80", born_ms, 5, 20, 0, 20, 20, True
+            )
+            loss = dataclasses.replace(loss, is_unverified=True)
+            report = msgs.LossReport((("f", "svc", loss),))
+            step = quarantine.quarantine_coordinator.step
+            list(step(coord, now_ms, report))
+            with self.subTest(name):
+                self.assertEqual(quarantine.phase_of(coord), phase)
+
+
 class RestartOfAllTest(unittest.TestCase):
     # Guards against a quarantine that is forgotten when no node stays up.
 
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -23,6 +23,7 @@
     suspect_memory,
     suspect_publications,
     suspects,
+    upstream_ends,
 )
 from bilberryramp.decisions.fleet.register import operator_calls, register
 from bilberryramp.decisions.fleet.routing import upstream_pauses
@@ -347,7 +348,10 @@
     known = suspect_publications.known_suspects(state, now_ms)
     known += suspect_publications.gathered_suspects(state, now_ms)
     for effect in quarantine_coordinator.start_leading(
-        task.coordinator, known, now_ms
+        task.coordinator,
+        known,
+        now_ms,
+        upstream_ends.resumed_ms(state.listening, now_ms),
     ):
         _perform(task, now_ms, effect)
 
