Learn the reading speed of each engine

Cause: one moving average per model stood for all engines that hold it.

Change: each measured first token gives a sample for its engine and process. Gateways share the samples in their load reports, and the median of the recent ones is the engine's speed if it differs from the median engine's by more than a quarter. Choice, dispatch and Retry-After use it. The decisions for engines that are alike are those of one speed for all.

--- a/bilberryramp/decisions/fleet/core/sharing.py
+++ b/bilberryramp/decisions/fleet/core/sharing.py
@@ -14,6 +14,7 @@
 import dataclasses
 import enum
 import operator
+import typing
 
 from bilberryramp.decisions.fleet.core import keys, prefix_cache
 
@@ -23,6 +24,7 @@
     "Loads",
     "Report",
     "ReportTo",
+    "SpeedSample",
     "apply_report",
     "build_due_report",
     "count_adapter_call",
@@ -32,6 +34,7 @@
     "record_demand",
     "record_load_change",
     "record_sent_prompt",
+    "record_speed_sample",
     "set_audience_size",
     "total_load",
     "urgency_level",
@@ -107,6 +110,24 @@
     )
 
 
+class SpeedSample(typing.NamedTuple):
+    """A measured reading speed of an engine.
+
+    Attributes
+    ----------
+    upstream_key
+        Key of the engine.
+    born_ms
+        Start of its process, as in `presence.Announcement`.
+    ns_per_token
+        Nanoseconds per token of work before a first token.
+    """
+
+    upstream_key: int
+    born_ms: int
+    ns_per_token: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Report:
     """Load of one gateway, and the prompts it sent since its last report.
@@ -130,6 +151,8 @@
     is_whole
         Whether upstreams without a row have no calls of this gateway. If
         False, their rows of the previous reports remain valid.
+    speeds
+        Reading speeds that were measured since the last report.
     """
 
     sender: str
@@ -137,6 +160,7 @@
     sent: tuple[tuple[int, str, tuple[tuple[int, int], ...]], ...]
     asked: tuple[tuple[int, int], ...] = ()
     is_whole: bool = True
+    speeds: tuple[SpeedSample, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -186,6 +210,8 @@
         Prompts sent since the last report.
     unreported_demand
         Tokens of work requested since the last report, by key of the model.
+    unreported_speeds
+        Reading speeds measured since the last report.
     changed_upstreams
         Identifiers of upstreams whose load has changed since the last report.
     is_report_urgent
@@ -203,6 +229,9 @@
     unreported_demand: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    unreported_speeds: list[SpeedSample] = dataclasses.field(
+        default_factory=list
+    )
     changed_upstreams: set[str] = dataclasses.field(default_factory=set)
     is_report_urgent: bool = False
     reported_ms: int = 0
@@ -551,6 +580,20 @@
         outbox.unreported_demand[keys.short_key(model)] += tokens
 
 
+def record_speed_sample(loads: Loads, sample: SpeedSample) -> None:
+    """Record a measured reading speed, which the next reports contain.
+
+    Parameters
+    ----------
+    loads
+        Known loads. Modified in place.
+    sample
+        The measured speed.
+    """
+    for outbox in loads.outboxes.values():
+        outbox.unreported_speeds.append(sample)
+
+
 def build_due_report(
     loads: Loads,
     sender: str,
@@ -602,6 +645,7 @@
         ),
         tuple(outbox.unreported_demand.items()),
         is_whole,
+        tuple(outbox.unreported_speeds),
     )
     outbox.reported_ms = now_ms
     if is_whole:
@@ -610,6 +654,7 @@
     outbox.changed_upstreams.clear()
     outbox.unreported_prompts.clear()
     outbox.unreported_demand.clear()
+    outbox.unreported_speeds.clear()
     return report
 
 
--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -235,7 +235,7 @@
         engine,
         candidates,
         gw.loads,
-        gw.ms_per_token,
+        gw.speeds,
         gw.failure_domain,
         _urgency(call, now_ms),
         now_ms,
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -32,6 +32,7 @@
     suspects,
 )
 from bilberryramp.decisions.fleet.routing import (
+    engine_speeds,
     health,
     scheduling,
     upstream_pauses,
@@ -359,6 +360,8 @@
         gw.loads, report, gateway_state.cache_capacity_tokens(gw), now_ms
     )
     _record_demand(gw, report, now_ms)
+    for sample in report.speeds:
+        engine_speeds.record_sample(gw.speeds, sample, now_ms)
     if now_ms - gw.served_ms >= REPORT_SERVE_INTERVAL_MS:
         yield from _serve_queue(gw, now_ms)
 
@@ -557,13 +560,15 @@
     call = gw.active.get(message.call_id)
     if call is None:
         return
-    prompt = call.request.prompt
     call.answer_started_ms = now_ms
-    if prompt is not None and call.phase == "sent":
+    if call.request.prompt is not None and call.phase == "sent":
         took_ms = now_ms - call.sent_ms
-        scheduling.record_first_token_time(
-            gw.ms_per_token, prompt.model, call.work_tokens, took_ms
+        sample = engine_speeds.measure_first_token(
+            call.target, call.work_tokens, took_ms
         )
+        if sample is not None:
+            engine_speeds.record_sample(gw.speeds, sample, now_ms)
+            sharing.record_speed_sample(gw.loads, sample)
     if call.phase == "sent":
         suspect_evidence.record_answer_start(gw.suspect_state, call, now_ms)
     was_returning = upstream_pauses.is_returning(gw.pauses, call)
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -14,7 +14,11 @@
 from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
 from bilberryramp.decisions.fleet.orders import placement
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
-from bilberryramp.decisions.fleet.routing import health, upstream_pauses
+from bilberryramp.decisions.fleet.routing import (
+    engine_speeds,
+    health,
+    upstream_pauses,
+)
 from bilberryramp.decisions.shared import charting
 
 __all__ = [
@@ -72,8 +76,8 @@
     full_until_ms
         Until when an upstream that reported that it is full gets no calls, by
         upstream identifier.
-    ms_per_token
-        Measured milliseconds per token of work, by model.
+    speeds
+        Measured reading speeds of the engines.
     demand
         Demand for models and recent uses, as all gateways report them.
     unanswered_since_ms
@@ -114,7 +118,9 @@
         default_factory=dict
     )
     full_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    ms_per_token: dict[str, float] = dataclasses.field(default_factory=dict)
+    speeds: engine_speeds.Speeds = dataclasses.field(
+        default_factory=engine_speeds.Speeds
+    )
     demand: placement.Demand = dataclasses.field(
         default_factory=placement.Demand
     )
--- a/bilberryramp/decisions/fleet/gateway/waiting_times.py
+++ b/bilberryramp/decisions/fleet/gateway/waiting_times.py
@@ -4,7 +4,7 @@
 from bilberryramp.decisions.fleet.gateway import dispatch, gateway_state
 from bilberryramp.decisions.fleet.orders import placement
 from bilberryramp.decisions.fleet.quarantine import suspects
-from bilberryramp.decisions.fleet.routing import scheduling, upstream_pauses
+from bilberryramp.decisions.fleet.routing import engine_speeds, upstream_pauses
 
 __all__ = ["load_time_ms", "pause_details", "retry_after_ms"]
 
@@ -100,19 +100,24 @@
         wait_ms = until_ms - now_ms
         load_ms = int(_model_load_time_ms(gw, call, now_ms)) or wait_ms
         return max(min(wait_ms, load_ms), MIN_RETRY_AFTER_MS)
-    backlogs = [
-        sum(
-            sharing.total_load(
-                gw.loads, u.announcement.upstream_id, now_ms
-            ).unread_tokens
-        )
-        for u in usable
-    ]
-    wait_ms = min(backlogs, default=0) * scheduling.DEFAULT_MS_PER_TOKEN
+    backlogs_ms = (_backlog_ms(gw, u.announcement, now_ms) for u in usable)
+    wait_ms = min(backlogs_ms, default=0)
     wait_ms = max(wait_ms, load_time_ms(gw, call, now_ms))
     return int(min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS))
 
 
+def _backlog_ms(
+    gw: gateway_state.Gateway,
+    announcement: presence.Announcement,
+    now_ms: int,
+) -> float:
+    """Return the time in which an upstream reads its unread prompts."""
+    load = sharing.total_load(gw.loads, announcement.upstream_id, now_ms)
+    return sum(load.unread_tokens) * engine_speeds.ms_per_token(
+        gw.speeds, announcement, now_ms
+    )
+
+
 def pause_details(
     gw: gateway_state.Gateway, call: calls.Call, now_ms: int
 ) -> dict:
--- a/bilberryramp/decisions/fleet/routing/scheduling.py
+++ b/bilberryramp/decisions/fleet/routing/scheduling.py
@@ -21,6 +21,7 @@
     presence,
     sharing,
 )
+from bilberryramp.decisions.fleet.routing import engine_speeds
 
 __all__ = [
     "EngineChoice",
@@ -28,7 +29,6 @@
     "pick_engine",
     "pick_plain",
     "queue_sort_key",
-    "record_first_token_time",
     "required_memory_tokens",
     "should_dispatch",
     "should_keep_waiting",
@@ -44,15 +44,6 @@
 # time for.
 CROSS_DOMAIN_COST_TOKENS = 2500
 CROSS_DOMAIN_COST_FILL = 0.3
-# Time to read a prompt token before any measurement (the data sheet states
-# 38.7 tokens per millisecond), and bounds of the measured values.
-DEFAULT_MS_PER_TOKEN = 1 / 38.7
-MIN_MS_PER_TOKEN = DEFAULT_MS_PER_TOKEN / 4
-MAX_MS_PER_TOKEN = DEFAULT_MS_PER_TOKEN * 4
-# Weight of the latest sample in the moving average of the time per token, and
-# the minimum work of a call from which that time can be measured.
-SMOOTHING_FACTOR = 0.1
-MIN_SAMPLE_TOKENS = 1500
 # Time reserved for the network path to the engine and back.
 ROUND_TRIP_MARGIN_MS = 60
 # A call that can wait for less than this and still meet its latency objective
@@ -172,38 +163,12 @@
     return ahead_tokens + own_tokens + TOKENS_PER_RUNNING_CALL * load.calls
 
 
-def record_first_token_time(
-    ms_per_token: dict[str, float], model: str, work_tokens: int, took_ms: int
-) -> None:
-    """Update the time per token of a model from a measured call.
-
-    Parameters
-    ----------
-    ms_per_token
-        Milliseconds per token of work, by model. Modified in place.
-    model
-        Name of the model.
-    work_tokens
-        Work of the call, as returned by `first_token_work_tokens`. Small
-        values are ignored.
-    took_ms
-        Time from the send to the first token in milliseconds.
-    """
-    if work_tokens < MIN_SAMPLE_TOKENS:
-        return
-    sample = min(
-        max(took_ms / work_tokens, MIN_MS_PER_TOKEN), MAX_MS_PER_TOKEN
-    )
-    previous = ms_per_token.get(model, DEFAULT_MS_PER_TOKEN)
-    ms_per_token[model] = previous + SMOOTHING_FACTOR * (sample - previous)
-
-
 def pick_engine(
     prompt: calls.Prompt,
     engine: documents.EngineSpec,
     candidates: Iterable[presence.Upstream],
     loads: sharing.Loads,
-    ms_per_token: dict[str, float],
+    speeds: engine_speeds.Speeds,
     failure_domain: str,
     urgency: int,
     now_ms: int,
@@ -220,8 +185,8 @@
         Engines that hold the model and adapter.
     loads
         Known loads of this gateway and of its peers.
-    ms_per_token
-        Milliseconds per token of work, by model.
+    speeds
+        Measured reading speeds of the engines.
     failure_domain
         Failure domain of this gateway. Engines in it are preferred, because
         traffic between failure domains is charged.
@@ -236,7 +201,10 @@
         None if no engine has a free slot and enough memory.
     """
     best_choice, lowest_cost = None, math.inf
-    model_ms_per_token = ms_per_token.get(prompt.model, DEFAULT_MS_PER_TOKEN)
+    cross_domain_cost_ms = (
+        CROSS_DOMAIN_COST_TOKENS
+        * engine_speeds.typical_ms_per_token(speeds, now_ms)
+    )
     required_tokens = required_memory_tokens(prompt)
     for upstream in candidates:
         upstream_id = upstream.announcement.upstream_id
@@ -254,12 +222,11 @@
         work_tokens = first_token_work_tokens(
             load, prompt, cached_tokens, urgency
         )
-        is_same_domain = upstream.announcement.failure_domain == failure_domain
-        cost = (
-            work_tokens
-            if is_same_domain
-            else work_tokens + CROSS_DOMAIN_COST_TOKENS
+        estimate_ms = work_tokens * engine_speeds.ms_per_token(
+            speeds, upstream.announcement, now_ms
         )
+        is_same_domain = upstream.announcement.failure_domain == failure_domain
+        cost = estimate_ms + (0 if is_same_domain else cross_domain_cost_ms)
         if cost < lowest_cost:
             lowest_cost = cost
             best_choice = EngineChoice(
@@ -267,7 +234,7 @@
                 cached_tokens,
                 work_tokens,
                 sum(load.unread_tokens),
-                work_tokens * model_ms_per_token,
+                estimate_ms,
             )
     return best_choice
 
