Send urgent load reports at once in large fleets

Cause: the limit on messages was a minimum interval between two reports. With 19 peers, a long prompt was reported up to 158 ms after any other report, so gateways sent long prompts to the same engine in the meantime and its streams paused.

Change: the limit is one on the long run. What it leaves unused for up to a second lets urgent reports go at once; other reports leave half of that.

The test of a large fleet failed on the code before; that of the limit in the long run guards the change.

--- a/bilberryramp/decisions/fleet/core/sharing.py
+++ b/bilberryramp/decisions/fleet/core/sharing.py
@@ -54,8 +54,13 @@
 IDLE_REPORT_INTERVAL_MS = 900
 # Interval of reports that list all upstreams, for peers that missed reports.
 FULL_REPORT_INTERVAL_MS = 900
-# Limit on the messages with which one gateway reports to one audience.
+# Limit on the messages with which one gateway reports to one audience. What
+# it has not used for up to MAX_CREDIT_MS it may use at once, so that a report
+# that is urgent doesn't wait behind one that was not; other reports leave the
+# reserve for urgent ones.
 MAX_MESSAGES_PER_S = 120
+MAX_CREDIT_MS = 1000
+URGENT_RESERVE_MS = 500
 # Minimum size of a long prompt: half of what an engine reads in one step (4096
 # tokens, data sheet).
 LONG_PROMPT_TOKENS = 2048
@@ -205,7 +210,10 @@
     Attributes
     ----------
     min_interval_ms
-        Minimum interval between two reports.
+        Minimum interval between two reports in the long run.
+    credit_ms, credited_ms
+        Time that may be spent on reports, each of which costs
+        `min_interval_ms`, and when it was last computed.
     unreported_prompts
         Prompts sent since the last report.
     unreported_demand
@@ -223,6 +231,8 @@
     """
 
     min_interval_ms: int = URGENT_REPORT_INTERVAL_MS
+    credit_ms: int = 0
+    credited_ms: int = -MAX_CREDIT_MS
     unreported_prompts: list[prefix_cache.SentPrompt] = dataclasses.field(
         default_factory=list
     )
@@ -619,14 +629,26 @@
         None when no report is due yet.
     """
     outbox = loads.outboxes[audience]
+    cost_ms = outbox.min_interval_ms
+    max_credit_ms = max(MAX_CREDIT_MS, cost_ms)
+    reserve_ms = 0
     if outbox.is_report_urgent:
         interval_ms = URGENT_REPORT_INTERVAL_MS
     elif outbox.changed_upstreams or outbox.unreported_demand:
         interval_ms = CHANGED_REPORT_INTERVAL_MS
+        reserve_ms = min(URGENT_RESERVE_MS, max_credit_ms - cost_ms)
     else:
         interval_ms = IDLE_REPORT_INTERVAL_MS
-    if now_ms - outbox.reported_ms < max(interval_ms, outbox.min_interval_ms):
+    outbox.credit_ms = min(
+        outbox.credit_ms + now_ms - outbox.credited_ms, max_credit_ms
+    )
+    outbox.credited_ms = now_ms
+    if (
+        now_ms - outbox.reported_ms < interval_ms
+        or outbox.credit_ms < cost_ms + reserve_ms
+    ):
         return None
+    outbox.credit_ms -= cost_ms
     is_whole = now_ms - outbox.full_report_ms >= FULL_REPORT_INTERVAL_MS
     report = Report(
         sender,
--- a/bilberryramp/decisions/fleet/tests/test_sharing.py
+++ b/bilberryramp/decisions/fleet/tests/test_sharing.py
@@ -84,6 +84,25 @@
         self.assertIsNone(self.report(5020))
         self.assertIsNotNone(self.report(5200))
 
+    def test_long_prompt_is_reported_at_once_in_a_large_fleet(self):
+        """Reports every 158 ms let two gateways send to one engine."""
+        sharing.set_audience_size(self.loads, sharing.Audience.NEAR, 19)
+        self.add_call("u1", 400)
+        self.assertIsNotNone(self.report(7000))
+        self.add_call("u1", 9000)
+        self.assertIsNotNone(self.report(7020))
+
+    def test_reports_do_not_exceed_their_limit_in_the_long_run(self):
+        sharing.set_audience_size(self.loads, sharing.Audience.NEAR, 19)
+        count = 0
+        for now_ms in range(6000, 16_000, 5):
+            self.add_call("u1", 9000)
+            count += self.report(now_ms) is not None
+        burst = sharing.MAX_CREDIT_MS * sharing.MAX_MESSAGES_PER_S / 1000
+        limit = 10 * sharing.MAX_MESSAGES_PER_S + burst
+        self.assertLess(19 * count, limit + 19)
+        self.assertGreater(19 * count, 0.9 * limit)
+
     def test_incremental_report_keeps_other_rows(self):
         self.add_call("u1", 9000)
         self.report(5020)
