Send long prompts where or when streams keep their pauses

Cause: no decision knew how long a stream may pause. An engine that reads prompts without a break makes an event of its streams take several pieces and steps; a route's objective for pauses was decoded, but not used.

Change: routing/stream_gaps.py predicts the next event's delay at an engine from its unread prompts, those read just before, its measured speed and the stride of the document. If the best engine would break the tightest objective of the service, the cheapest one that keeps it is chosen; otherwise a long prompt waits within its own objective, and one that is late already until shortly before it would be refused. Predictions are logged with the measured pauses, and both are metrics.

--- a/bilberryramp/decisions/fleet/core/calls.py
+++ b/bilberryramp/decisions/fleet/core/calls.py
@@ -202,6 +202,9 @@
     reserved_tokens, unread_tokens, urgency_level
         Load of the current attempt at its upstream: tokens of memory, prompt
         tokens not yet read, and index of the urgency level.
+    predicted_gap_ms
+        Longest pause between events that was predicted when the current
+        attempt was sent, in milliseconds; 0 without an objective for pauses.
     sent_ms
         When the current attempt was sent.
     answer_started_ms
@@ -254,6 +257,7 @@
     reserved_tokens: int = 0
     unread_tokens: int = 0
     urgency_level: int = 0
+    predicted_gap_ms: int = 0
     sent_ms: int = 0
     answer_started_ms: int = -1
     may_have_arrived: bool = False
--- a/bilberryramp/decisions/fleet/core/documents.py
+++ b/bilberryramp/decisions/fleet/core/documents.py
@@ -127,6 +127,8 @@
         Rate limit of the weight store in loads per second, over all engines.
     models
         Models that the engine can load, by name.
+    stride
+        Tokens that one event of a stream holds.
     """
 
     slots: int
@@ -135,6 +137,7 @@
     adapter_slots: int
     loads_per_s: float
     models: dict[str, ModelSpec]
+    stride: int = 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/core/sharing.py
+++ b/bilberryramp/decisions/fleet/core/sharing.py
@@ -500,7 +500,7 @@
 
 def apply_report(
     loads: Loads, report: Report, cache_capacity_tokens: int, now_ms: int
-) -> None:
+) -> list[tuple[int, int]]:
     """Update loads and prefix caches from the report of a peer.
 
     Parameters
@@ -513,6 +513,12 @@
         Capacity of an engine's prefix cache in tokens.
     now_ms
         Current time in milliseconds.
+
+    Returns
+    -------
+    list of (int, int)
+        Keys of the engines that have read prompts of the peer since its last
+        report, and the number of tokens.
     """
     peer = loads.peers.get(report.sender)
     if peer is None:
@@ -521,9 +527,14 @@
         _count_rows(loads, peer.rows.values(), 1)
     elif peer.is_counted and report.is_whole:
         _count_rows(loads, peer.rows.values(), -1)
+    known_rows = peer.rows
     if report.is_whole:
         peer.rows = {}
+    read = []
     for row in report.rows:
+        read_tokens = _unread(known_rows.get(row[0], ())) - _unread(row)
+        if read_tokens > 0:
+            read.append((row[0], read_tokens))
         previous = peer.rows.get(row[0])
         if previous is not None:
             _count_row(loads, previous, -1)
@@ -539,6 +550,12 @@
             prefix_cache.SentPrompt(*prompt_fields),
             cache_capacity_tokens,
         )
+    return read
+
+
+def _unread(row: tuple[int, ...]) -> int:
+    """Return the unread tokens of a row of a report."""
+    return sum(row[3:ROW_ADAPTERS_START])
 
 
 def record_sent_prompt(
--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -239,6 +239,9 @@
         gw.failure_domain,
         _urgency(call, now_ms),
         now_ms,
+        gw.gap_policies.get(call.service),
+        gw.read_bursts,
+        scheduling.time_to_start_ms(call, now_ms),
     )
 
 
@@ -483,6 +486,7 @@
         call.work_tokens = choice.work_tokens
         call.reserved_tokens = scheduling.required_memory_tokens(prompt)
         call.unread_tokens = max(prompt.tokens_in - choice.cached_tokens, 0)
+        call.predicted_gap_ms = round(choice.gap.predicted_ms)
         call.urgency_level = sharing.urgency_level(_urgency(call, now_ms))
         sharing.record_sent_prompt(
             gw.loads,
@@ -504,6 +508,7 @@
             "heard_ms_ago": now_ms - upstream.heard_ms,
             "cached_tokens": choice.cached_tokens if choice else 0,
             "estimate_ms": round(choice.estimate_ms) if choice else 0,
+            "gap_ms": round(choice.gap.predicted_ms) if choice else 0,
             "waited_ms": now_ms - call.arrived_ms,
             "waited_for": call.wait_reason.value if call.has_waited else "",
             "send": call.send_count,
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -35,6 +35,7 @@
     engine_speeds,
     health,
     scheduling,
+    stream_gaps,
     upstream_pauses,
 )
 
@@ -256,6 +257,7 @@
         return
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
+    gw.gap_policies = stream_gaps.policies(message.doc)
     yield from _serve_queue(gw, now_ms)
 
 
@@ -356,9 +358,11 @@
 def _on_report(
     gw: gateway_state.Gateway, now_ms: int, report: sharing.Report
 ) -> Iterator:
-    sharing.apply_report(
+    read = sharing.apply_report(
         gw.loads, report, gateway_state.cache_capacity_tokens(gw), now_ms
     )
+    for upstream_key, tokens in read:
+        stream_gaps.record_read(gw.read_bursts, upstream_key, tokens, now_ms)
     _record_demand(gw, report, now_ms)
     for sample in report.speeds:
         engine_speeds.record_sample(gw.speeds, sample, now_ms)
@@ -633,6 +637,8 @@
             if call.answer_started_ms >= call.sent_ms
             else -1,
             "longest_gap_ms": message.longest_gap_ms,
+            "predicted_gap_ms": call.predicted_gap_ms,
+            "gap_target_ms": call.route.gap_target_ms,
         },
     )
     if outcome is calls.AttemptOutcome.DELIVERED:
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -8,6 +8,7 @@
     calls,
     documents,
     hosts,
+    keys,
     presence,
     sharing,
 )
@@ -17,6 +18,7 @@
 from bilberryramp.decisions.fleet.routing import (
     engine_speeds,
     health,
+    stream_gaps,
     upstream_pauses,
 )
 from bilberryramp.decisions.shared import charting
@@ -78,6 +80,11 @@
         upstream identifier.
     speeds
         Measured reading speeds of the engines.
+    gap_policies
+        What the streams of the document's services need, by service; only
+        services with an objective for pauses.
+    read_bursts
+        What each engine has read last, by `keys.short_key` of its id.
     demand
         Demand for models and recent uses, as all gateways report them.
     unanswered_since_ms
@@ -121,6 +128,12 @@
     speeds: engine_speeds.Speeds = dataclasses.field(
         default_factory=engine_speeds.Speeds
     )
+    gap_policies: dict[str, stream_gaps.Policy] = dataclasses.field(
+        default_factory=dict
+    )
+    read_bursts: dict[int, stream_gaps.Burst] = dataclasses.field(
+        default_factory=dict
+    )
     demand: placement.Demand = dataclasses.field(
         default_factory=placement.Demand
     )
@@ -254,10 +267,17 @@
     yield from ()
 
 
-def _mark_prompt_read(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+def _mark_prompt_read(call: calls.Call, now_ms: int, gw: Gateway) -> Iterator:
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.unread_tokens[call.urgency_level] -= call.unread_tokens
     sharing.record_load_change(gw.loads, call.upstream_id, call.unread_tokens)
+    if call.unread_tokens:
+        stream_gaps.record_read(
+            gw.read_bursts,
+            keys.short_key(call.upstream_id),
+            call.unread_tokens,
+            now_ms,
+        )
     call.unread_tokens = 0
     yield from ()
 
--- a/bilberryramp/decisions/fleet/routing/scheduling.py
+++ b/bilberryramp/decisions/fleet/routing/scheduling.py
@@ -12,16 +12,18 @@
 
 import dataclasses
 import math
+import operator
 from collections.abc import Iterable
 
 from bilberryramp.decisions.fleet.core import (
     calls,
     documents,
+    keys,
     prefix_cache,
     presence,
     sharing,
 )
-from bilberryramp.decisions.fleet.routing import engine_speeds
+from bilberryramp.decisions.fleet.routing import engine_speeds, stream_gaps
 
 __all__ = [
     "EngineChoice",
@@ -32,6 +34,7 @@
     "required_memory_tokens",
     "should_dispatch",
     "should_keep_waiting",
+    "time_to_start_ms",
     "uncached_work_tokens",
 ]
 
@@ -88,6 +91,10 @@
         Prompt tokens of other calls that it has not read yet.
     estimate_ms
         Estimated time to the first token in milliseconds.
+    cost_ms
+        The estimate with the costs of the engine's failure domain.
+    gap
+        Effect on the streams there.
     """
 
     upstream: presence.Upstream
@@ -95,6 +102,8 @@
     work_tokens: int
     unread_tokens: int
     estimate_ms: float
+    cost_ms: float
+    gap: stream_gaps.Gap
 
 
 def required_memory_tokens(prompt: calls.Prompt) -> int:
@@ -172,6 +181,9 @@
     failure_domain: str,
     urgency: int,
     now_ms: int,
+    policy: stream_gaps.Policy | None,
+    bursts: dict[int, stream_gaps.Burst],
+    time_to_start_ms: float,
 ) -> EngineChoice | None:
     """Return the engine that can start a prompt soonest.
 
@@ -194,13 +206,19 @@
         Rank of the prompt; 0 is the most urgent.
     now_ms
         Current time in milliseconds.
+    policy
+        What the streams of the service need; None if nothing.
+    bursts
+        What engines have read last, by `keys.short_key` of their ids.
+    time_to_start_ms
+        As returned by `time_to_start_ms`.
 
     Returns
     -------
     EngineChoice or None
         None if no engine has a free slot and enough memory.
     """
-    best_choice, lowest_cost = None, math.inf
+    options = []
     cross_domain_cost_ms = (
         CROSS_DOMAIN_COST_TOKENS
         * engine_speeds.typical_ms_per_token(speeds, now_ms)
@@ -219,24 +237,57 @@
         cached_tokens = prefix_cache.cached_tokens(
             loads.caches, upstream_id, prompt.weights, prompt.parts
         )
+        ms_per_token = engine_speeds.ms_per_token(
+            speeds, upstream.announcement, now_ms
+        )
         work_tokens = first_token_work_tokens(
             load, prompt, cached_tokens, urgency
         )
-        estimate_ms = work_tokens * engine_speeds.ms_per_token(
-            speeds, upstream.announcement, now_ms
-        )
+        estimate_ms = work_tokens * ms_per_token
         is_same_domain = upstream.announcement.failure_domain == failure_domain
-        cost = estimate_ms + (0 if is_same_domain else cross_domain_cost_ms)
-        if cost < lowest_cost:
-            lowest_cost = cost
-            best_choice = EngineChoice(
-                upstream,
-                cached_tokens,
-                work_tokens,
-                sum(load.unread_tokens),
-                estimate_ms,
-            )
-    return best_choice
+        gap = stream_gaps.predict(
+            policy,
+            bursts.get(keys.short_key(upstream_id)),
+            load,
+            max(prompt.tokens_in - cached_tokens, 0),
+            ms_per_token,
+            now_ms,
+        )
+        choice = EngineChoice(
+            upstream,
+            cached_tokens,
+            work_tokens,
+            sum(load.unread_tokens),
+            estimate_ms,
+            estimate_ms + (0 if is_same_domain else cross_domain_cost_ms),
+            gap,
+        )
+        options.append(choice)
+    if not options:
+        return None
+    best = min(options, key=operator.attrgetter("cost_ms"))
+    if best.gap.excess_ms > 0:
+        return stream_gaps.prefer(best, options, time_to_start_ms)
+    return best
+
+
+def time_to_start_ms(call: calls.Call, now_ms: int) -> float:
+    """Return the time within which a call must start to be on time.
+
+    Parameters
+    ----------
+    call
+        A waiting call.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    float
+        Time at the engine in milliseconds; negative if the call is late.
+    """
+    remaining_ms = call.route.target_ms - (now_ms - call.arrived_ms)
+    return remaining_ms - ROUND_TRIP_MARGIN_MS
 
 
 def should_dispatch(
@@ -262,10 +313,13 @@
     bool
         False if the call should wait.
     """
-    remaining_ms = call.route.target_ms - (now_ms - call.arrived_ms)
-    slack_ms = remaining_ms - ROUND_TRIP_MARGIN_MS - choice.estimate_ms
+    slack_ms = time_to_start_ms(call, now_ms) - choice.estimate_ms
     if slack_ms >= 0:
         return slack_ms < OUT_OF_TURN_SLACK_MS or _may_read_now(call, choice)
+    if _breaks_gaps(call, choice) and (
+        now_ms - call.arrived_ms < _wait_limit_ms(call) - OUT_OF_TURN_SLACK_MS
+    ):
+        return False
     own_ms = choice.estimate_ms * (
         max(call.request.prompt.tokens_in - choice.cached_tokens, 0)
         / max(choice.work_tokens, 1)
@@ -273,6 +327,16 @@
     return choice.estimate_ms - own_ms <= LATE_CALL_MAX_BACKLOG_MS
 
 
+def _breaks_gaps(call: calls.Call, choice: EngineChoice) -> bool:
+    """Return whether a long prompt makes streams pause that need not."""
+    own_tokens = call.request.prompt.tokens_in - choice.cached_tokens
+    return (
+        choice.gap.excess_ms > 0
+        and choice.gap.is_avoidable
+        and own_tokens >= sharing.LONG_PROMPT_TOKENS
+    )
+
+
 def _may_read_now(call: calls.Call, choice: EngineChoice) -> bool:
     """Return whether an engine should read a prompt now.
 
@@ -282,9 +346,9 @@
     tokens of other prompts are left to read.
     """
     own_tokens = call.request.prompt.tokens_in - choice.cached_tokens
-    return (
-        own_tokens < sharing.LONG_PROMPT_TOKENS
-        or choice.unread_tokens < sharing.LONG_PROMPT_TOKENS
+    is_backlog_short = choice.unread_tokens < sharing.LONG_PROMPT_TOKENS
+    return own_tokens < sharing.LONG_PROMPT_TOKENS or (
+        is_backlog_short and not _breaks_gaps(call, choice)
     )
 
 
@@ -349,12 +413,18 @@
         False if the call should be refused.
     """
     total_ms = call.deadline_ms - call.arrived_ms
-    limit_ms = max(call.route.target_ms, MAX_WAIT_RATIO * total_ms)
+    limit_ms = _wait_limit_ms(call)
     if model_load_ms + LOAD_OVERHEAD_MS <= MAX_LOAD_WAIT_RATIO * total_ms:
         limit_ms = max(limit_ms, model_load_ms + LOAD_OVERHEAD_MS)
     return now_ms - call.arrived_ms < limit_ms
 
 
+def _wait_limit_ms(call: calls.Call) -> float:
+    """Return how long a call waits whose model is loaded."""
+    total_ms = call.deadline_ms - call.arrived_ms
+    return max(call.route.target_ms, MAX_WAIT_RATIO * total_ms)
+
+
 def queue_sort_key(call: calls.Call, now_ms: int) -> tuple:
     """Return the sort key of a waiting call.
 
--- a/bilberryramp/decisions/fleet/tests/engine_driver.py
+++ b/bilberryramp/decisions/fleet/tests/engine_driver.py
@@ -83,8 +83,9 @@
             if at_ms % ANNOUNCE_MS == 0:
                 messages += self._announcements(2 + at_ms // ANNOUNCE_MS)
             for index in range(len(self.gateways)):
+                tick_ms = at_ms + index * TICK_MS // len(self.gateways)
                 for message in messages:
-                    self._at(START_MS + at_ms, self._tell, index, message)
+                    self._at(START_MS + tick_ms, self._tell, index, message)
         while self.events and self.events[0][0] <= START_MS + until_ms:
             self.now_ms, _, act, args = heapq.heappop(self.events)
             act(*args)
--- a/bilberryramp/platform/service_documents.py
+++ b/bilberryramp/platform/service_documents.py
@@ -122,6 +122,7 @@
         adapter_slots=int(raw.get("adapterSlots", 0)),
         loads_per_s=float(raw.get("loadsPerS", 1)),
         models={model.name: model for model in models},
+        stride=max(int(raw.get("stride") or 1), 1),
     )
 
 
--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -738,6 +738,7 @@
     engine = {
         "slots": 8,
         "kvCapacity": 100_000,
+        "stride": 4,
         "models": [
             {
                 "name": "m0",
--- a/bilberryramp/platform/tests/test_platform.py
+++ b/bilberryramp/platform/tests/test_platform.py
@@ -56,6 +56,7 @@
         self.assertTrue(lookup.repeatable)
         self.assertEqual(lookup.max_attempts, 2)
         self.assertEqual(doc.services["svc-llm"].engine.kv_tokens, 100_000)
+        self.assertEqual(doc.services["svc-llm"].engine.stride, 4)
         self.assertIsNone(doc.services["svc-app"].engine)
 
     def test_rejects_invalid_documents(self):
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -502,6 +502,12 @@
             metrics.record_duration(
                 task.task_metrics, f"{name}_{field[:-3]}", seconds
             )
+    for field in ("longest_gap_ms", "predicted_gap_ms"):
+        if fields.get(field):
+            seconds = fields[field] / 1000
+            metrics.record_duration(
+                task.task_metrics, f"{name}_{field[:-3]}", seconds
+            )
 
 
 def render_metrics(task: GatewayTask) -> str:
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -331,7 +331,9 @@
     5104,
     "call.attempt",
     "An attempt to run a request at an upstream ended (`end`). `parts` names "
-    "the parts of its prompt that other requests may share.",
+    "the parts of its prompt that other requests may share. "
+    "`longest_gap_ms` is the longest pause of its stream, `predicted_gap_ms` "
+    "what was predicted when it was sent, and `gap_target_ms` the objective.",
 )
 CALL_REFUSED = _declare(
     5105,
