Move requests out of the module of client connections

client_connections had 525 lines for two jobs: what a connection is doing and how it is closed, and how a request on it is read and answered. The second is now client_requests. No behaviour changes; test_connection_close and test_endless_answers pass.

--- a/bilberryramp/programs/launch.py
+++ b/bilberryramp/programs/launch.py
@@ -16,7 +16,11 @@
 from bilberryramp.charts import loader
 from bilberryramp.decisions.shared import charting, errors, shutdown
 from bilberryramp.settings import reader, schema
-from bilberryramp.tasks import client_connections, connection_drain
+from bilberryramp.tasks import (
+    client_connections,
+    client_requests,
+    connection_drain,
+)
 from bilberryramp.telemetry import events, metrics, tracing
 
 __all__ = [
@@ -166,8 +170,8 @@
 @web.middleware
 async def _serve_to_end(request: web.Request, handler) -> web.StreamResponse:
     arrivals_ms = request.protocol.arrivals_ms
-    request[client_connections.ARRIVED_MS] = arrivals_ms.popleft()
-    return await client_connections.serve(request, handler)
+    request[client_requests.ARRIVED_MS] = arrivals_ms.popleft()
+    return await client_requests.serve(request, handler)
 
 
 def new_stop(
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -14,7 +14,7 @@
 from bilberryramp.decisions.shared import errors, tables, views
 from bilberryramp.settings import schema
 from bilberryramp.tasks import (
-    client_connections,
+    client_requests,
     clock,
     entry_router,
     http_requests,
@@ -209,7 +209,7 @@
         for effect in await mailbox.receive_all(reply_mailbox):
             if isinstance(effect, entry_messages.ReplyHead):
                 response = _start_response(effect, request_id)
-                client_connections.mark_last(request, response)
+                client_requests.mark_last(request, response)
                 await response.prepare(request)
             elif isinstance(effect, entry_messages.ReplyChunk):
                 await _write_chunk(cfg, inbox, response, effect)
@@ -257,15 +257,15 @@
 
 async def _read_body(request: web.Request) -> result.Result:
     try:
-        body = await client_connections.read_body(request, web.Request.read)
-    except client_connections.ReadingEndedError:
+        body = await client_requests.read_body(request, web.Request.read)
+    except client_requests.ReadingEndedError:
         return _refuse_at_stop(request)
     except web.HTTPRequestEntityTooLarge:
         code = errors.FailureCode.BODY_TOO_LARGE
         return _invalid_request(
             "the body is larger than this entry accepts", code
         )
-    if client_connections.began_in_drain(request):
+    if client_requests.began_in_drain(request):
         return _refuse_at_stop(request)
     return result.Success(body)
 
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -14,6 +14,7 @@
 from bilberryramp.decisions.shared import stream_progress
 from bilberryramp.tasks import (
     client_connections,
+    client_requests,
     clock,
     gateway_task,
     http_requests,
@@ -114,7 +115,7 @@
         lambda: _limits(front).body_bytes
     )
     idle_s = documents.CallLimits().idle_timeout_ms / 1000 + IDLE_SLACK_S
-    front.listener = client_connections.make_server(
+    front.listener = client_requests.make_server(
         "clients",
         serve,
         make_request,
@@ -170,12 +171,12 @@
         Complete response, or a truncated one whose connection was closed.
     """
     try:
-        body, fingerprint = await client_connections.read_body(
+        body, fingerprint = await client_requests.read_body(
             request, http_requests.read_fingerprinted
         )
     except web.HTTPRequestEntityTooLarge:
         return _error_response(413, "the body exceeds the limit", 0)
-    except client_connections.ReadingEndedError:
+    except client_requests.ReadingEndedError:
         return _error_response(
             _REFUSED_STATUS, calls.Refusal.STOPPING.value, 0
         )
@@ -194,7 +195,7 @@
         )
     fut = gateway_task.next_decision(task, call_id)
     arrived = calls.CallArrived(
-        call_id, req, request[client_connections.ARRIVED_MS]
+        call_id, req, request[client_requests.ARRIVED_MS]
     )
     mailbox.post_now(task.inbox, arrived)
     try:
@@ -214,7 +215,7 @@
     if front.listener.phase != "draining":
         return False
     left_s = front.stop_by_s - asyncio.get_running_loop().time()
-    return client_connections.began_in_drain(request) or left_s < MIN_SERVE_S
+    return client_requests.began_in_drain(request) or left_s < MIN_SERVE_S
 
 
 async def _run_attempts(
@@ -457,7 +458,7 @@
     response = _stream_response(
         attempt.front, exchange.resp.status, exchange.resp.raw_headers
     )
-    client_connections.mark_last(attempt.request, response)
+    client_requests.mark_last(attempt.request, response)
     attempt.response = response
     await response.prepare(attempt.request)
     loop = asyncio.get_running_loop()
--- a/bilberryramp/tasks/fleet_operator.py
+++ b/bilberryramp/tasks/fleet_operator.py
@@ -16,6 +16,7 @@
 from bilberryramp.decisions.fleet.register import operator_calls, register
 from bilberryramp.tasks import (
     client_connections,
+    client_requests,
     clock,
     gateway_task,
     http_requests,
@@ -76,10 +77,10 @@
 
     async def serve(request: web.BaseRequest) -> web.Response:
         try:
-            body = await client_connections.read_body(
+            body = await client_requests.read_body(
                 request, web.BaseRequest.read
             )
-        except client_connections.ReadingEndedError:
+        except client_requests.ReadingEndedError:
             return _message_response(503, "the node is stopping")
         if f"{request.path}/".startswith(f"{QUARANTINE_PATH}/"):
             return _serve_quarantine(api, request)
@@ -106,7 +107,7 @@
         return _message_response(404, "no such call")
 
     make_request = http_requests.make_factory(lambda: MAX_BODY_BYTES)
-    listener = client_connections.make_server(
+    listener = client_requests.make_server(
         "operators", serve, make_request, access_log=None
     )
     # Other nodes redirect operators to the leader until it has gone.
--- a/bilberryramp/tasks/http_requests.py
+++ b/bilberryramp/tasks/http_requests.py
@@ -27,7 +27,7 @@
 async def accept_expectation(_request: web.Request) -> None:
     """Let the reading of a request's body answer its expectation.
 
-    The header ``Expect`` is answered by `client_connections.read_body`. Other
+    The header ``Expect`` is answered by `client_requests.read_body`. Other
     expectations than ``100-continue`` are ignored, as RFC 9110 permits. The
     library would refuse them beside the application's middlewares.
     """
--- a/bilberryramp/tasks/operator_api.py
+++ b/bilberryramp/tasks/operator_api.py
@@ -10,7 +10,7 @@
 from bilberryramp.decisions.shared import commands, tables, views
 from bilberryramp.decisions.upstream import ledger
 from bilberryramp.tasks import (
-    client_connections,
+    client_requests,
     control_node,
     http_requests,
     mailbox,
@@ -232,9 +232,9 @@
 
 async def _submit(run_command, request: web.Request) -> web.Response:
     try:
-        data = await client_connections.read_body(request, web.Request.read)
+        data = await client_requests.read_body(request, web.Request.read)
         body = msgspec.json.decode(data, type=SubmitRequest)
-    except client_connections.ReadingEndedError:
+    except client_requests.ReadingEndedError:
         return _submit_reply(_STOPPED)
     except msgspec.DecodeError as exc:
         return _json_response(ErrorReply(str(exc)), 400)
