Count what a node holds for its clients, and bound it

Nobody counted the bytes held for clients, and a body that stalled had no time-out: 400 connections with legal bodies took a node from 55 to over 540 MB.

Each listener of a node has a ledger of bytes by connection and kind. Memory for a body is asked for before it is read: at once for a stated length, as it grows otherwise. What does not fit waits for 0.7 s and is then refused with 503 and Retry-After, before it was read. While memory or descriptors run short, connections that make no progress are ended, never one whose request is being answered. Stalled bodies and heads get 408. Reading stops behind the current request, and the kernel's buffers of accepted connections are bounded.

--- a/bilberryramp/platform/exchanges.py
+++ b/bilberryramp/platform/exchanges.py
@@ -9,6 +9,7 @@
     "REQUEST_ID_HEADER",
     "RunState",
     "client_answer_headers",
+    "client_timeout_ms",
     "deadline_header",
     "denies_run",
     "upstream_request_headers",
@@ -107,12 +108,28 @@
         request_id=headers.get(REQUEST_ID_HEADER, ""),
         host=host.partition(":")[0],
         path=path,
-        client_timeout_ms=_int_or_default(headers.get(_DEADLINE_HEADER), -1),
+        client_timeout_ms=client_timeout_ms(headers),
         prompt=_decode_prompt(headers),
         fingerprint=fingerprint,
     )
 
 
+def client_timeout_ms(headers) -> int:
+    """Return the time that a client allows, in milliseconds.
+
+    Parameters
+    ----------
+    headers
+        Case-insensitive mapping of the headers.
+
+    Returns
+    -------
+    int
+        Time from when it sent the request; -1 if it is missing or invalid.
+    """
+    return _int_or_default(headers.get(_DEADLINE_HEADER), -1)
+
+
 def _decode_prompt(headers) -> calls.Prompt | None:
     name = _replace_surrogates(headers.get(_MODEL_HEADER, ""))
     if not name:
--- a/bilberryramp/programs/launch.py
+++ b/bilberryramp/programs/launch.py
@@ -18,6 +18,7 @@
 from bilberryramp.settings import reader, schema
 from bilberryramp.tasks import (
     client_connections,
+    client_holdings,
     client_requests,
     connection_drain,
 )
@@ -169,8 +170,9 @@
 
 @web.middleware
 async def _serve_to_end(request: web.Request, handler) -> web.StreamResponse:
-    arrivals_ms = request.protocol.arrivals_ms
-    request[client_requests.ARRIVED_MS] = arrivals_ms.popleft()
+    request[client_requests.ARRIVED_MS] = client_holdings.begin_request(
+        request.protocol
+    )
     return await client_requests.serve(request, handler)
 
 
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -29,11 +29,12 @@
     service_documents,
 )
 from bilberryramp.platform import settings as platform_settings
-from bilberryramp.programs import fleet_launch
+from bilberryramp.programs import client_guards, fleet_launch
 from bilberryramp.settings import fleet
 from bilberryramp.storage import slots
 from bilberryramp.tasks import (
     client_connections,
+    client_guard,
     clock,
     connection_drain,
     fleet_frontend,
@@ -143,6 +144,8 @@
         until the process ends.
     listeners
         Listeners for operators and clients, which a stopping node closes.
+    guards
+        Bounds on what the clients of each listener may hold.
     stop_requested
         Set on SIGTERM or SIGINT.
     was_ready
@@ -160,6 +163,7 @@
     suspects: suspect_store.SuspectStore | None = None
     servers: list = dataclasses.field(default_factory=list)
     listeners: list = dataclasses.field(default_factory=list)
+    guards: list[client_guard.Guard] = dataclasses.field(default_factory=list)
     stop_requested: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
@@ -210,6 +214,9 @@
         tasks.append(asyncio.create_task(suspect_store.run(proc.suspects)))
     _handle_signals(proc)
     await _listen(proc)
+    tasks += [
+        asyncio.create_task(client_guard.run(guard)) for guard in proc.guards
+    ]
     node = proc.register.node
     events.emit(
         events.STARTED,
@@ -446,45 +453,59 @@
     api = fleet_operator.OperatorApi(
         proc.register, proc.gateway, operator_calls
     )
-    loop = asyncio.get_running_loop()
-    await _listen_for_metrics(proc, loop)
+    await _listen_for_metrics(proc)
     if cfg.readiness_address:
-        factory = fleet_operator.make_readiness_server(lambda: _is_ready(proc))
-        proc.servers.append(
-            await _create_server(loop, cfg.readiness_address, factory)
+        listener = fleet_operator.make_readiness_server(
+            lambda: _is_ready(proc)
         )
+        await _open_listener(proc, cfg.readiness_address, listener)
+        proc.servers.append(listener.server)
     for address, listener in (
         (cfg.operator_address, fleet_operator.make_server(api)),
         (cfg.client_address, fleet_frontend.make_server(proc.frontend)),
     ):
         if address:
-            factory = client_connections.protocol_factory(listener)
-            listener.server = await _create_server(loop, address, factory)
+            await _open_listener(proc, address, listener)
             proc.listeners.append(listener)
 
 
-async def _create_server(loop, address: str, factory) -> asyncio.Server:
+async def _open_listener(
+    proc: NodeProcess, address: str, listener: client_connections.Listener
+) -> None:
+    """Open the socket of a listener, with bounds on what clients may hold."""
+    guard = client_guards.guard(
+        listener, proc.cfg, proc.register, proc.gateway
+    )
     host, _, port = address.rpartition(":")
-    return await loop.create_server(
-        factory, host, int(port), backlog=LISTEN_BACKLOG
+    listener.server = await asyncio.get_running_loop().create_server(
+        client_connections.protocol_factory(listener),
+        host,
+        int(port),
+        backlog=LISTEN_BACKLOG,
     )
+    client_guard.bound_buffers(listener.server.sockets)
+    proc.guards.append(guard)
 
 
-async def _listen_for_metrics(proc: NodeProcess, loop) -> None:
+async def _listen_for_metrics(proc: NodeProcess) -> None:
     """Serve the metrics unless their port is 0."""
     port = METRICS_PORT_FLAG.value
     if not port:
         return
-    factory = fleet_operator.make_metrics_server(
-        lambda: gateway_task.render_metrics(proc.gateway)
-    )
+    listener = fleet_operator.make_metrics_server(lambda: _metrics(proc))
     try:
-        server = await loop.create_server(factory, proc.cfg.ip, port)
+        await _open_listener(proc, f"{proc.cfg.ip}:{port}", listener)
     except OSError as exc:
         # A node that cannot serve its metrics still serves requests.
         events.emit(events.METRICS_UNAVAILABLE, reason=str(exc))
         return
-    proc.servers.append(server)
+    proc.servers.append(listener.server)
+
+
+def _metrics(proc: NodeProcess) -> str:
+    for guard in proc.guards:
+        client_guard.set_gauges(guard)
+    return gateway_task.render_metrics(proc.gateway)
 
 
 def _is_ready(proc: NodeProcess) -> bool:
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -14,8 +14,8 @@
 
 from aiohttp import web
 
-from bilberryramp.decisions.shared import connection_stop
-from bilberryramp.tasks import clock, lingering_transport
+from bilberryramp.decisions.shared import client_memory, connection_stop
+from bilberryramp.tasks import client_holdings, clock, lingering_transport
 
 __all__ = [
     "ConnectionEnd",
@@ -24,7 +24,9 @@
     "connections",
     "end_reading",
     "new_listener",
+    "open_connections",
     "protocol_factory",
+    "state_of",
     "stop_accepting",
 ]
 
@@ -95,6 +97,12 @@
     on_end
         Called with a `ConnectionEnd` for each connection that ends while the
         process is stopping.
+    ledger
+        What is held for its connections; None if that is not bounded.
+    max_head_bytes
+        Bytes of a head from which no more are read, if there is a ledger.
+    make_room
+        Called when a connection can not be accepted; may close others.
     """
 
     name: str
@@ -105,6 +113,9 @@
     phase: str = "running"
     drained_ms: float = math.inf
     on_end: Callable = lambda _end: None
+    ledger: client_memory.Ledger | None = None
+    max_head_bytes: float = math.inf
+    make_room: Callable[[], None] = lambda: None
 
 
 class _Connection(web.RequestHandler):
@@ -138,22 +149,38 @@
         Body of the last request that was handled; None if there is none.
     end_reason
         Why this process ended the connection; None if it did not.
+    holding
+        What is held for the connection; None if that is not counted.
+    grant
+        Future that ends when the connection gets memory for which it waits.
+    head_began_ms
+        Time since boot at which the head that is being read began, in
+        milliseconds.
+    acked_bytes, unread_since_ms
+        Number of bytes that the client had received at the last review, and
+        time since which it has received none of those that were written, in
+        milliseconds; infinite if it has all.
     """
 
     __slots__ = (
         "accepted_ms",
+        "acked_bytes",
         "arrivals_ms",
         "begun_count",
         "current",
         "end_reason",
         "ended_count",
+        "grant",
         "has_partial_head",
+        "head_began_ms",
+        "holding",
         "last_body",
         "last_read_ms",
         "link",
         "listener",
         "read_bytes",
         "reading",
+        "unread_since_ms",
         "written_before",
     )
 
@@ -167,11 +194,23 @@
         self.begun_count = self.ended_count = 0
         self.has_partial_head = False
         self.reading = self.current = self.last_body = None
-        self.end_reason = None
+        self.end_reason = self.holding = self.grant = None
+        self.head_began_ms = self.unread_since_ms = math.inf
+        self.acked_bytes = 0
 
     def connection_made(self, transport) -> None:
-        """Wrap the transport of a new connection."""
-        self.link = lingering_transport.Transport(transport)
+        """Wrap the transport of a new connection, if it may be open."""
+        ledger = self.listener.ledger
+        if ledger is not None:
+            if not client_memory.may_open(ledger):
+                self.listener.make_room()
+            if not client_memory.may_open(ledger):
+                transport.abort()
+                return
+            self.holding = client_memory.open_holding(ledger, self)
+        self.link = lingering_transport.Transport(
+            transport, lambda: client_holdings.note_unsent(self)
+        )
         super().connection_made(self.link)
 
     def data_received(self, data: bytes) -> None:
@@ -192,12 +231,22 @@
             self.has_partial_head = False
         # The library calls this method without bytes when it reads on.
         elif is_between and data:
+            if not self.has_partial_head:
+                self.head_began_ms = self.last_read_ms
             self.has_partial_head = True
+        if self.holding is not None and data:
+            client_holdings.charge_input(self, len(data))
+
+    def resume_writing(self) -> None:
+        """Note that the client has read, and write on."""
+        client_holdings.note_unsent(self)
+        super().resume_writing()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report the end of the connection if the process is stopping."""
-        if self.listener.phase != "running":
+        if self.listener.phase != "running" and self.link is not None:
             self.listener.on_end(_describe_end(self))
+        client_holdings.forget(self)
         super().connection_lost(exc)
 
 
@@ -221,7 +270,7 @@
     return ConnectionEnd(
         conn.listener.name,
         conn.listener.phase,
-        _state_of(conn),
+        state_of(conn),
         _end_reason(conn),
         conn.read_bytes,
         conn.link.written_bytes - conn.written_before,
@@ -239,7 +288,8 @@
     return connection_stop.Reason.CLIENT
 
 
-def _state_of(conn: _Connection) -> connection_stop.State:
+def state_of(conn: _Connection) -> connection_stop.State:
+    """Return what a connection is doing."""
     if conn.link.is_closed:
         return _State.CLOSING
     if conn.begun_count > conn.ended_count:
@@ -250,10 +300,7 @@
         return _State.ANSWERED_EARLY
     if conn.has_partial_head:
         return _State.READING_HEAD
-    if (
-        conn.link.inner.get_write_buffer_size()
-        or lingering_transport.has_unsent_bytes(conn.link)
-    ):
+    if lingering_transport.has_unsent_bytes(conn.link):
         return _State.ANSWERING
     if not conn.begun_count:
         age_ms = clock.boot_ms() - conn.accepted_ms
@@ -316,11 +363,17 @@
 
 def connections(listener: Listener) -> Iterator[connection_stop.Connection]:
     """Yield what each connection of a listener is doing."""
+    for conn in open_connections(listener):
+        yield connection_stop.Connection(
+            conn, state_of(conn), conn.last_read_ms
+        )
+
+
+def open_connections(listener: Listener) -> Iterator[_Connection]:
+    """Yield the connections of a listener."""
     for conn in listener.manager.connections:
         if conn.link is not None:
-            yield connection_stop.Connection(
-                conn, _state_of(conn), conn.last_read_ms
-            )
+            yield conn
 
 
 def end_reading(conn: _Connection, reason: connection_stop.Reason) -> None:
--- a/bilberryramp/tasks/client_requests.py
+++ b/bilberryramp/tasks/client_requests.py
@@ -2,21 +2,26 @@
 
 import asyncio
 import contextlib
+import enum
 from collections.abc import Awaitable, Callable
 
 import aiohttp
 from aiohttp import hdrs, web
 
-from bilberryramp.tasks import client_connections
+from bilberryramp.decisions.shared import client_memory
+from bilberryramp.tasks import client_connections, client_holdings
 
 __all__ = [
     "ARRIVED_MS",
+    "ReadingEnd",
     "ReadingEndedError",
     "began_in_drain",
     "is_last",
+    "keep",
     "make_server",
     "mark_last",
     "read_body",
+    "release_body",
     "serve",
 ]
 
@@ -24,8 +29,36 @@
 ARRIVED_MS = web.RequestKey("arrived_ms", int)
 
 
+# Time for which a request waits for memory before it is refused.
+WAIT_S = 0.7
+# Memory for a byte of a body: it is kept for retries, and copied to be sent.
+BODY_COPIES = 2
+_Kind, _Reply = client_memory.Kind, client_memory.Reply
+
+
+class ReadingEnd(enum.Enum):
+    """Why a request is not read to its end."""
+
+    STOPPING = "stopping"
+    """The process stops."""
+    TIMEOUT = "timeout"
+    """The body stalls, or its time is over."""
+    MEMORY = "memory"
+    """There is no memory for it."""
+
+
 class ReadingEndedError(Exception):
-    """A stopping process reads no more of a request's body."""
+    """The rest of a request's body is not read.
+
+    Attributes
+    ----------
+    cause
+        Why.
+    """
+
+    def __init__(self, cause: ReadingEnd):
+        super().__init__(cause.value)
+        self.cause = cause
 
 
 def make_server(
@@ -58,7 +91,7 @@
 
     def make_timed(message, payload, protocol, writer, task):
         request = make_request(message, payload, protocol, writer, task)
-        request[ARRIVED_MS] = protocol.arrivals_ms.popleft()
+        request[ARRIVED_MS] = client_holdings.begin_request(protocol)
         return request
 
     async def handle_to_end(request: web.BaseRequest) -> web.StreamResponse:
@@ -101,22 +134,27 @@
             await response.write_eof()
         return response
     finally:
-        conn.current = None
-        conn.last_body = request.content
-        conn.ended_count += 1
+        client_holdings.end_request(conn, request)
 
 
 async def read_body(
-    request: web.BaseRequest, read: Callable[[web.BaseRequest], Awaitable]
+    request: web.BaseRequest,
+    read: Callable[[web.BaseRequest], Awaitable],
+    until_s: float | None = None,
 ):
-    """Read the body of a request, unless a planned stop ends the reading.
+    """Read the body of a request, unless the reading is ended.
+
+    Memory for a body of a stated length is asked for before it is read.
 
     Parameters
     ----------
     request
         Request on a connection of a `client_connections.Listener`.
     read
-        Coroutine function that takes the request and reads its body.
+        Coroutine function that takes the request and reads its body. It asks
+        for the memory of a body without a length, see `keep`.
+    until_s
+        Time of the event loop until which the body is read; None for no end.
 
     Returns
     -------
@@ -126,21 +164,86 @@
     Raises
     ------
     ReadingEndedError
-        When the process stops, and reads no more of the body.
+        When the body is not read to its end.
+    aiohttp.web.HTTPRequestEntityTooLarge
+        When the stated length exceeds the limit, if memory is bounded.
     """
     conn = request.protocol
-    timeout = asyncio.timeout(None)
+    timeout = asyncio.timeout_at(until_s)
     try:
         async with timeout:
             conn.reading = timeout
+            if conn.listener.ledger is not None:
+                await _keep_stated(request)
             _ask_for_body(request)
             return await read(request)
     except TimeoutError:
-        raise ReadingEndedError from None
+        raise ReadingEndedError(_cause_of(conn)) from None
     finally:
         conn.reading = None
 
 
+def _cause_of(conn) -> ReadingEnd:
+    if conn.end_reason is None or conn.listener.phase == "running":
+        return ReadingEnd.TIMEOUT
+    return ReadingEnd.STOPPING
+
+
+async def _keep_stated(request: web.BaseRequest) -> None:
+    """Ask for the memory of a body whose length is stated."""
+    stated_bytes = request.content_length or 0
+    if stated_bytes > request.client_max_size:
+        raise web.HTTPRequestEntityTooLarge(request.client_max_size)
+    await keep(request, stated_bytes)
+
+
+async def keep(request: web.BaseRequest, n_bytes: int) -> None:
+    """Wait until more bytes of a body may be kept.
+
+    Parameters
+    ----------
+    request
+        Request on a connection of a `client_connections.Listener`.
+    n_bytes
+        Number of bytes that are read next.
+
+    Raises
+    ------
+    ReadingEndedError
+        When there is no memory for them.
+    """
+    conn = request.protocol
+    ledger, holding = conn.listener.ledger, conn.holding
+    if ledger is None:
+        return
+    reply = _Reply.REFUSED
+    if holding is not None:
+        reply = client_memory.ask(
+            ledger, holding, _Kind.BODY, BODY_COPIES * n_bytes
+        )
+    if reply is _Reply.WAIT and not await _is_granted(conn):
+        reply = _Reply.REFUSED
+    if reply is _Reply.REFUSED:
+        raise ReadingEndedError(ReadingEnd.MEMORY)
+
+
+async def _is_granted(conn) -> bool:
+    """Wait for memory; return whether the connection got it."""
+    conn.grant = asyncio.get_running_loop().create_future()
+    try:
+        await asyncio.wait([conn.grant], timeout=WAIT_S)
+        return conn.grant.done()
+    finally:
+        conn.grant.cancel()
+        if conn.holding is not None:
+            client_memory.withdraw(conn.listener.ledger, conn.holding)
+
+
+def release_body(request: web.BaseRequest) -> None:
+    """Note that the body of a request is not kept any more."""
+    client_holdings.release(request.protocol, _Kind.BODY)
+
+
 def _ask_for_body(request: web.BaseRequest) -> None:
     """Tell a client that waits for it to send the body."""
     expected = request.headers.get(hdrs.EXPECT, "").lower()
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -40,6 +40,17 @@
 # headers.
 MAX_HEADER_LINE_BYTES = 16384
 MAX_HEADERS = 128
+# Longest time in which a body arrives if its client states none, and time
+# beyond the one that it states.
+MAX_BODY_MS = 60_000
+BODY_SLACK_S = 1.0
+# Time after which a request that found no memory may come again: by then the
+# connections that make no progress have been ended.
+BODY_RETRY_MS = 1500
+# Bytes of a body after twice which no more are read until they are taken.
+READ_BUFFER_BYTES = 32 * 1024
+# Time for which the rest of a refused body is read.
+DROP_BODY_S = 2.0
 # Default of the largest answer that is not a stream.
 MAX_ANSWER_BYTES = 8 * 2**20
 # A stream is fast if it has forwarded more than a lead and this many bytes a
@@ -121,6 +132,8 @@
         make_request,
         handler_cancellation=True,
         keepalive_timeout=idle_s,
+        lingering_time=DROP_BODY_S,
+        read_bufsize=READ_BUFFER_BYTES,
         access_log=None,
         auto_decompress=False,
         max_line_size=MAX_HEADER_LINE_BYTES,
@@ -171,15 +184,16 @@
         Complete response, or a truncated one whose connection was closed.
     """
     try:
-        body, fingerprint = await client_requests.read_body(
-            request, http_requests.read_fingerprinted
+        upload = _Upload()
+        upload.body, fingerprint = await client_requests.read_body(
+            request,
+            http_requests.read_fingerprinted,
+            _read_until_s(front, request),
         )
     except web.HTTPRequestEntityTooLarge:
         return _error_response(413, "the body exceeds the limit", 0)
-    except client_requests.ReadingEndedError:
-        return _error_response(
-            _REFUSED_STATUS, calls.Refusal.STOPPING.value, 0
-        )
+    except client_requests.ReadingEndedError as exc:
+        return _unread_response(exc.cause)
     task = front.gateway
     call_id = task.next_call_id
     task.next_call_id += 1
@@ -199,13 +213,39 @@
     )
     mailbox.post_now(task.inbox, arrived)
     try:
-        return await _run_attempts(front, request, body, req, call_id, fut)
+        return await _run_attempts(front, request, upload, req, call_id, fut)
     except asyncio.CancelledError:
         task.decisions.pop(call_id, None)
         mailbox.post_now(task.inbox, calls.ClientDisconnected(call_id))
         raise
 
 
+def _read_until_s(front: Frontend, request: web.BaseRequest) -> float:
+    """Return the time of the event loop until which a body is read."""
+    allowed_ms = front.wire.client_timeout_ms(request.headers)
+    if allowed_ms < 0:
+        allowed_ms = MAX_BODY_MS
+    age_ms = clock.boot_ms() - request[client_requests.ARRIVED_MS]
+    left_s = (allowed_ms - age_ms) / 1000 + BODY_SLACK_S
+    return asyncio.get_running_loop().time() + left_s
+
+
+def _unread_response(cause: client_requests.ReadingEnd) -> web.Response:
+    """Return the answer to a request that was not read to its end."""
+    if cause is client_requests.ReadingEnd.STOPPING:
+        return _error_response(
+            _REFUSED_STATUS, calls.Refusal.STOPPING.value, 0
+        )
+    if cause is client_requests.ReadingEnd.TIMEOUT:
+        response = _error_response(408, "the body was not complete in time", 0)
+    else:
+        response = _error_response(
+            _REFUSED_STATUS, "no memory for the body", BODY_RETRY_MS
+        )
+    response.force_close()
+    return response
+
+
 def _is_too_late(front: Frontend, request: web.BaseRequest) -> bool:
     """Return whether a draining node refuses a request that it has read.
 
@@ -219,7 +259,7 @@
 
 
 async def _run_attempts(
-    front, request, body, req, call_id, fut
+    front, request, upload, req, call_id, fut
 ) -> web.StreamResponse:
     """Perform the gateway's decisions on a call until the call ends."""
     task = front.gateway
@@ -234,7 +274,7 @@
             case calls.ForwardFailure():
                 return _full_response(front, failed_answer)
         fut = gateway_task.next_decision(task, call_id)
-        attempt = _Attempt(front, request, body, req, decision)
+        attempt = _Attempt(front, request, upload, req, decision)
         outcome = await _run_attempt(attempt)
         failed_answer = attempt.failed_answer or failed_answer
         mailbox.post_now(
@@ -260,6 +300,19 @@
             )
 
 
+@dataclasses.dataclass(slots=True)
+class _Upload:
+    """Body of a request, kept as long as it may be sent once more.
+
+    Attributes
+    ----------
+    body
+        The body; empty once it is not needed any more.
+    """
+
+    body: bytes = b""
+
+
 @dataclasses.dataclass(slots=True)
 class _Attempt:
     """One attempt to run a request at an upstream.
@@ -268,7 +321,7 @@
     ----------
     front
         State that all requests share.
-    request, body
+    request, upload
         Request of the client and its body.
     req
         Decoded headers of the request.
@@ -287,7 +340,7 @@
 
     front: Frontend
     request: web.BaseRequest
-    body: bytes
+    upload: _Upload
     req: calls.Request
     send_call: calls.SendCall
     response: web.StreamResponse | None = None
@@ -306,7 +359,7 @@
             exchange = await upstream_exchange.send_request(
                 front.session,
                 attempt.request,
-                attempt.body,
+                attempt.upload.body,
                 send_call,
                 front.wire.upstream_request_headers(
                     attempt.request.raw_headers, send_call
@@ -455,6 +508,8 @@
         return calls.AttemptOutcome.BROKEN
     inbox = attempt.front.gateway.inbox
     mailbox.post_now(inbox, calls.AnswerStarted(attempt.send_call.call_id))
+    attempt.upload.body = b""
+    client_requests.release_body(attempt.request)
     response = _stream_response(
         attempt.front, exchange.resp.status, exchange.resp.raw_headers
     )
--- a/bilberryramp/tasks/fleet_operator.py
+++ b/bilberryramp/tasks/fleet_operator.py
@@ -34,6 +34,10 @@
 
 # Maximum size of a document; one with thousands of routes is smaller.
 MAX_BODY_BYTES = 8 * 2**20
+# Longest idle time of connections for readiness checks and metrics.
+IDLE_S = 60.0
+# Longest time in which the body of a call arrives.
+MAX_BODY_S = 30.0
 # Timeout of an announcement; less than the 1 s after which the upstream
 # sends it to another node.
 ANNOUNCE_TIMEOUT_S = 0.85
@@ -78,10 +82,10 @@
     async def serve(request: web.BaseRequest) -> web.Response:
         try:
             body = await client_requests.read_body(
-                request, web.BaseRequest.read
+                request, http_requests.read_kept, _read_until_s()
             )
-        except client_requests.ReadingEndedError:
-            return _message_response(503, "the node is stopping")
+        except client_requests.ReadingEndedError as exc:
+            return _unread_response(exc.cause)
         if f"{request.path}/".startswith(f"{QUARANTINE_PATH}/"):
             return _serve_quarantine(api, request)
         call = api.wire.decode(request.method, request.path, body)
@@ -115,8 +119,26 @@
     return listener
 
 
-def make_readiness_server(is_ready: Callable[[], bool]) -> web.Server:
-    """Return the protocol factory for the load balancer's health checks.
+def _read_until_s() -> float:
+    return asyncio.get_running_loop().time() + MAX_BODY_S
+
+
+def _unread_response(cause: client_requests.ReadingEnd) -> web.Response:
+    """Return the answer to a call that was not read to its end."""
+    if cause is client_requests.ReadingEnd.STOPPING:
+        return _message_response(503, "the node is stopping")
+    if cause is client_requests.ReadingEnd.TIMEOUT:
+        response = _message_response(408, "the body was not complete in time")
+    else:
+        response = _message_response(503, "no memory for the body")
+    response.force_close()
+    return response
+
+
+def make_readiness_server(
+    is_ready: Callable[[], bool],
+) -> client_connections.Listener:
+    """Return the listener for the load balancer's health checks.
 
     Parameters
     ----------
@@ -125,19 +147,21 @@
 
     Returns
     -------
-    web.Server
-        Protocol factory for `loop.create_server`.
+    Listener
+        Listener that has no sockets yet.
     """
 
     async def serve(_request: web.BaseRequest) -> web.Response:
         ready = is_ready()
         return web.Response(status=200 if ready else 503)
 
-    return web.Server(serve, access_log=None)
+    return _make_plain_server("readiness", serve)
 
 
-def make_metrics_server(render: Callable[[], str]) -> web.Server:
-    """Return the protocol factory for the metrics endpoint.
+def make_metrics_server(
+    render: Callable[[], str],
+) -> client_connections.Listener:
+    """Return the listener for the metrics endpoint.
 
     Parameters
     ----------
@@ -146,14 +170,26 @@
 
     Returns
     -------
-    web.Server
-        Protocol factory for `loop.create_server`.
+    Listener
+        Listener that has no sockets yet.
     """
 
     async def serve(_request: web.BaseRequest) -> web.Response:
         return web.Response(text=render())
 
-    return web.Server(serve, access_log=None)
+    return _make_plain_server("metrics", serve)
+
+
+def _make_plain_server(name: str, serve) -> client_connections.Listener:
+    """Return a listener for requests whose bodies are not read."""
+    return client_requests.make_server(
+        name,
+        serve,
+        http_requests.make_factory(lambda: MAX_BODY_BYTES),
+        keepalive_timeout=IDLE_S,
+        lingering_time=0,
+        access_log=None,
+    )
 
 
 def _serve_quarantine(api: OperatorApi, request) -> web.Response:
--- a/bilberryramp/tasks/http_requests.py
+++ b/bilberryramp/tasks/http_requests.py
@@ -7,11 +7,14 @@
 import aiohttp
 from aiohttp import hdrs, web
 
+from bilberryramp.tasks import client_requests
+
 __all__ = [
     "AnswerTooLargeError",
     "accept_expectation",
     "make_factory",
     "read_fingerprinted",
+    "read_kept",
     "read_limited",
 ]
 
@@ -55,6 +58,8 @@
     ------
     aiohttp.web.HTTPRequestEntityTooLarge
         When the body exceeds the limit of the request's server.
+    client_requests.ReadingEndedError
+        When there is no memory for more of it.
     """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (
@@ -65,14 +70,47 @@
     ):
         # Headers may contain bytes that are not UTF-8 as lone surrogates.
         digest.update(part.encode("utf-8", "surrogateescape") + b"\0")
+    body = await read_kept(request, digest.update)
+    return body, digest.hexdigest()
+
+
+async def read_kept(
+    request: web.BaseRequest,
+    note: Callable[[bytes], None] = lambda _chunk: None,
+) -> bytes:
+    """Read the body of a request, as far as there is memory for it.
+
+    Parameters
+    ----------
+    request
+        Request whose body has not been read, on a connection of a
+        `client_connections.Listener`.
+    note
+        Called with each chunk of the body.
+
+    Returns
+    -------
+    bytes
+        Body.
+
+    Raises
+    ------
+    aiohttp.web.HTTPRequestEntityTooLarge
+        When the body exceeds the limit of the request's server.
+    client_requests.ReadingEndedError
+        When there is no memory for more of it.
+    """
     max_body_bytes = request.client_max_size
+    is_stated = request.content_length is not None
     body = bytearray()
     while chunk := await request.content.readany():
-        digest.update(chunk)
-        body += chunk
-        if len(body) > max_body_bytes:
+        if len(body) + len(chunk) > max_body_bytes:
             raise web.HTTPRequestEntityTooLarge(max_body_bytes)
-    return bytes(body), digest.hexdigest()
+        if not is_stated:
+            await client_requests.keep(request, len(chunk))
+        note(chunk)
+        body += chunk
+    return bytes(body)
 
 
 async def read_limited(
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -102,6 +102,14 @@
     "The time for a planned stop, `grace_ms`, is almost over, and work is "
     "left. It is ended, with answers that say so, and the program exits.",
 )
+CLIENT_ENDED = _declare(
+    1009,
+    "client.ended",
+    "A client's connection, or the reading of its request, was ended. The "
+    "`reason` `memory` means that memory for clients ran short and this one, "
+    "which held `held_bytes`, made no progress; the others that it took too "
+    "long. A few are logged at a time; `client_refusals_total` counts all.",
+)
 ROLE_CHANGED = _declare(
     2001,
     "control.role",
