Keep a crowd of clients within the machine's memory and descriptors

Trailers without end were held by the parser and counted by nobody: bytes of a request that do not lengthen its body are charged like a head now, and end it.

--- a/bilberryramp/decisions/shared/client_memory.py
+++ b/bilberryramp/decisions/shared/client_memory.py
@@ -43,6 +43,9 @@
 # Part of the memory that is free after the start which clients may use. The
 # rest is for the growth of the process's own state.
 CLIENTS_PART = 0.5
+# Part of the memory that counts as free at least, so that a process which has
+# grown still serves small requests.
+MIN_FREE_PART = 0.125
 # Parts of the clients' budget by listener.
 LISTENER_PARTS = {
     "clients": 5 / 8,
@@ -193,7 +196,9 @@
     dict of str to Budget
         Budgets by name of the listener.
     """
-    free_bytes = max(memory_bytes - resident_bytes, 0)
+    free_bytes = max(
+        memory_bytes - resident_bytes, int(MIN_FREE_PART * memory_bytes)
+    )
     connections = split_descriptors(needs)
     return {
         name: _make_budget(
--- a/bilberryramp/decisions/shared/client_review.py
+++ b/bilberryramp/decisions/shared/client_review.py
@@ -23,7 +23,7 @@
     HEAD_TIMEOUT = "head_timeout"
     """The head of a request was not complete in time."""
     HEAD_SIZE = "head_size"
-    """The head of a request is longer than any proper one."""
+    """A head, or the trailer of a body, is longer than any proper one."""
     BODY_TIMEOUT = "body_timeout"
     """The body stalled, or was not complete by the request's deadline."""
     UNREAD = "unread"
@@ -45,7 +45,7 @@
     state
         What it is doing.
     held_bytes, head_bytes
-        What is held for it, and which part of it for a head.
+        What is held for it, and which part of it for a head or trailer.
     began_ms
         Time at which the head that is being read began; infinite if none is.
     last_read_ms
@@ -124,10 +124,13 @@
     for client in clients:
         if now_ms - client.unread_since_ms >= limits.unread_ms:
             yield End(client, Reason.UNREAD)
+        elif (
+            client.state in (_State.READING_HEAD, _State.READING_BODY)
+            and client.head_bytes > limits.head_bytes
+        ):
+            yield End(client, Reason.HEAD_SIZE)
         elif client.state is _State.READING_HEAD:
-            if client.head_bytes > limits.head_bytes:
-                yield End(client, Reason.HEAD_SIZE)
-            elif now_ms - client.began_ms >= limits.head_ms:
+            if now_ms - client.began_ms >= limits.head_ms:
                 yield End(client, Reason.HEAD_TIMEOUT)
         elif (
             client.state is _State.READING_BODY
--- a/bilberryramp/decisions/shared/tests/test_client_memory.py
+++ b/bilberryramp/decisions/shared/tests/test_client_memory.py
@@ -66,6 +66,15 @@
         self.assertLessEqual(used, 1638 - 200)
         self.assertGreater(split["clients"], 300)
 
+    def test_process_without_free_memory_serves_small_requests(self):
+        needs = client_memory.Descriptors(1638, 720, 50)
+        budgets = client_memory.split_budget(160_000_000, 200_000_000, needs)
+        for budget in budgets.values():
+            ledger = client_memory.new_ledger(budget)
+            holding = client_memory.open_holding(ledger, object())
+            reply = client_memory.ask(ledger, holding, Kind.BODY, 2000)
+            self.assertIs(reply, Reply.GRANTED)
+
     def test_few_descriptors_leave_some_for_each_listener(self):
         needs = client_memory.Descriptors(300, 490, 0)
         split = client_memory.split_descriptors(needs)
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -156,6 +156,8 @@
     head_began_ms
         Time since boot at which the head that is being read began, in
         milliseconds.
+    body_bytes
+        Bytes of the body that is being read at the last read.
     acked_bytes, unread_since_ms
         Number of bytes that the client had received at the last review, and
         time since which it has received none of those that were written, in
@@ -167,6 +169,7 @@
         "acked_bytes",
         "arrivals_ms",
         "begun_count",
+        "body_bytes",
         "current",
         "end_reason",
         "ended_count",
@@ -196,7 +199,7 @@
         self.reading = self.current = self.last_body = None
         self.end_reason = self.holding = self.grant = None
         self.head_began_ms = self.unread_since_ms = math.inf
-        self.acked_bytes = 0
+        self.acked_bytes = self.body_bytes = 0
 
     def connection_made(self, transport) -> None:
         """Wrap the transport of a new connection, if it may be open."""
--- a/bilberryramp/tasks/client_holdings.py
+++ b/bilberryramp/tasks/client_holdings.py
@@ -24,9 +24,10 @@
 
 
 def charge_input(conn, n_bytes: int) -> None:
-    """Charge bytes that were read and do not belong to a body being read.
+    """Charge bytes that were read and are not part of a body being read.
 
-    Reading is held while much has arrived behind the current request.
+    Reading is held while much has arrived behind the current request, and
+    once a head, or the trailer of a body, is longer than any proper one.
 
     Parameters
     ----------
@@ -38,12 +39,7 @@
     ledger, held = conn.listener.ledger, conn.holding.held
     if conn.begun_count == conn.ended_count:
         if conn.has_partial_head:
-            head_bytes = held[_Kind.HEAD] + n_bytes
-            client_memory.set_held(
-                ledger, conn.holding, _Kind.HEAD, head_bytes
-            )
-            if head_bytes > conn.listener.max_head_bytes:
-                conn.link.hold_reading()
+            _charge_head(conn, n_bytes)
     elif conn.begun_count > conn.ended_count + 1 or conn.has_partial_head:
         ahead_bytes = held[_Kind.AHEAD] + n_bytes
         client_memory.set_held(ledger, conn.holding, _Kind.AHEAD, ahead_bytes)
@@ -52,6 +48,20 @@
             or len(conn.arrivals_ms) >= AHEAD_REQUESTS
         ):
             conn.link.hold_reading()
+    elif conn.current is not None:
+        body_bytes = conn.current.content.total_bytes
+        if body_bytes == conn.body_bytes:
+            _charge_head(conn, n_bytes)
+        conn.body_bytes = body_bytes
+
+
+def _charge_head(conn, n_bytes: int) -> None:
+    total_bytes = conn.holding.held[_Kind.HEAD] + n_bytes
+    client_memory.set_held(
+        conn.listener.ledger, conn.holding, _Kind.HEAD, total_bytes
+    )
+    if total_bytes > conn.listener.max_head_bytes:
+        conn.link.hold_reading()
 
 
 def head_bytes(conn) -> int:
