Say which limits clients of a node meet, and count refusals

Requests refused for lack of memory were not counted, and connections that were not accepted shared a label with those that gave way to them. Lines of a body that do not lengthen it are charged only until it grows again; a body of the same size as the one before was taken for such lines. Unread answers are ended after 30 s in calm, beyond the deadlines of slow readers.

--- a/bilberryramp/decisions/shared/client_review.py
+++ b/bilberryramp/decisions/shared/client_review.py
@@ -89,7 +89,7 @@
     head_bytes: int = 64 * 1024
     head_ms: int = 3000
     body_ms: int = 10_000
-    unread_ms: int = 15_000
+    unread_ms: int = 30_000
     short_read_ms: int = 1000
     short_unread_ms: int = 3000
 
--- a/bilberryramp/settings/reference.py
+++ b/bilberryramp/settings/reference.py
@@ -7,7 +7,11 @@
 from collections.abc import Iterator
 
 from bilberryramp.decisions.control import demand
-from bilberryramp.decisions.shared import tables
+from bilberryramp.decisions.shared import (
+    client_memory,
+    client_review,
+    tables,
+)
 from bilberryramp.settings import schema
 
 __all__ = ["render"]
@@ -24,6 +28,7 @@
     (demand.DemandSettings, "`bilberry-control`: `demand`"),
     (schema.ControlReplica, "each of `controls` and `replicas`"),
     (schema.TelemetrySettings, "`telemetry`"),
+    (client_review.Limits, "`bilberry-node`: limits on its clients"),
 )
 
 
@@ -41,7 +46,45 @@
         "the value found and what was expected. A field whose default is "
         "`required` must be set.\n"
     )
-    return head + "".join(_section(cls, title) for cls, title in _SECTIONS)
+    sections = "".join(_section(cls, title) for cls, title in _SECTIONS)
+    return head + sections + _client_memory()
+
+
+def _client_memory() -> str:
+    """Return how a node's memory and descriptors are split, as a section."""
+    listeners = "".join(
+        f"| `{name}` | {part:g} | {_connections(name)} |\n"
+        for name, part in client_memory.LISTENER_PARTS.items()
+    )
+    return (
+        "\n## `bilberry-node`: memory and descriptors of its clients\n\n"
+        "From `memoryMb` and `maxFds` of the settings file; not set "
+        "otherwise.\n\n"
+        "| listener | part of the budget | connections |\n"
+        f"| --- | --- | --- |\n{listeners}\n"
+        f"- Budget: {client_memory.CLIENTS_PART:g} of the memory that is free "
+        "when the node listens.\n"
+        f"- {client_memory.SMALL_PART:g} of each listener's budget is kept "
+        f"for connections that hold up to {client_memory.SMALL_BYTES} "
+        "bytes.\n"
+        f"- A connection counts {client_memory.CONNECTION_BYTES} bytes, and "
+        f"{client_memory.WAITING_BYTES} more while it waits for memory. "
+        f"Connections take {client_memory.CONNECTIONS_PART:g} of the budget "
+        "at most.\n"
+        f"- Of the descriptors, {client_memory.RESERVED_DESCRIPTORS} are set "
+        f"aside, {client_memory.OWN_DESCRIPTORS} are for files and "
+        f"{client_memory.PEER_DESCRIPTORS} for each peer.\n"
+    )
+
+
+def _connections(name: str) -> str:
+    if name not in client_memory.OTHER_LISTENERS:
+        return (
+            "what the document's channels and the others leave, at least "
+            f"{client_memory.MIN_CLIENT_PART:g} of the rest"
+        )
+    part, most = client_memory.OTHER_LISTENERS[name]
+    return f"{part:g} of the rest, at most {most}"
 
 
 def _section(cls: type, title: str) -> str:
--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -99,6 +99,8 @@
         process is stopping.
     ledger
         What is held for its connections; None if that is not bounded.
+    refused_count
+        Number of requests for whose bodies there was no memory.
     max_head_bytes
         Bytes of a head from which no more are read, if there is a ledger.
     make_room
@@ -114,6 +116,7 @@
     drained_ms: float = math.inf
     on_end: Callable = lambda _end: None
     ledger: client_memory.Ledger | None = None
+    refused_count: int = 0
     max_head_bytes: float = math.inf
     make_room: Callable[[], None] = lambda: None
 
--- a/bilberryramp/tasks/client_guard.py
+++ b/bilberryramp/tasks/client_guard.py
@@ -40,7 +40,7 @@
 RECEIVE_BUFFER_BYTES = 32 * 1024
 SEND_BUFFER_BYTES = 64 * 1024
 # Maximum number of events on clients that were ended, per review.
-MAX_EVENTS = 5
+MAX_EVENTS = 2
 # Answers without a body to clients whose request is not handled.
 _ANSWERS = {
     client_review.Reason.HEAD_SIZE: b"431 Request Header Fields Too Large",
@@ -149,6 +149,7 @@
     guard.events_left = MAX_EVENTS
     listener.ledger.budget = guard.make_budget()
     limits = guard.make_limits()
+    listener.max_head_bytes = limits.head_bytes
     for end in list(
         client_review.overdue(_busy_clients(guard, now_ms), limits, now_ms)
     ):
@@ -172,6 +173,9 @@
         State of the task. Its metrics are modified in place.
     """
     ledger, name = guard.listener.ledger, guard.listener.name
+    if guard.listener.refused_count:
+        _count(guard, "no_memory", guard.listener.refused_count)
+        guard.listener.refused_count = 0
     for kind, n_bytes in ledger.held.items():
         label = f'{{listener="{name}",kind="{kind.value}"}}'
         metrics.set_gauge(
@@ -188,12 +192,13 @@
         )
 
 
-def count_refusal(guard: Guard, reason: str) -> None:
-    """Count a request or connection that was refused."""
+def _count(guard: Guard, reason: str, amount: int = 1) -> None:
+    """Count requests or connections that were refused or ended."""
     name = guard.listener.name
     metrics.increment(
         guard.task_metrics,
         f'client_refusals_total{{listener="{name}",reason="{reason}"}}',
+        amount,
     )
 
 
@@ -213,7 +218,7 @@
         if conn.holding is not None and _is_same(conn, end.client):
             _end(guard, end)
             return
-    count_refusal(guard, _Reason.CONNECTIONS.value)
+    _count(guard, "not_accepted")
 
 
 def _is_same(conn, client: client_review.Client) -> bool:
@@ -274,7 +279,7 @@
 def _end(guard: Guard, end: client_review.End) -> None:
     """End a connection, or the reading of its request."""
     conn, state = end.client.key, end.client.state
-    count_refusal(guard, end.reason.value)
+    _count(guard, end.reason.value)
     _log(guard, end)
     if state is _State.READING_BODY and end.reason is not _Reason.UNREAD:
         client_connections.end_reading(conn, connection_stop.Reason.STALLED)
@@ -301,7 +306,7 @@
 
 def _log(guard: Guard, end: client_review.End) -> None:
     """Write an event on a client that is ended, unless there are many."""
-    if guard.events_left <= 0 or end.reason is _Reason.CONNECTIONS:
+    if guard.events_left <= 0:
         return
     guard.events_left -= 1
     client = end.client
--- a/bilberryramp/tasks/client_holdings.py
+++ b/bilberryramp/tasks/client_holdings.py
@@ -52,6 +52,8 @@
         body_bytes = conn.current.content.total_bytes
         if body_bytes == conn.body_bytes:
             _charge_head(conn, n_bytes)
+        else:
+            client_memory.release(ledger, conn.holding, _Kind.HEAD)
         conn.body_bytes = body_bytes
 
 
@@ -113,6 +115,7 @@
         The request.
     """
     conn.current = None
+    conn.body_bytes = 0
     conn.last_body = request.content
     conn.ended_count += 1
     release(conn, _Kind.BODY, _Kind.HEAD)
--- a/bilberryramp/tasks/client_requests.py
+++ b/bilberryramp/tasks/client_requests.py
@@ -224,6 +224,7 @@
     if reply is _Reply.WAIT and not await _is_granted(conn):
         reply = _Reply.REFUSED
     if reply is _Reply.REFUSED:
+        conn.listener.refused_count += 1
         raise ReadingEndedError(ReadingEnd.MEMORY)
 
 
