--- a/bilberryramp/tasks/client_connections.py
+++ b/bilberryramp/tasks/client_connections.py
@@ -10,46 +10,33 @@
 import contextlib
 import dataclasses
 import math
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Iterator
 
-import aiohttp
-from aiohttp import hdrs, http_exceptions, web
+from aiohttp import http_exceptions, web
 
-from bilberryramp.decisions.shared import connection_stop
-from bilberryramp.tasks import clock, lingering_transport
+from bilberryramp.decisions.shared import client_memory, connection_stop
+from bilberryramp.tasks import client_holdings, clock, lingering_transport
 from bilberryramp.telemetry import events
 
 __all__ = [
-    "ARRIVED_MS",
     "ConnectionEnd",
     "Listener",
-    "ReadingEndedError",
-    "began_in_drain",
     "close",
     "connections",
     "end_reading",
-    "is_last",
-    "make_server",
-    "mark_last",
     "new_listener",
+    "open_connections",
     "protocol_factory",
-    "read_body",
-    "serve",
+    "state_of",
     "stop_accepting",
 ]
 
-# Time since boot at which the head of a request was read, in milliseconds.
-ARRIVED_MS = web.RequestKey("arrived_ms", int)
 # Time from the acceptance of a connection for which its first request may be
 # on its way.
 FIRST_REQUEST_MS = 200
 _State = connection_stop.State
 
 
-class ReadingEndedError(Exception):
-    """A stopping process reads no more of a request's body."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class ConnectionEnd:
     """How a connection of a stopping process ended.
@@ -111,6 +98,14 @@
     on_end
         Called with a `ConnectionEnd` for each connection that ends while the
         process is stopping.
+    ledger
+        What is held for its connections; None if that is not bounded.
+    refused_count
+        Number of requests for whose bodies there was no memory.
+    max_head_bytes
+        Bytes of a head from which no more are read, if there is a ledger.
+    make_room
+        Called when a connection can not be accepted; may close others.
     """
 
     name: str
@@ -121,6 +116,10 @@
     phase: str = "running"
     drained_ms: float = math.inf
     on_end: Callable = lambda _end: None
+    ledger: client_memory.Ledger | None = None
+    refused_count: int = 0
+    max_head_bytes: float = math.inf
+    make_room: Callable[[], None] = lambda: None
 
 
 class _Connection(web.RequestHandler):
@@ -154,22 +153,41 @@
         Body of the last request that was handled; None if there is none.
     end_reason
         Why this process ended the connection; None if it did not.
+    holding
+        What is held for the connection; None if that is not counted.
+    grant
+        Future that ends when the connection gets memory for which it waits.
+    head_began_ms
+        Time since boot at which the head that is being read began, in
+        milliseconds.
+    body_bytes
+        Bytes of the body that is being read at the last read.
+    acked_bytes, unread_since_ms
+        Number of bytes that the client had received at the last review, and
+        time since which it has received none of those that were written, in
+        milliseconds; infinite if it has all.
     """
 
     __slots__ = (
         "accepted_ms",
+        "acked_bytes",
         "arrivals_ms",
         "begun_count",
+        "body_bytes",
         "current",
         "end_reason",
         "ended_count",
+        "grant",
         "has_partial_head",
+        "head_began_ms",
+        "holding",
         "last_body",
         "last_read_ms",
         "link",
         "listener",
         "read_bytes",
         "reading",
+        "unread_since_ms",
         "written_before",
     )
 
@@ -183,11 +201,23 @@
         self.begun_count = self.ended_count = 0
         self.has_partial_head = False
         self.reading = self.current = self.last_body = None
-        self.end_reason = None
+        self.end_reason = self.holding = self.grant = None
+        self.head_began_ms = self.unread_since_ms = math.inf
+        self.acked_bytes = self.body_bytes = 0
 
     def connection_made(self, transport) -> None:
-        """Wrap the transport of a new connection."""
-        self.link = lingering_transport.Transport(transport)
+        """Wrap the transport of a new connection, if it may be open."""
+        ledger = self.listener.ledger
+        if ledger is not None:
+            if not client_memory.may_open(ledger):
+                self.listener.make_room()
+            if not client_memory.may_open(ledger):
+                transport.abort()
+                return
+            self.holding = client_memory.open_holding(ledger, self)
+        self.link = lingering_transport.Transport(
+            transport, lambda: client_holdings.note_unsent(self)
+        )
         super().connection_made(self.link)
 
     def data_received(self, data: bytes) -> None:
@@ -208,7 +238,16 @@
             self.has_partial_head = False
         # The library calls this method without bytes when it reads on.
         elif is_between and data:
+            if not self.has_partial_head:
+                self.head_began_ms = self.last_read_ms
             self.has_partial_head = True
+        if self.holding is not None and data:
+            client_holdings.charge_input(self, len(data))
+
+    def resume_writing(self) -> None:
+        """Note that the client has read, and write on."""
+        client_holdings.note_unsent(self)
+        super().resume_writing()
 
     def handle_error(self, request, status=500, exc=None, message=None):
         """Answer a request that cannot be read.
@@ -231,8 +270,9 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report the end of the connection if the process is stopping."""
-        if self.listener.phase != "running":
+        if self.listener.phase != "running" and self.link is not None:
             self.listener.on_end(_describe_end(self))
+        client_holdings.forget(self)
         super().connection_lost(exc)
 
 
@@ -256,7 +296,7 @@
     return ConnectionEnd(
         conn.listener.name,
         conn.listener.phase,
-        _state_of(conn),
+        state_of(conn),
         _end_reason(conn),
         conn.read_bytes,
         conn.link.written_bytes - conn.written_before,
@@ -274,7 +314,8 @@
     return connection_stop.Reason.CLIENT
 
 
-def _state_of(conn: _Connection) -> connection_stop.State:
+def state_of(conn: _Connection) -> connection_stop.State:
+    """Return what a connection is doing."""
     if conn.link.is_closed:
         return _State.CLOSING
     if conn.begun_count > conn.ended_count:
@@ -285,10 +326,7 @@
         return _State.ANSWERED_EARLY
     if conn.has_partial_head:
         return _State.READING_HEAD
-    if (
-        conn.link.inner.get_write_buffer_size()
-        or lingering_transport.has_unsent_bytes(conn.link)
-    ):
+    if lingering_transport.has_unsent_bytes(conn.link):
         return _State.ANSWERING
     if not conn.begun_count:
         age_ms = clock.boot_ms() - conn.accepted_ms
@@ -305,7 +343,7 @@
         As in `Listener`.
     manager
         The library's server, for example `web.AppRunner.server`. Its handlers
-        must go through `serve`.
+        must go through `client_requests.serve`.
     options
         Options of `web.RequestHandler`.
 
@@ -349,176 +387,23 @@
         await loop.connect_accepted_socket(factory, conn)
 
 
-def make_server(
-    name: str,
-    handle: Callable,
-    make_request: Callable,
-    handler_cancellation: bool = False,
-    **options,
-) -> Listener:
-    """Return a listener whose requests have `ARRIVED_MS`.
-
-    Parameters
-    ----------
-    name
-        As in `Listener`.
-    handle
-        Coroutine function that takes a request and returns its response.
-    make_request
-        Request factory, as `web.Server` takes it.
-    handler_cancellation
-        Whether the handling of a request ends when its client leaves.
-    options
-        Options of `web.RequestHandler`.
-
-    Returns
-    -------
-    Listener
-        Listener that has no sockets yet.
-    """
-
-    def make_timed(message, payload, protocol, writer, task):
-        request = make_request(message, payload, protocol, writer, task)
-        request[ARRIVED_MS] = protocol.arrivals_ms.popleft()
-        return request
-
-    async def handle_to_end(request: web.BaseRequest) -> web.StreamResponse:
-        return await serve(request, handle)
-
-    manager = web.Server(
-        handle_to_end,
-        request_factory=make_timed,
-        handler_cancellation=handler_cancellation,
-    )
-    return new_listener(name, manager, **options)
-
-
-async def serve(
-    request: web.BaseRequest, handle: Callable
-) -> web.StreamResponse:
-    """Handle a request until its answer has been written.
-
-    Parameters
-    ----------
-    request
-        Request on a connection of a `Listener`.
-    handle
-        Coroutine function that takes the request and returns its response.
-
-    Returns
-    -------
-    web.StreamResponse
-        Response, written to its end unless the client has left.
-    """
-    conn = request.protocol
-    conn.current = request
-    conn.written_before = conn.link.written_bytes
-    try:
-        response = await handle(request)
-        with contextlib.suppress(ConnectionError):
-            if not response.prepared:
-                mark_last(request, response)
-            await response.prepare(request)
-            await response.write_eof()
-        return response
-    finally:
-        conn.current = None
-        conn.last_body = request.content
-        conn.ended_count += 1
-
-
-async def read_body(
-    request: web.BaseRequest, read: Callable[[web.BaseRequest], Awaitable]
-):
-    """Read the body of a request, unless a planned stop ends the reading.
-
-    Parameters
-    ----------
-    request
-        Request on a connection of a `Listener`.
-    read
-        Coroutine function that takes the request and reads its body.
-
-    Returns
-    -------
-    object
-        Result of `read`.
-
-    Raises
-    ------
-    ReadingEndedError
-        When the process stops, and reads no more of the body.
-    """
-    conn = request.protocol
-    timeout = asyncio.timeout(None)
-    try:
-        async with timeout:
-            conn.reading = timeout
-            _ask_for_body(request)
-            return await read(request)
-    except TimeoutError:
-        raise ReadingEndedError from None
-    finally:
-        conn.reading = None
-
-
-def _ask_for_body(request: web.BaseRequest) -> None:
-    """Tell a client that waits for it to send the body."""
-    expected = request.headers.get(hdrs.EXPECT, "").lower()
-    link = request.protocol.link
-    if (
-        expected == "100-continue"
-        and request.version >= aiohttp.HttpVersion11
-        and not request.content.is_eof()
-        and not link.is_closing()
-    ):
-        link.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-
-def is_last(request: web.BaseRequest) -> bool:
-    """Return whether the answer to a request is its connection's last one.
-
-    That is so in a planned stop, unless more requests, or a part of one, have
-    arrived.
-    """
-    conn = request.protocol
-    return (
-        conn.listener.phase != "running"
-        and conn.begun_count == conn.ended_count + 1
-        and not conn.has_partial_head
-    )
-
-
-def began_in_drain(request: web.BaseRequest) -> bool:
-    """Return whether a request began after its listener was closed."""
-    return request[ARRIVED_MS] >= request.protocol.listener.drained_ms
-
-
-def mark_last(request: web.BaseRequest, response: web.StreamResponse) -> None:
-    """Let an answer say that it is the last one, if it is.
-
-    Parameters
-    ----------
-    request
-        Request on a connection of a `Listener`.
-    response
-        Its response, whose head has not been sent. Modified in place.
-    """
-    if is_last(request):
-        response.force_close()
-
-
 def connections(listener: Listener) -> Iterator[connection_stop.Connection]:
     """Yield what each connection of a listener is doing."""
+    for conn in open_connections(listener):
+        yield connection_stop.Connection(
+            conn, state_of(conn), conn.last_read_ms
+        )
+
+
+def open_connections(listener: Listener) -> Iterator[_Connection]:
+    """Yield the connections of a listener."""
     for conn in listener.manager.connections:
         if conn.link is not None:
-            yield connection_stop.Connection(
-                conn, _state_of(conn), conn.last_read_ms
-            )
+            yield conn
 
 
 def end_reading(conn: _Connection, reason: connection_stop.Reason) -> None:
-    """Let `read_body` end before the body of the current request."""
+    """Let `client_requests.read_body` end before the end of the body."""
     if conn.reading is not None:
         conn.end_reason = reason
         conn.reading.reschedule(asyncio.get_running_loop().time())
--- a/bilberryramp/tasks/fleet_operator.py
+++ b/bilberryramp/tasks/fleet_operator.py
@@ -16,6 +16,7 @@
 from bilberryramp.decisions.fleet.register import operator_calls, register
 from bilberryramp.tasks import (
     client_connections,
+    client_requests,
     clock,
     gateway_task,
     http_requests,
@@ -34,6 +35,10 @@
 
 # Maximum size of a document; one with thousands of routes is smaller.
 MAX_BODY_BYTES = 8 * 2**20
+# Longest idle time of connections for readiness checks and metrics.
+IDLE_S = 60.0
+# Longest time in which the body of a call arrives.
+MAX_BODY_S = 30.0
 # Timeout of an announcement; less than the 1 s after which the upstream
 # sends it to another node.
 ANNOUNCE_TIMEOUT_S = 0.85
@@ -77,11 +82,11 @@
 
     async def serve(request: web.BaseRequest) -> web.Response:
         try:
-            body = await client_connections.read_body(
-                request, web.BaseRequest.read
+            body = await client_requests.read_body(
+                request, http_requests.read_kept, _read_until_s()
             )
-        except client_connections.ReadingEndedError:
-            return _message_response(503, "the node is stopping")
+        except client_requests.ReadingEndedError as exc:
+            return _unread_response(exc.cause)
         if f"{request.path}/".startswith(f"{QUARANTINE_PATH}/"):
             return _serve_quarantine(api, request)
         call = await large_bodies.decode(
@@ -109,7 +114,7 @@
         return _message_response(404, "no such call")
 
     make_request = http_requests.make_factory(lambda: MAX_BODY_BYTES)
-    listener = client_connections.make_server(
+    listener = client_requests.make_server(
         "operators", serve, make_request, access_log=None
     )
     # Other nodes redirect operators to the leader until it has gone.
@@ -117,8 +122,26 @@
     return listener
 
 
-def make_readiness_server(is_ready: Callable[[], bool]) -> web.Server:
-    """Return the protocol factory for the load balancer's health checks.
+def _read_until_s() -> float:
+    return asyncio.get_running_loop().time() + MAX_BODY_S
+
+
+def _unread_response(cause: client_requests.ReadingEnd) -> web.Response:
+    """Return the answer to a call that was not read to its end."""
+    if cause is client_requests.ReadingEnd.STOPPING:
+        return _message_response(503, "the node is stopping")
+    if cause is client_requests.ReadingEnd.TIMEOUT:
+        response = _message_response(408, "the body was not complete in time")
+    else:
+        response = _message_response(503, "no memory for the body")
+    response.force_close()
+    return response
+
+
+def make_readiness_server(
+    is_ready: Callable[[], bool],
+) -> client_connections.Listener:
+    """Return the listener for the load balancer's health checks.
 
     Parameters
     ----------
@@ -127,19 +150,21 @@
 
     Returns
     -------
-    web.Server
-        Protocol factory for `loop.create_server`.
+    Listener
+        Listener that has no sockets yet.
     """
 
     async def serve(_request: web.BaseRequest) -> web.Response:
         ready = is_ready()
         return web.Response(status=200 if ready else 503)
 
-    return web.Server(serve, access_log=None)
+    return _make_plain_server("readiness", serve)
 
 
-def make_metrics_server(render: Callable[[], str]) -> web.Server:
-    """Return the protocol factory for the metrics endpoint.
+def make_metrics_server(
+    render: Callable[[], str],
+) -> client_connections.Listener:
+    """Return the listener for the metrics endpoint.
 
     Parameters
     ----------
@@ -148,14 +173,26 @@
 
     Returns
     -------
-    web.Server
-        Protocol factory for `loop.create_server`.
+    Listener
+        Listener that has no sockets yet.
     """
 
     async def serve(_request: web.BaseRequest) -> web.Response:
         return web.Response(text=render())
 
-    return web.Server(serve, access_log=None)
+    return _make_plain_server("metrics", serve)
+
+
+def _make_plain_server(name: str, serve) -> client_connections.Listener:
+    """Return a listener for requests whose bodies are not read."""
+    return client_requests.make_server(
+        name,
+        serve,
+        http_requests.make_factory(lambda: MAX_BODY_BYTES),
+        keepalive_timeout=IDLE_S,
+        lingering_time=0,
+        access_log=None,
+    )
 
 
 def _serve_quarantine(api: OperatorApi, request) -> web.Response:
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -108,6 +108,14 @@
     "A request could not be read as HTTP and got `status`; `reason` names the "
     "kind of fault. Its text is not logged, since it may hold a secret.",
 )
+CLIENT_ENDED = _declare(
+    1010,
+    "client.ended",
+    "A client's connection, or the reading of its request, was ended. The "
+    "`reason` `memory` means that memory for clients ran short and this one, "
+    "which held `held_bytes`, made no progress; the others that it took too "
+    "long. A few are logged at a time; `client_refusals_total` counts all.",
+)
 ROLE_CHANGED = _declare(
     2001,
     "control.role",
