--- a/bilberryramp/decisions/fleet/limits/usage_asks.py
+++ b/bilberryramp/decisions/fleet/limits/usage_asks.py
@@ -27,7 +27,7 @@
 # Times after which a node asks again for credit ahead, and for a reserve,
 # which the leader may not have granted.
 AHEAD_REPEAT_MS = 100
-RESERVE_REPEAT_MS = 1000
+RESERVE_REPEAT_MS = 2000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
