--- a/bilberryramp/decisions/fleet/core/sharing.py
+++ b/bilberryramp/decisions/fleet/core/sharing.py
@@ -14,6 +14,7 @@
 import dataclasses
 import enum
 import operator
+import typing
 
 from bilberryramp.decisions.fleet.core import keys, prefix_cache
 
@@ -23,6 +24,7 @@
     "Loads",
     "Report",
     "ReportTo",
+    "SpeedSample",
     "apply_report",
     "build_due_report",
     "count_adapter_call",
@@ -32,6 +34,7 @@
     "record_demand",
     "record_load_change",
     "record_sent_prompt",
+    "record_speed_sample",
     "set_audience_size",
     "total_load",
     "urgency_level",
@@ -51,8 +54,13 @@
 IDLE_REPORT_INTERVAL_MS = 900
 # Interval of reports that list all upstreams, for peers that missed reports.
 FULL_REPORT_INTERVAL_MS = 900
-# Limit on the messages with which one gateway reports to one audience.
+# Limit on the messages with which one gateway reports to one audience. What
+# it has not used for up to MAX_CREDIT_MS it may use at once, so that a report
+# that is urgent doesn't wait behind one that was not; other reports leave the
+# reserve for urgent ones.
 MAX_MESSAGES_PER_S = 120
+MAX_CREDIT_MS = 1000
+URGENT_RESERVE_MS = 500
 # Minimum size of a long prompt: half of what an engine reads in one step (4096
 # tokens, data sheet).
 LONG_PROMPT_TOKENS = 2048
@@ -107,6 +115,24 @@
     )
 
 
+class SpeedSample(typing.NamedTuple):
+    """A measured reading speed of an engine.
+
+    Attributes
+    ----------
+    upstream_key
+        Key of the engine.
+    born_ms
+        Start of its process, as in `presence.Announcement`.
+    ns_per_token
+        Nanoseconds per token of work before a first token.
+    """
+
+    upstream_key: int
+    born_ms: int
+    ns_per_token: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Report:
     """Load of one gateway, and the prompts it sent since its last report.
@@ -130,6 +156,8 @@
     is_whole
         Whether upstreams without a row have no calls of this gateway. If
         False, their rows of the previous reports remain valid.
+    speeds
+        Reading speeds that were measured since the last report.
     """
 
     sender: str
@@ -137,6 +165,7 @@
     sent: tuple[tuple[int, str, tuple[tuple[int, int], ...]], ...]
     asked: tuple[tuple[int, int], ...] = ()
     is_whole: bool = True
+    speeds: tuple[SpeedSample, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -181,11 +210,16 @@
     Attributes
     ----------
     min_interval_ms
-        Minimum interval between two reports.
+        Minimum interval between two reports in the long run.
+    credit_ms, credited_ms
+        Time that may be spent on reports, each of which costs
+        `min_interval_ms`, and when it was last computed.
     unreported_prompts
         Prompts sent since the last report.
     unreported_demand
         Tokens of work requested since the last report, by key of the model.
+    unreported_speeds
+        Reading speeds measured since the last report.
     changed_upstreams
         Identifiers of upstreams whose load has changed since the last report.
     is_report_urgent
@@ -197,12 +231,17 @@
     """
 
     min_interval_ms: int = URGENT_REPORT_INTERVAL_MS
+    credit_ms: int = 0
+    credited_ms: int = -MAX_CREDIT_MS
     unreported_prompts: list[prefix_cache.SentPrompt] = dataclasses.field(
         default_factory=list
     )
     unreported_demand: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    unreported_speeds: list[SpeedSample] = dataclasses.field(
+        default_factory=list
+    )
     changed_upstreams: set[str] = dataclasses.field(default_factory=set)
     is_report_urgent: bool = False
     reported_ms: int = 0
@@ -461,7 +500,7 @@
 
 def apply_report(
     loads: Loads, report: Report, cache_capacity_tokens: int, now_ms: int
-) -> None:
+) -> list[tuple[int, int]]:
     """Update loads and prefix caches from the report of a peer.
 
     Parameters
@@ -474,6 +513,12 @@
         Capacity of an engine's prefix cache in tokens.
     now_ms
         Current time in milliseconds.
+
+    Returns
+    -------
+    list of (int, int)
+        Keys of the engines that have read prompts of the peer since its last
+        report, and the number of tokens.
     """
     peer = loads.peers.get(report.sender)
     if peer is None:
@@ -482,9 +527,14 @@
         _count_rows(loads, peer.rows.values(), 1)
     elif peer.is_counted and report.is_whole:
         _count_rows(loads, peer.rows.values(), -1)
+    known_rows = peer.rows
     if report.is_whole:
         peer.rows = {}
+    read = []
     for row in report.rows:
+        read_tokens = _unread(known_rows.get(row[0], ())) - _unread(row)
+        if read_tokens > 0:
+            read.append((row[0], read_tokens))
         previous = peer.rows.get(row[0])
         if previous is not None:
             _count_row(loads, previous, -1)
@@ -500,6 +550,12 @@
             prefix_cache.SentPrompt(*prompt_fields),
             cache_capacity_tokens,
         )
+    return read
+
+
+def _unread(row: tuple[int, ...]) -> int:
+    """Return the unread tokens of a row of a report."""
+    return sum(row[3:ROW_ADAPTERS_START])
 
 
 def record_sent_prompt(
@@ -551,6 +607,20 @@
         outbox.unreported_demand[keys.short_key(model)] += tokens
 
 
+def record_speed_sample(loads: Loads, sample: SpeedSample) -> None:
+    """Record a measured reading speed, which the next reports contain.
+
+    Parameters
+    ----------
+    loads
+        Known loads. Modified in place.
+    sample
+        The measured speed.
+    """
+    for outbox in loads.outboxes.values():
+        outbox.unreported_speeds.append(sample)
+
+
 def build_due_report(
     loads: Loads,
     sender: str,
@@ -576,14 +646,26 @@
         None when no report is due yet.
     """
     outbox = loads.outboxes[audience]
+    cost_ms = outbox.min_interval_ms
+    max_credit_ms = max(MAX_CREDIT_MS, cost_ms)
+    reserve_ms = 0
     if outbox.is_report_urgent:
         interval_ms = URGENT_REPORT_INTERVAL_MS
     elif outbox.changed_upstreams or outbox.unreported_demand:
         interval_ms = CHANGED_REPORT_INTERVAL_MS
+        reserve_ms = min(URGENT_RESERVE_MS, max_credit_ms - cost_ms)
     else:
         interval_ms = IDLE_REPORT_INTERVAL_MS
-    if now_ms - outbox.reported_ms < max(interval_ms, outbox.min_interval_ms):
+    outbox.credit_ms = min(
+        outbox.credit_ms + now_ms - outbox.credited_ms, max_credit_ms
+    )
+    outbox.credited_ms = now_ms
+    if (
+        now_ms - outbox.reported_ms < interval_ms
+        or outbox.credit_ms < cost_ms + reserve_ms
+    ):
         return None
+    outbox.credit_ms -= cost_ms
     is_whole = now_ms - outbox.full_report_ms >= FULL_REPORT_INTERVAL_MS
     report = Report(
         sender,
@@ -602,6 +684,7 @@
         ),
         tuple(outbox.unreported_demand.items()),
         is_whole,
+        tuple(outbox.unreported_speeds),
     )
     outbox.reported_ms = now_ms
     if is_whole:
@@ -610,6 +693,7 @@
     outbox.changed_upstreams.clear()
     outbox.unreported_prompts.clear()
     outbox.unreported_demand.clear()
+    outbox.unreported_speeds.clear()
     return report
 
 
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -42,8 +42,10 @@
 from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.queueing import turns
 from bilberryramp.decisions.fleet.routing import (
+    engine_speeds,
     health,
     scheduling,
+    stream_gaps,
     upstream_pauses,
 )
 
@@ -272,16 +274,24 @@
         return
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
+    gw.gap_policies = stream_gaps.policies(message.doc)
     usage_credits.set_document(gw.usage, message.doc)
     gw.workspace_turns.weights = turns.make_weights(message.doc.workspaces)
     for call in admission.waiting_calls(gw):
-        yield from admission.judge(gw, call)
-        if not call.is_admitted:
-            call.wait_reason = calls.Refusal.UNKNOWN_KEY
-            yield from _refuse_if_unservable(gw, now_ms, call)
+        yield from _judge_waiting(gw, call, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
+def _judge_waiting(
+    gw: gateway_state.Gateway, call: calls.Call, now_ms: int
+) -> Iterator:
+    """Judge a call by the document in force, and refuse it unless admitted."""
+    yield from admission.judge(gw, call)
+    if not call.is_admitted:
+        call.wait_reason = calls.Refusal.UNKNOWN_KEY
+        yield from _refuse_if_unservable(gw, now_ms, call)
+
+
 def _on_announcement(
     gw: gateway_state.Gateway, now_ms: int, announcement
 ) -> Iterator:
@@ -379,10 +389,14 @@
 def _on_report(
     gw: gateway_state.Gateway, now_ms: int, report: sharing.Report
 ) -> Iterator:
-    sharing.apply_report(
+    read = sharing.apply_report(
         gw.loads, report, gateway_state.cache_capacity_tokens(gw), now_ms
     )
+    for upstream_key, tokens in read:
+        stream_gaps.record_read(gw.read_bursts, upstream_key, tokens, now_ms)
     _record_demand(gw, report, now_ms)
+    for sample in report.speeds:
+        engine_speeds.record_sample(gw.speeds, sample, now_ms)
     if now_ms - gw.served_ms >= REPORT_SERVE_INTERVAL_MS:
         yield from _serve_queue(gw, now_ms)
 
@@ -605,13 +619,15 @@
     call = gw.active.get(message.call_id)
     if call is None:
         return
-    prompt = call.request.prompt
     call.answer_started_ms = now_ms
-    if prompt is not None and call.phase == "sent":
+    if call.request.prompt is not None and call.phase == "sent":
         took_ms = now_ms - call.sent_ms
-        scheduling.record_first_token_time(
-            gw.ms_per_token, prompt.model, call.work_tokens, took_ms
+        sample = engine_speeds.measure_first_token(
+            call.target, call.work_tokens, took_ms
         )
+        if sample is not None:
+            engine_speeds.record_sample(gw.speeds, sample, now_ms)
+            sharing.record_speed_sample(gw.loads, sample)
     if call.phase == "sent":
         suspect_evidence.record_answer_start(gw.suspect_state, call, now_ms)
     was_returning = upstream_pauses.is_returning(gw.pauses, call)
@@ -678,6 +694,8 @@
             if call.answer_started_ms >= call.sent_ms
             else -1,
             "longest_gap_ms": message.longest_gap_ms,
+            "predicted_gap_ms": call.predicted_gap_ms,
+            "gap_target_ms": call.route.gap_target_ms,
         },
     )
     if outcome is calls.AttemptOutcome.DELIVERED:
@@ -718,6 +736,8 @@
     call.attempt_count -= 1
     call.tried_upstreams.discard(call.upstream_id)
     yield from gateway_state.fire(gw, call, "repeatable", now_ms)
+    # Calls before it in the queue may keep it from being dispatched.
+    yield from _judge_waiting(gw, call, now_ms)
     yield from _serve_queue(gw, now_ms)
 
 
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -8,6 +8,7 @@
     calls,
     documents,
     hosts,
+    keys,
     presence,
     sharing,
     workspaces,
@@ -21,8 +22,10 @@
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
 from bilberryramp.decisions.fleet.queueing import lanes, turns
 from bilberryramp.decisions.fleet.routing import (
+    engine_speeds,
     health,
     scheduling,
+    stream_gaps,
     upstream_pauses,
 )
 from bilberryramp.decisions.shared import charting
@@ -84,8 +87,13 @@
     full_until_ms
         Until when an upstream that reported that it is full gets no calls, by
         upstream identifier.
-    ms_per_token
-        Measured milliseconds per token of work, by model.
+    speeds
+        Measured reading speeds of the engines.
+    gap_policies
+        What the streams of the document's services need, by service; only
+        services with an objective for pauses.
+    read_bursts
+        What each engine has read last, by `keys.short_key` of its id.
     demand
         Demand for models and recent uses, as all gateways report them.
     unanswered_since_ms
@@ -132,7 +140,15 @@
         default_factory=dict
     )
     full_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    ms_per_token: dict[str, float] = dataclasses.field(default_factory=dict)
+    speeds: engine_speeds.Speeds = dataclasses.field(
+        default_factory=engine_speeds.Speeds
+    )
+    gap_policies: dict[str, stream_gaps.Policy] = dataclasses.field(
+        default_factory=dict
+    )
+    read_bursts: dict[int, stream_gaps.Burst] = dataclasses.field(
+        default_factory=dict
+    )
     demand: placement.Demand = dataclasses.field(
         default_factory=placement.Demand
     )
@@ -294,10 +310,17 @@
     yield from ()
 
 
-def _mark_prompt_read(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
+def _mark_prompt_read(call: calls.Call, now_ms: int, gw: Gateway) -> Iterator:
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.unread_tokens[call.urgency_level] -= call.unread_tokens
     sharing.record_load_change(gw.loads, call.upstream_id, call.unread_tokens)
+    if call.unread_tokens:
+        stream_gaps.record_read(
+            gw.read_bursts,
+            keys.short_key(call.upstream_id),
+            call.unread_tokens,
+            now_ms,
+        )
     call.unread_tokens = 0
     yield from ()
 
