Keep usage buckets over a gap of the lease in one term

Cause: a leader whose loop or store stalled for a heartbeat or two emptied its buckets, and refused workspaces far below their limits, although no other node can have led in between: each voter that answers its heartbeats again has voted for nobody since.

Change: buckets start empty in a new term only.

--- a/bilberryramp/decisions/fleet/limits/usage_issuer.py
+++ b/bilberryramp/decisions/fleet/limits/usage_issuer.py
@@ -2,7 +2,9 @@
 
 The leader keeps a bucket for each workspace with a limit and demand; see
 `usage_terms` for what it may issue. Without a provable lease it issues
-nothing, and after a gap in its lease it starts anew.
+nothing, and in a new term it starts anew. Where the lease has a gap in a term,
+no other node has led: each voter of another leader has answered none of this
+node's heartbeats since.
 
 ``now_ms`` must come from a clock that continues to run while the instance is
 suspended.
@@ -101,7 +103,7 @@
     leadership
         Newest proof that this node leads.
     led_since_ms
-        Since when the proofs have followed each other without a gap.
+        When the first proof of the present term arrived.
     limits
         Limits of the document in force, by workspace.
     buckets
@@ -137,7 +139,7 @@
         Current time in milliseconds.
     """
     known = issuer.leadership
-    is_same = leads(issuer, now_ms) and leadership.term == known.term
+    is_same = leadership.term == known.term
     issuer.leadership = leadership
     if not is_same:
         issuer.led_since_ms = now_ms
