Take no failure that an engine reports for a run

Cause, traced by its logs: an answer was taken for proof of what it does not say. All nodes were killed and started again at 27 s; n1 and n2 had the quarantine from their disks. n4, without a disk, knew of it no more and sent the request at 28.21 s to two engines that failed all requests for a while: 500 after 6 ms. When n2 led and published the quarantine, n4 reported this as a run of the content, and at 28.416 s it was cleared ("ran"). Each further 500 refuted what had been lost since.

Change: a failure that an engine reports clears neither content nor parts, as it may come before the request runs. It still shows that the process lives. A sound content that only ever fails is therefore cleared no sooner than by its age; it still needs three losses, one of them alone in a trial.

Result: test_a_failure_lifted_a_quarantine failed before.

--- a/bilberryramp/decisions/fleet/quarantine/suspect_evidence.py
+++ b/bilberryramp/decisions/fleet/quarantine/suspect_evidence.py
@@ -44,8 +44,11 @@
 SURVIVAL_MS = 1000
 
 _BREAKS = (calls.AttemptOutcome.BROKEN, calls.AttemptOutcome.TRUNCATED)
-_RUNS = (calls.AttemptOutcome.DELIVERED, calls.AttemptOutcome.FAILED)
-_ANSWERS = (*_RUNS, calls.AttemptOutcome.NOT_RUN)
+_ANSWERS = (
+    calls.AttemptOutcome.DELIVERED,
+    calls.AttemptOutcome.FAILED,
+    calls.AttemptOutcome.NOT_RUN,
+)
 
 
 def record_attempt_end(
@@ -78,8 +81,9 @@
     if outcome in _ANSWERS and call.target is not None:
         key = (call.target.upstream_id, call.target.born_ms)
         state.answered_ms[key] = now_ms
-    if outcome in _RUNS:
-        yield from _record_runs(state, _proven_by(call, outcome), now_ms)
+    # An upstream may report a failure before it begins to run the request.
+    if outcome is calls.AttemptOutcome.DELIVERED:
+        yield from _record_runs(state, call.identities, now_ms)
     elif outcome in _BREAKS:
         if _keep_attempt(state, call, True, now_ms):
             yield from send_reports(state, now_ms, only_repeated=True)
@@ -87,18 +91,6 @@
         _keep_attempt(state, call, False, now_ms)
 
 
-def _proven_by(
-    call: calls.Call, outcome: calls.AttemptOutcome
-) -> tuple[str, ...]:
-    """Return the identities of a call that its run clears.
-
-    A failure that an upstream reports may precede the reading of the prompt.
-    """
-    if outcome is calls.AttemptOutcome.DELIVERED:
-        return call.identities
-    return _of_kind(call.identities, identities.Kind.CONTENT)
-
-
 def _of_kind(
     candidates: tuple[str, ...], kind: identities.Kind
 ) -> tuple[str, ...]:
--- a/bilberryramp/decisions/fleet/tests/test_part_evidence.py
+++ b/bilberryramp/decisions/fleet/tests/test_part_evidence.py
@@ -125,6 +125,18 @@
         step(gw, calls.AttemptEnded(1, calls.AttemptOutcome.FAILED))
         self.assertFalse(gw.suspect_state.runs_ms[identities.Kind.PART])
 
+    def test_a_failure_lifted_a_quarantine(self):
+        """A node without a disk learned of the quarantine after it."""
+        gw = make_gateway()
+        builders.submit(gw, 1, make_request(1), NOW_MS)
+        step(gw, calls.AttemptEnded(1, calls.AttemptOutcome.FAILED))
+        produced = publish(gw, "f1", "quarantined")
+        sent = [
+            e.message
+            for e in builders.of_type(produced, suspects.ToCoordinator)
+        ]
+        self.assertNotIn(msgs.RunReport("f1", 0), sent)
+
     def test_attempts_with_a_part_that_never_ran_are_recalled(self):
         for answered, has_run, count in ((0, 0, 1), (1, 0, 0), (0, 1, 0)):
             gw = make_gateway()
