--- a/bilberryramp/platform/tests/client_crowds.py
+++ b/bilberryramp/platform/tests/client_crowds.py
@@ -24,9 +24,11 @@
     "end",
     "endless_heads",
     "endless_trailers",
+    "frames",
     "gather",
     "make_head",
     "measure",
+    "questions_ahead",
     "requests_ahead",
     "settle",
     "silence",
@@ -90,7 +92,7 @@
     descriptors: int = 0
 
 
-def make_head(path: str, *fields: str, host: str = "h.example") -> bytes:
+def make_head(path: str, *fields: str, method: str = "POST") -> bytes:
     """Make the head of a request with an id of its own.
 
     Parameters
@@ -99,8 +101,8 @@
         Path of the request.
     *fields
         Further header lines.
-    host
-        Host of the request.
+    method
+        Method of the request.
 
     Returns
     -------
@@ -108,8 +110,8 @@
         Head, with its empty line.
     """
     lines = (
-        f"POST {path} HTTP/1.1",
-        f"Host: {host}",
+        f"{method} {path} HTTP/1.1",
+        "Host: h.example",
         f"X-Bilberryramp-Request-Id: crowd-{next(_ids)}",
         f"X-Bilberryramp-Deadline-Ms: {DEADLINE_MS}",
         *fields,
@@ -142,6 +144,27 @@
         yield make_head(path, f"Content-Length: {size}") + b"x" * size
 
 
+def questions_ahead(path: str, count: int) -> Iterator[bytes]:
+    """Make GET requests that are sent without waiting for answers."""
+    for _ in range(count):
+        yield make_head(path, method="GET")
+
+
+def frames(size: int) -> Iterator[bytes]:
+    """Make a frame of ZeroMQ's protocol without its last bytes.
+
+    The greeting of version 3.0 names the mechanism NULL; READY is the only
+    command of that handshake.
+    """
+    yield b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(52, b"\0")
+    name, kind = b"Socket-Type", b"DEALER"
+    ready = b"\x05READY" + bytes([len(name)]) + name
+    ready += len(kind).to_bytes(4, "big") + kind
+    yield bytes([4, len(ready)]) + ready
+    yield b"\x02" + size.to_bytes(8, "big")
+    yield from _pieces(size - MISSING_BYTES)
+
+
 def endless_heads(path: str, line_count: int) -> Iterator[bytes]:
     """Make the head of a request whose header lines go on."""
     yield make_head(path)[:-2]
@@ -261,7 +284,7 @@
     ports = frozenset(ports)
     with contextlib.suppress(OSError, KeyError):
         while True:
-            _sample(pid, ports, usage)
+            await asyncio.to_thread(_sample, pid, ports, usage)
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
 
