Claim the memory of engines that exceeds a node's part

Reservations rested on reports of the other nodes, so requests at one engine exceeded its memory when several nodes acted on the same report, and when nodes, links or clients were lost.

Requests count until the engine has answered them in full, or until their deadline has passed. Agents and nodes that have just started wait until what their predecessors granted or sent must have ended. If an agent is silent or has just started, reports decide as before.

--- a/bilberryramp/decisions/fleet/core/sharing.py
+++ b/bilberryramp/decisions/fleet/core/sharing.py
@@ -87,7 +87,8 @@
     calls
         Number of calls.
     reserved_tokens
-        Memory that the calls may need for prompts and answers, in tokens.
+        Memory that the calls, and ended ones that the upstream may still
+        hold, may need for prompts and answers, in tokens.
     unread_tokens
         Prompt tokens of calls whose answer has not started, by
         `urgency_level`.
@@ -591,7 +592,7 @@
             _load_row(load)
             for load in loads.own.values()
             if (
-                load.calls
+                load.calls or load.reserved_tokens
                 if is_whole
                 else load.upstream_id in outbox.changed_upstreams
             )
--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -11,7 +11,7 @@
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway_state
-from bilberryramp.decisions.fleet.limits import retry_budget
+from bilberryramp.decisions.fleet.limits import engine_memory, retry_budget
 from bilberryramp.decisions.fleet.orders import agent, placement, planner
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
 from bilberryramp.decisions.fleet.routing import (
@@ -58,7 +58,7 @@
 
     Yields
     ------
-    SendCall, SendResidencyRequest, WantModel, ToCoordinator, Trace
+    SendCall, SendResidencyRequest, WantModel, ToCoordinator, ToAgent, Trace
         No `SendCall` if the call should wait; `call.wait_reason` then names
         the resource that it waits for. A call whose request may not run now
         is held; one that waits in vain waits until the caller refuses it.
@@ -107,7 +107,17 @@
         for candidate in model_holders
         if _has_adapter(candidate, prompt)
     ]
-    choice = _pick_engine(gw, call, engine, adapter_holders, now_ms)
+    room = engine_memory.room_for(
+        gw.memory,
+        scheduling.required_memory_tokens(prompt),
+        engine.kv_tokens,
+        now_ms - gw.started_ms,
+        now_ms,
+    )
+    choosable = engine_memory.candidates(
+        gw.memory, call, room, adapter_holders, now_ms
+    )
+    choice = _pick_engine(gw, call, engine, choosable, now_ms)
     should_dispatch = choice is not None and scheduling.should_dispatch(
         call, choice, now_ms
     )
@@ -124,7 +134,12 @@
             gw, call, engine, alternative.upstream, now_ms
         )
     elif should_dispatch:
-        yield from _dispatch(gw, now_ms, call, choice.upstream, choice)
+        call.wait_reason = calls.Refusal.OVERLOADED
+        is_secured = yield from engine_memory.secure(
+            gw.memory, call, room, choice.upstream.announcement, now_ms
+        )
+        if is_secured:
+            yield from _dispatch(gw, now_ms, call, choice.upstream, choice)
     elif adapter_holders or loading_candidates:
         call.wait_reason = calls.Refusal.OVERLOADED
     else:
@@ -476,6 +491,7 @@
     call.target_heard_ms = upstream.heard_ms
     call.sent_ms = now_ms
     call.has_survived = False
+    call.last_outcome = None
     call.send_count += 1
     call.attempt_count += 1
     call.tried_upstreams.add(upstream_id)
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -21,7 +21,12 @@
     gateway_state,
     waiting_times,
 )
-from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.limits import (
+    engine_memory,
+    memory_claims,
+    retry_budget,
+    retry_shares,
+)
 from bilberryramp.decisions.fleet.orders import agent, placement
 from bilberryramp.decisions.fleet.quarantine import quarantine_messages as msgs
 from bilberryramp.decisions.fleet.quarantine import (
@@ -231,13 +236,14 @@
         Current time in milliseconds.
     message
         A message of this module or of `calls`, an `Announcement`, a
-        `LeavingNotice` of a peer, a `ResidencyReport`, a `Report`, a `Share`,
-        or a message of the coordinator of the quarantine.
+        `LeavingNotice` of a peer, a `ResidencyReport`, a `MemoryAnswer`, a
+        `Report`, a `Share`, or a message of the coordinator of the quarantine.
 
     Yields
     ------
     effect
         Effects of `calls` and `planner`, `Trace`, `ReportTo`, `TellPeers`,
+        `ToAgent`,
         `EnginePaused`, `KeepSuspects` and `ToCoordinator`.
     """
     yield from _HANDLERS[type(message)](gw, now_ms, message)
@@ -255,6 +261,9 @@
         return
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
+    engine_memory.record_timeouts(
+        gw.memory, (route.timeout_ms for route in message.doc.routes)
+    )
     yield from _serve_queue(gw, now_ms)
 
 
@@ -363,6 +372,18 @@
         yield from _serve_queue(gw, now_ms)
 
 
+def _on_memory_answer(
+    gw: gateway_state.Gateway,
+    now_ms: int,
+    answer: memory_claims.MemoryAnswer,
+) -> Iterator:
+    call = gw.active.get(answer.call_id)
+    yield from engine_memory.accept_answer(gw.memory, answer, call, now_ms)
+    if call is not None and call.phase == "waiting":
+        yield from dispatch.try_dispatch(gw, now_ms, call)
+        yield from _serve_queue(gw, now_ms)
+
+
 def _on_shutdown_started(
     gw: gateway_state.Gateway, now_ms: int, _message
 ) -> Iterator:
@@ -374,6 +395,7 @@
 def _on_tick(gw: gateway_state.Gateway, now_ms: int, _message) -> Iterator:
     presence.remove_silent_upstreams(gw.table, now_ms)
     upstream_pauses.remove_outdated(gw.pauses, gw.table, now_ms)
+    engine_memory.let_go_of_ended(gw.memory, gw.loads, gw.table, now_ms)
     yield from suspect_evidence.review(gw.suspect_state, now_ms)
     yield from _clear_survivors(gw, now_ms)
     yield from _review_held(gw, now_ms)
@@ -870,8 +892,11 @@
 ) -> Iterator:
     remaining_ms = call.deadline_ms - now_ms
     is_hopeless = call.wait_reason in _HOPELESS
+    may_wait = not gw.is_shutting_down or engine_memory.is_awaiting(
+        gw.memory, call
+    )
     if (
-        not gw.is_shutting_down
+        may_wait
         and not is_hopeless
         and remaining_ms >= MIN_ATTEMPT_TIME_MS
         and scheduling.should_keep_waiting(
@@ -918,6 +943,7 @@
     msgs.SuspectList: _on_suspect_list,
     msgs.TrialGrant: _on_trial_grant,
     agent.ResidencyReport: _on_residency_report,
+    memory_claims.MemoryAnswer: _on_memory_answer,
     ShutdownStarted: _on_shutdown_started,
     Tick: _on_tick,
     presence.Announcement: _on_announcement,
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -11,7 +11,11 @@
     presence,
     sharing,
 )
-from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.limits import (
+    engine_memory,
+    retry_budget,
+    retry_shares,
+)
 from bilberryramp.decisions.fleet.orders import placement
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
 from bilberryramp.decisions.fleet.routing import health, upstream_pauses
@@ -60,6 +64,8 @@
         All calls that have not ended, by call identifier.
     queue
         Calls that wait for an upstream, by call identifier.
+    memory
+        What this node's requests occupy at the engines.
     held
         Calls that wait for a trial because upstreams were lost under their
         requests, by call identifier.
@@ -106,6 +112,7 @@
     active: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
     queue: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
     held: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
+    memory: engine_memory.Memory = dataclasses.field(init=False)
     suspect_state: suspects.Suspects = dataclasses.field(init=False)
     upstream_health: dict[str, health.Health] = dataclasses.field(
         default_factory=dict
@@ -129,6 +136,7 @@
 
     def __post_init__(self):
         """Make the state that shares the table of upstreams."""
+        self.memory = engine_memory.Memory(self.address)
         self.suspect_state = suspects.Suspects(self.address, self.table)
 
 
@@ -245,6 +253,7 @@
     load.unread_tokens[call.urgency_level] += call.unread_tokens
     _count_adapter_call(load, call, 1)
     sharing.record_load_change(gw.loads, call.upstream_id, call.unread_tokens)
+    engine_memory.start_use(gw.memory, call)
     yield from ()
 
 
@@ -259,12 +268,12 @@
 def _remove_load(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.calls -= 1
-    load.reserved_tokens -= call.reserved_tokens
+    held_tokens = yield from engine_memory.end_use(gw.memory, call)
+    load.reserved_tokens -= call.reserved_tokens - held_tokens
     load.unread_tokens[call.urgency_level] -= call.unread_tokens
     _count_adapter_call(load, call, -1)
     sharing.record_load_change(gw.loads, call.upstream_id, call.unread_tokens)
     call.reserved_tokens = call.unread_tokens = 0
-    yield from ()
 
 
 def _count_adapter_call(
@@ -282,7 +291,7 @@
 
 def _leave_queue(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     gw.queue.pop(call.call_id, None)
-    yield from ()
+    yield from engine_memory.release(gw.memory, call)
 
 
 def _join_held(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
--- a/bilberryramp/decisions/fleet/orders/agent.py
+++ b/bilberryramp/decisions/fleet/orders/agent.py
@@ -20,6 +20,7 @@
 
 from bilberryramp.decisions.fleet.core import documents, presence
 from bilberryramp.decisions.fleet.core.traces import Trace
+from bilberryramp.decisions.fleet.limits import memory_claims
 from bilberryramp.decisions.shared import charting
 
 __all__ = [
@@ -274,18 +275,18 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Notify:
-    """Send a report to a node.
+    """Send a message to a node.
 
     Attributes
     ----------
     to
         Address of the node.
     message
-        The report.
+        A report, or the answer to a claim.
     """
 
     to: str
-    message: ResidencyReport
+    message: ResidencyReport | memory_claims.MemoryAnswer
 
 
 @dataclasses.dataclass(slots=True)
@@ -394,6 +395,9 @@
     changing: tuple[str, bool] | None = None
     ordered_ms: int = -(10**9)
     verified_ms: int = -(10**9)
+    memory: memory_claims.Book = dataclasses.field(
+        default_factory=memory_claims.Book
+    )
 
 
 def new_agent(
@@ -452,16 +456,35 @@
         Current time in milliseconds.
     message
         `ResidencyRequest`, `EngineReport`, `OrderEnded`,
-        `ResidencyAnnounced` or `Tick`.
+        `ResidencyAnnounced`, `MemoryClaim`, `MemoryRelease` or `Tick`.
 
     Yields
     ------
     effect
         `SendOrder`, `ReadEngine`, `Notify` or `Trace`.
     """
+    memory_claims.note_time(agent.memory, now_ms)
     yield from _HANDLERS[type(message)](agent, now_ms, message)
 
 
+def _on_memory_claim(
+    agent: Agent, now_ms: int, claim: memory_claims.MemoryClaim
+) -> Iterator:
+    # Only a remote agent can have a successor.
+    is_sole = agent.may_order or not agent.is_remote
+    yield Notify(
+        claim.sender,
+        memory_claims.answer_claim(agent.memory, claim, is_sole, now_ms),
+    )
+
+
+def _on_memory_release(
+    agent: Agent, _now_ms: int, release: memory_claims.MemoryRelease
+) -> Iterator:
+    memory_claims.release_claim(agent.memory, release)
+    yield from ()
+
+
 def _on_request(agent: Agent, now_ms: int, req: ResidencyRequest) -> Iterator:
     key = (req.model, req.adapter)
     if _is_satisfied(agent, req):
@@ -911,6 +934,8 @@
 }
 
 _HANDLERS = {
+    memory_claims.MemoryClaim: _on_memory_claim,
+    memory_claims.MemoryRelease: _on_memory_release,
     ResidencyRequest: _on_request,
     Tick: _on_tick,
     EngineReport: _on_engine_report,
--- a/bilberryramp/decisions/fleet/orders/order_holders.py
+++ b/bilberryramp/decisions/fleet/orders/order_holders.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterator
 
 from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.limits import memory_claims
 from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.decisions.shared import charting
 
@@ -350,7 +351,7 @@
         Current time in milliseconds.
     message
         `Standing`, `EngineSeen`, `EngineMessage`, `EnginePaused`,
-        `ResidencyRequest` or `Tick`.
+        `ResidencyRequest`, `MemoryClaim`, `MemoryRelease` or `Tick`.
 
     Yields
     ------
@@ -415,7 +416,11 @@
 
 
 def _on_request(
-    holder: Holder, now_ms: int, req: agent.ResidencyRequest
+    holder: Holder,
+    now_ms: int,
+    req: agent.ResidencyRequest
+    | memory_claims.MemoryClaim
+    | memory_claims.MemoryRelease,
 ) -> Iterator:
     engine = holder.engines.get(req.upstream_id)
     if engine is not None:
@@ -477,5 +482,7 @@
     EngineMessage: _on_engine_message,
     EnginePaused: _on_engine_paused,
     agent.ResidencyRequest: _on_request,
+    memory_claims.MemoryClaim: _on_request,
+    memory_claims.MemoryRelease: _on_request,
     Tick: _on_tick,
 }
--- a/bilberryramp/decisions/fleet/routing/scheduling.py
+++ b/bilberryramp/decisions/fleet/routing/scheduling.py
@@ -241,12 +241,13 @@
     for upstream in candidates:
         upstream_id = upstream.announcement.upstream_id
         load = sharing.total_load(loads, upstream_id, now_ms)
-        # An engine without calls accepts a prompt of any size.
+        # An engine that holds nothing accepts a prompt of any size.
         has_room = (
             load.reserved_tokens + required_tokens
             <= MAX_MEMORY_RATIO * engine.kv_tokens
         )
-        if load.calls and not has_room or load.calls >= engine.slots:
+        is_empty = load.reserved_tokens <= 0
+        if not (is_empty or has_room) or load.calls >= engine.slots:
             continue
         cached_tokens = prefix_cache.cached_tokens(
             loads.caches, upstream_id, prompt.weights, prompt.parts
--- a/bilberryramp/decisions/fleet/tests/memory_driver.py
+++ b/bilberryramp/decisions/fleet/tests/memory_driver.py
@@ -13,6 +13,8 @@
 
 from bilberryramp.decisions.fleet.core import calls, sharing, traces
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
+from bilberryramp.decisions.fleet.limits import engine_memory
+from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.decisions.fleet.tests import builders
 
 START_MS = 100_000
@@ -23,6 +25,8 @@
     sharing.Audience.NEAR: (1, 3),
     sharing.Audience.FAR: (2, 12),
 }
+# Age of the processes at the start, longer than any request lasts.
+AGE_MS = 60_000
 DOMAINS = "abcd"
 KV_TOKENS = 197_200
 SHARED_TOKENS, OWN_TOKENS, ANSWER_TOKENS = 6300, 2890, 50
@@ -46,6 +50,8 @@
         Number of its last heartbeat.
     busy_until_ms
         When it has read all prompts that it holds.
+    agent
+        State of its agent; None while that is lost.
     held
         Tokens of the requests that it holds, by node, process and call.
     most_tokens
@@ -53,6 +59,7 @@
     """
 
     name: str
+    agent: agent.Agent | None
     kv_tokens: int = KV_TOKENS
     slowdown: float = 1.0
     seq: int = 1
@@ -91,8 +98,8 @@
         arguments.
     waits_ms
         Times from the arrival of calls to their sending.
-    refused, reports
-        Calls that were refused, and reports that were sent.
+    refused, reports, claims
+        Calls that were refused, and messages to peers and to agents.
     traces
         Numbers of log lines by name.
     """
@@ -110,6 +117,7 @@
     waits_ms: list = dataclasses.field(default_factory=list)
     refused: int = 0
     reports: int = 0
+    claims: int = 0
     traces: dict = dataclasses.field(default_factory=dict)
 
 
@@ -123,7 +131,9 @@
     )
     fleet = Fleet(random.Random(seed), doc)
     for number in range(engine_count):
-        engine = Engine(f"e{number}", slowdown=slowdown)
+        engine = Engine(
+            f"e{number}", _make_agent(START_MS - AGE_MS), slowdown=slowdown
+        )
         fleet.engines[engine.name] = engine
         _after(fleet, (0, HEARTBEAT_MS), _beat, engine.name)
     for number in range(node_count):
@@ -131,7 +141,7 @@
         node = Node(f"n{number}:1", domain, None)
         fleet.nodes[node.name] = node
     for node in fleet.nodes.values():
-        _start_process(fleet, node)
+        _start_process(fleet, node, START_MS - AGE_MS)
     run(fleet, 3000)
     return fleet
 
@@ -176,11 +186,12 @@
 
 def load(fleet: Fleet, rate_per_s: float, duration_ms: int) -> None:
     """Give random nodes calls at random times."""
+    rng = random.Random(fleet.rng.random())
     end_ms = fleet.now_ms + duration_ms
     while fleet.now_ms < end_ms:
-        run(fleet, max(1, int(fleet.rng.expovariate(rate_per_s / 1000))))
+        run(fleet, max(1, int(rng.expovariate(rate_per_s / 1000))))
         up = [node.name for node in fleet.nodes.values() if node.is_up]
-        submit(fleet, fleet.rng.choice(up))
+        submit(fleet, rng.choice(up))
 
 
 def kill(fleet: Fleet, name: str) -> None:
@@ -192,7 +203,23 @@
     """Start another process of a node."""
     node = fleet.nodes[name]
     node.process += 1
-    _start_process(fleet, node)
+    _start_process(fleet, node, fleet.now_ms)
+
+
+def lose_agents(fleet: Fleet) -> None:
+    """End the agents of all engines."""
+    for engine in fleet.engines.values():
+        engine.agent = None
+
+
+def restart_agents(fleet: Fleet) -> None:
+    """Start new agents, which know of no claim."""
+    for engine in fleet.engines.values():
+        engine.agent = _make_agent(fleet.now_ms)
+
+
+def _make_agent(now_ms) -> agent.Agent:
+    return builders.make_agent(now_ms=now_ms)
 
 
 def excess_tokens(fleet: Fleet) -> int:
@@ -211,13 +238,18 @@
     heapq.heappush(fleet.events, item)
 
 
-def _start_process(fleet, node) -> None:
+def _start_process(fleet, node, started_ms) -> None:
     node.is_up = True
     node.gw = builders.make_gateway(
         fleet.doc, map(_announcement, fleet.engines.values()), fleet.now_ms
     )
     node.gw.address, node.gw.failure_domain = node.name, node.domain
-    node.gw.started_ms = fleet.now_ms
+    node.gw.started_ms = started_ms
+    node.gw.memory.sender = node.name
+    node.gw.memory.process = node.process
+    engine_memory.record_fleet_size(
+        node.gw.memory, len(fleet.nodes), fleet.now_ms
+    )
     for audience in sharing.Audience:
         count = sum(1 for _ in _audience(fleet, node, audience))
         sharing.set_audience_size(node.gw.loads, audience, count)
@@ -269,6 +301,9 @@
         match effect:
             case sharing.ReportTo():
                 _report(fleet, node, effect)
+            case engine_memory.ToAgent():
+                fleet.claims += 1
+                _after(fleet, CALL_DELAY_MS, _step_agent, name, effect.message)
             case calls.SendCall():
                 _send(fleet, node, effect)
             case calls.Refuse():
@@ -278,6 +313,15 @@
                 fleet.traces[effect.name] = count + 1
 
 
+def _step_agent(fleet, name, message) -> None:
+    state = fleet.engines[message.upstream_id].agent
+    process = fleet.nodes[name].process
+    if state is not None:
+        for effect in list(agent.step(state, fleet.now_ms, message)):
+            answer = (name, process, effect.message)
+            _after(fleet, CALL_DELAY_MS, _step, *answer)
+
+
 def _report(fleet, node, effect) -> None:
     delays_ms = REPORT_DELAY_MS[effect.audience]
     for other in _audience(fleet, node, effect.audience):
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -13,7 +13,11 @@
 
 from bilberryramp.decisions.fleet.core import presence
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
-from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.limits import (
+    memory_claims,
+    retry_budget,
+    retry_shares,
+)
 from bilberryramp.decisions.fleet.orders import agent, order_holders, planner
 from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
@@ -271,6 +275,7 @@
         cfg.failure_domain,
     )
     gw.started_ms = now_ms
+    gw.memory.process = clock.wall_ms()
     gw.discovery_deadline_ms = now_ms + round(
         DISCOVERY_HEARTBEATS * cfg.heartbeat_ms
     )
@@ -428,8 +433,14 @@
         register_messages.AppendReply,
     )
 
+    for_holder = (
+        agent.ResidencyRequest,
+        memory_claims.MemoryClaim,
+        memory_claims.MemoryRelease,
+    )
+
     def dispatch(message) -> None:
-        if isinstance(message, agent.ResidencyRequest):
+        if isinstance(message, for_holder):
             if holder_inbox is not None:
                 mailbox.post_now(holder_inbox, message)
             return
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -14,7 +14,7 @@
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
-from bilberryramp.decisions.fleet.limits import retry_budget
+from bilberryramp.decisions.fleet.limits import engine_memory, retry_budget
 from bilberryramp.decisions.fleet.orders import agent, order_holders, planner
 from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
@@ -301,6 +301,9 @@
         sharing.Audience.NEAR: near,
         sharing.Audience.FAR: far,
     }
+    engine_memory.record_fleet_size(
+        task.gw.memory, len(task.peers) + 1, clock.boot_ms()
+    )
     for audience, peers in task.audiences.items():
         sharing.set_audience_size(task.gw.loads, audience, len(peers))
 
@@ -410,8 +413,10 @@
                 mailbox.post_now(task.holder_inbox, effect)
         case planner.WantModel():
             _route_model_request(task, now_ms, effect)
+        case engine_memory.ToAgent():
+            _send_to_agent(task, effect.address, effect.message)
         case planner.SendResidencyRequest():
-            _send_residency_request(task, effect)
+            _send_to_agent(task, effect.address, effect.request)
         case Trace():
             _record_metrics(task, effect)
             events.trace(effect.name, effect.fields)
@@ -466,23 +471,20 @@
     return upstream_pauses.may_send(gw.pauses, gw.table, send_call, now_ms)
 
 
-def _send_residency_request(
-    task: GatewayTask, effect: planner.SendResidencyRequest
-) -> None:
-    """Send a request to the node that holds the engine, or to its agent."""
-    request = effect.request
-    holder = order_holders.assign(request.upstream_id, task.holders)
+def _send_to_agent(task: GatewayTask, engine_address: str, message) -> None:
+    """Send a message to the node that holds an engine, or to its agent."""
+    holder = order_holders.assign(message.upstream_id, task.holders)
     if holder and holder == task.gw.address:
-        mailbox.post_now(task.holder_inbox, request)
+        mailbox.post_now(task.holder_inbox, message)
         return
     if holder:
-        peer_mesh.send(task.mesh, holder, request)
+        peer_mesh.send(task.mesh, holder, message)
         return
-    agent_host = effect.address.rpartition(":")[0]
+    agent_host = engine_address.rpartition(":")[0]
     peer_mesh.send(
         task.mesh,
         f"{agent_host}:{task.agent_port}",
-        request,
+        message,
         peer_mesh.AGENT_PING_INTERVAL_MS,
     )
 
--- a/bilberryramp/wire/outer_names.py
+++ b/bilberryramp/wire/outer_names.py
@@ -12,6 +12,7 @@
     replication_messages,
 )
 from bilberryramp.decisions.fleet.core import presence, sharing
+from bilberryramp.decisions.fleet.limits import memory_claims
 from bilberryramp.decisions.fleet.orders import agent, planner
 from bilberryramp.decisions.fleet.quarantine import quarantine_messages
 from bilberryramp.decisions.fleet.register import (
@@ -132,6 +133,9 @@
     agent.AgentPresent: "AgentPresent",
     agent.ResidencyRequest: "Hold",
     agent.ResidencyReport: "Holding",
+    memory_claims.MemoryAnswer: "MemoryAnswer",
+    memory_claims.MemoryClaim: "MemoryClaim",
+    memory_claims.MemoryRelease: "MemoryRelease",
     quarantine_messages.KnownSuspects: "KnownSuspects",
     quarantine_messages.LiftSuspect: "LiftSuspect",
     quarantine_messages.ListRequest: "ListRequest",
