Send a call elsewhere if its engine can't start it when memory is granted

A call with a granted claim waited for that engine while others were free. It now gives the claim up and is placed anew. Parts take 0.25 of an engine's memory and claims 0.7, since most memory is that of long prompts, and a full engine is asked again after 50 ms.

--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -114,12 +114,8 @@
         now_ms - gw.started_ms,
         now_ms,
     )
-    choosable = engine_memory.candidates(
-        gw.memory, call, room, adapter_holders, now_ms
-    )
-    choice = _pick_engine(gw, call, engine, choosable, now_ms)
-    should_dispatch = choice is not None and scheduling.should_dispatch(
-        call, choice, now_ms
+    choice, should_dispatch = yield from _choose_engine(
+        gw, call, engine, room, adapter_holders, now_ms
     )
     loading_candidates = _engines_for_adapter(
         gw, engine, model_holders, prompt, now_ms
@@ -149,6 +145,27 @@
         yield from _request_adapter(gw, call, engine, holder, now_ms)
 
 
+def _choose_engine(gw, call, engine, room, upstreams, now_ms) -> Iterator:
+    """Choose the engine at which a call has memory, or else the best one.
+
+    Returns
+    -------
+    tuple of EngineChoice and bool
+        The choice, None if there is none, and whether to send the call now.
+    """
+    while True:
+        choosable = engine_memory.candidates(
+            gw.memory, call, room, upstreams, now_ms
+        )
+        choice = _pick_engine(gw, call, engine, choosable, now_ms)
+        should_dispatch = choice is not None and scheduling.should_dispatch(
+            call, choice, now_ms
+        )
+        if should_dispatch or not engine_memory.is_granted(gw.memory, call):
+            return choice, should_dispatch
+        yield from engine_memory.release(gw.memory, call)
+
+
 def holders(upstreams, call: calls.Call) -> list:
     """Return the upstreams that hold the model of a call's prompt.
 
--- a/bilberryramp/decisions/fleet/limits/engine_memory.py
+++ b/bilberryramp/decisions/fleet/limits/engine_memory.py
@@ -37,6 +37,7 @@
     "end_use",
     "let_go_of_ended",
     "is_awaiting",
+    "is_granted",
     "record_fleet_size",
     "record_timeouts",
     "release",
@@ -46,7 +47,7 @@
 ]
 
 # Fraction of an engine's memory that is divided among the nodes.
-PARTS_RATIO = 0.4
+PARTS_RATIO = 0.25
 # Time after its deadline in which an engine has dropped a request.
 LET_GO_MS = 500
 # Time for which the largest number of nodes counts.
@@ -56,7 +57,7 @@
 ANSWER_TIMEOUT_MS = 60
 SILENCE_MS = 1000
 # Time for which an engine whose memory is taken is not asked again.
-FULL_PAUSE_MS = 100
+FULL_PAUSE_MS = 50
 _SURE_ENDS = (
     *calls.NOTHING_SENT,
     calls.AttemptOutcome.DELIVERED,
@@ -276,6 +277,12 @@
     return claim is not None and not claim.is_granted
 
 
+def is_granted(memory: Memory, call: calls.Call) -> bool:
+    """Return whether a waiting call has memory at an engine."""
+    claim = memory.claims.get(call.call_id)
+    return claim is not None and claim.is_granted
+
+
 def secure(
     memory: Memory,
     call: calls.Call,
--- a/bilberryramp/decisions/fleet/limits/memory_claims.py
+++ b/bilberryramp/decisions/fleet/limits/memory_claims.py
@@ -24,7 +24,7 @@
 ]
 
 # Fraction of an engine's memory that is granted to claims.
-CLAIMED_RATIO = 0.55
+CLAIMED_RATIO = 0.7
 
 ClaimKey = tuple[str, int, int]
 
--- a/bilberryramp/decisions/fleet/tests/memory_driver.py
+++ b/bilberryramp/decisions/fleet/tests/memory_driver.py
@@ -96,8 +96,9 @@
     now_ms, events, numbers
         Virtual time, and the heap of events: time, number, function and
         arguments.
-    waits_ms
-        Times from the arrival of calls to their sending.
+    waits_ms, answers_ms
+        Times from the arrival of calls to their sending, and to their first
+        token.
     refused, reports, claims
         Calls that were refused, and messages to peers and to agents.
     traces
@@ -115,6 +116,7 @@
         default_factory=itertools.count
     )
     waits_ms: list = dataclasses.field(default_factory=list)
+    answers_ms: list = dataclasses.field(default_factory=list)
     refused: int = 0
     reports: int = 0
     claims: int = 0
@@ -343,11 +345,11 @@
     owner = (node.name, node.process, send.call_id)
     prompt = call.request.prompt
     tokens = prompt.tokens_in + prompt.tokens_out
-    args = (send.upstream_id, owner, tokens, call.unread_tokens)
-    _after(fleet, CALL_DELAY_MS, _arrive, *args, send.deadline_ms)
+    args = (send.upstream_id, owner, tokens, call)
+    _after(fleet, CALL_DELAY_MS, _arrive, *args)
 
 
-def _arrive(fleet, engine_name, owner, tokens, unread_tokens, deadline_ms):
+def _arrive(fleet, engine_name, owner, tokens, call) -> None:
     """Hold a request until its end, or until its deadline.
 
     The engine does not notice that a client or a node has left.
@@ -360,16 +362,17 @@
         return
     engine.held[owner] = tokens
     engine.most_tokens = max(engine.most_tokens, sum(engine.held.values()))
-    read_ms = unread_tokens / TOKENS_PER_MS * engine.slowdown
+    read_ms = call.unread_tokens / TOKENS_PER_MS * engine.slowdown
     start_ms = max(engine.busy_until_ms, fleet.now_ms)
     engine.busy_until_ms = start_ms + read_ms
     first_ms = int(engine.busy_until_ms) - fleet.now_ms
     end_ms = first_ms + int(DECODE_MS * engine.slowdown)
-    rest_ms = max(deadline_ms - fleet.now_ms, 0)
+    rest_ms = max(call.deadline_ms - fleet.now_ms, 0)
     outcome = calls.AttemptOutcome.DELIVERED
     if end_ms > rest_ms:
         end_ms, outcome = rest_ms, calls.AttemptOutcome.TIMED_OUT
     if first_ms < end_ms:
+        fleet.answers_ms.append(fleet.now_ms + first_ms - call.arrived_ms)
         started = calls.AnswerStarted(call_id)
         _after(fleet, (first_ms,) * 2, _step, node_name, process, started)
     ended = calls.AttemptEnded(call_id, outcome)
