Let new agents grant memory by reports, and bound what goes without them

A new agent now grants by the reports that each claim carries, with what it granted since. Without an agent, a node fills at most an equal part of all memory, or sends one request to an engine that is at most half full. A claim without an answer no longer keeps a call at its engine, and a prompt larger than what claims may fill is granted alone.

--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -11,7 +11,11 @@
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway_state
-from bilberryramp.decisions.fleet.limits import engine_memory, retry_budget
+from bilberryramp.decisions.fleet.limits import (
+    engine_memory,
+    memory_use,
+    retry_budget,
+)
 from bilberryramp.decisions.fleet.orders import agent, placement, planner
 from bilberryramp.decisions.fleet.quarantine import suspect_trials, suspects
 from bilberryramp.decisions.fleet.routing import (
@@ -107,7 +111,7 @@
         for candidate in model_holders
         if _has_adapter(candidate, prompt)
     ]
-    room = engine_memory.room_for(
+    room = memory_use.room_for(
         gw.memory,
         scheduling.required_memory_tokens(prompt),
         engine.kv_tokens,
@@ -132,7 +136,12 @@
     elif should_dispatch:
         call.wait_reason = calls.Refusal.OVERLOADED
         is_secured = yield from engine_memory.secure(
-            gw.memory, call, room, choice.upstream.announcement, now_ms
+            gw.memory,
+            call,
+            room,
+            choice.upstream.announcement,
+            gw.loads,
+            now_ms,
         )
         if is_secured:
             yield from _dispatch(gw, now_ms, call, choice.upstream, choice)
@@ -155,7 +164,7 @@
     """
     while True:
         choosable = engine_memory.candidates(
-            gw.memory, call, room, upstreams, now_ms
+            gw.memory, call, room, upstreams, gw.loads, now_ms
         )
         choice = _pick_engine(gw, call, engine, choosable, now_ms)
         should_dispatch = choice is not None and scheduling.should_dispatch(
@@ -163,7 +172,7 @@
         )
         if should_dispatch or not engine_memory.is_granted(gw.memory, call):
             return choice, should_dispatch
-        yield from engine_memory.release(gw.memory, call)
+        yield from memory_use.release(gw.memory, call)
 
 
 def holders(upstreams, call: calls.Call) -> list:
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -24,6 +24,7 @@
 from bilberryramp.decisions.fleet.limits import (
     engine_memory,
     memory_claims,
+    memory_use,
     retry_budget,
     retry_shares,
 )
@@ -261,7 +262,7 @@
         return
     gw.doc = message.doc
     gw.index = hosts.build_index(message.doc)
-    engine_memory.record_timeouts(
+    memory_use.record_timeouts(
         gw.memory, (route.timeout_ms for route in message.doc.routes)
     )
     yield from _serve_queue(gw, now_ms)
@@ -395,7 +396,7 @@
 def _on_tick(gw: gateway_state.Gateway, now_ms: int, _message) -> Iterator:
     presence.remove_silent_upstreams(gw.table, now_ms)
     upstream_pauses.remove_outdated(gw.pauses, gw.table, now_ms)
-    engine_memory.let_go_of_ended(gw.memory, gw.loads, gw.table, now_ms)
+    memory_use.let_go_of_ended(gw.memory, gw.loads, gw.table, now_ms)
     yield from suspect_evidence.review(gw.suspect_state, now_ms)
     yield from _clear_survivors(gw, now_ms)
     yield from _review_held(gw, now_ms)
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -12,7 +12,7 @@
     sharing,
 )
 from bilberryramp.decisions.fleet.limits import (
-    engine_memory,
+    memory_use,
     retry_budget,
     retry_shares,
 )
@@ -112,7 +112,7 @@
     active: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
     queue: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
     held: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
-    memory: engine_memory.Memory = dataclasses.field(init=False)
+    memory: memory_use.Memory = dataclasses.field(init=False)
     suspect_state: suspects.Suspects = dataclasses.field(init=False)
     upstream_health: dict[str, health.Health] = dataclasses.field(
         default_factory=dict
@@ -136,7 +136,7 @@
 
     def __post_init__(self):
         """Make the state that shares the table of upstreams."""
-        self.memory = engine_memory.Memory(self.address)
+        self.memory = memory_use.Memory(self.address)
         self.suspect_state = suspects.Suspects(self.address, self.table)
 
 
@@ -253,7 +253,7 @@
     load.unread_tokens[call.urgency_level] += call.unread_tokens
     _count_adapter_call(load, call, 1)
     sharing.record_load_change(gw.loads, call.upstream_id, call.unread_tokens)
-    engine_memory.start_use(gw.memory, call)
+    memory_use.start_use(gw.memory, call)
     yield from ()
 
 
@@ -268,7 +268,7 @@
 def _remove_load(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.calls -= 1
-    held_tokens = yield from engine_memory.end_use(gw.memory, call)
+    held_tokens = yield from memory_use.end_use(gw.memory, call)
     load.reserved_tokens -= call.reserved_tokens - held_tokens
     load.unread_tokens[call.urgency_level] -= call.unread_tokens
     _count_adapter_call(load, call, -1)
@@ -291,7 +291,7 @@
 
 def _leave_queue(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     gw.queue.pop(call.call_id, None)
-    yield from engine_memory.release(gw.memory, call)
+    yield from memory_use.release(gw.memory, call)
 
 
 def _join_held(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
--- a/bilberryramp/decisions/fleet/limits/engine_memory.py
+++ b/bilberryramp/decisions/fleet/limits/engine_memory.py
@@ -1,239 +1,57 @@
 """Memory of engines, divided among the nodes that send to them.
 
-Each node may fill an equal part of `PARTS_RATIO` of an engine's memory with
-its requests, without asking. For what exceeds its part it claims memory from
-the agent of the engine (see `memory_claims`). Neither depends on the reports
-of other nodes.
+Each node may fill an equal part of a fraction (`memory_use.PARTS_RATIO`) of an
+engine's memory with its requests, without asking. For what exceeds its part it
+claims memory from the agent of the engine (see `memory_claims`). Neither
+depends on the reports of other nodes.
 
 The requests of all nodes fit into an engine's memory, because
 
 - a node divides by the largest number of nodes that it knew of within
-  `FLEET_MEMORY_MS`, so that nodes out of touch keep their parts;
+  `memory_use.FLEET_MEMORY_MS`, so that nodes out of touch keep their parts;
 - a new process uses no part until the requests of its predecessor must have
   ended;
 - a request counts until the engine has answered it in full, or else until its
-  deadline and `LET_GO_MS` have passed.
+  deadline and `memory_use.LET_GO_MS` have passed.
 
-If the agent is silent, or does not know yet what was granted, the node relies
-on the reports.
+If the agent is silent or has a rival, the node relies on the reports. It then
+fills at most an equal part of all memory, or sends one request that leaves
+the engine half empty.
 """
 
-import collections
-import dataclasses
-import itertools
 from collections.abc import Iterator
 
 from bilberryramp.decisions.fleet.core import calls, presence, sharing
 from bilberryramp.decisions.fleet.core.traces import Trace
-from bilberryramp.decisions.fleet.limits import memory_claims
+from bilberryramp.decisions.fleet.limits import memory_claims, memory_use
 
 __all__ = [
-    "Claim",
-    "Memory",
-    "Room",
-    "ToAgent",
     "accept_answer",
     "candidates",
-    "end_use",
-    "let_go_of_ended",
     "is_awaiting",
     "is_granted",
-    "record_fleet_size",
-    "record_timeouts",
-    "release",
-    "room_for",
     "secure",
-    "start_use",
 ]
 
-# Fraction of an engine's memory that is divided among the nodes.
-PARTS_RATIO = 0.25
-# Time after its deadline in which an engine has dropped a request.
-LET_GO_MS = 500
-# Time for which the largest number of nodes counts.
-FLEET_MEMORY_MS = 120_000
+# Fraction of an engine's memory up to which a node relies on reports.
+UNGUARDED_RATIO = 0.5
 # Time in which an agent answers, and for which one that did not, or could not
 # grant yet, is not asked again.
 ANSWER_TIMEOUT_MS = 60
 SILENCE_MS = 1000
 # Time for which an engine whose memory is taken is not asked again.
 FULL_PAUSE_MS = 50
-_SURE_ENDS = (
-    *calls.NOTHING_SENT,
-    calls.AttemptOutcome.DELIVERED,
-    calls.AttemptOutcome.FAILED,
-    calls.AttemptOutcome.NOT_RUN,
-    calls.AttemptOutcome.TARGET_MISSING,
-)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ToAgent:
-    """Effect: send a message to the agent of an engine.
-
-    Attributes
-    ----------
-    address
-        Address of the engine.
-    message
-        `MemoryClaim` or `MemoryRelease`.
-    """
-
-    address: str
-    message: memory_claims.MemoryClaim | memory_claims.MemoryRelease
-
-
-@dataclasses.dataclass(slots=True)
-class Claim:
-    """A claim for a call.
-
-    Attributes
-    ----------
-    number
-        Number of the claim.
-    upstream_id, address
-        The engine.
-    asked_ms
-        When it was claimed.
-    is_granted
-        Whether the agent has granted it.
-    """
-
-    number: int
-    upstream_id: str
-    address: str
-    asked_ms: int
-    is_granted: bool = False
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Remnant:
-    """Memory of an ended call that its engine may still hold."""
-
-    upstream_id: str
-    born_ms: int
-    tokens: int
-    is_claimed: bool
-    until_ms: int
-
-
-@dataclasses.dataclass(slots=True)
-class Memory:
-    """What a node's requests occupy at the engines.
-
-    Attributes
-    ----------
-    sender, process
-        Address of the node, and start of its process in milliseconds of
-        wall-clock time.
-    numbers
-        Numbers of claims.
-    unclaimed
-        Tokens in the node's own part, by upstream identifier.
-    claims
-        Claims of calls that wait or run, by call identifier.
-    remnants
-        What engines may still hold of ended calls.
-    full_until_ms
-        Until when an engine's memory is not claimed again.
-    unguarded_until_ms
-        Until when an engine's agent is not asked, because it grants nothing.
-    fleet_sizes
-        Times and numbers of nodes, of which no later one is larger.
-    longest_ms
-        Time in which each request has surely ended.
-    """
-
-    sender: str
-    process: int = 0
-    numbers: Iterator = dataclasses.field(default_factory=itertools.count)
-    unclaimed: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    claims: dict[int, Claim] = dataclasses.field(default_factory=dict)
-    remnants: list[Remnant] = dataclasses.field(default_factory=list)
-    full_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    unguarded_until_ms: dict[str, int] = dataclasses.field(
-        default_factory=dict
-    )
-    fleet_sizes: collections.deque = dataclasses.field(
-        default_factory=collections.deque
-    )
-    longest_ms: int = LET_GO_MS
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Room:
-    """Memory that a call needs at an engine, and what the node may fill.
-
-    Attributes
-    ----------
-    tokens
-        Memory that the call needs.
-    kv_tokens
-        Memory of each engine of the service.
-    part_tokens
-        The node's part of it.
-    """
-
-    tokens: int
-    kv_tokens: int
-    part_tokens: int
-
-
-def record_fleet_size(memory: Memory, node_count: int, now_ms: int) -> None:
-    """Record how many nodes there are, this one included."""
-    sizes = memory.fleet_sizes
-    while sizes and sizes[-1][1] <= node_count:
-        sizes.pop()
-    sizes.append((now_ms, node_count))
-
-
-def _fleet_size(memory: Memory, now_ms: int) -> int:
-    # A number counts until FLEET_MEMORY_MS after the next one replaced it.
-    sizes = memory.fleet_sizes
-    while len(sizes) > 1 and now_ms - sizes[1][0] > FLEET_MEMORY_MS:
-        sizes.popleft()
-    return sizes[0][1] if sizes else 1
-
-
-def record_timeouts(memory: Memory, timeouts_ms) -> None:
-    """Record the timeouts of all routes, in milliseconds."""
-    for timeout_ms in timeouts_ms:
-        memory.longest_ms = max(memory.longest_ms, timeout_ms + LET_GO_MS)
-
-
-def room_for(
-    memory: Memory, tokens: int, kv_tokens: int, age_ms: int, now_ms: int
-) -> Room:
-    """Return what a call needs at an engine, and the node's part there.
-
-    Parameters
-    ----------
-    memory
-        What the node's requests occupy. Modified in place.
-    tokens, kv_tokens
-        As in `Room`.
-    age_ms
-        Time since the start of the node's process in milliseconds.
-    now_ms
-        Current time in milliseconds.
-
-    Returns
-    -------
-    Room
-        The part is empty while requests of an earlier process may run.
-    """
-    size = _fleet_size(memory, now_ms)
-    ratio = PARTS_RATIO if size > 1 else 1.0
-    part = int(ratio * kv_tokens / size) if age_ms >= memory.longest_ms else 0
-    return Room(tokens, kv_tokens, part)
 
 
 def candidates(
-    memory: Memory, call: calls.Call, room: Room, upstreams, now_ms: int
+    memory: memory_use.Memory,
+    call: calls.Call,
+    room: memory_use.Room,
+    upstreams,
+    loads: sharing.Loads,
+    now_ms: int,
 ) -> list:
-    """Leave out engines whose memory was found to be taken.
+    """Leave out engines whose memory is taken.
 
     Parameters
     ----------
@@ -245,6 +63,8 @@
         What it needs.
     upstreams
         Engines to choose from.
+    loads
+        Known loads.
     now_ms
         Current time in milliseconds.
 
@@ -254,40 +74,66 @@
         Only the engine at which the call has a claim, if it is among them.
     """
     claim = memory.claims.get(call.call_id)
-    claimed_id = claim.upstream_id if claim is not None else ""
+    is_claimed = claim is not None and (
+        claim.is_granted or now_ms - claim.asked_ms < ANSWER_TIMEOUT_MS
+    )
+    claimed_id = claim.upstream_id if is_claimed else ""
     open_upstreams = []
     for upstream in upstreams:
         upstream_id = upstream.announcement.upstream_id
         if upstream_id == claimed_id:
             return [upstream]
-        if memory.full_until_ms.get(
-            upstream_id, 0
-        ) <= now_ms or _fits_into_part(memory, room, upstream_id):
+        if _is_open(memory, room, upstream_id, loads, now_ms):
             open_upstreams.append(upstream)
     return open_upstreams
 
 
-def _fits_into_part(memory: Memory, room: Room, upstream_id: str) -> bool:
+def _is_open(
+    memory, room: memory_use.Room, upstream_id: str, loads, now_ms
+) -> bool:
+    """Return whether a call can be sent to an engine or claim its memory."""
+    if _fits_into_part(memory, room, upstream_id):
+        return True
+    if not _is_unguarded(memory, upstream_id, now_ms):
+        return memory.full_until_ms.get(upstream_id, 0) <= now_ms
+    own_tokens = sharing.own_load(loads, upstream_id).reserved_tokens
+    if own_tokens + room.tokens <= room.unguarded_tokens:
+        return True
+    total = sharing.total_load(loads, upstream_id, now_ms).reserved_tokens
+    limit_tokens = UNGUARDED_RATIO * room.kv_tokens
+    return total <= 0 or not own_tokens and total + room.tokens <= limit_tokens
+
+
+def _is_unguarded(
+    memory: memory_use.Memory, upstream_id: str, now_ms: int
+) -> bool:
+    return memory.unguarded_until_ms.get(upstream_id, 0) > now_ms
+
+
+def _fits_into_part(
+    memory: memory_use.Memory, room: memory_use.Room, upstream_id: str
+) -> bool:
     return memory.unclaimed[upstream_id] + room.tokens <= room.part_tokens
 
 
-def is_awaiting(memory: Memory, call: calls.Call) -> bool:
+def is_awaiting(memory: memory_use.Memory, call: calls.Call) -> bool:
     """Return whether a call waits for the answer to a claim."""
     claim = memory.claims.get(call.call_id)
     return claim is not None and not claim.is_granted
 
 
-def is_granted(memory: Memory, call: calls.Call) -> bool:
+def is_granted(memory: memory_use.Memory, call: calls.Call) -> bool:
     """Return whether a waiting call has memory at an engine."""
     claim = memory.claims.get(call.call_id)
     return claim is not None and claim.is_granted
 
 
 def secure(
-    memory: Memory,
+    memory: memory_use.Memory,
     call: calls.Call,
-    room: Room,
+    room: memory_use.Room,
     announcement: presence.Announcement,
+    loads: sharing.Loads,
     now_ms: int,
 ) -> Iterator:
     """Secure the memory that a call needs before it is sent.
@@ -302,6 +148,8 @@
         What it needs.
     announcement
         The engine that was chosen for it.
+    loads
+        Known loads.
     now_ms
         Current time in milliseconds.
 
@@ -324,16 +172,14 @@
             return False
         memory.unguarded_until_ms[upstream_id] = now_ms + SILENCE_MS
         yield _trace_awaited(memory, call, claim, "silent", now_ms)
-    yield from release(memory, call)
-    is_unguarded = memory.unguarded_until_ms.get(upstream_id, 0) > now_ms
-    if _fits_into_part(memory, room, upstream_id) or is_unguarded:
+    yield from memory_use.release(memory, call)
+    if _fits_into_part(memory, room, upstream_id):
         return True
+    if _is_unguarded(memory, upstream_id, now_ms):
+        return _is_open(memory, room, upstream_id, loads, now_ms)
     capacity_tokens = int(memory_claims.CLAIMED_RATIO * room.kv_tokens)
-    if room.tokens > capacity_tokens:
-        # No claim can hold it; an engine rejects what exceeds its memory.
-        return not memory.unclaimed[upstream_id]
     number = next(memory.numbers)
-    memory.claims[call.call_id] = Claim(
+    memory.claims[call.call_id] = memory_use.Claim(
         number, upstream_id, announcement.address, now_ms
     )
     message = memory_claims.MemoryClaim(
@@ -345,15 +191,20 @@
         announcement.born_ms,
         room.tokens,
         capacity_tokens,
-        call.deadline_ms - now_ms + LET_GO_MS,
+        sharing.total_load(loads, upstream_id, now_ms).reserved_tokens,
+        call.deadline_ms - now_ms + memory_use.LET_GO_MS,
         memory.longest_ms,
     )
-    yield ToAgent(announcement.address, message)
+    yield memory_use.ToAgent(announcement.address, message)
     return False
 
 
 def _trace_awaited(
-    memory: Memory, call: calls.Call, claim: Claim, reason: str, now_ms: int
+    memory: memory_use.Memory,
+    call: calls.Call,
+    claim: memory_use.Claim,
+    reason: str,
+    now_ms: int,
 ) -> Trace:
     return Trace(
         "engine.memory_awaited",
@@ -363,13 +214,13 @@
             "reason": reason,
             "took_ms": now_ms - claim.asked_ms,
             "unclaimed_tokens": memory.unclaimed[claim.upstream_id],
-            "fleet_size": _fleet_size(memory, now_ms),
+            "fleet_size": memory_use.fleet_size(memory, now_ms),
         },
     )
 
 
 def accept_answer(
-    memory: Memory,
+    memory: memory_use.Memory,
     answer: memory_claims.MemoryAnswer,
     call: calls.Call | None,
     now_ms: int,
@@ -405,105 +256,3 @@
     pause_ms = FULL_PAUSE_MS if is_full else SILENCE_MS
     untils[answer.upstream_id] = now_ms + pause_ms
     yield _trace_awaited(memory, call, claim, answer.answer, now_ms)
-
-
-def release(memory: Memory, call: calls.Call) -> Iterator:
-    """Give up the claim of a call that holds no memory at its engine.
-
-    Parameters
-    ----------
-    memory
-        What the node's requests occupy. Modified in place.
-    call
-        The call.
-
-    Yields
-    ------
-    ToAgent
-        The release, if the call has a claim.
-    """
-    claim = memory.claims.pop(call.call_id, None)
-    if claim is not None:
-        message = memory_claims.MemoryRelease(
-            memory.sender, memory.process, claim.number, claim.upstream_id
-        )
-        yield ToAgent(claim.address, message)
-
-
-def start_use(memory: Memory, call: calls.Call) -> None:
-    """Count the memory of a call that is sent."""
-    if call.call_id not in memory.claims:
-        memory.unclaimed[call.upstream_id] += call.reserved_tokens
-
-
-def end_use(memory: Memory, call: calls.Call) -> Iterator:
-    """Release the memory of an ended attempt, unless the engine may hold it.
-
-    Parameters
-    ----------
-    memory
-        What the node's requests occupy. Modified in place.
-    call
-        The call; its `last_outcome` is None if it ended without an outcome.
-
-    Yields
-    ------
-    ToAgent
-        Release of the call's claim.
-
-    Returns
-    -------
-    int
-        Tokens that the engine may still hold.
-    """
-    is_claimed = call.call_id in memory.claims
-    if call.last_outcome in _SURE_ENDS or not call.reserved_tokens:
-        if not is_claimed:
-            memory.unclaimed[call.upstream_id] -= call.reserved_tokens
-        yield from release(memory, call)
-        return 0
-    memory.claims.pop(call.call_id, None)
-    memory.remnants.append(
-        Remnant(
-            call.upstream_id,
-            call.target.born_ms,
-            call.reserved_tokens,
-            is_claimed,
-            call.deadline_ms + LET_GO_MS,
-        )
-    )
-    return call.reserved_tokens
-
-
-def let_go_of_ended(
-    memory: Memory, loads: sharing.Loads, table: presence.Table, now_ms: int
-) -> None:
-    """Stop counting what no engine can hold any more.
-
-    Parameters
-    ----------
-    memory
-        What the node's requests occupy. Modified in place.
-    loads
-        Known loads. Modified in place.
-    table
-        Table of upstreams.
-    now_ms
-        Current time in milliseconds.
-    """
-    remaining = []
-    for remnant in memory.remnants:
-        upstream = table.upstreams.get(remnant.upstream_id)
-        is_gone = (
-            upstream is None
-            or upstream.announcement.born_ms != remnant.born_ms
-        )
-        if not is_gone and now_ms < remnant.until_ms:
-            remaining.append(remnant)
-            continue
-        load = sharing.own_load(loads, remnant.upstream_id)
-        load.reserved_tokens -= remnant.tokens
-        sharing.record_load_change(loads, remnant.upstream_id, 0)
-        if not remnant.is_claimed:
-            memory.unclaimed[remnant.upstream_id] -= remnant.tokens
-    memory.remnants = remaining
--- a/bilberryramp/decisions/fleet/limits/memory_claims.py
+++ b/bilberryramp/decisions/fleet/limits/memory_claims.py
@@ -3,8 +3,8 @@
 Nodes claim memory for the prompts that exceed their own part of it (see
 `engine_memory`). The agent, or the node that orders the engine, counts what it
 has granted until it is released or until the request must have ended. A new
-agent does not know what its predecessor granted, so it grants nothing until
-that must have ended.
+agent does not know what its predecessor granted. Until that must have ended,
+it relies on what each claim says of the reports of all nodes.
 """
 
 import dataclasses
@@ -25,6 +25,8 @@
 
 # Fraction of an engine's memory that is granted to claims.
 CLAIMED_RATIO = 0.7
+# Time in which the reports of a granted claim have reached all nodes.
+REPORT_LAG_MS = 400
 
 ClaimKey = tuple[str, int, int]
 
@@ -49,6 +51,9 @@
         Memory in tokens.
     capacity_tokens
         Memory of the engine that claims may occupy, in tokens.
+    reported_tokens
+        Memory that the requests of all nodes need at the engine, by the
+        reports that the node has received.
     ends_in_ms
         Time in which the request has surely ended, in milliseconds.
     longest_ms
@@ -64,6 +69,7 @@
     born_ms: int
     tokens: int
     capacity_tokens: int
+    reported_tokens: int
     ends_in_ms: int
     longest_ms: int
 
@@ -76,7 +82,7 @@
     FULL = "full"
     """Too little of the memory is left."""
     UNKNOWN = "unknown"
-    """The agent does not know yet what the engine holds."""
+    """Another agent may grant memory of the engine."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -124,12 +130,12 @@
     born_ms
         Start of the engine's process that the claims are for.
     granted
-        Tokens and end of each claim.
+        Tokens of each claim, its end and when it was granted.
     """
 
     since_ms: int = -1
     born_ms: int = -1
-    granted: dict[ClaimKey, tuple[int, int]] = dataclasses.field(
+    granted: dict[ClaimKey, tuple[int, int, int]] = dataclasses.field(
         default_factory=dict
     )
 
@@ -176,18 +182,29 @@
         # The requests of the engine's previous process ended with it.
         book.born_ms = claim.born_ms
         book.granted.clear()
-    if not is_sole or now_ms - book.since_ms < claim.longest_ms:
+    if not is_sole:
         return Answer.UNKNOWN
-    for key, (_, until_ms) in list(book.granted.items()):
+    for key, (_, until_ms, _) in list(book.granted.items()):
         if until_ms <= now_ms:
             book.granted.pop(key)
     key = (claim.sender, claim.process, claim.number)
-    others = sum(
-        tokens for other, (tokens, _) in book.granted.items() if other != key
-    )
-    if others + claim.tokens > claim.capacity_tokens:
+    others = [grant for other, grant in book.granted.items() if other != key]
+    held_tokens = sum(tokens for tokens, _, _ in others)
+    if now_ms - book.since_ms < claim.longest_ms:
+        unreported_tokens = sum(
+            tokens
+            for tokens, _, granted_ms in others
+            if now_ms - granted_ms < REPORT_LAG_MS
+        )
+        held_tokens = max(
+            held_tokens, claim.reported_tokens + unreported_tokens
+        )
+    # A single request of any size is granted: an engine rejects what exceeds
+    # its memory.
+    if held_tokens and held_tokens + claim.tokens > claim.capacity_tokens:
         return Answer.FULL
-    book.granted[key] = (claim.tokens, now_ms + claim.ends_in_ms)
+    until_ms = now_ms + claim.ends_in_ms
+    book.granted[key] = (claim.tokens, until_ms, now_ms)
     return Answer.GRANTED
 
 
--- a/bilberryramp/decisions/fleet/tests/builders.py
+++ b/bilberryramp/decisions/fleet/tests/builders.py
@@ -10,7 +10,11 @@
     presence,
 )
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
-from bilberryramp.decisions.fleet.limits import retry_budget, retry_shares
+from bilberryramp.decisions.fleet.limits import (
+    memory_claims,
+    retry_budget,
+    retry_shares,
+)
 from bilberryramp.decisions.fleet.orders import agent, placement
 from bilberryramp.decisions.fleet.register import register, register_messages
 from bilberryramp.decisions.fleet.routing import health, upstream_pauses
@@ -201,6 +205,24 @@
     return agent.ResidencyRequest(**(fields | changes))
 
 
+def make_memory_claim(number=1, tokens=9000, **changes):
+    """Build a claim on the memory of an engine that grants 100,000 tokens."""
+    fields = {
+        "sender": "n1:1",
+        "process": 7,
+        "number": number,
+        "call_id": number,
+        "upstream_id": "u1",
+        "born_ms": 1,
+        "tokens": tokens,
+        "capacity_tokens": 100_000,
+        "reported_tokens": 0,
+        "ends_in_ms": 6000,
+        "longest_ms": 15_000,
+    }
+    return memory_claims.MemoryClaim(**(fields | changes))
+
+
 def make_engine_state(upstream_id="u1", models=("m0",), **changes):
     """Build the state of an engine with default-sized resident models."""
     fields = {
--- a/bilberryramp/decisions/fleet/tests/memory_driver.py
+++ b/bilberryramp/decisions/fleet/tests/memory_driver.py
@@ -13,7 +13,7 @@
 
 from bilberryramp.decisions.fleet.core import calls, sharing, traces
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
-from bilberryramp.decisions.fleet.limits import engine_memory
+from bilberryramp.decisions.fleet.limits import memory_use
 from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.decisions.fleet.tests import builders
 
@@ -224,6 +224,38 @@
     return builders.make_agent(now_ms=now_ms)
 
 
+def play_random(seed: int, action_count: int = 25) -> Fleet:
+    """Play bursts beside losses of nodes, links and clients."""
+    rng = random.Random(seed)
+    fleet = make_fleet(
+        seed,
+        rng.choice((5, 17, 29)),
+        rng.choice((1, 2)),
+        rng.choice((1.0, 4.0, 8.0)),
+        target_ms=8015,
+        timeout_ms=12_023,
+    )
+    for _ in range(action_count):
+        up = [node.name for node in fleet.nodes.values() if node.is_up]
+        some = rng.sample(up, rng.randint(1, len(up)))
+        down = [name for name in fleet.nodes if name not in up]
+        match rng.choice(("burst", "sizes", "leave", "kill", "start", "cut")):
+            case "burst":
+                burst(fleet, some, rng.randint(1, 3))
+            case "sizes":
+                burst(fleet, some, tokens_in=rng.choice((6400, 40_000)))
+            case "leave":
+                burst(fleet, some, leaves_after_ms=rng.choice((2, 200, 900)))
+            case "kill" if len(up) > 1:
+                kill(fleet, some[0])
+            case "start" if down:
+                restart(fleet, rng.choice(down))
+            case "cut":
+                fleet.cut_off = rng.choice(("", "a", "ab", "ac"))
+        run(fleet, rng.choice((5, 50, 500, 2500)))
+    return fleet
+
+
 def excess_tokens(fleet: Fleet) -> int:
     """Return by how much an engine's requests exceeded its memory."""
     return max(e.most_tokens - e.kv_tokens for e in fleet.engines.values())
@@ -249,7 +281,7 @@
     node.gw.started_ms = started_ms
     node.gw.memory.sender = node.name
     node.gw.memory.process = node.process
-    engine_memory.record_fleet_size(
+    memory_use.record_fleet_size(
         node.gw.memory, len(fleet.nodes), fleet.now_ms
     )
     for audience in sharing.Audience:
@@ -303,7 +335,7 @@
         match effect:
             case sharing.ReportTo():
                 _report(fleet, node, effect)
-            case engine_memory.ToAgent():
+            case memory_use.ToAgent():
                 fleet.claims += 1
                 _after(fleet, CALL_DELAY_MS, _step_agent, name, effect.message)
             case calls.SendCall():
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -14,7 +14,7 @@
 )
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
-from bilberryramp.decisions.fleet.limits import engine_memory, retry_budget
+from bilberryramp.decisions.fleet.limits import memory_use, retry_budget
 from bilberryramp.decisions.fleet.orders import agent, order_holders, planner
 from bilberryramp.decisions.fleet.quarantine import (
     coordinator_state,
@@ -301,7 +301,7 @@
         sharing.Audience.NEAR: near,
         sharing.Audience.FAR: far,
     }
-    engine_memory.record_fleet_size(
+    memory_use.record_fleet_size(
         task.gw.memory, len(task.peers) + 1, clock.boot_ms()
     )
     for audience, peers in task.audiences.items():
@@ -413,7 +413,7 @@
                 mailbox.post_now(task.holder_inbox, effect)
         case planner.WantModel():
             _route_model_request(task, now_ms, effect)
-        case engine_memory.ToAgent():
+        case memory_use.ToAgent():
             _send_to_agent(task, effect.address, effect.message)
         case planner.SendResidencyRequest():
             _send_to_agent(task, effect.address, effect.request)
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -415,11 +415,10 @@
     "A request waits for memory at the engine `upstream`, or goes to another: "
     "the claim on it, which took `took_ms`, was not granted. The `reason` is "
     "`full` (the requests of all nodes fill what claims may have), `unknown` "
-    "(the agent has not run for long enough to know what was granted before) "
-    "or `silent` (the agent did not answer). With the last two, this node "
-    "relies on the reports of the others for a second. Its requests without "
-    "a claim occupy `unclaimed_tokens` there, of an equal part for each of "
-    "`fleet_size` nodes.",
+    "(another node may order the engine) or `silent` (no answer came). With "
+    "the last two, this node relies on the reports of the others for a "
+    "second. Its requests without a claim occupy `unclaimed_tokens` there, of "
+    "an equal part for each of `fleet_size` nodes.",
 )
 UPSTREAM_PAUSED = _declare(
     5130,
