--- a/bilberryramp/decisions/fleet/limits/engine_memory.py
+++ b/bilberryramp/decisions/fleet/limits/engine_memory.py
@@ -37,8 +37,11 @@
 UNGUARDED_RATIO = 0.5
 # Time in which an agent answers, and for which one that did not, or could not
 # grant yet, is not asked again.
-ANSWER_TIMEOUT_MS = 60
-SILENCE_MS = 1000
+ANSWER_TIMEOUT_MS = 120
+SILENCE_MS = 2000
+# Interval at which a claim without an answer is repeated. The first message
+# to a process that is not connected is lost, in either direction.
+REPEAT_INTERVAL_MS = 20
 # Time for which an engine whose memory is taken is not asked again.
 FULL_PAUSE_MS = 50
 
@@ -169,6 +172,10 @@
         if claim.is_granted:
             return True
         if now_ms - claim.asked_ms < ANSWER_TIMEOUT_MS:
+            if now_ms - claim.sent_ms >= REPEAT_INTERVAL_MS:
+                yield from _ask(
+                    memory, call, room, announcement, loads, now_ms
+                )
             return False
         memory.unguarded_until_ms[upstream_id] = now_ms + SILENCE_MS
         yield _trace_awaited(memory, call, claim, "silent", now_ms)
@@ -177,26 +184,31 @@
         return True
     if _is_unguarded(memory, upstream_id, now_ms):
         return _is_open(memory, room, upstream_id, loads, now_ms)
-    capacity_tokens = int(memory_claims.CLAIMED_RATIO * room.kv_tokens)
-    number = next(memory.numbers)
     memory.claims[call.call_id] = memory_use.Claim(
-        number, upstream_id, announcement.address, now_ms
+        next(memory.numbers), upstream_id, announcement.address, now_ms, now_ms
     )
+    yield from _ask(memory, call, room, announcement, loads, now_ms)
+    return False
+
+
+def _ask(memory, call, room, announcement, loads, now_ms) -> Iterator:
+    """Send the claim of a call."""
+    claim = memory.claims[call.call_id]
+    claim.sent_ms = now_ms
     message = memory_claims.MemoryClaim(
         memory.sender,
         memory.process,
-        number,
+        claim.number,
         call.call_id,
-        upstream_id,
+        claim.upstream_id,
         announcement.born_ms,
         room.tokens,
-        capacity_tokens,
-        sharing.total_load(loads, upstream_id, now_ms).reserved_tokens,
+        int(memory_claims.CLAIMED_RATIO * room.kv_tokens),
+        sharing.total_load(loads, claim.upstream_id, now_ms).reserved_tokens,
         call.deadline_ms - now_ms + memory_use.LET_GO_MS,
         memory.longest_ms,
     )
     yield memory_use.ToAgent(announcement.address, message)
-    return False
 
 
 def _trace_awaited(
--- a/bilberryramp/decisions/fleet/limits/memory_use.py
+++ b/bilberryramp/decisions/fleet/limits/memory_use.py
@@ -70,8 +70,8 @@
         Number of the claim.
     upstream_id, address
         The engine.
-    asked_ms
-        When it was claimed.
+    asked_ms, sent_ms
+        When it was claimed, and when the claim was last sent.
     is_granted
         Whether the agent has granted it.
     """
@@ -80,6 +80,7 @@
     upstream_id: str
     address: str
     asked_ms: int
+    sent_ms: int
     is_granted: bool = False
 
 
