--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -221,7 +221,8 @@
     """
     call = gw.active.get(call_id)
     if call is not None:
-        # The chart has no effects for this event other than on the state.
+        # The only effect may be the release of a claim, which otherwise ends
+        # with the deadline of the call.
         for _ in _end_call(gw, call, "disconnected", now_ms):
             pass
 
--- a/bilberryramp/decisions/fleet/routing/scheduling.py
+++ b/bilberryramp/decisions/fleet/routing/scheduling.py
@@ -4,7 +4,7 @@
 of prompt tokens there, less the tokens in its prefix cache, plus the time
 that its running batch takes to decode. A call that does not fit into the
 memory of any engine waits in the gateway, in order of urgency, because an
-engine would preempt running calls for it.
+engine ends if its requests exceed its memory (see `limits/engine_memory.py`).
 
 A call is late when it has missed the latency objective of its route, or can no
 longer meet it.
--- a/bilberryramp/decisions/fleet/tests/memory_driver.py
+++ b/bilberryramp/decisions/fleet/tests/memory_driver.py
@@ -261,6 +261,26 @@
     return max(e.most_tokens - e.kv_tokens for e in fleet.engines.values())
 
 
+def leftovers(fleet: Fleet) -> list:
+    """Return what idle nodes still count as occupied."""
+    return [
+        left
+        for node in fleet.nodes.values()
+        if node.is_up
+        for left in (
+            *node.gw.memory.claims,
+            *node.gw.memory.remnants,
+            *(+node.gw.memory.unclaimed),
+            *(-node.gw.memory.unclaimed),
+            *(
+                load
+                for load in node.gw.loads.own.values()
+                if load.reserved_tokens
+            ),
+        )
+    ]
+
+
 def mean_wait_ms(fleet: Fleet) -> float:
     """Return the mean time from arrival to sending."""
     return statistics.fmean(fleet.waits_ms) if fleet.waits_ms else 0.0
--- a/bilberryramp/decisions/fleet/tests/test_engine_memory.py
+++ b/bilberryramp/decisions/fleet/tests/test_engine_memory.py
@@ -16,6 +16,7 @@
         memory_driver.run(fleet, 13_000)
         self.assertGreater(len(fleet.waits_ms), 0)
         self.assertLessEqual(memory_driver.excess_tokens(fleet), 0)
+        self.assertEqual(memory_driver.leftovers(fleet), [])
 
     def test_prompts_at_all_gateways_at_once(self):
         fleet = memory_driver.make_fleet(1, 29)
@@ -45,6 +46,16 @@
         memory_driver.burst(fleet, size=4)
         self.assert_fits(fleet)
 
+    def test_gateways_that_restart_again_and_again(self):
+        fleet = memory_driver.make_fleet(1, 2, **SLOW)
+        for _ in range(14):
+            memory_driver.burst(fleet, size=2)
+            memory_driver.run(fleet, 200)
+            for name in fleet.nodes:
+                memory_driver.kill(fleet, name)
+                memory_driver.restart(fleet, name)
+        self.assert_fits(fleet)
+
     def test_gateways_that_do_not_hear_each_other(self):
         fleet = memory_driver.make_fleet(1, 17, **SLOW)
         fleet.cut_off = "ab"
