--- a/bilberryramp/decisions/fleet/tests/memory_driver.py
+++ b/bilberryramp/decisions/fleet/tests/memory_driver.py
@@ -224,8 +224,11 @@
     return builders.make_agent(now_ms=now_ms)
 
 
-def play_random(seed: int, action_count: int = 25) -> Fleet:
-    """Play bursts beside losses of nodes, links and clients."""
+def play_random(seed: int, loses_agents: bool = False) -> Fleet:
+    """Play bursts beside losses of nodes, links, clients, maybe agents."""
+    actions = ["burst", "sizes", "leave", "kill", "start", "cut"]
+    if loses_agents:
+        actions += ["lose agents", "restart agents"]
     rng = random.Random(seed)
     fleet = make_fleet(
         seed,
@@ -235,11 +238,11 @@
         target_ms=8015,
         timeout_ms=12_023,
     )
-    for _ in range(action_count):
+    for _ in range(25):
         up = [node.name for node in fleet.nodes.values() if node.is_up]
         some = rng.sample(up, rng.randint(1, len(up)))
         down = [name for name in fleet.nodes if name not in up]
-        match rng.choice(("burst", "sizes", "leave", "kill", "start", "cut")):
+        match rng.choice(actions):
             case "burst":
                 burst(fleet, some, rng.randint(1, 3))
             case "sizes":
@@ -252,6 +255,10 @@
                 restart(fleet, rng.choice(down))
             case "cut":
                 fleet.cut_off = rng.choice(("", "a", "ab", "ac"))
+            case "lose agents":
+                lose_agents(fleet)
+            case "restart agents":
+                restart_agents(fleet)
         run(fleet, rng.choice((5, 50, 500, 2500)))
     return fleet
 
