--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -13,6 +13,8 @@
 from bilberryramp.decisions.fleet.core.traces import Trace
 from bilberryramp.decisions.fleet.gateway import admission, gateway_state
 from bilberryramp.decisions.fleet.limits import (
+    engine_memory,
+    memory_use,
     retry_budget,
     usage_asks,
     usage_credits,
@@ -63,7 +65,8 @@
 
     Yields
     ------
-    SendCall, SendResidencyRequest, WantModel, ToCoordinator, AskLeader, Trace
+    SendCall, SendResidencyRequest, WantModel, ToCoordinator, AskLeader,
+    ToAgent, Trace
         No `SendCall` if the call should wait; `call.wait_reason` then names
         the resource that it waits for. A call whose request may not run now
         is held; one that waits in vain waits until the caller refuses it.
@@ -116,9 +119,15 @@
         for candidate in model_holders
         if _has_adapter(candidate, prompt)
     ]
-    choice = _pick_engine(gw, call, engine, adapter_holders, now_ms)
-    should_dispatch = choice is not None and scheduling.should_dispatch(
-        call, choice, now_ms
+    room = memory_use.room_for(
+        gw.memory,
+        scheduling.required_memory_tokens(prompt),
+        engine.kv_tokens,
+        now_ms - gw.started_ms,
+        now_ms,
+    )
+    choice, should_dispatch = yield from _choose_engine(
+        gw, call, engine, room, adapter_holders, now_ms
     )
     loading_candidates = _engines_for_adapter(
         gw, engine, model_holders, prompt, now_ms
@@ -133,7 +142,17 @@
             gw, call, engine, alternative.upstream, now_ms
         )
     elif should_dispatch:
-        yield from _dispatch(gw, now_ms, call, choice.upstream, choice)
+        call.wait_reason = calls.Refusal.OVERLOADED
+        is_secured = yield from engine_memory.secure(
+            gw.memory,
+            call,
+            room,
+            choice.upstream.announcement,
+            gw.loads,
+            now_ms,
+        )
+        if is_secured:
+            yield from _dispatch(gw, now_ms, call, choice.upstream, choice)
     elif adapter_holders or loading_candidates:
         call.wait_reason = calls.Refusal.OVERLOADED
     else:
@@ -143,6 +162,27 @@
         yield from _request_adapter(gw, call, engine, holder, now_ms)
 
 
+def _choose_engine(gw, call, engine, room, upstreams, now_ms) -> Iterator:
+    """Choose the engine at which a call has memory, or else the best one.
+
+    Returns
+    -------
+    tuple of EngineChoice and bool
+        The choice, None if there is none, and whether to send the call now.
+    """
+    while True:
+        choosable = engine_memory.candidates(
+            gw.memory, call, room, upstreams, gw.loads, now_ms
+        )
+        choice = _pick_engine(gw, call, engine, choosable, now_ms)
+        should_dispatch = choice is not None and scheduling.should_dispatch(
+            call, choice, now_ms
+        )
+        if should_dispatch or not engine_memory.is_granted(gw.memory, call):
+            return choice, should_dispatch
+        yield from memory_use.release(gw.memory, call)
+
+
 def holders(upstreams, call: calls.Call) -> list:
     """Return the upstreams that hold the model of a call's prompt.
 
@@ -493,6 +533,7 @@
     call.target_heard_ms = upstream.heard_ms
     call.sent_ms = now_ms
     call.has_survived = False
+    call.last_outcome = None
     call.send_count += 1
     call.attempt_count += 1
     call.tried_upstreams.add(upstream_id)
--- a/bilberryramp/decisions/fleet/limits/__init__.py
+++ b/bilberryramp/decisions/fleet/limits/__init__.py
@@ -5,4 +5,7 @@
 usage_terms, usage_issuer, usage_credits, usage_asks, usage_messages
     Limits on the usage of workspaces: what may be issued, the leader's issue
     of credits, the credits of a node, its asks, and the messages between them.
+engine_memory, memory_use, memory_claims
+    Memory of engines: what a node may send, what its requests occupy, and
+    what an engine's agent grants.
 """
--- a/bilberryramp/decisions/fleet/routing/scheduling.py
+++ b/bilberryramp/decisions/fleet/routing/scheduling.py
@@ -4,7 +4,7 @@
 of prompt tokens there, less the tokens in its prefix cache, plus the time
 that its running batch takes to decode. A call that does not fit into the
 memory of any engine waits in the gateway, in order of urgency, because an
-engine would preempt running calls for it.
+engine ends if its requests exceed its memory (see `limits/engine_memory.py`).
 
 A call is late when it has missed the latency objective of its route, or can no
 longer meet it.
@@ -228,12 +228,13 @@
     for upstream in candidates:
         upstream_id = upstream.announcement.upstream_id
         load = sharing.total_load(loads, upstream_id, now_ms)
-        # An engine without calls accepts a prompt of any size.
+        # An engine that holds nothing accepts a prompt of any size.
         has_room = (
             load.reserved_tokens + required_tokens
             <= MAX_MEMORY_RATIO * engine.kv_tokens
         )
-        if load.calls and not has_room or load.calls >= engine.slots:
+        is_empty = load.reserved_tokens <= 0
+        if not (is_empty or has_room) or load.calls >= engine.slots:
             continue
         cached_tokens = prefix_cache.cached_tokens(
             loads.caches, upstream_id, prompt.weights, prompt.parts
--- a/bilberryramp/platform/settings.py
+++ b/bilberryramp/platform/settings.py
@@ -10,6 +10,8 @@
 
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BILBERRYRAMP_SETTINGS"
+# Part of the platform's rules by which engines end for want of memory.
+_PRESSURE = "pressure"
 
 
 class MalformedSettingsError(errors.BilberryError):
@@ -85,6 +87,7 @@
         usage_window_ms=int(1000 * bounds.get("quotaWindowS", 1)),
         usage_overage=float(bounds.get("quotaOverage", 0)),
         usage_slack=float(bounds.get("quotaSlack", 0)),
+        engine_memory_binds=_PRESSURE in raw.get("contracts", ()),
     )
 
 
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -14,6 +14,7 @@
 from bilberryramp.decisions.fleet.core import presence
 from bilberryramp.decisions.fleet.gateway import gateway, gateway_state
 from bilberryramp.decisions.fleet.limits import (
+    memory_claims,
     retry_budget,
     retry_shares,
     usage_credits,
@@ -287,6 +288,8 @@
     )
     gw.started_ms = now_ms
     gw.usage = usage_credits.Credits(ask_id=rng.getrandbits(ASK_ID_BITS))
+    gw.memory.process = clock.wall_ms()
+    gw.memory.is_binding = cfg.engine_memory_binds
     gw.discovery_deadline_ms = now_ms + round(
         DISCOVERY_HEARTBEATS * cfg.heartbeat_ms
     )
@@ -449,8 +452,14 @@
         register_messages.AppendReply,
     )
 
+    for_holder = (
+        agent.ResidencyRequest,
+        memory_claims.MemoryClaim,
+        memory_claims.MemoryRelease,
+    )
+
     def dispatch(message) -> None:
-        if isinstance(message, agent.ResidencyRequest):
+        if isinstance(message, for_holder):
             if holder_inbox is not None:
                 mailbox.post_now(holder_inbox, message)
             return
--- a/bilberryramp/settings/fleet.py
+++ b/bilberryramp/settings/fleet.py
@@ -60,6 +60,8 @@
         How exactly usage limits bind: in any window of `usage_window_ms`
         milliseconds, the usage of a workspace over all nodes may exceed its
         limit by the ratio `usage_overage` and by the amount `usage_slack`.
+    engine_memory_binds
+        Whether an engine ends if its requests exceed its memory.
     """
 
     name: str
@@ -87,3 +89,4 @@
     usage_window_ms: int = 1000
     usage_overage: float = 0.0
     usage_slack: float = 0.0
+    engine_memory_binds: bool = False
