Release engine memory while a call waits for something else

A call that has a claim may still not be sent, as when its retry budget or its workspace's credit is spent. The claim then kept others out until the call went or was refused.

--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -134,7 +134,6 @@
             gw, call, engine, alternative.upstream, now_ms
         )
     elif should_dispatch:
-        call.wait_reason = calls.Refusal.OVERLOADED
         is_secured = yield from engine_memory.secure(
             gw.memory,
             call,
@@ -145,6 +144,11 @@
         )
         if is_secured:
             yield from _dispatch(gw, now_ms, call, choice.upstream, choice)
+            if call.phase == "waiting":
+                # Others may use the memory while it waits for something else.
+                yield from memory_use.release(gw.memory, call)
+        elif call.wait_reason is not calls.Refusal.USAGE_LIMIT:
+            call.wait_reason = calls.Refusal.OVERLOADED
     elif adapter_holders or loading_candidates:
         call.wait_reason = calls.Refusal.OVERLOADED
     else:
