Split the gateway by what its handlers answer

Change: call_events, call_queue and call_ends beside it; no behavior changes. Tests name constants at their new place.

--- a/bilberryramp/decisions/fleet/gateway/__init__.py
+++ b/bilberryramp/decisions/fleet/gateway/__init__.py
@@ -1,9 +1,14 @@
 """Life cycle of a call at a node.
 
 gateway, gateway_state
-    Messages about a call and what follows from them.
+    Messages to a gateway, and what follows from those about the fleet.
+call_events, call_ends
+    What follows from messages about a call, and how calls end.
+call_queue, queue_waits, waiting_times
+    Calls that wait: who is sent next or refused, for how long the others will
+    wait, and when refused clients may return.
 dispatch
     Sends a call, requests a model for it or leaves it in the queue.
-waiting_times
-    How long calls wait, and when refused clients may return.
+admission
+    Judgement of calls by the keys of the document in force.
 """
--- a/bilberryramp/decisions/fleet/tests/test_attempt_fuzz.py
+++ b/bilberryramp/decisions/fleet/tests/test_attempt_fuzz.py
@@ -4,7 +4,7 @@
 import unittest
 
 from bilberryramp.decisions.fleet.core import calls
-from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.gateway import call_ends, gateway
 from bilberryramp.decisions.fleet.tests import builders
 
 SEEDS = range(300)
@@ -95,7 +95,7 @@
                     self.assertLessEqual(len(begun) + open_count, allowed)
                     self.assertLessEqual(
                         _count_sends(sent, outcomes[call_id]),
-                        gateway.MAX_SENDS,
+                        call_ends.MAX_SENDS,
                     )
 
     def test_all_attempts_of_a_call_end_at_the_same_time(self):
@@ -136,7 +136,7 @@
                 begun_counts.add(len(begun))
                 send_counts.add(_count_sends(sent, outcomes[call_id]))
         self.assertEqual(begun_counts, {0, 1, 2, 3})
-        self.assertEqual(max(send_counts), gateway.MAX_SENDS)
+        self.assertEqual(max(send_counts), call_ends.MAX_SENDS)
 
 
 if __name__ == "__main__":
--- a/bilberryramp/platform/tests/test_pauses.py
+++ b/bilberryramp/platform/tests/test_pauses.py
@@ -9,7 +9,7 @@
 import aiohttp
 import multidict
 
-from bilberryramp.decisions.fleet.gateway import gateway
+from bilberryramp.decisions.fleet.gateway import call_ends
 from bilberryramp.decisions.fleet.orders import agent
 from bilberryramp.platform import engine_orders as order_wire
 from bilberryramp.platform import exchanges
@@ -66,7 +66,7 @@
 
         Without a pause, an upstream that was full is used again by then.
         """
-        await asyncio.sleep(gateway.FULL_PAUSE_MS / 1000)
+        await asyncio.sleep(call_ends.FULL_PAUSE_MS / 1000)
         return [(await self.call())[0] for _ in range(REQUEST_COUNT)]
 
     def request_count(self):
@@ -119,7 +119,7 @@
     async def test_requests_at_once_end_when_the_first_is_turned_away(self):
         await self.start(builders.pausing_answer(**builders.NOT_EXECUTED))
         await self.call_until_requests(1)
-        await asyncio.sleep(gateway.FULL_PAUSE_MS / 1000)
+        await asyncio.sleep(call_ends.FULL_PAUSE_MS / 1000)
         results = await asyncio.gather(*(self.call() for _ in range(12)))
         self.assertEqual([status for status, _ in results], [200] * 12)
         self.assertEqual(len(self.servers[0].requests), 1)
