Ask for memory before an upstream's answer is read

An answer that is not a stream was read to its end and charged only when it was written, so that many requests admitted at once could exceed the budget by their answers; the small number of descriptors in test_client_crowds hides it. It is asked for as bodies are, and left with its engine until there is room.

--- a/bilberryramp/decisions/shared/client_memory.py
+++ b/bilberryramp/decisions/shared/client_memory.py
@@ -80,6 +80,8 @@
     """The body of the current request, with its copy on the way out."""
     AHEAD = "ahead"
     """Input behind the current request."""
+    RELAY = "relay"
+    """The answer of an upstream that is read to its end first."""
     ANSWER = "answer"
     """Output that the client has not read."""
 
@@ -123,14 +125,15 @@
         Bytes by kind.
     total_bytes
         Sum of these.
-    asked_bytes
-        Bytes for which the connection waits; 0 if it does not.
+    asked_bytes, asked_kind
+        Bytes for which the connection waits, and what for; 0 if it does not.
     """
 
     key: object
     held: dict[Kind, int]
     total_bytes: int
     asked_bytes: int = 0
+    asked_kind: Kind = Kind.BODY
 
 
 @dataclasses.dataclass(slots=True)
@@ -342,7 +345,7 @@
     -------
     Reply
         ``GRANTED`` if the bytes were entered. ``WAIT`` if `grants` will enter
-        them, as bytes of a body, once there is room; until then
+        them once there is room; until then
         `WAITING_BYTES` are charged for the connection's buffers. ``REFUSED``
         if there will never be room, or none for one more that waits.
     """
@@ -356,7 +359,7 @@
         or ledger.total_bytes + WAITING_BYTES > usable_bytes
     ):
         return Reply.REFUSED
-    holding.asked_bytes = n_bytes
+    holding.asked_bytes, holding.asked_kind = n_bytes, kind
     ledger.waiting[holding] = None
     ahead_bytes = holding.held[Kind.AHEAD] + WAITING_BYTES
     set_held(ledger, holding, Kind.AHEAD, ahead_bytes)
@@ -389,7 +392,7 @@
     Yields
     ------
     Holding
-        Connection that has got the bytes of a body for which it waited.
+        Connection that has got the bytes for which it waited.
     """
     for holding in list(ledger.waiting):
         n_bytes = holding.asked_bytes
@@ -397,8 +400,8 @@
         if not _fits(ledger, holding, n_bytes - WAITING_BYTES):
             return
         withdraw(ledger, holding)
-        body_bytes = holding.held[Kind.BODY] + n_bytes
-        set_held(ledger, holding, Kind.BODY, body_bytes)
+        kind = holding.asked_kind
+        set_held(ledger, holding, kind, holding.held[kind] + n_bytes)
         yield holding
 
 
--- a/bilberryramp/decisions/shared/tests/test_client_memory.py
+++ b/bilberryramp/decisions/shared/tests/test_client_memory.py
@@ -44,6 +44,16 @@
         self.assertEqual(waiting.held[Kind.BODY], LARGE)
         self.assertEqual(waiting.held[Kind.AHEAD], 0)
 
+    def test_answers_wait_like_bodies(self):
+        for _ in range(7):
+            first, _ = self.ask(LARGE)
+        holding = client_memory.open_holding(self.ledger, object())
+        reply = client_memory.ask(self.ledger, holding, Kind.RELAY, LARGE)
+        self.assertIs(reply, Reply.WAIT)
+        client_memory.release(self.ledger, first, Kind.BODY)
+        self.assertEqual(list(client_memory.grants(self.ledger)), [holding])
+        self.assertEqual(holding.held[Kind.RELAY], LARGE)
+
     def test_what_can_never_fit_is_refused_at_once(self):
         _, reply = self.ask(9 * LARGE)
         self.assertIs(reply, Reply.REFUSED)
--- a/bilberryramp/tasks/client_holdings.py
+++ b/bilberryramp/tasks/client_holdings.py
@@ -118,7 +118,7 @@
     conn.body_bytes = 0
     conn.last_body = request.content
     conn.ended_count += 1
-    release(conn, _Kind.BODY, _Kind.HEAD)
+    release(conn, _Kind.BODY, _Kind.HEAD, _Kind.RELAY)
     if conn.has_partial_head:
         conn.head_began_ms = clock.boot_ms()
         if conn.link.is_held:
--- a/bilberryramp/tasks/client_requests.py
+++ b/bilberryramp/tasks/client_requests.py
@@ -18,6 +18,7 @@
     "began_in_drain",
     "is_last",
     "keep",
+    "keep_answer",
     "make_server",
     "mark_last",
     "read_body",
@@ -31,6 +32,9 @@
 
 # Time for which a request waits for memory before it is refused.
 WAIT_S = 0.7
+# Time after which memory for an answer is asked for again if there is not even
+# room to wait for it.
+ASK_AGAIN_S = 0.1
 # Memory for a byte of a body: it is kept for retries, and copied to be sent.
 BODY_COPIES = 2
 _Kind, _Reply = client_memory.Kind, client_memory.Reply
@@ -221,18 +225,40 @@
         reply = client_memory.ask(
             ledger, holding, _Kind.BODY, BODY_COPIES * n_bytes
         )
-    if reply is _Reply.WAIT and not await _is_granted(conn):
+    if reply is _Reply.WAIT and not await _is_granted(conn, WAIT_S):
         reply = _Reply.REFUSED
     if reply is _Reply.REFUSED:
         conn.listener.refused_count += 1
         raise ReadingEndedError(ReadingEnd.MEMORY)
 
 
-async def _is_granted(conn) -> bool:
+async def keep_answer(request: web.BaseRequest, n_bytes: int) -> None:
+    """Wait until more bytes of an upstream's answer may be kept.
+
+    Parameters
+    ----------
+    request
+        Request on a connection of a `client_connections.Listener`.
+    n_bytes
+        Number of bytes.
+    """
+    conn = request.protocol
+    ledger = conn.listener.ledger
+    while conn.holding is not None:
+        reply = client_memory.ask(ledger, conn.holding, _Kind.RELAY, n_bytes)
+        if reply is _Reply.GRANTED:
+            return
+        if reply is _Reply.REFUSED:
+            await asyncio.sleep(ASK_AGAIN_S)
+        elif await _is_granted(conn, None):
+            return
+
+
+async def _is_granted(conn, wait_s: float | None) -> bool:
     """Wait for memory; return whether the connection got it."""
     conn.grant = asyncio.get_running_loop().create_future()
     try:
-        await asyncio.wait([conn.grant], timeout=WAIT_S)
+        await asyncio.wait([conn.grant], timeout=wait_s)
         return conn.grant.done()
     finally:
         conn.grant.cancel()
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -444,6 +444,7 @@
         exchange,
         attempt.front.max_answer_bytes,
         lambda: attempt.front.session.on_excess(attempt.send_call.address),
+        lambda n_bytes: client_requests.keep_answer(attempt.request, n_bytes),
     )
     if isinstance(answer, calls.AttemptOutcome):
         return answer
--- a/bilberryramp/tasks/upstream_exchange.py
+++ b/bilberryramp/tasks/upstream_exchange.py
@@ -4,7 +4,7 @@
 import contextlib
 import dataclasses
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import multidict
@@ -294,7 +294,10 @@
 
 
 async def read_answer(
-    exchange: Exchange, max_body_bytes: int, on_excess: Callable[[], None]
+    exchange: Exchange,
+    max_body_bytes: int,
+    on_excess: Callable[[], None],
+    keep: Callable[[int], Awaitable[None]],
 ) -> Answer | calls.AttemptOutcome:
     """Read the rest of the response.
 
@@ -306,6 +309,8 @@
         Maximum size of the body in bytes.
     on_excess
         Called if the body is larger.
+    keep
+        Coroutine function that waits until a number of bytes may be kept.
 
     Returns
     -------
@@ -314,6 +319,9 @@
         `max_body_bytes`.
     """
     chunks, remaining_bytes = [], max_body_bytes
+    stated_bytes = exchange.resp.content_length or 0
+    if 0 < stated_bytes <= max_body_bytes:
+        await keep(stated_bytes)
     while chunk := await read_chunk(exchange):
         if isinstance(chunk, calls.AttemptOutcome):
             return chunk
@@ -321,6 +329,8 @@
         if remaining_bytes < 0:
             on_excess()
             return calls.AttemptOutcome.BROKEN
+        if not stated_bytes:
+            await keep(len(chunk))
         chunks.append(chunk)
     resp = exchange.resp
     return Answer(
