Connect nodes and agents over asyncio's TCP sockets instead of ZeroMQ

Nodes ended with code 139 while peers came and went; of the native modules loaded only pyzmq brings threads of its own, and it is suspected, not traced. Besides, a peer's queue counted 400 messages without a bound in bytes: on the code before, 50 incompressible documents of 128 KiB sent in one step were all queued (0 dropped, 48 now), and the first message to a peer was dropped always (sent during the first opening, it now waits).

Each peer's connection has a task that owns its socket, follows charts/peer_link.yaml and opens it again after 80 to 500 ms. One task writes for all peers what they take at once. A queue holds 400 messages and 256 KiB, and one message more; the oldest make room. Pings, counted in ticks of the own loop, find a dead peer in 1.2 s. The listener bounds connections (512) and the bytes of incomplete frames (36 MiB), and ends what is not a frame or stalls. bilberry-entry, bilberry-upstream and bilberry-control keep ZeroMQ.

Tests of test_peer_mesh, test_frames and test_peer_links pass (16, 3, 7); the modules don't exist before. test_soak passed once while the code was still being changed, and failed once beside a load of 15 (21 tests, 1 failure): sound_requests_pass of ShortSoakTest, 9 violations; whether by the change is not known yet.

--- a/bilberryramp/tasks/peer_mesh.py
+++ b/bilberryramp/tasks/peer_mesh.py
@@ -1,18 +1,21 @@
-"""ZeroMQ sockets between the nodes and agents of a fleet.
+"""TCP connections between the nodes and agents of a fleet.
 
-Each process has one socket for receiving and one sending socket for each peer.
-Sending never blocks: a message that a peer's queue cannot hold is dropped,
-because every message is later repeated or superseded by a newer one.
+Each process has one socket for listening and one connection for each peer that
+it sends to. Sending never blocks: a message that a peer's queue cannot hold
+displaces the oldest ones there, because every message is later repeated or
+superseded by a newer one.
 """
 
 import asyncio
+import contextlib
 import dataclasses
+import socket
 from collections.abc import Callable
 
-import zmq
-
-from bilberryramp.telemetry import events
-from bilberryramp.wire import errors, fleet_codec
+from bilberryramp.charts import loader
+from bilberryramp.decisions.shared import charting, peer_links
+from bilberryramp.tasks import clock, peer_listener
+from bilberryramp.wire import errors, fleet_codec, frames
 
 __all__ = [
     "AGENT_PING_INTERVAL_MS",
@@ -23,21 +26,49 @@
     "send",
 ]
 
-# Number of messages that are queued for a peer that reads slowly.
-SEND_LIMIT_MESSAGES = 400
-# Keep-alive of a connection. A dead connection is detected within the
-# timeout, which is well below the time after which a node that was cut off
-# is regarded as connected again.
-PING_INTERVAL_MS = 400
-PING_TIMEOUT_MS = 1200
 # Keep-alive of connections between nodes and agents. Each node has one to each
 # agent, and most are idle, so pings at the shorter interval would be most of
-# the traffic of a large fleet. Sent data still fails after PING_TIMEOUT_MS
+# the traffic of a large fleet. Sent data still fails after USER_TIMEOUT_MS
 # without an acknowledgement.
 AGENT_PING_INTERVAL_MS = 5000
-CONNECT_TIMEOUT_MS = 800
-RECONNECT_MIN_MS = 80
-RECONNECT_MAX_MS = 500
+USER_TIMEOUT_MS = 1200
+OPEN_TIMEOUT_S = 0.8
+# Bound of what the kernel holds for a peer.
+SEND_BUFFER_BYTES = 128 * 2**10
+# Bytes that a peer that reads slowly must take at a time.
+PIECE_BYTES = 64 * 2**10
+READ_BYTES = 2**10
+
+
+@dataclasses.dataclass(slots=True)
+class Sender:
+    """Connection to one peer and the task that owns it.
+
+    Attributes
+    ----------
+    link
+        State of the connection and its queue.
+    is_in_outbox
+        Whether the mesh's writer is to send what is queued.
+    is_ping_due
+        Whether it is to send a ping.
+    rest
+        Bytes that the peer has not taken in time, which `task` sends.
+    has_rest
+        Set while there are such bytes, or once the connection has ended.
+    sock
+        Socket; None while the connection is not up.
+    task
+        Task that opens the connection, and waits for a slow peer.
+    """
+
+    link: peer_links.Link
+    is_in_outbox: bool = False
+    is_ping_due: bool = False
+    rest: bytes = b""
+    has_rest: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    sock: socket.socket | None = None
+    task: asyncio.Task | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,33 +77,54 @@
 
     Attributes
     ----------
-    ctx
-        Context of all sockets.
-    receiver
-        Socket that receives the messages of all peers.
-    deliver
-        Function that is called with each received message.
+    listener
+        Listening socket and the connections of peers.
+    chart
+        The chart ``peer_link``.
     ping_interval_ms
         Interval of the keep-alive of its connections, in milliseconds.
     senders
-        Sending sockets by address of the peer, opened with the first
-        message to it.
-    dropped
-        Number of messages dropped because a peer's queue was full.
+        Connections by address of the peer, opened with the first message to
+        it.
+    outbox
+        Connections that have something to send.
+    has_mail
+        Set while there are such connections.
+    too_long
+        Number of messages dropped because no peer would accept their size.
+    is_closed
+        Whether `close` was called.
+    writer
+        Task that sends what is queued, as far as peers take it at once.
+    ticker
+        Task that lets time pass for all connections.
     """
 
-    ctx: zmq.Context
-    receiver: zmq.Socket
-    deliver: Callable
-    ping_interval_ms: int = PING_INTERVAL_MS
-    senders: dict[str, zmq.Socket] = dataclasses.field(default_factory=dict)
-    dropped: int = 0
+    listener: peer_listener.Listener
+    chart: charting.Chart
+    ping_interval_ms: int = peer_links.PING_INTERVAL_MS
+    senders: dict[str, Sender] = dataclasses.field(default_factory=dict)
+    outbox: list[Sender] = dataclasses.field(default_factory=list)
+    has_mail: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    too_long: int = 0
+    is_closed: bool = False
+    writer: asyncio.Task | None = None
+    ticker: asyncio.Task | None = None
+
+    @property
+    def dropped(self) -> int:
+        """Number of messages that were dropped instead of sent."""
+        return self.too_long + sum(
+            sender.link.dropped for sender in self.senders.values()
+        )
 
 
 def open_mesh(
-    address: str, deliver: Callable, ping_interval_ms: int = PING_INTERVAL_MS
+    address: str,
+    deliver: Callable,
+    ping_interval_ms: int = peer_links.PING_INTERVAL_MS,
 ) -> Mesh:
-    """Open the receiving socket and listen for peers.
+    """Open the listening socket and accept peers.
 
     Parameters
     ----------
@@ -88,47 +140,26 @@
     -------
     Mesh
         Sockets that are read while the event loop runs.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
     """
-    ctx = zmq.Context(io_threads=1)
-    receiver = ctx.socket(zmq.ROUTER)
-    _set_options(receiver, ping_interval_ms)
-    receiver.setsockopt(zmq.RCVHWM, 4 * SEND_LIMIT_MESSAGES)
-    receiver.bind(f"tcp://{address}")
-    mesh = Mesh(ctx, receiver, deliver, ping_interval_ms)
-    loop = asyncio.get_running_loop()
-    loop.add_reader(receiver.getsockopt(zmq.FD), _receive_all, mesh)
-    loop.call_soon(_receive_all, mesh)
+    chart = charting.bind(
+        loader.load("peer_link"), peer_links.guards, peer_links.actions
+    )
+    listener = peer_listener.open_listener(address, deliver)
+    mesh = Mesh(listener, chart, ping_interval_ms)
+    mesh.writer = asyncio.create_task(_write_all(mesh))
+    mesh.ticker = asyncio.create_task(_tick_all(mesh))
     return mesh
 
 
-def _set_options(sock: zmq.Socket, ping_interval_ms: int) -> None:
-    sock.setsockopt(zmq.LINGER, 0)
-    sock.setsockopt(zmq.HEARTBEAT_IVL, ping_interval_ms)
-    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
-    sock.setsockopt(zmq.TCP_MAXRT, PING_TIMEOUT_MS)
-
-
-def _receive_all(mesh: Mesh) -> None:
-    if mesh.receiver.closed:
-        return
-    # The descriptor is edge-triggered, so all messages are read at once.
-    while mesh.receiver.getsockopt(zmq.EVENTS) & zmq.POLLIN:
-        try:
-            frames = mesh.receiver.recv_multipart(zmq.NOBLOCK)
-        except zmq.Again:
-            return
-        try:
-            message = fleet_codec.decode(frames[-1])
-        except errors.MalformedMessageError as exc:
-            events.emit(events.FRAME_DROPPED, reason=str(exc))
-            continue
-        mesh.deliver(message)
-
-
 def send(
     mesh: Mesh, address: str, message, ping_interval_ms: int | None = None
 ) -> None:
-    """Send a message to a peer, or drop it if the peer's queue is full.
+    """Send a message to a peer, or drop it while the peer is away.
 
     Parameters
     ----------
@@ -142,9 +173,9 @@
         Interval of the keep-alive if the connection is opened by this call;
         None for that of `mesh`.
     """
-    if address not in mesh.senders:
-        _connect(mesh, address, ping_interval_ms or mesh.ping_interval_ms)
-    _send_bytes(mesh, address, fleet_codec.encode(message))
+    if address not in mesh.senders and not mesh.is_closed:
+        _start_sender(mesh, address, ping_interval_ms or mesh.ping_interval_ms)
+    _post(mesh, (address,), message)
 
 
 def broadcast(mesh: Mesh, addresses, message) -> None:
@@ -159,45 +190,209 @@
     message
         Message of a type that `fleet_codec` encodes.
     """
+    _post(mesh, addresses, message)
+
+
+def _post(mesh: Mesh, addresses, message) -> None:
+    if mesh.is_closed:
+        return
     data = fleet_codec.encode(message)
+    if len(data) > frames.MAX_MESSAGE_BYTES:
+        mesh.too_long += 1
+        return
+    frame = frames.encode(data)
     for address in addresses:
-        _send_bytes(mesh, address, data)
+        sender = mesh.senders.get(address)
+        if sender is None:
+            sender = _start_sender(mesh, address, mesh.ping_interval_ms)
+        if peer_links.push(sender.link, frame):
+            _put_in_outbox(mesh, sender)
 
 
-def _send_bytes(mesh: Mesh, address: str, data: bytes) -> None:
-    sock = mesh.senders.get(address)
-    if sock is None:
-        sock = _connect(mesh, address, mesh.ping_interval_ms)
-    try:
-        sock.send(data, zmq.NOBLOCK)
-    except zmq.Again:
-        mesh.dropped += 1
-
-
-def _connect(mesh: Mesh, address: str, ping_interval_ms: int) -> zmq.Socket:
-    sock = mesh.ctx.socket(zmq.DEALER)
-    _set_options(sock, ping_interval_ms)
-    sock.setsockopt(zmq.SNDHWM, SEND_LIMIT_MESSAGES)
-    # Queue messages only for a connected peer, so that a peer that
-    # reconnects receives no outdated ones.
-    sock.setsockopt(zmq.IMMEDIATE, 1)
-    sock.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
-    sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
-    sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-    sock.connect(f"tcp://{address}")
-    mesh.senders[address] = sock
+def _put_in_outbox(mesh: Mesh, sender: Sender) -> None:
+    if not sender.is_in_outbox:
+        sender.is_in_outbox = True
+        mesh.outbox.append(sender)
+        mesh.has_mail.set()
+
+
+def _start_sender(mesh: Mesh, address: str, ping_interval_ms: int) -> Sender:
+    link = peer_links.Link(address, mesh.chart, ping_interval_ms)
+    sender = Sender(link)
+    mesh.senders[address] = sender
+    sender.task = asyncio.create_task(_run_sender(mesh, sender))
+    return sender
+
+
+async def _run_sender(mesh: Mesh, sender: Sender) -> None:
+    """Open the connection to a peer again whenever it has ended."""
+    while True:
+        sock = None
+        try:
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                sock = _make_socket()
+                await _open(sock, sender.link.key)
+            _report(sender, "opened")
+            sender.sock, sender.is_ping_due = sock, False
+            _put_in_outbox(mesh, sender)
+            await _serve(mesh, sender)
+        except (OSError, TimeoutError, errors.MalformedMessageError):
+            pass
+        finally:
+            sender.sock = None
+            if sock is not None:
+                sock.close()
+        for effect in _report(sender, "ended"):
+            await asyncio.sleep(effect.delay_ms / 1000)
+        _report(sender, "delay_over")
+
+
+def _report(sender: Sender, event: str) -> list:
+    return list(peer_links.report(sender.link, event, clock.now_ms()))
+
+
+def _make_socket() -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     return sock
 
 
+async def _open(sock: socket.socket, address: str) -> None:
+    """Connect, and wait until the peer has introduced itself."""
+    loop = asyncio.get_running_loop()
+    host, _, port = address.rpartition(":")
+    await loop.sock_connect(sock, (host, int(port)))
+    await loop.sock_sendall(sock, frames.HELLO)
+    decoder = frames.Decoder()
+    while not decoder.is_introduced:
+        data = await loop.sock_recv(sock, len(frames.HELLO))
+        if not data:
+            raise ConnectionResetError
+        list(frames.feed(decoder, data))
+
+
+async def _serve(mesh: Mesh, sender: Sender) -> None:
+    """Wait for the peer whenever it is slow, until the connection ends."""
+    sender.rest = b""
+    sender.has_rest.clear()
+    reading = asyncio.create_task(_read(sender.link, sender.sock))
+    reading.add_done_callback(lambda _: sender.has_rest.set())
+    try:
+        while True:
+            await sender.has_rest.wait()
+            sender.has_rest.clear()
+            if reading.done():
+                return
+            await _send_rest(sender)
+            sender.rest = b""
+            _put_in_outbox(mesh, sender)
+    finally:
+        reading.cancel()
+        await asyncio.wait((reading,))
+        # An error of the connection needs no report, but must be taken.
+        _ = reading.cancelled() or reading.exception()
+
+
+async def _read(link: peer_links.Link, sock: socket.socket) -> None:
+    """Take what the peer sends, which is no more than answers to pings."""
+    loop = asyncio.get_running_loop()
+    while await loop.sock_recv(sock, READ_BYTES):
+        peer_links.hear(link)
+        # Bytes that arrive without end must not keep others waiting.
+        await asyncio.sleep(0)
+
+
+async def _send_rest(sender: Sender) -> None:
+    """Send bytes as the peer takes them."""
+    loop = asyncio.get_running_loop()
+    view = memoryview(sender.rest)
+    sender.link.is_blocked = True
+    try:
+        for start in range(0, len(view), PIECE_BYTES):
+            piece = view[start : start + PIECE_BYTES]
+            await loop.sock_sendall(sender.sock, piece)
+            peer_links.hear(sender.link)
+    finally:
+        sender.link.is_blocked = False
+
+
+async def _write_all(mesh: Mesh) -> None:
+    """Send what is queued for all peers, in the order of their messages."""
+    while True:
+        await mesh.has_mail.wait()
+        mesh.has_mail.clear()
+        senders, mesh.outbox = mesh.outbox, []
+        for sender in senders:
+            sender.is_in_outbox = False
+            if sender.sock is not None and not sender.rest:
+                _write(sender)
+
+
+def _write(sender: Sender) -> None:
+    """Send as much as the peer takes at once, and leave the rest to its task.
+
+    A failed connection is left to the task, too, which reads its end.
+    """
+    try:
+        while data := _take(sender):
+            sent = 0
+            with contextlib.suppress(BlockingIOError):
+                sent = sender.sock.send(data)
+            if sent < len(data):
+                sender.rest = data[sent:]
+                sender.has_rest.set()
+                return
+    except OSError:
+        _shut_down(sender)
+
+
+def _take(sender: Sender) -> bytes:
+    if sender.is_ping_due:
+        sender.is_ping_due = False
+        return frames.PING
+    return peer_links.take_batch(sender.link)
+
+
+async def _tick_all(mesh: Mesh) -> None:
+    while True:
+        await asyncio.sleep(peer_links.TICK_MS / 1000)
+        peer_listener.tick(mesh.listener)
+        for sender in mesh.senders.values():
+            if sender.sock is not None:
+                _tick(mesh, sender)
+
+
+def _tick(mesh: Mesh, sender: Sender) -> None:
+    verdict = peer_links.tick(sender.link)
+    if verdict is peer_links.Verdict.PING:
+        sender.is_ping_due = True
+        _put_in_outbox(mesh, sender)
+    elif verdict is peer_links.Verdict.DEAD:
+        _shut_down(sender)
+
+
+def _shut_down(sender: Sender) -> None:
+    """Let reads and writes of the task that owns the socket fail at once."""
+    with contextlib.suppress(OSError):
+        sender.sock.shutdown(socket.SHUT_RDWR)
+
+
 def close(mesh: Mesh) -> None:
-    """Stop reading and close all sockets.
+    """End all connections; their tasks close the sockets.
 
     Parameters
     ----------
     mesh
         Sockets of this node, which cannot be used afterwards.
     """
-    fd = mesh.receiver.getsockopt(zmq.FD)
-    asyncio.get_running_loop().remove_reader(fd)
-    for sock in (mesh.receiver, *mesh.senders.values()):
-        sock.close(0)
+    mesh.is_closed = True
+    mesh.writer.cancel()
+    mesh.ticker.cancel()
+    peer_listener.close(mesh.listener)
+    for sender in mesh.senders.values():
+        sender.task.cancel()
