Reopen a peer's connection when its address is none

Addresses of peers come from other processes. One that is malformed ended the task of its connection with ValueError, and what was queued for it stayed; a free port of the own host may connect to itself, and counted as a peer. Both now count as a failed opening. test_address_that_is_none_harms_no_other_peer fails on the code before (TimeoutError) and passes now; of the self-connection there is no test. test_peer_mesh: 17 pass.

--- a/bilberryramp/tasks/peer_mesh.py
+++ b/bilberryramp/tasks/peer_mesh.py
@@ -236,10 +236,13 @@
             sender.sock, sender.is_ping_due = sock, False
             _put_in_outbox(mesh, sender)
             await _serve(mesh, sender)
-        except (OSError, TimeoutError, errors.MalformedMessageError):
+        except (OSError, errors.MalformedMessageError):
+            pass
+        except (ValueError, OverflowError):
+            # No address: names of peers come from other processes.
             pass
         finally:
-            sender.sock = None
+            sender.sock, sender.rest = None, b""
             if sock is not None:
                 sock.close()
         for effect in _report(sender, "ended"):
@@ -267,6 +270,9 @@
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
     await loop.sock_connect(sock, (host, int(port)))
+    if sock.getsockname() == sock.getpeername():
+        # TCP connects a free port of this host to itself now and then.
+        raise ConnectionRefusedError
     await loop.sock_sendall(sock, frames.HELLO)
     decoder = frames.Decoder()
     while not decoder.is_introduced:
@@ -278,7 +284,6 @@
 
 async def _serve(mesh: Mesh, sender: Sender) -> None:
     """Wait for the peer whenever it is slow, until the connection ends."""
-    sender.rest = b""
     sender.has_rest.clear()
     reading = asyncio.create_task(_read(sender.link, sender.sock))
     reading.add_done_callback(lambda _: sender.has_rest.set())
--- a/bilberryramp/tasks/tests/test_peer_mesh.py
+++ b/bilberryramp/tasks/tests/test_peer_mesh.py
@@ -116,6 +116,16 @@
         await builders.until(lambda: sender.link.phase != "up")
         await builders.until(lambda: sender.link.phase == "up")
 
+    async def test_address_that_is_none_harms_no_other_peer(self):
+        _, address, received = builders.open_mesh(self)
+        mesh, _, _ = builders.open_mesh(self)
+        names = ["", "nowhere", "127.0.0.1:port", "127.0.0.1:99999", ":-1"]
+        peer_mesh.broadcast(mesh, [*names, address], builders.pulse(1))
+        await builders.until(lambda: received)
+        await builders.until(lambda: mesh.dropped == len(names))
+        tasks = [sender.task for sender in mesh.senders.values()]
+        self.assertFalse(any(task.done() for task in tasks))
+
     async def test_idle_connection_stays_open(self):
         _, address, received = builders.open_mesh(self)
         mesh, _, _ = builders.open_mesh(self)
