Bound the connections that peers open by the descriptors

Cause: 400 silent connections to a node's port for peers took it to 413 of 300 descriptors; the limit of 512 knew nothing of the instance.

Change: a quarter of the descriptors that the platform does not set aside, at least 16; 1,024 where they are unknown.

--- a/bilberryramp/decisions/shared/client_memory.py
+++ b/bilberryramp/decisions/shared/client_memory.py
@@ -23,6 +23,7 @@
     "may_open",
     "new_ledger",
     "open_holding",
+    "peer_connections",
     "release",
     "set_held",
     "short_bytes",
@@ -65,6 +66,10 @@
     "readiness": (1 / 16, 32),
     "metrics": (1 / 32, 16),
 }
+# Part of the descriptors for connections that peers open, and their least
+# number.
+PEERS_PART = 0.25
+MIN_PEER_CONNECTIONS = 16
 # Least part of the rest that is for clients, whatever upstreams may take.
 MIN_CLIENT_PART = 0.25
 
@@ -220,6 +225,23 @@
     )
 
 
+def peer_connections(limit: int) -> int:
+    """Return how many connections peers may open to a node.
+
+    Parameters
+    ----------
+    limit
+        Number of descriptors that the process may have.
+
+    Returns
+    -------
+    int
+        A part of those that the platform does not set aside.
+    """
+    free = max(limit - RESERVED_DESCRIPTORS, 0)
+    return max(int(PEERS_PART * free), MIN_PEER_CONNECTIONS)
+
+
 def split_descriptors(needs: Descriptors) -> dict[str, int]:
     """Return how many connections each listener of a node may have.
 
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -28,7 +28,12 @@
 )
 from bilberryramp.decisions.fleet.register import register, register_messages
 from bilberryramp.decisions.fleet.routing import health, upstream_pauses
-from bilberryramp.decisions.shared import pauses, quarantine, shutdown
+from bilberryramp.decisions.shared import (
+    client_memory,
+    pauses,
+    quarantine,
+    shutdown,
+)
 from bilberryramp.platform import (
     engine_orders,
     exchanges,
@@ -271,6 +276,10 @@
         f"{PEER_BIND_FLAG.value or cfg.ip}:{port}",
         _make_dispatcher(register_inbox, gateway_inbox, holder_inbox),
     )
+    if cfg.max_descriptors:
+        mesh.listener.max_connections = client_memory.peer_connections(
+            cfg.max_descriptors
+        )
     table = presence.Table(cfg.heartbeat_ms)
     gw = gateway_state.Gateway(
         address,
--- a/bilberryramp/tasks/peer_listener.py
+++ b/bilberryramp/tasks/peer_listener.py
@@ -17,7 +17,8 @@
 
 READ_BYTES = 16 * 2**10
 RECEIVE_BUFFER_BYTES = 128 * 2**10
-MAX_CONNECTIONS = 512
+# Limit without one by the process's descriptors.
+MAX_CONNECTIONS = 1024
 # Bytes of incomplete frames of all connections: one message of the largest
 # size, and some of usual size.
 HELD_LIMIT_BYTES = frames.MAX_MESSAGE_BYTES + 4 * 2**20
@@ -79,6 +80,8 @@
         Number of messages dropped and connections ended for what was sent.
     event_ticks
         Ticks until the next event may be emitted.
+    max_connections
+        Number of connections that may be open.
     task
         Task that accepts connections.
     """
@@ -94,6 +97,7 @@
     held_bytes: int = 0
     refused: int = 0
     event_ticks: int = 0
+    max_connections: int = MAX_CONNECTIONS
     task: asyncio.Task | None = None
 
 
@@ -171,7 +175,7 @@
             # No descriptor is left, or the connection ended before.
             await asyncio.sleep(ACCEPT_RETRY_S)
             continue
-        if len(listener.inbound) >= MAX_CONNECTIONS:
+        if len(listener.inbound) >= listener.max_connections:
             _note(listener, "too many connections")
             _end(listener, _choose_victim(listener))
         conn = Inbound(sock, address[0])
