--- a/bilberryramp/decisions/shared/tests/test_client_memory.py
+++ b/bilberryramp/decisions/shared/tests/test_client_memory.py
@@ -44,6 +44,16 @@
         self.assertEqual(waiting.held[Kind.BODY], LARGE)
         self.assertEqual(waiting.held[Kind.AHEAD], 0)
 
+    def test_answers_wait_like_bodies(self):
+        for _ in range(7):
+            first, _ = self.ask(LARGE)
+        holding = client_memory.open_holding(self.ledger, object())
+        reply = client_memory.ask(self.ledger, holding, Kind.RELAY, LARGE)
+        self.assertIs(reply, Reply.WAIT)
+        client_memory.release(self.ledger, first, Kind.BODY)
+        self.assertEqual(list(client_memory.grants(self.ledger)), [holding])
+        self.assertEqual(holding.held[Kind.RELAY], LARGE)
+
     def test_what_can_never_fit_is_refused_at_once(self):
         _, reply = self.ask(9 * LARGE)
         self.assertIs(reply, Reply.REFUSED)
@@ -66,6 +76,15 @@
         self.assertLessEqual(used, 1638 - 200)
         self.assertGreater(split["clients"], 300)
 
+    def test_process_without_free_memory_serves_small_requests(self):
+        needs = client_memory.Descriptors(1638, 720, 50)
+        budgets = client_memory.split_budget(160_000_000, 200_000_000, needs)
+        for budget in budgets.values():
+            ledger = client_memory.new_ledger(budget)
+            holding = client_memory.open_holding(ledger, object())
+            reply = client_memory.ask(ledger, holding, Kind.BODY, 2000)
+            self.assertIs(reply, Reply.GRANTED)
+
     def test_few_descriptors_leave_some_for_each_listener(self):
         needs = client_memory.Descriptors(300, 490, 0)
         split = client_memory.split_descriptors(needs)
