--- a/bilberryramp/decisions/shared/tests/test_charting.py
+++ b/bilberryramp/decisions/shared/tests/test_charting.py
@@ -12,6 +12,7 @@
 from bilberryramp.decisions.shared import (
     charting,
     pauses,
+    peer_links,
     quarantine,
     shutdown,
     subscription,
@@ -122,6 +123,7 @@
             "engine_order": agent,
             "exchange": gateway_state,
             "member": register,
+            "peer_link": peer_links,
             "retry_share": retry_shares,
             "upstream_health": health,
             "upstream_pause": pauses,
