--- a/bilberryramp/decisions/shared/client_memory.py
+++ b/bilberryramp/decisions/shared/client_memory.py
@@ -28,6 +28,7 @@
     "short_bytes",
     "split_budget",
     "split_descriptors",
+    "whole_budget",
     "withdraw",
 ]
 
@@ -67,6 +68,10 @@
 }
 # Least part of the rest that is for clients, whatever upstreams may take.
 MIN_CLIENT_PART = 0.25
+# Part of the descriptors of a process with one listener, and at least so many,
+# that its other sockets and files have.
+OWN_PART = 0.25
+MIN_OWN_DESCRIPTORS = 64
 
 
 class Kind(enum.Enum):
@@ -211,6 +216,30 @@
     }
 
 
+def whole_budget(
+    memory_bytes: int, resident_bytes: int, max_descriptors: int
+) -> Budget:
+    """Return the budget of the only listener of a process.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory limit of the process.
+    resident_bytes
+        Memory that it takes before it has clients.
+    max_descriptors
+        Number of descriptors that the process may have.
+
+    Returns
+    -------
+    Budget
+        Budget of the listener.
+    """
+    free_bytes = max(memory_bytes - resident_bytes, 0)
+    own = max(int(OWN_PART * max_descriptors), MIN_OWN_DESCRIPTORS)
+    return _make_budget(int(CLIENTS_PART * free_bytes), max_descriptors - own)
+
+
 def _make_budget(total_bytes: int, max_connections: int) -> Budget:
     affordable = int(CONNECTIONS_PART * total_bytes) // CONNECTION_BYTES
     return Budget(
--- a/bilberryramp/decisions/shared/errors.py
+++ b/bilberryramp/decisions/shared/errors.py
@@ -33,7 +33,8 @@
 
     LEAVING means that the upstream is draining, CALLER_LEFT that the caller
     closed its connection or the attempt was cancelled, ENGINE_PAUSED that the
-    engines asked for a pause. The KEY codes are about
+    engines asked for a pause, BODY_TIMEOUT that a request's body was not
+    complete in time. The KEY codes are about
     the request's idempotency key: KEY_RUNNING and KEY_UNKNOWN mean that the
     earlier request with the key is running or has an unknown outcome,
     KEY_MISMATCH that the key was used for a different request.
@@ -41,6 +42,7 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_TIMEOUT = "body_timeout"
     MODEL_NOT_FOUND = "model_not_found"
     ROUTE_NOT_FOUND = "route_not_found"
     NO_UPSTREAM = "no_upstream"
--- a/bilberryramp/decisions/shared/tests/test_client_memory.py
+++ b/bilberryramp/decisions/shared/tests/test_client_memory.py
@@ -10,6 +10,17 @@
 LARGE = 1_000_000
 
 
+class WholeBudgetTest(unittest.TestCase):
+    def test_process_with_one_listener_keeps_what_it_needs(self):
+        budget = client_memory.whole_budget(160 * LARGE, 60 * LARGE, 300)
+        self.assertEqual(budget.total_bytes, 50 * LARGE)
+        self.assertEqual(budget.max_connections, 225)
+
+    def test_process_without_room_still_has_one_connection(self):
+        budget = client_memory.whole_budget(LARGE, 2 * LARGE, 10)
+        self.assertEqual((budget.total_bytes, budget.max_connections), (0, 1))
+
+
 class CrowdTest(unittest.TestCase):
     """A crowd of large bodies fills its part and no more."""
 
--- a/bilberryramp/programs/control.py
+++ b/bilberryramp/programs/control.py
@@ -12,6 +12,7 @@
 from bilberryramp.settings import reader, schema
 from bilberryramp.storage import journal
 from bilberryramp.tasks import (
+    client_guard,
     connection_drain,
     control_node,
     mailbox,
@@ -56,11 +57,15 @@
     host, _, port = own_replica.operator_address.rpartition(":")
     ended = asyncio.Event()
     api = operator_api.make_app(node.inbox, ended)
-    listener, _ = await launch.listen(api, "operators", host, int(port))
+    process_metrics = metrics.Metrics()
+    listener = await launch.make_listener(api, "operators")
+    guard = launch.guard(listener, cfg.process_memory_mb, process_metrics)
+    await launch.open_listener(listener, host, int(port))
     stop_requested = asyncio.Event()
     launch.on_stop_signal(stop_requested.set)
     events.emit(events.STARTED, address=own_replica.address)
     async with asyncio.TaskGroup() as group:
+        guarding = group.create_task(client_guard.run(guard))
         node_task = group.create_task(control_node.run(node))
         node_task.add_done_callback(lambda _: ended.set())
         await stop_requested.wait()
@@ -72,7 +77,8 @@
             control_node.STOP_DELAY_MS,
             cfg.grace_ms,
         )
-        await launch.drain(stop, listener, metrics.Metrics())
+        await launch.drain(stop, listener, process_metrics)
+        guarding.cancel()
         node_task.cancel()
     events.emit(events.STOPPED)
     return 0
--- a/bilberryramp/programs/entry.py
+++ b/bilberryramp/programs/entry.py
@@ -19,6 +19,7 @@
 from bilberryramp.settings import reader, schema
 from bilberryramp.tasks import (
     client_connections,
+    client_guard,
     clock,
     connection_drain,
     control_link,
@@ -44,22 +45,35 @@
     router = _new_router(cfg)
     stop_requested = asyncio.Event()
     launch.on_stop_signal(stop_requested.set)
+    guards: list[client_guard.Guard] = []
     api = entry_frontend.make_app(
         cfg,
         router.inbox,
         router.entry.view,
         router.metrics,
         lambda: not stop_requested.is_set() and _is_ready(router.entry),
+        lambda: [client_guard.set_gauges(guard) for guard in guards],
     )
-    listener, port = await launch.listen(
-        api, "callers", cfg.host, cfg.port, cfg.max_header_bytes
+    listener = await launch.make_listener(api, "callers", cfg.max_header_bytes)
+    guards.append(
+        launch.guard(
+            listener,
+            cfg.process_memory_mb,
+            router.metrics,
+            cfg.slow_reader_ms,
+        )
     )
+    port = await launch.open_listener(listener, cfg.host, cfg.port)
     events.emit(events.STARTED, host=cfg.host, port=port)
     async with asyncio.TaskGroup() as group:
-        routing_task = group.create_task(entry_router.run(router))
+        tasks = [
+            group.create_task(entry_router.run(router)),
+            *(group.create_task(client_guard.run(guard)) for guard in guards),
+        ]
         await stop_requested.wait()
         await _drain(cfg, router, listener)
-        routing_task.cancel()
+        for task in tasks:
+            task.cancel()
     events.emit(events.STOPPED)
     return 0
 
--- a/bilberryramp/programs/launch.py
+++ b/bilberryramp/programs/launch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import resource
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -14,10 +15,17 @@
 from aiohttp import web
 
 from bilberryramp.charts import loader
-from bilberryramp.decisions.shared import charting, errors, shutdown
+from bilberryramp.decisions.shared import (
+    charting,
+    client_memory,
+    client_review,
+    errors,
+    shutdown,
+)
 from bilberryramp.settings import reader, schema
 from bilberryramp.tasks import (
     client_connections,
+    client_guard,
     client_holdings,
     client_requests,
     connection_drain,
@@ -32,9 +40,12 @@
     "SETTINGS_FLAG",
     "bind_chart",
     "drain",
+    "guard",
     "listen",
+    "make_listener",
     "new_stop",
     "on_stop_signal",
+    "open_listener",
     "run_app",
     "start_telemetry",
     "write_yaml",
@@ -44,6 +55,13 @@
 LINGER_MS = 1000
 # Part of the time for a planned stop that is reserved for the last answers.
 ANSWER_MS = 500
+# Bytes of a body after twice which no more are read until they are taken, and
+# the time for which the rest of a refused one is read.
+READ_BUFFER_BYTES = 32 * 1024
+DROP_BODY_S = 2.0
+# A head is refused beyond this multiple of the longest line.
+HEAD_MARGIN = 4
+BYTES_PER_MB = 1_000_000
 EXIT_DEFECT = 1
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_LISTEN = 3
@@ -122,14 +140,10 @@
         loop.add_signal_handler(signum, on_signal)
 
 
-async def listen(
-    application: web.Application,
-    name: str,
-    host: str,
-    port: int,
-    max_header_bytes: int = 8190,
-) -> tuple[client_connections.Listener, int]:
-    """Start an HTTP server.
+async def make_listener(
+    application: web.Application, name: str, max_header_bytes: int = 8190
+) -> client_connections.Listener:
+    """Return the listener of an HTTP server, which has no sockets yet.
 
     Parameters
     ----------
@@ -137,35 +151,127 @@
         Application that handles the requests. A middleware is added to it.
     name
         Name of the listener in logs and metrics.
-    host, port
-        Address to listen at; port 0 selects a free port.
     max_header_bytes
         Maximum length of the request line and of a header field, in bytes.
 
     Returns
     -------
-    tuple of (Listener, int)
-        Listener, for `drain`, and the port in use.
-
-    Raises
-    ------
-    OSError
-        When the server cannot listen at the address.
+    Listener
+        Listener for `open_listener`.
     """
     application.middlewares.append(_serve_to_end)
     runner = web.AppRunner(application, handler_cancellation=True)
     await runner.setup()
-    listener = client_connections.new_listener(
+    return client_connections.new_listener(
         name,
         runner.server,
         access_log=None,
+        lingering_time=DROP_BODY_S,
+        read_bufsize=READ_BUFFER_BYTES,
         max_line_size=max_header_bytes,
         max_field_size=max_header_bytes,
     )
+
+
+def guard(
+    listener: client_connections.Listener,
+    memory_mb: int,
+    process_metrics: metrics.Metrics,
+    unread_ms: int = 0,
+) -> client_guard.Guard:
+    """Bound what a process holds for the clients of its only listener.
+
+    The process's own need of memory is measured now.
+
+    Parameters
+    ----------
+    listener
+        Listener without sockets. Modified in place.
+    memory_mb
+        Memory that the process may take, in MB.
+    process_metrics
+        Metrics that count the connections that are ended.
+    unread_ms
+        Time that clients may take to read a part of an answer, in
+        milliseconds, if that is longer than the default.
+
+    Returns
+    -------
+    Guard
+        State of the task that has to run.
+    """
+    resident_bytes = 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        descriptors = sys.maxsize
+    budget = client_memory.whole_budget(
+        BYTES_PER_MB * memory_mb, resident_bytes, descriptors
+    )
+    defaults = client_review.Limits()
+    line_bytes = listener.options["max_line_size"]
+    limits = client_review.Limits(
+        head_bytes=max(defaults.head_bytes, HEAD_MARGIN * line_bytes),
+        unread_ms=max(defaults.unread_ms, unread_ms),
+    )
+    return client_guard.guard_listener(
+        listener, lambda: budget, lambda: limits, process_metrics
+    )
+
+
+async def open_listener(
+    listener: client_connections.Listener, host: str, port: int
+) -> int:
+    """Start to listen.
+
+    Parameters
+    ----------
+    listener
+        Listener from `make_listener`. Modified in place.
+    host, port
+        Address to listen at; port 0 selects a free port.
+
+    Returns
+    -------
+    int
+        Port in use.
+
+    Raises
+    ------
+    OSError
+        When the server cannot listen at the address.
+    """
     listener.server = await asyncio.get_running_loop().create_server(
         client_connections.protocol_factory(listener), host, port
     )
-    return listener, listener.server.sockets[0].getsockname()[1]
+    if listener.ledger is not None:
+        client_guard.bound_buffers(listener.server.sockets)
+    return listener.server.sockets[0].getsockname()[1]
+
+
+async def listen(
+    application: web.Application, name: str, host: str, port: int
+) -> tuple[client_connections.Listener, int]:
+    """Start an HTTP server whose clients are trusted with its memory.
+
+    Parameters
+    ----------
+    application, name
+        As for `make_listener`.
+    host, port
+        As for `open_listener`.
+
+    Returns
+    -------
+    tuple of (Listener, int)
+        Listener, for `drain`, and the port in use.
+
+    Raises
+    ------
+    OSError
+        When the server cannot listen at the address.
+    """
+    listener = await make_listener(application, name)
+    return listener, await open_listener(listener, host, port)
 
 
 @web.middleware
--- a/bilberryramp/settings/schema.py
+++ b/bilberryramp/settings/schema.py
@@ -23,6 +23,7 @@
 ]
 
 _Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0)]
+_ProcessMb = typing.Annotated[int, msgspec.Meta(ge=128)]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -93,6 +94,9 @@
         How readily the number of a model's replicas follows demand: a
         tradeoff between the number of model loads and the share of requests
         that meet their targets. Must be equal on all control replicas.
+    process_memory_mb
+        Memory that this process may take, in MB. Operators' requests for
+        which there is none are refused, and idle connections are closed.
     grace_ms
         Maximum time from the stop signal to the exit, in milliseconds.
         Operators' requests that have not been read shortly before are
@@ -110,6 +114,7 @@
     lease_ms: int = 300
     snapshot_entries: int = 4000
     demand: demand.DemandSettings = demand.DemandSettings()
+    process_memory_mb: _ProcessMb = 2000
     grace_ms: _Milliseconds = 5000
     telemetry: TelemetrySettings = TelemetrySettings()
 
@@ -136,6 +141,11 @@
     max_body_bytes, max_header_bytes
         Maximum size of a request's body and of its header, in bytes; larger
         requests are refused.
+    process_memory_mb
+        Memory that this process may take, in MB. About half of what it does
+        not need itself is for callers' requests, three quarters of that for
+        large ones, twice their size each. A request for which there is none is
+        refused; callers that make no progress are then ended first.
     slow_reader_ms
         Maximum time that a caller may take to accept one part of an answer,
         in milliseconds.
@@ -160,6 +170,7 @@
     max_calls: int = 4096
     max_body_bytes: int = 8 * 1024 * 1024
     max_header_bytes: int = 16 * 1024
+    process_memory_mb: _ProcessMb = 2000
     slow_reader_ms: int = 30_000
     stop_notice_ms: _Milliseconds = 200
     grace_ms: _Milliseconds = 130_000
--- a/bilberryramp/standins/local_cluster.py
+++ b/bilberryramp/standins/local_cluster.py
@@ -143,13 +143,15 @@
     return Cluster(folder, controls, traces)
 
 
-def start_controls(cluster: Cluster) -> None:
+def start_controls(cluster: Cluster, **overrides) -> None:
     """Start every control replica, formatting data folders that do not exist.
 
     Parameters
     ----------
     cluster
         System of processes. Modified in place.
+    **overrides
+        Further fields of `schema.ControlSettings`.
     """
     for control in cluster.controls:
         name = control.replica_id
@@ -159,6 +161,7 @@
             replicas=cluster.controls,
             data_folder=str(data),
             telemetry=_telemetry_settings(cluster, name),
+            **overrides,
         )
         settings = _write_settings(cluster, name, cfg)
         if not data.exists():
--- a/bilberryramp/standins/tests/builders.py
+++ b/bilberryramp/standins/tests/builders.py
@@ -42,7 +42,7 @@
 
 
 def start_cluster(
-    test_class, controls=1, traces=False
+    test_class, controls=1, traces=False, **control_settings
 ) -> local_cluster.Cluster:
     """Start control replicas that are stopped after the test class."""
     folder = tempfile.TemporaryDirectory()
@@ -51,7 +51,7 @@
         pathlib.Path(folder.name), controls, traces
     )
     test_class.addClassCleanup(local_cluster.stop_all, cluster)
-    local_cluster.start_controls(cluster)
+    local_cluster.start_controls(cluster, **control_settings)
     return cluster
 
 
--- a/bilberryramp/standins/tests/test_client_crowds.py
+++ b/bilberryramp/standins/tests/test_client_crowds.py
@@ -152,7 +152,9 @@
 
     async def asyncSetUp(self):
         await self.start_service()
-        await self.start_entry(max_body_bytes=MAX_BODY_BYTES)
+        await self.start_entry(
+            max_body_bytes=MAX_BODY_BYTES, process_memory_mb=MEMORY_MB
+        )
 
     async def start_service(self):
         """Start a plain service whose answers are large."""
@@ -280,7 +282,9 @@
 
     async def asyncSetUp(self):
         with few_descriptors():
-            cluster = builders.start_cluster(type(self))
+            cluster = builders.start_cluster(
+                type(self), process_memory_mb=MEMORY_MB
+            )
         self.addAsyncCleanup(
             asyncio.to_thread, local_cluster.stop_all, cluster
         )
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -106,6 +106,7 @@
 _STATUS = {
     errors.FailureCode.BAD_REQUEST: 400,
     errors.FailureCode.KEY_REQUIRED: 400,
+    errors.FailureCode.BODY_TIMEOUT: 408,
     errors.FailureCode.BODY_TOO_LARGE: 413,
     errors.FailureCode.MODEL_NOT_FOUND: 404,
     errors.FailureCode.ROUTE_NOT_FOUND: 404,
@@ -122,12 +123,29 @@
 }
 
 
+_UNREAD = {
+    client_requests.ReadingEnd.STOPPING: (
+        errors.FailureCode.SHUTTING_DOWN,
+        "entry is stopping",
+    ),
+    client_requests.ReadingEnd.TIMEOUT: (
+        errors.FailureCode.BODY_TIMEOUT,
+        "the body was not complete in time",
+    ),
+    client_requests.ReadingEnd.MEMORY: (
+        errors.FailureCode.OVERLOADED,
+        "no memory for the body",
+    ),
+}
+
+
 def make_app(
     cfg: schema.EntryProgramSettings,
     inbox: mailbox.Mailbox,
     view: views.View,
     process_metrics: metrics.Metrics,
     is_ready,
+    refresh_metrics=lambda: None,
 ) -> web.Application:
     """Return the HTTP application.
 
@@ -144,6 +162,8 @@
         Metrics to show at ``/metrics``.
     is_ready
         Function that returns whether the entry accepts new requests.
+    refresh_metrics
+        Called before the metrics are shown.
 
     Returns
     -------
@@ -166,6 +186,7 @@
         return web.Response(text=f"{status == 200}\n".lower(), status=status)
 
     async def show_metrics(_request: web.Request) -> web.Response:
+        refresh_metrics()
         return web.Response(text=metrics.render(process_metrics))
 
     options = {"expect_handler": http_requests.accept_expectation}
@@ -189,7 +210,10 @@
     ) as traceparent:
         parsed = await _read_request(cfg, request, request_id, traceparent)
         if isinstance(parsed, result.Failure):
-            return _failure_response(request_id, parsed.failure())
+            response = _failure_response(request_id, parsed.failure())
+            if not request.content.is_eof():
+                response.force_close()
+            return response
         reply_mailbox = mailbox.Mailbox()
         arrived = entry_messages.CallArrived(parsed.unwrap(), clock.wall_ms())
         await mailbox.post(inbox, entry_router.NewCall(arrived, reply_mailbox))
@@ -257,23 +281,25 @@
 
 async def _read_body(request: web.Request) -> result.Result:
     try:
-        body = await client_requests.read_body(request, web.Request.read)
-    except client_requests.ReadingEndedError:
-        return _refuse_at_stop(request)
+        body = await client_requests.read_body(
+            request, http_requests.read_kept
+        )
+    except client_requests.ReadingEndedError as exc:
+        return _refuse_unread(request, exc.cause)
     except web.HTTPRequestEntityTooLarge:
         code = errors.FailureCode.BODY_TOO_LARGE
         return _invalid_request(
             "the body is larger than this entry accepts", code
         )
     if client_requests.began_in_drain(request):
-        return _refuse_at_stop(request)
+        return _refuse_unread(request, client_requests.ReadingEnd.STOPPING)
     return result.Success(body)
 
 
-def _refuse_at_stop(request: web.Request) -> result.Result:
-    failure = errors.call_failure(
-        errors.FailureCode.SHUTTING_DOWN, "entry is stopping"
-    )
+def _refuse_unread(
+    request: web.Request, cause: client_requests.ReadingEnd
+) -> result.Result:
+    failure = errors.call_failure(*_UNREAD[cause])
     if request.headers.get("Idempotency-Key"):
         # An earlier request with this key may have run.
         failure = entry_refusals.with_unknown_outcome(failure)
--- a/bilberryramp/tasks/operator_api.py
+++ b/bilberryramp/tasks/operator_api.py
@@ -28,6 +28,8 @@
 
 # Time for which an operator's command waits for its result.
 RESULT_TIMEOUT_S = 5.0
+# Longest time in which the body of a submission arrives.
+MAX_BODY_S = 30.0
 _STOPPED = commands.Unavailable(commands.UnavailableReason.STOPPING)
 _EXPIRED = commands.Unavailable(commands.UnavailableReason.LEASE_EXPIRED)
 
@@ -232,10 +234,14 @@
 
 async def _submit(run_command, request: web.Request) -> web.Response:
     try:
-        data = await client_requests.read_body(request, web.Request.read)
+        data = await client_requests.read_body(
+            request,
+            http_requests.read_kept,
+            asyncio.get_running_loop().time() + MAX_BODY_S,
+        )
         body = msgspec.json.decode(data, type=SubmitRequest)
-    except client_requests.ReadingEndedError:
-        return _submit_reply(_STOPPED)
+    except client_requests.ReadingEndedError as exc:
+        return _unread_reply(exc.cause)
     except msgspec.DecodeError as exc:
         return _json_response(ErrorReply(str(exc)), 400)
     command = commands.SubmitTables(
@@ -247,6 +253,19 @@
     return _submit_reply(await run_command(command))
 
 
+def _unread_reply(cause: client_requests.ReadingEnd) -> web.Response:
+    """Return the answer to a submission that was not read to its end."""
+    if cause is client_requests.ReadingEnd.STOPPING:
+        return _submit_reply(_STOPPED)
+    if cause is client_requests.ReadingEnd.TIMEOUT:
+        reply = ErrorReply("the body was not complete in time")
+        response = _json_response(reply, 408)
+    else:
+        response = _json_response(SubmitReply("unknown"), 503)
+    response.force_close()
+    return response
+
+
 def _submit_reply(result) -> web.Response:
     if isinstance(result, commands.SubmitAccepted):
         return _json_response(SubmitReply("accepted", result.version))
