Bound what entries and control replicas hold for clients

Cause: the bound on clients was the node's alone. 200 bodies short of their end took an entry to 328 MB and a control replica to 323 MB, and 400 silent connections kept ordinary callers out of both.

Change: the ledger and the review guard their listeners too, within process_memory_mb (2,000 MB by default) and the process's limit of descriptors. Room for connections that are accepted at once is kept.

--- a/bilberryramp/decisions/shared/client_memory.py
+++ b/bilberryramp/decisions/shared/client_memory.py
@@ -74,9 +74,10 @@
 # Least part of the rest that is for clients, whatever upstreams may take.
 MIN_CLIENT_PART = 0.25
 # Part of the descriptors of a process with one listener, and at least so many,
-# that its other sockets and files have.
+# that its other sockets and files have, and connections that are accepted in
+# one step of the event loop before the first of them can be closed.
 OWN_PART = 0.25
-MIN_OWN_DESCRIPTORS = 64
+MIN_OWN_DESCRIPTORS = 160
 
 
 class Kind(enum.Enum):
@@ -240,7 +241,9 @@
     Budget
         Budget of the listener.
     """
-    free_bytes = max(memory_bytes - resident_bytes, 0)
+    free_bytes = max(
+        memory_bytes - resident_bytes, int(MIN_FREE_PART * memory_bytes)
+    )
     own = max(int(OWN_PART * max_descriptors), MIN_OWN_DESCRIPTORS)
     return _make_budget(int(CLIENTS_PART * free_bytes), max_descriptors - own)
 
--- a/bilberryramp/programs/client_guards.py
+++ b/bilberryramp/programs/client_guards.py
@@ -1,7 +1,6 @@
 """Budgets of memory and descriptors for the clients of a node."""
 
 import functools
-import pathlib
 import resource
 import sys
 
@@ -12,6 +11,7 @@
     client_connections,
     client_guard,
     gateway_task,
+    process_memory,
     register_task,
 )
 
@@ -46,7 +46,7 @@
     Guard
         State of the task that has to run.
     """
-    resident_bytes = _resident_bytes()
+    resident_bytes = process_memory.resident_bytes()
     descriptors = cfg.max_descriptors
     if not descriptors:
         descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -77,16 +77,6 @@
     )
 
 
-def _resident_bytes() -> int:
-    """Return the memory that this process takes now."""
-    try:
-        text = pathlib.Path("/proc/self/statm").read_text("ascii")
-    except OSError:
-        # The largest size so far, which may be that of the parent process.
-        return 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    return int(text.split()[1]) * resource.getpagesize()
-
-
 def _limits(gateway: gateway_task.GatewayTask) -> client_review.Limits:
     doc = gateway.gw.doc
     limits = doc.limits if doc is not None else documents.CallLimits()
--- a/bilberryramp/programs/launch.py
+++ b/bilberryramp/programs/launch.py
@@ -29,6 +29,7 @@
     client_holdings,
     client_requests,
     connection_drain,
+    process_memory,
 )
 from bilberryramp.telemetry import events, metrics, tracing
 
@@ -200,12 +201,13 @@
     Guard
         State of the task that has to run.
     """
-    resident_bytes = 1024 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if descriptors == resource.RLIM_INFINITY:
         descriptors = sys.maxsize
     budget = client_memory.whole_budget(
-        BYTES_PER_MB * memory_mb, resident_bytes, descriptors
+        BYTES_PER_MB * memory_mb,
+        process_memory.resident_bytes(),
+        descriptors,
     )
     defaults = client_review.Limits()
     line_bytes = listener.options["max_line_size"]
