--- a/bilberryramp/decisions/fleet/gateway/call_queue.py
+++ b/bilberryramp/decisions/fleet/gateway/call_queue.py
@@ -169,7 +169,7 @@
     usage_ms = usage_credits.refusal_ms(gw.usage, call)
     is_hopeless = call.wait_reason in _HOPELESS or usage_ms > 0
     may_wait = not gw.is_shutting_down or engine_memory.is_awaiting(
-        gw.memory, call
+        gw.engine_memory, call
     )
     if (
         may_wait
--- a/bilberryramp/decisions/fleet/gateway/dispatch.py
+++ b/bilberryramp/decisions/fleet/gateway/dispatch.py
@@ -120,7 +120,7 @@
         if _has_adapter(candidate, prompt)
     ]
     room = memory_use.room_for(
-        gw.memory,
+        gw.engine_memory,
         scheduling.required_memory_tokens(prompt),
         engine.kv_tokens,
         now_ms - gw.started_ms,
@@ -143,7 +143,7 @@
         )
     elif should_dispatch:
         is_secured = yield from engine_memory.secure(
-            gw.memory,
+            gw.engine_memory,
             call,
             room,
             choice.upstream.announcement,
@@ -154,7 +154,7 @@
             yield from _dispatch(gw, now_ms, call, choice.upstream, choice)
             if call.phase == "waiting":
                 # Others may use the memory while it waits for something else.
-                yield from memory_use.release(gw.memory, call)
+                yield from memory_use.release(gw.engine_memory, call)
         elif call.wait_reason is not calls.Refusal.USAGE_LIMIT:
             call.wait_reason = calls.Refusal.OVERLOADED
     elif adapter_holders or loading_candidates:
@@ -176,15 +176,17 @@
     """
     while True:
         choosable = engine_memory.candidates(
-            gw.memory, call, room, upstreams, gw.loads, now_ms
+            gw.engine_memory, call, room, upstreams, gw.loads, now_ms
         )
         choice = _pick_engine(gw, call, engine, choosable, now_ms)
         should_dispatch = choice is not None and scheduling.should_dispatch(
             call, choice, now_ms
         )
-        if should_dispatch or not engine_memory.is_granted(gw.memory, call):
+        if should_dispatch or not engine_memory.is_granted(
+            gw.engine_memory, call
+        ):
             return choice, should_dispatch
-        yield from memory_use.release(gw.memory, call)
+        yield from memory_use.release(gw.engine_memory, call)
 
 
 def holders(upstreams, call: calls.Call) -> list:
--- a/bilberryramp/decisions/fleet/gateway/gateway.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway.py
@@ -260,7 +260,7 @@
     for call in admission.waiting_calls(gw):
         yield from call_queue.judge_waiting(gw, call, now_ms)
     memory_use.record_timeouts(
-        gw.memory, (route.timeout_ms for route in message.doc.routes)
+        gw.engine_memory, (route.timeout_ms for route in message.doc.routes)
     )
     yield from call_queue.serve_queue(gw, now_ms)
 
@@ -380,7 +380,9 @@
     answer: memory_claims.MemoryAnswer,
 ) -> Iterator:
     call = gw.active.get(answer.call_id)
-    yield from engine_memory.accept_answer(gw.memory, answer, call, now_ms)
+    yield from engine_memory.accept_answer(
+        gw.engine_memory, answer, call, now_ms
+    )
     if call is not None and call.phase == "waiting":
         yield from dispatch.try_dispatch(gw, now_ms, call)
         yield from call_queue.serve_queue(gw, now_ms)
@@ -397,7 +399,7 @@
 def _on_tick(gw: gateway_state.Gateway, now_ms: int, _message) -> Iterator:
     presence.remove_silent_upstreams(gw.table, now_ms)
     upstream_pauses.remove_outdated(gw.pauses, gw.table, now_ms)
-    memory_use.let_go_of_ended(gw.memory, gw.loads, gw.table, now_ms)
+    memory_use.let_go_of_ended(gw.engine_memory, gw.loads, gw.table, now_ms)
     yield from suspect_evidence.review(gw.suspect_state, now_ms)
     yield from _clear_survivors(gw, now_ms)
     yield from call_queue.review_held(gw, now_ms)
--- a/bilberryramp/decisions/fleet/gateway/gateway_state.py
+++ b/bilberryramp/decisions/fleet/gateway/gateway_state.py
@@ -76,7 +76,7 @@
         All calls that have not ended, by call identifier.
     queue
         Calls that wait for an upstream, by call identifier.
-    memory
+    engine_memory
         What this node's requests occupy at the engines.
     held
         Calls that wait for a trial because upstreams were lost under their
@@ -135,7 +135,7 @@
     active: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
     queue: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
     held: dict[int, calls.Call] = dataclasses.field(default_factory=dict)
-    memory: memory_use.Memory = dataclasses.field(init=False)
+    engine_memory: memory_use.Memory = dataclasses.field(init=False)
     suspect_state: suspects.Suspects = dataclasses.field(init=False)
     upstream_health: dict[str, health.Health] = dataclasses.field(
         default_factory=dict
@@ -176,7 +176,7 @@
 
     def __post_init__(self):
         """Make the state that shares the table of upstreams."""
-        self.memory = memory_use.Memory(self.address)
+        self.engine_memory = memory_use.Memory(self.address)
         self.suspect_state = suspects.Suspects(self.address, self.table)
 
 
@@ -312,7 +312,7 @@
     load.unread_tokens[call.urgency_level] += call.unread_tokens
     _count_adapter_call(load, call, 1)
     sharing.record_load_change(gw.loads, call.upstream_id, call.unread_tokens)
-    memory_use.start_use(gw.memory, call)
+    memory_use.start_use(gw.engine_memory, call)
     yield from ()
 
 
@@ -334,7 +334,7 @@
 def _remove_load(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     load = sharing.own_load(gw.loads, call.upstream_id)
     load.calls -= 1
-    held_tokens = yield from memory_use.end_use(gw.memory, call)
+    held_tokens = yield from memory_use.end_use(gw.engine_memory, call)
     load.reserved_tokens -= call.reserved_tokens - held_tokens
     load.unread_tokens[call.urgency_level] -= call.unread_tokens
     _count_adapter_call(load, call, -1)
@@ -357,7 +357,7 @@
 
 def _leave_queue(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
     gw.queue.pop(call.call_id, None)
-    yield from memory_use.release(gw.memory, call)
+    yield from memory_use.release(gw.engine_memory, call)
 
 
 def _join_held(call: calls.Call, _now_ms: int, gw: Gateway) -> Iterator:
--- a/bilberryramp/decisions/fleet/tests/memory_driver.py
+++ b/bilberryramp/decisions/fleet/tests/memory_driver.py
@@ -275,10 +275,10 @@
         for node in fleet.nodes.values()
         if node.is_up
         for left in (
-            *node.gw.memory.claims,
-            *node.gw.memory.remnants,
-            *(+node.gw.memory.unclaimed),
-            *(-node.gw.memory.unclaimed),
+            *node.gw.engine_memory.claims,
+            *node.gw.engine_memory.remnants,
+            *(+node.gw.engine_memory.unclaimed),
+            *(-node.gw.engine_memory.unclaimed),
             *(
                 load
                 for load in node.gw.loads.own.values()
@@ -306,11 +306,11 @@
     )
     node.gw.address, node.gw.failure_domain = node.name, node.domain
     node.gw.started_ms = started_ms
-    node.gw.memory.sender = node.name
-    node.gw.memory.is_binding = True
-    node.gw.memory.process = node.process
+    node.gw.engine_memory.sender = node.name
+    node.gw.engine_memory.is_binding = True
+    node.gw.engine_memory.process = node.process
     memory_use.record_fleet_size(
-        node.gw.memory, len(fleet.nodes), fleet.now_ms
+        node.gw.engine_memory, len(fleet.nodes), fleet.now_ms
     )
     for audience in sharing.Audience:
         count = sum(1 for _ in _audience(fleet, node, audience))
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -297,8 +297,8 @@
     )
     gw.started_ms = now_ms
     gw.usage = usage_credits.Credits(ask_id=rng.getrandbits(ASK_ID_BITS))
-    gw.memory.process = clock.wall_ms()
-    gw.memory.is_binding = cfg.engine_memory_binds
+    gw.engine_memory.process = clock.wall_ms()
+    gw.engine_memory.is_binding = cfg.engine_memory_binds
     gw.discovery_deadline_ms = now_ms + round(
         DISCOVERY_HEARTBEATS * cfg.heartbeat_ms
     )
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -348,7 +348,7 @@
         sharing.Audience.FAR: far,
     }
     memory_use.record_fleet_size(
-        task.gw.memory, len(task.peers) + 1, clock.boot_ms()
+        task.gw.engine_memory, len(task.peers) + 1, clock.boot_ms()
     )
     for audience, peers in task.audiences.items():
         sharing.set_audience_size(task.gw.loads, audience, len(peers))
