--- a/review/common2/engines.py
+++ b/review/common2/engines.py
@@ -212,7 +212,7 @@
             if head is None:
                 return 0, {}, b""
             start, answer = head
-            return int(start[1]), answer, await _read_body(reader, answer)
+            return int(start[1]), answer, await read_body(reader, answer)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return 0, {}, b""
     finally:
@@ -220,7 +220,8 @@
             writer.close()
 
 
-async def _read_body(reader, headers):
+async def read_body(reader, headers):
+    """Read the body that a head describes, and nothing more."""
     if "chunked" not in headers.get("transfer-encoding", ""):
         return await reader.readexactly(int(headers.get("content-length", 0)))
     body = b""
