--- a/review/common2/local.py
+++ b/review/common2/local.py
@@ -392,6 +392,8 @@
         whether the rule held.
     """
     record = Record(folder)
+    # The processes are ended also if this one is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {trouble}")
     try:
