--- a/review/common2/local.py
+++ b/review/common2/local.py
@@ -174,9 +174,12 @@
         )
         self.settings.write_text(text)
 
-    def start(self):
-        """Start the process; `bootstrap` is true the first time only."""
-        self.write_settings(bootstrap=self.proc is None)
+    def start(self, is_first=True):
+        """Start the process; `bootstrap` is true the first time only.
+
+        It is also false for a machine that is added later.
+        """
+        self.write_settings(bootstrap=is_first and self.proc is None)
         env = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
