--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,7 +11,9 @@
 
 from common2 import engines, local  # noqa: E402
 
-LOAD_S, STREAMS_PER_S = 25.0, 20.0
+LOAD_S, STREAMS_PER_S = 35.0, 20.0
+# The engine spoils answers for so long at a time, with pauses as long.
+SPOILING_S = 5.0
 # Share of the answers of one of the two engines that it spoils.
 SPOILT_SHARE = 0.05
 DEADLINE_MS = 6000
@@ -25,10 +27,14 @@
     def __init__(self, record, name, spoils):
         super().__init__(record, name, "svc-llm", engines.MODELS)
         self.spoils = spoils
+        self.began = None
 
     async def _stream(self, reader, writer, answer):
         pod = f"pod-{self.name}"
-        if self.spoils and random.random() < SPOILT_SHARE:
+        self.began = self.began or time.monotonic()
+        turn = int((time.monotonic() - self.began) / SPOILING_S)
+        is_time = self.spoils and turn % 2 == 0
+        if is_time and random.random() < SPOILT_SHARE:
             pod = pod.replace("-", "\x01", 1)
             request_id = answer[engines.PREFIX + "Request-Id"]
             self.record.note(f"spoilt the head of {request_id}")
