Check the head of each answer before anything of it is used

An answer with the status 000, 099, 600 or 999 was passed on as it was, on both paths. The call and its place at the engine were held for good.

Cause: the HTTP library's parser lets heads through that its writer refuses, and nobody judged them in between; the end of a call hung on a list of exceptions.

Change: answer_heads judges a head by RFC 9110. answer_limits.install, which all client sessions for upstreams have, asks it as the head comes in, so it covers answers, streams, unframed ones, orders, reports, health checks and bilberry-upstream; bilberry-entry asks it of heads from upstream processes. Calls end in a `finally`. Media types are read by a function that takes any text. An order whose answer has an odd status has no answer; it counted as refused.

--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -6,6 +6,7 @@
 import json
 
 import aiohttp
+import h11
 
 from bilberryramp.decisions.fleet.gateway import gateway
 from bilberryramp.decisions.shared import connection_stop
@@ -259,3 +260,48 @@
         body = await resp.read()
         answered_id = resp.headers.get("X-Bilberryramp-Request-Id", "")
         return resp.status, body, answered_id
+
+
+async def exchange_bytes(port: int, request_id: str, path="/once/x") -> bytes:
+    """Send a request on a new connection; return all bytes that come back.
+
+    The request asks the server to close the connection after the answer.
+    """
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    line, _, rest = request_bytes(request_id, path).partition(b"\r\n")
+    writer.write(line + b"\r\nConnection: close\r\n" + rest)
+    try:
+        return await reader.read()
+    except ConnectionResetError:
+        return b""
+    finally:
+        writer.close()
+
+
+def parse_answer(received: bytes) -> tuple[int, bytes, bool]:
+    """Parse what a connection carried as one answer.
+
+    The result is its status, its body and whether it is complete. An answer
+    that was cut off has at least the status 0. Raises
+    `h11.RemoteProtocolError` if the bytes are no answer, and ValueError if
+    others follow it.
+    """
+    if not received:
+        return 0, b"", False
+    conn = h11.Connection(h11.CLIENT)
+    conn.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+    conn.send(h11.EndOfMessage())
+    conn.receive_data(received)
+    status, body = 0, b""
+    while True:
+        match conn.next_event():
+            case h11.Response() as head:
+                status = head.status_code
+            case h11.Data() as piece:
+                body += piece.data
+            case h11.EndOfMessage():
+                if conn.trailing_data[0]:
+                    raise ValueError(f"{conn.trailing_data[0]!r} follows")
+                return status, body, True
+            case h11.NEED_DATA:
+                return status, body, False
--- a/bilberryramp/tasks/answer_limits.py
+++ b/bilberryramp/tasks/answer_limits.py
@@ -1,11 +1,12 @@
-"""Bounds on what an upstream may send beside the body of an answer.
+"""Bounds on what an upstream may send, and the check of its answers' heads.
 
 A faulty upstream may send bytes that never become an answer: informational
 responses, header lines, chunk extensions or chunks of one byte, without end.
 Even if they are not kept, parsing them takes the event loop's time from all
 other exchanges of the process. `install` therefore counts what arrives on each
 connection, hands it to the parser in pieces, and closes the connection once
-it holds more than an answer can need.
+it holds more than an answer can need. It also ends an exchange whose head
+`answer_heads` finds invalid, before the head reaches the exchange.
 """
 
 import dataclasses
@@ -14,6 +15,7 @@
 
 import aiohttp
 
+from bilberryramp.tasks import answer_heads
 from bilberryramp.telemetry import events
 
 __all__ = [
@@ -74,17 +76,18 @@
     connector: aiohttp.BaseConnector,
     on_excess: Callable[[str], None] = lambda address: None,
 ) -> None:
-    """Make a connector's connections close on excessive answers.
+    """Make a connector's connections close on excessive or invalid answers.
 
-    The request then fails with `ExcessiveAnswerError`, or with another
-    `aiohttp.ClientError` if its answer had begun to be read.
+    The request then fails with `ExcessiveAnswerError` or
+    `answer_heads.MalformedHeadError`, or with another `aiohttp.ClientError`
+    if its answer had begun to be read.
 
     Parameters
     ----------
     connector
         Connector of a client session. Its method ``connect`` is replaced.
     on_excess
-        Called with the host and port of the upstream of such an answer.
+        Called with the host and port of the upstream of an excessive answer.
     """
     take = connector.connect
 
@@ -114,6 +117,12 @@
             received.informational += 1
         elif received.payload is None:
             received.payload = payload
+            problem = answer_heads.find_problem(
+                message.code, message.reason, message.raw_headers
+            )
+            if problem:
+                _refuse_head(ref(), received, problem)
+                return
         cls.feed_data(ref(), item, size)
 
     def data_received(data: bytes) -> None:
@@ -188,13 +197,30 @@
 
 def _break_off(protocol, received: _Received, reason: str) -> str:
     """Close a connection; return the host and port of the upstream."""
+    address = _peer_address(protocol)
+    events.emit(events.ANSWER_EXCESSIVE, upstream=address, part=reason)
     exc = ExcessiveAnswerError(f"the answer has too much {reason}")
+    _end_with(protocol, received, exc)
+    return address
+
+
+def _refuse_head(protocol, received: _Received, part: str) -> None:
+    """Close a connection whose answer has an invalid head."""
+    events.emit(
+        events.ANSWER_MALFORMED, upstream=_peer_address(protocol), part=part
+    )
+    exc = answer_heads.MalformedHeadError(f"the answer has an invalid {part}")
+    _end_with(protocol, received, exc)
+
+
+def _peer_address(protocol) -> str:
     peer = protocol.transport.get_extra_info("peername") or ("", 0)
     host, port = peer[:2]
-    address = f"{host}:{port}"
-    events.emit(events.ANSWER_EXCESSIVE, upstream=address, part=reason)
+    return f"{host}:{port}"
+
+
+def _end_with(protocol, received: _Received, exc: Exception) -> None:
     if received.payload is not None:
         received.payload.set_exception(exc)
     protocol.set_exception(exc)
     protocol.transport.abort()
-    return address
--- a/bilberryramp/tasks/engine_run.py
+++ b/bilberryramp/tasks/engine_run.py
@@ -16,6 +16,7 @@
 from bilberryramp.decisions.upstream import upstream_messages
 from bilberryramp.tasks import (
     answer_framing,
+    answer_heads,
     answer_limits,
     mailbox,
     upstream_connections,
@@ -192,6 +193,8 @@
         failure = _unknown_outcome(
             errors.FailureCode.ENGINE_CRASHED, "the engine sent a wrong answer"
         )
+    except answer_heads.MalformedHeadError as exc:
+        failure = _unknown_outcome(errors.FailureCode.ENGINE_CRASHED, str(exc))
     except (aiohttp.ClientError, TimeoutError):
         failure = _unknown_outcome(
             errors.FailureCode.ENGINE_CRASHED, "the engine went down"
@@ -352,7 +355,7 @@
 
 
 def _is_event_stream(resp) -> bool:
-    return resp.content_type == _EVENT_STREAM
+    return answer_heads.media_type(resp.headers) == _EVENT_STREAM
 
 
 def _record_body(job: Run, data: bytes) -> None:
--- a/bilberryramp/tasks/entry_frontend.py
+++ b/bilberryramp/tasks/entry_frontend.py
@@ -14,6 +14,7 @@
 from bilberryramp.decisions.shared import errors, tables, views
 from bilberryramp.settings import schema
 from bilberryramp.tasks import (
+    answer_heads,
     client_requests,
     clock,
     entry_router,
@@ -123,6 +124,11 @@
 }
 
 
+_MALFORMED_ANSWER = errors.call_failure(
+    errors.FailureCode.ENGINE_CRASHED,
+    "the head of the answer is invalid",
+    errors.Outcome.UNKNOWN,
+)
 _UNREAD = {
     client_requests.ReadingEnd.STOPPING: (
         errors.FailureCode.SHUTTING_DOWN,
@@ -217,14 +223,17 @@
         reply_mailbox = mailbox.Mailbox()
         arrived = entry_messages.CallArrived(parsed.unwrap(), clock.wall_ms())
         await mailbox.post(inbox, entry_router.NewCall(arrived, reply_mailbox))
+        has_ended = False
         try:
-            return await _relay_reply(
+            response = await _relay_reply(
                 cfg, inbox, request, request_id, reply_mailbox
             )
-        except (ConnectionError, TimeoutError, asyncio.CancelledError):
-            mailbox.post_now(inbox, entry_messages.CallerLeft(request_id))
-            _abort(request)
-            raise
+            has_ended = True
+            return response
+        finally:
+            if not has_ended:
+                mailbox.post_now(inbox, entry_messages.CallerLeft(request_id))
+                _abort(request)
 
 
 async def _relay_reply(cfg, inbox, request, request_id, reply_mailbox):
@@ -232,6 +241,11 @@
     while True:
         for effect in await mailbox.receive_all(reply_mailbox):
             if isinstance(effect, entry_messages.ReplyHead):
+                if _is_malformed(effect):
+                    mailbox.post_now(
+                        inbox, entry_messages.CallerLeft(request_id)
+                    )
+                    return _failure_response(request_id, _MALFORMED_ANSWER)
                 response = _start_response(effect, request_id)
                 client_requests.mark_last(request, response)
                 await response.prepare(request)
@@ -247,6 +261,16 @@
                 return response
 
 
+def _is_malformed(head: entry_messages.ReplyHead) -> bool:
+    """Return whether a head from an upstream process breaks the protocol.
+
+    Such processes check the heads of their engines, but not before the
+    version that introduced the check.
+    """
+    fields = [(b"Content-Type", head.content_type.encode("utf-8", "replace"))]
+    return bool(answer_heads.find_problem(head.status, "", fields))
+
+
 async def _write_chunk(cfg, inbox, response, chunk: entry_messages.ReplyChunk):
     write_timeout_s = cfg.slow_reader_ms / 1000
     await asyncio.wait_for(response.write(chunk.data), write_timeout_s)
--- a/bilberryramp/tasks/fleet_frontend.py
+++ b/bilberryramp/tasks/fleet_frontend.py
@@ -13,6 +13,7 @@
 from bilberryramp.decisions.fleet.routing import upstream_pauses
 from bilberryramp.decisions.shared import stream_progress
 from bilberryramp.tasks import (
+    answer_heads,
     client_connections,
     client_requests,
     clock,
@@ -214,12 +215,18 @@
         call_id, req, request[client_requests.ARRIVED_MS]
     )
     mailbox.post_now(task.inbox, arrived)
+    has_ended = False
     try:
-        return await _run_attempts(front, request, upload, req, call_id, fut)
-    except asyncio.CancelledError:
-        task.decisions.pop(call_id, None)
-        mailbox.post_now(task.inbox, calls.ClientDisconnected(call_id))
-        raise
+        response = await _run_attempts(
+            front, request, upload, req, call_id, fut
+        )
+        has_ended = True
+        return response
+    finally:
+        if not has_ended:
+            task.decisions.pop(call_id, None)
+            mailbox.post_now(task.inbox, calls.ClientDisconnected(call_id))
+            _close_connection(request)
 
 
 def _read_until_s(front: Frontend, request: web.BaseRequest) -> float:
@@ -377,6 +384,12 @@
         if attempt.response is not None:
             _abort_response(attempt)
         return calls.AttemptOutcome.TIMED_OUT
+    except ConnectionError:
+        # Failures of the upstream's connection are outcomes, so this is the
+        # client's, which `handle` ends.
+        raise
+    except Exception as exc:
+        return _outcome_of_exception(attempt, exc)
     finally:
         del front.gateway.attempts[send_call.call_id]
         if exchange is not None and not isinstance(
@@ -385,6 +398,22 @@
             exchange.resp.close()
 
 
+def _outcome_of_exception(
+    attempt: _Attempt, exc: Exception
+) -> calls.AttemptOutcome:
+    """End an attempt that raised unexpectedly; other requests go on."""
+    events.emit(
+        events.RELAY_FAILED,
+        request_id=attempt.req.request_id,
+        upstream=attempt.send_call.upstream_id,
+        reason=repr(exc),
+    )
+    if attempt.response is None:
+        return calls.AttemptOutcome.BROKEN
+    _abort_response(attempt)
+    return calls.AttemptOutcome.TRUNCATED
+
+
 def _left_ms(attempt: _Attempt) -> int:
     """Return the time that an attempt may take from now on."""
     stop_in_s = attempt.front.stop_by_s - asyncio.get_running_loop().time()
@@ -481,7 +510,7 @@
 
 
 def _is_stream(resp: aiohttp.ClientResponse) -> bool:
-    return resp.content_type == "text/event-stream"
+    return answer_heads.media_type(resp.headers) == "text/event-stream"
 
 
 def _outcome_of_answer(attempt: _Attempt, answer) -> calls.AttemptOutcome:
@@ -562,9 +591,12 @@
 def _abort_response(attempt: _Attempt) -> None:
     """Close the client's connection so that the answer is truncated."""
     attempt.response.force_close()
-    transport = attempt.request.transport
-    if transport is not None:
-        transport.close()
+    _close_connection(attempt.request)
+
+
+def _close_connection(request: web.BaseRequest) -> None:
+    if request.transport is not None:
+        request.transport.close()
 
 
 def _stream_response(
--- a/bilberryramp/tasks/tests/test_faulty_upstreams.py
+++ b/bilberryramp/tasks/tests/test_faulty_upstreams.py
@@ -114,6 +114,34 @@
         self.assertIsNone(ended.failure)
         self.assertEqual(builders.body_of(frames), b"ok")
 
+    async def test_odd_statuses_are_no_answers(self):
+        """A caller got an answer with the status 000."""
+        for make_answer in (builders.echoing_answer, builders.echoing_stream):
+            for odd in ("000", "099", "101", "600", "999", "0200"):
+
+                def answer(request, make=make_answer, odd=odd):
+                    return make(request).replace(b"200 OK", odd.encode(), 1)
+
+                server = await self.start(answer)
+                with self.subTest(answer=make_answer.__name__, odd=odd):
+                    frames, ended = await self.run_one(server, 1)
+                    self.assertEqual(frames, [])
+                    self.assertIs(
+                        ended.failure.outcome, errors.Outcome.UNKNOWN
+                    )
+
+    async def test_no_control_character_of_a_head_is_forwarded(self):
+        """It raised in the entry once the framing was chosen."""
+
+        def answer(request):
+            whole = builders.echoing_stream(request)
+            return whole.replace(b"text/", b"text\x01", 1)
+
+        server = await self.start(answer)
+        frames, ended = await self.run_one(server, 1)
+        self.assertEqual(frames, [])
+        self.assertIs(ended.failure.outcome, errors.Outcome.UNKNOWN)
+
     async def test_a_broken_stream_is_resumed_only_with_permission(self):
         """It was read on while the engine wanted no requests."""
         last_event = builders.EVENTS[-builders.EVENT_BYTES :]
--- a/bilberryramp/telemetry/events.py
+++ b/bilberryramp/telemetry/events.py
@@ -248,6 +248,14 @@
     "of framing (`part`) than an answer can need. The connection was closed "
     "and the attempt failed. Check the upstream.",
 )
+ANSWER_MALFORMED = _declare(
+    4011,
+    "answer.malformed",
+    "The head of an upstream's answer breaks the HTTP protocol in its status, "
+    "reason phrase, header names or values (`part`). Nothing of it was "
+    "forwarded, the connection was closed and the attempt failed. Check the "
+    "upstream.",
+)
 RUN_FAILED = _declare(
     4007,
     "run.failed",
@@ -378,6 +386,13 @@
     "so it may belong to another one. It was discarded, the connection was "
     "closed and the attempt's outcome is unknown.",
 )
+RELAY_FAILED = _declare(
+    5147,
+    "relay.failed",
+    "An unexpected exception ended one attempt while its answer was relayed. "
+    "The call ended, and the client's connection was closed if the answer had "
+    "begun. Report the `reason` as a defect.",
+)
 LOSS_CONFIRMED = _declare(
     5109,
     "request.loss_confirmed",
