Keep as many voters as the tolerated losses need

Cause: silent voters were removed down to three, whatever faultTolerance says, which nothing read; and the first voters are the seeds, three at most, some perhaps without a disk. Two disks then hold what was acknowledged, and a loss of both leaves one voter of three, which can neither be elected nor change the voters.

Change: of 2 f + 1 voters with disks, the f + 1 that keep theirs are a majority and hold every committed record. The set of voters is never made smaller than that while as many nodes are known; a node with a disk takes the place of a silent one in the same change. A committed document is confirmed only by such voters, or by all there are, and not during a change of voters. Silence counts from when the leader's process last heard of a voter, not from its election.

See docs/design/register-voters.md.

--- a/bilberryramp/decisions/fleet/register/electorate.py
+++ b/bilberryramp/decisions/fleet/register/electorate.py
@@ -1,27 +1,69 @@
-"""Select the voters of the register and decide what is a quorum."""
+"""Select the voters of the register and decide what is a quorum.
 
-from collections.abc import Collection
+Of 2 f + 1 voters with disks, f may lose theirs: what a majority has stored is
+then still on one of the other f + 1, which are a majority themselves and can
+elect a leader and replace the lost voters. A set of voters is therefore never
+made smaller than that while as many nodes are known, and no document is
+confirmed on a smaller one (docs/design/register-voters.md).
+"""
 
-from bilberryramp.decisions.fleet.register import register_messages as msgs
+import dataclasses
+from collections.abc import Collection, Mapping
 
-__all__ = ["is_quorum", "voters", "desired_voters"]
+from bilberryramp.decisions.fleet.register import register_messages as msgs
 
-# A voter that was silent for this long is removed if MIN_VOTERS others
-# remain; it is added again when it returns. The time is below the four seconds
-# after which the platform counts a replaced instance as gone, measured from
-# the start of its successor.
+__all__ = [
+    "Observation",
+    "desired_voters",
+    "is_quorum",
+    "may_confirm",
+    "voters",
+]
+
+# A voter that was silent for this long is removed if enough others remain; it
+# is added again when it returns. The time is below the four seconds after
+# which the platform counts a replaced instance as gone, measured from the
+# start of its successor.
 REMOVE_SILENT_AFTER_MS = 2500
 # A new leader listens for heartbeats for this long before it changes the
 # voters.
 LEADER_OBSERVATION_MS = 1000
 # A node can become a voter only if it was last heard from within this time.
 RECENTLY_HEARD_MS = 1500
-# More voters would make each commit more expensive without tolerating more
-# losses.
+# More voters would make each commit more expensive; only a fleet that must
+# tolerate the loss of more than three disks has them.
 MAX_VOTERS = 7
+# Smaller sets of voters would stop when one of them does.
 MIN_VOTERS = 3
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Observation:
+    """What the leader knows of the nodes when it judges the voters.
+
+    Attributes
+    ----------
+    nodes
+        The leader and the nodes that it has heard from, by address.
+    silence_ms
+        Time since each of them was last heard from, by address, in
+        milliseconds; 0 for the leader.
+    observed_ms
+        For how long the leader's process has listened, in milliseconds,
+        which is the least silence of a node that it has not heard from.
+    leadership_ms
+        Time since the leader was elected, in milliseconds.
+    tolerated_losses
+        Number of disks that may be lost at the same time.
+    """
+
+    nodes: Mapping[str, msgs.Peer]
+    silence_ms: Mapping[str, int]
+    observed_ms: int
+    leadership_ms: int
+    tolerated_losses: int
+
+
 def voters(record: msgs.Record) -> tuple[msgs.Member, ...]:
     """Return all members whose votes may be needed.
 
@@ -63,34 +105,60 @@
     return 2 * sum(member in agreeing for member in members) > len(members)
 
 
+def may_confirm(record: msgs.Record, seen: Observation) -> bool:
+    """Return whether a committed record survives the tolerated losses.
+
+    Parameters
+    ----------
+    record
+        Committed record, which a quorum has stored.
+    seen
+        Observation of the leader.
+
+    Returns
+    -------
+    bool
+        True if the voters have disks and are enough for the tolerated
+        losses, or are as many as there are. During a change of voters, and
+        for a new leader that may not know all nodes yet, False unless that
+        is certain.
+    """
+    if record.leaving:
+        return False
+    sufficient = 2 * seen.tolerated_losses + 1
+    have_disks = not any(
+        _is_memory_only(member, seen) for member in record.members
+    )
+    if have_disks and len(record.members) >= sufficient:
+        return True
+    if seen.leadership_ms < LEADER_OBSERVATION_MS:
+        return False
+    if not _knows_disks(seen):
+        return True
+    available = {
+        *(member.address for member in record.members),
+        *_eligible_members(seen),
+    }
+    return have_disks and len(record.members) >= min(
+        sufficient, len(available)
+    )
+
+
 def desired_voters(
-    members: tuple[msgs.Member, ...],
-    leader: msgs.Peer,
-    peers: dict[str, msgs.Peer],
-    heard_ms: dict[str, int],
-    now_ms: int,
-    leadership_ms: int,
+    members: tuple[msgs.Member, ...], seen: Observation
 ) -> tuple[msgs.Member, ...]:
     """Return the set of voters that the leader should establish.
 
     Nodes with a disk are eligible; if no node has one, all nodes are. A node
     that has returned with an empty store replaces the member with its old
-    store. A silent voter is removed if `MIN_VOTERS` others remain.
+    store. A silent voter is removed if enough others remain.
 
     Parameters
     ----------
     members
         Current voters.
-    leader
-        Identity of the leader.
-    peers
-        The other nodes, by address.
-    heard_ms
-        When each of the other nodes was last heard from, by address.
-    now_ms
-        Current time in milliseconds.
-    leadership_ms
-        Time since the leader was elected, in milliseconds.
+    seen
+        Observation of the leader.
 
     Returns
     -------
@@ -98,71 +166,63 @@
         Desired voters in order of address; `members` itself if nothing is to
         change.
     """
-    if leadership_ms < LEADER_OBSERVATION_MS:
+    if seen.leadership_ms < LEADER_OBSERVATION_MS:
         return members
-    silence_ms = {
-        address: now_ms - last_heard_ms
-        for address, last_heard_ms in heard_ms.items()
-    }
-    silence_ms[leader.address] = 0
-    nodes = {**peers, leader.address: leader}
-    recent = {
-        peer.address: msgs.Member(peer.address, peer.store_id)
-        for peer in nodes.values()
-        if silence_ms.get(peer.address, RECENTLY_HEARD_MS) < RECENTLY_HEARD_MS
-    }
-    durable = {
-        address: member
-        for address, member in recent.items()
-        if nodes[address].durable
-    }
-    eligible = durable or recent
+    min_voters = max(MIN_VOTERS, 2 * seen.tolerated_losses + 1)
     current = {member.address: member for member in members}
     joining = {
         address: member
-        for address, member in eligible.items()
+        for address, member in _eligible_members(seen).items()
         if current.get(address) != member
     }
-    retained = {
-        address: member
+    remaining = [
+        member
         for address, member in current.items()
         if address not in joining
-        and _keeps_vote(address, member, eligible, nodes, silence_ms)
-    }
-    silent_addresses = _silent_voters(retained, silence_ms, leadership_ms)
-    if len(retained) + len(joining) - len(silent_addresses) >= MIN_VOTERS:
-        retained = {
-            address: member
-            for address, member in retained.items()
-            if address not in silent_addresses
-        }
-    vacancies = max(MAX_VOTERS - len(retained), 0)
-    added = dict(sorted(joining.items())[:vacancies])
-    desired = tuple(sorted((retained | added).values(), key=_by_address))
-    return desired if set(desired) != set(members) else members
-
-
-def _keeps_vote(address, member, eligible, nodes, silence_ms) -> bool:
-    if eligible.get(address) == member:
-        return True
-    # A node that was heard from recently and is not eligible has no disk while
-    # other nodes have one, so it loses its vote.
-    return (
-        address not in nodes
-        or silence_ms.get(address, RECENTLY_HEARD_MS) >= RECENTLY_HEARD_MS
+        and not (_is_memory_only(member, seen) and _knows_disks(seen))
+    ]
+    active = [m for m in remaining if not _is_silent(m, seen)]
+    vacancies = max(max(MAX_VOTERS, min_voters) - len(active), 0)
+    added = [member for _, member in sorted(joining.items())[:vacancies]]
+    if not active and not added:
+        return members
+    silent = sorted(
+        (member for member in remaining if member not in active),
+        key=lambda member: (_silence_ms(member, seen), member.address),
     )
+    retained = silent[: max(min_voters - len(active) - len(added), 0)]
+    desired = sorted((*active, *added, *retained), key=_by_address)
+    return tuple(desired) if set(desired) != set(members) else members
 
 
-def _silent_voters(retained, silence_ms, leadership_ms) -> set[str]:
-    if leadership_ms < REMOVE_SILENT_AFTER_MS:
-        return set()
+def _eligible_members(seen: Observation) -> dict[str, msgs.Member]:
+    """Return the nodes that may become voters, by address."""
+    knows_disks = _knows_disks(seen)
     return {
-        address
-        for address in retained
-        if silence_ms.get(address, REMOVE_SILENT_AFTER_MS)
-        >= REMOVE_SILENT_AFTER_MS
+        address: msgs.Member(address, peer.store_id)
+        for address, peer in seen.nodes.items()
+        if seen.silence_ms.get(address, RECENTLY_HEARD_MS) < RECENTLY_HEARD_MS
+        and (peer.durable or not knows_disks)
     }
 
 
+def _knows_disks(seen: Observation) -> bool:
+    return any(peer.durable for peer in seen.nodes.values())
+
+
+def _is_memory_only(member: msgs.Member, seen: Observation) -> bool:
+    """Return whether a voter is known to have no disk."""
+    peer = seen.nodes.get(member.address)
+    return peer is not None and not peer.durable
+
+
+def _silence_ms(member: msgs.Member, seen: Observation) -> int:
+    return seen.silence_ms.get(member.address, seen.observed_ms)
+
+
+def _is_silent(member: msgs.Member, seen: Observation) -> bool:
+    return _silence_ms(member, seen) >= REMOVE_SILENT_AFTER_MS
+
+
 def _by_address(member: msgs.Member) -> str:
     return member.address
--- a/bilberryramp/decisions/fleet/register/register.py
+++ b/bilberryramp/decisions/fleet/register/register.py
@@ -307,7 +307,11 @@
         Members that voted for this node in the current election or pre-vote.
     pending_proposals
         Pairs of the sequence number that must be committed and the id of
-        the request to answer then.
+        the request to answer once the voters may confirm it.
+    started_ms
+        When this process started.
+    tolerated_losses
+        Number of disks that the fleet may lose at the same time.
     heartbeat_turn
         Number of times that heartbeats were sent to the peers.
     process_number
@@ -360,6 +364,8 @@
     pending_proposals: list[tuple[int, int]] = dataclasses.field(
         default_factory=list
     )
+    started_ms: int = 0
+    tolerated_losses: int = 0
     heartbeat_turn: int = 0
     process_number: int = 0
     chooses_holders: bool = False
@@ -423,7 +429,7 @@
             msgs.Member(seed, GENESIS) for seed in sorted(seeds)
         )
         node.record = msgs.Record(0, 0, seed_members)
-    node.leader_heard_ms = now_ms
+    node.leader_heard_ms = node.started_ms = now_ms
     _set_election_due(node, now_ms)
     _update_voter_status(node, now_ms)
     return node
@@ -829,6 +835,7 @@
             return
     if now_ms >= node.leader_heartbeat_due_ms:
         yield from _send_leader_heartbeats(node, now_ms)
+    yield from _answer_proposals(node, now_ms)
     yield from _update_voters(node, now_ms)
     yield from _update_holders(node, now_ms)
 
@@ -1010,18 +1017,7 @@
         return
     node.committed = record_id
     yield from _publish_committed(node)
-    answered = [
-        request_id
-        for seq, request_id in node.pending_proposals
-        if seq <= node.record.seq
-    ]
-    node.pending_proposals = [
-        proposal
-        for proposal in node.pending_proposals
-        if proposal[0] > node.record.seq
-    ]
-    for request_id in answered:
-        yield Proposed(request_id, True, "")
+    yield from _answer_proposals(node, now_ms)
     if node.record.leaving:
         yield from _replace_record(node, now_ms, leaving=())
         _update_voter_status(node, now_ms)
@@ -1029,6 +1025,39 @@
         yield from _send_leader_heartbeats(node, now_ms)
 
 
+def _answer_proposals(node: Node, now_ms: int) -> Iterator:
+    """Confirm committed documents once the tolerated losses spare them."""
+    if not node.pending_proposals or not _may_confirm(node, now_ms):
+        return
+    pending, node.pending_proposals = node.pending_proposals, []
+    for seq, request_id in pending:
+        if seq <= node.record.seq:
+            yield Proposed(request_id, True, "")
+        else:
+            node.pending_proposals.append((seq, request_id))
+
+
+def _may_confirm(node: Node, now_ms: int) -> bool:
+    return node.committed == _record_id(node) and electorate.may_confirm(
+        node.record, _observation(node, now_ms)
+    )
+
+
+def _observation(node: Node, now_ms: int) -> electorate.Observation:
+    silence_ms = {
+        address: now_ms - heard_ms
+        for address, heard_ms in node.heard_ms.items()
+    }
+    own = node.me.address
+    return electorate.Observation(
+        {**node.peers, own: node.me},
+        silence_ms | {own: 0},
+        now_ms - node.started_ms,
+        now_ms - node.led_since_ms,
+        node.tolerated_losses,
+    )
+
+
 def _publish_committed(node: Node) -> Iterator:
     """Put the document of the record in force once it is committed.
 
@@ -1064,7 +1093,7 @@
         yield from _replace_record(
             node, now_ms, version=req.version, body=req.body
         )
-    elif leads(node, now_ms) and node.committed == _record_id(node):
+    elif leads(node, now_ms) and _may_confirm(node, now_ms):
         yield Proposed(req.request_id, True, "")
     else:
         node.pending_proposals.append((node.record.seq, req.request_id))
@@ -1092,12 +1121,7 @@
     if not is_committed or not leads(node, now_ms):
         return
     desired = electorate.desired_voters(
-        node.record.members,
-        node.me,
-        node.peers,
-        node.heard_ms,
-        now_ms,
-        now_ms - node.led_since_ms,
+        node.record.members, _observation(node, now_ms)
     )
     if desired != node.record.members:
         yield from _replace_record(
--- a/bilberryramp/decisions/fleet/tests/register_driver.py
+++ b/bilberryramp/decisions/fleet/tests/register_driver.py
@@ -91,6 +91,8 @@
         it writes its state.
     delays_ms
         Delays that messages have, chosen at random.
+    tolerated_losses
+        Number of disks that may be lost at the same time, as in the settings.
     frozen
         Addresses of the instances whose process does not run for now.
     held
@@ -113,16 +115,21 @@
     loss_probability: float = 0.02
     crash_probability: float = 0.001
     delays_ms: tuple = (1, 2, 5, 40)
+    tolerated_losses: int = 0
     frozen: set = dataclasses.field(default_factory=set)
     held: list = dataclasses.field(default_factory=list)
 
 
-def make_cluster(seed, durable_count=3, memory_only_count=2):
+def make_cluster(
+    seed, durable_count=3, memory_only_count=2, tolerated_losses=0, seeds=None
+):
     """Build a cluster and start all instances, with up to three seeds."""
     rng = random.Random(seed)
     names = [f"d{i}" for i in range(durable_count)]
     names += [f"x{i}" for i in range(memory_only_count)]
-    cluster = Cluster(rng, tuple(rng.sample(names, min(3, len(names)))))
+    if seeds is None:
+        seeds = tuple(rng.sample(names, min(3, len(names))))
+    cluster = Cluster(rng, seeds, tolerated_losses=tolerated_losses)
     for name in names:
         cluster.instances[name] = Instance(name, name.startswith("d"))
         start(cluster, name, is_first_start=True)
@@ -152,6 +159,7 @@
         cluster.now_ms,
         stored,
     )
+    instance.node.tolerated_losses = cluster.tolerated_losses
     instance.in_force_version = -1
     post(cluster, TICK_MS, name, instance.incarnation, register.Tick())
 
@@ -308,9 +316,43 @@
                 f"read version {version_read} after {min_version} was accepted"
             )
     if kind == "propose" and effect.done:
+        check_survives_losses(cluster, version)
         cluster.accepted_version = max(cluster.accepted_version, version)
 
 
+def check_survives_losses(cluster, version):
+    """Check that no tolerated loss of disks ends a confirmed version.
+
+    The disks that have it are more than may be lost, and of each set of
+    voters that is in force, the others are a quorum. Fleets that have too few
+    disks for that are not checked.
+    """
+    losses = cluster.tolerated_losses
+    durable = [i for i in cluster.instances.values() if i.durable]
+    if len(durable) < 2 * losses + 1:
+        return
+    holders = [
+        instance
+        for instance in durable
+        if instance.persisted is not None
+        and instance.persisted.record is not None
+        and instance.persisted.record.version >= version
+    ]
+    if len(holders) <= losses:
+        raise InvariantViolationError(
+            f"version {version} is confirmed on {len(holders)} disks"
+        )
+    newest = max(
+        (holder.persisted.record for holder in holders),
+        key=lambda record: (record.term, record.seq),
+    )
+    for voters in filter(None, (newest.members, newest.leaving)):
+        if 2 * (len(voters) - losses) <= len(voters):
+            raise InvariantViolationError(
+                f"version {version} is confirmed by {len(voters)} voters"
+            )
+
+
 def propose(cluster, name, version, label=b"a"):
     """Propose a version, whose content includes the label, to one node."""
     cluster.sequence += 1
--- a/bilberryramp/platform/settings.py
+++ b/bilberryramp/platform/settings.py
@@ -88,6 +88,7 @@
         usage_overage=float(bounds.get("quotaOverage", 0)),
         usage_slack=float(bounds.get("quotaSlack", 0)),
         engine_memory_binds=_PRESSURE in raw.get("contracts", ()),
+        tolerated_losses=int(raw.get("faultTolerance", {}).get("machines", 0)),
     )
 
 
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -441,6 +441,7 @@
         now_ms,
         stored,
     )
+    node.tolerated_losses = cfg.tolerated_losses
     return register_task.RegisterTask(
         node, cfg.data_folder, last_write, register_inbox, gateway_inbox, mesh
     )
@@ -566,6 +567,7 @@
         return
     port = cfg.peer_ports[0]
     proc.register.node.seeds = tuple(f"{s}:{port}" for s in cfg.seeds)
+    proc.register.node.tolerated_losses = cfg.tolerated_losses
     events.emit(events.SETTINGS_RELOADED, seeds=list(cfg.seeds))
 
 
--- a/bilberryramp/settings/fleet.py
+++ b/bilberryramp/settings/fleet.py
@@ -60,6 +60,9 @@
         How exactly usage limits bind: in any window of `usage_window_ms`
         milliseconds, the usage of a workspace over all nodes may exceed its
         limit by the ratio `usage_overage` and by the amount `usage_slack`.
+    tolerated_losses
+        Number of instances with a disk that may be lost at the same time,
+        together with their disks.
     engine_memory_binds
         Whether an engine ends if its requests exceed its memory.
     """
@@ -90,3 +93,4 @@
     usage_overage: float = 0.0
     usage_slack: float = 0.0
     engine_memory_binds: bool = False
+    tolerated_losses: int = 0
