Hand a vote over before a planned end

Cause: the stopped machine said nothing of its stop and stayed a voter until it had been silent for 2.5 s. Of four voters two were left, which is no majority.

Change: a stopping node says so in its heartbeats and sends one at once. The leader leaves it out if 2 f + 1 others remain, and a leader that stops leaves itself out. The exit waits for that, at most 4 s; the last heartbeat still says it to a later leader.

--- a/bilberryramp/decisions/fleet/register/electorate.py
+++ b/bilberryramp/decisions/fleet/register/electorate.py
@@ -20,10 +20,10 @@
     "voters",
 ]
 
-# A voter that was silent for this long is removed if enough others remain; it
-# is added again when it returns. The time is below the four seconds after
-# which the platform counts a replaced instance as gone, measured from the
-# start of its successor.
+# A voter that was silent for this long is removed if enough others remain, as
+# one that stops is at once; it is added again when it returns. The time is
+# below the four seconds after which the platform counts a replaced instance as
+# gone, measured from the start of its successor.
 REMOVE_SILENT_AFTER_MS = 2500
 # A new leader listens for heartbeats for this long before it changes the
 # voters.
@@ -151,7 +151,9 @@
 
     Nodes with a disk are eligible; if no node has one, all nodes are. A node
     that has returned with an empty store replaces the member with its old
-    store. A silent voter is removed if enough others remain.
+    store. A voter that is silent or about to stop is removed if enough others
+    remain; a silent one, which may return with its store, is kept rather than
+    one that stops.
 
     Parameters
     ----------
@@ -168,7 +170,8 @@
     """
     if seen.leadership_ms < LEADER_OBSERVATION_MS:
         return members
-    min_voters = max(MIN_VOTERS, 2 * seen.tolerated_losses + 1)
+    sufficient = 2 * seen.tolerated_losses + 1
+    min_voters = max(MIN_VOTERS, sufficient)
     current = {member.address: member for member in members}
     joining = {
         address: member
@@ -181,18 +184,20 @@
         if address not in joining
         and not (_is_memory_only(member, seen) and _knows_disks(seen))
     ]
-    active = [m for m in remaining if not _is_silent(m, seen)]
-    vacancies = max(max(MAX_VOTERS, min_voters) - len(active), 0)
-    added = [member for _, member in sorted(joining.items())[:vacancies]]
-    if not active and not added:
+    stopping = [m for m in remaining if _is_stopping(m, seen)]
+    silent = [
+        m for m in remaining if _is_silent(m, seen) and m not in stopping
+    ]
+    kept = [m for m in remaining if m not in stopping and m not in silent]
+    vacancies = max(max(MAX_VOTERS, min_voters) - len(kept), 0)
+    kept += [member for _, member in sorted(joining.items())[:vacancies]]
+    if not kept:
         return members
-    silent = sorted(
-        (member for member in remaining if member not in active),
-        key=lambda member: (_silence_ms(member, seen), member.address),
-    )
-    retained = silent[: max(min_voters - len(active) - len(added), 0)]
-    desired = sorted((*active, *added, *retained), key=_by_address)
-    return tuple(desired) if set(desired) != set(members) else members
+    silent.sort(key=lambda m: (_silence_ms(m, seen), m.address))
+    kept += silent[: max(min_voters - len(kept), 0)]
+    kept += stopping[: max(sufficient - len(kept), 0)]
+    desired = tuple(sorted(kept, key=_by_address))
+    return desired if set(desired) != set(members) else members
 
 
 def _eligible_members(seen: Observation) -> dict[str, msgs.Member]:
@@ -203,6 +208,7 @@
         for address, peer in seen.nodes.items()
         if seen.silence_ms.get(address, RECENTLY_HEARD_MS) < RECENTLY_HEARD_MS
         and (peer.durable or not knows_disks)
+        and not peer.is_stopping
     }
 
 
@@ -216,6 +222,11 @@
     return peer is not None and not peer.durable
 
 
+def _is_stopping(member: msgs.Member, seen: Observation) -> bool:
+    peer = seen.nodes.get(member.address)
+    return peer is not None and peer.is_stopping
+
+
 def _silence_ms(member: msgs.Member, seen: Observation) -> int:
     return seen.silence_ms.get(member.address, seen.observed_ms)
 
--- a/bilberryramp/decisions/fleet/register/register.py
+++ b/bilberryramp/decisions/fleet/register/register.py
@@ -36,8 +36,10 @@
     "Proposed",
     "Read",
     "ReadAnswer",
+    "StopRequested",
     "Tick",
     "actions",
+    "awaits_handover",
     "guards",
     "leadership",
     "leads",
@@ -84,6 +86,9 @@
 MAX_HEARTBEAT_TARGETS = 48
 MAX_MENTIONS = 2048
 MIN_MENTIONS_PER_HEARTBEAT = 8
+# Time for which the planned end of a process waits for its vote to pass to
+# another node; an election and a change of voters take about two seconds.
+HANDOVER_MS = 4000
 # Bits of an `AppendReply.echo` that hold a time in milliseconds; the bits
 # above them identify the process.
 ECHO_TIME_BITS = 42
@@ -94,6 +99,15 @@
     """Periodic message that lets a node act on elapsed time."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopRequested:
+    """Message that the process is about to end by a planned stop.
+
+    The node tells the others at once, so that its vote passes to another node
+    before the process ends.
+    """
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Propose:
     """Request to commit a document.
@@ -310,6 +324,8 @@
         the request to answer once the voters may confirm it.
     started_ms
         When this process started.
+    stopping_since_ms
+        When its planned stop was requested; -1 if it was not.
     tolerated_losses
         Number of disks that the fleet may lose at the same time.
     heartbeat_turn
@@ -365,6 +381,7 @@
         default_factory=list
     )
     started_ms: int = 0
+    stopping_since_ms: int = -1
     tolerated_losses: int = 0
     heartbeat_turn: int = 0
     process_number: int = 0
@@ -458,6 +475,34 @@
     )
 
 
+def awaits_handover(node: Node, now_ms: int) -> bool:
+    """Return whether a node that stops still has a vote to hand over.
+
+    Parameters
+    ----------
+    node
+        State of the node.
+    now_ms
+        Current time in milliseconds.
+
+    Returns
+    -------
+    bool
+        True, for at most `HANDOVER_MS`, if the node is a voter and the others
+        are enough without it.
+    """
+    if node.stopping_since_ms < 0 or node.record is None:
+        return False
+    own = _own_member(node)
+    if own not in electorate.voters(node.record):
+        return False
+    desired = electorate.desired_voters(
+        node.record.members, _observation(node, now_ms)
+    )
+    is_due = now_ms - node.stopping_since_ms < HANDOVER_MS
+    return is_due and own not in desired
+
+
 def leadership(node: Node, now_ms: int) -> usage_issuer.Leadership:
     """Return the proof that this node leads.
 
@@ -593,7 +638,8 @@
     now_ms
         Current time in milliseconds.
     message
-        `Tick`, `Propose`, `Read` or a message of `register_messages`.
+        `Tick`, `Propose`, `Read`, `StopRequested` or a message of
+        `register_messages`.
 
     Yields
     ------
@@ -635,6 +681,14 @@
         yield effects.Send(address, heartbeat)
 
 
+def _on_stop_requested(node: Node, now_ms: int, _message) -> Iterator:
+    node.me = dataclasses.replace(node.me, is_stopping=True)
+    node.stopping_since_ms = now_ms
+    yield from _send_peer_heartbeats(node, now_ms)
+    if node.phase == "leader":
+        yield from _update_voters(node, now_ms)
+
+
 def _take_turn(addresses: list[str], count: int, turn: int) -> list[str]:
     """Return up to `count` addresses, others in each turn."""
     if len(addresses) <= count:
@@ -1226,6 +1280,7 @@
 
 _HANDLERS = {
     Tick: _on_tick,
+    StopRequested: _on_stop_requested,
     Propose: _on_propose,
     Read: _on_read,
     agent.AgentPresent: _on_agent_present,
--- a/bilberryramp/decisions/fleet/register/register_messages.py
+++ b/bilberryramp/decisions/fleet/register/register_messages.py
@@ -54,6 +54,8 @@
         Address for calls of operators.
     failure_domain
         Failure domain of the node's instance.
+    is_stopping
+        Whether the process is about to end by a planned stop.
     """
 
     address: str
@@ -62,6 +64,7 @@
     durable: bool
     operator_address: str
     failure_domain: str = ""
+    is_stopping: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bilberryramp/decisions/fleet/tests/register_driver.py
+++ b/bilberryramp/decisions/fleet/tests/register_driver.py
@@ -175,6 +175,18 @@
         instance.persisted = None
 
 
+def stop_planned(cluster, name):
+    """Request the stop of a process, and end it once it may end."""
+    instance = cluster.instances[name]
+    post(cluster, 0, name, instance.incarnation, register.StopRequested())
+    run(cluster, TICK_MS)
+    while instance.node is not None and register.awaits_handover(
+        instance.node, cluster.now_ms
+    ):
+        run(cluster, TICK_MS)
+    stop(cluster, name)
+
+
 def freeze(cluster, name):
     """Suspend the process of an instance; messages to it wait."""
     cluster.frozen.add(name)
--- a/bilberryramp/decisions/fleet/tests/test_disk_losses.py
+++ b/bilberryramp/decisions/fleet/tests/test_disk_losses.py
@@ -6,6 +6,8 @@
 from bilberryramp.decisions.fleet.register import electorate
 from bilberryramp.decisions.fleet.tests import register_driver as driver
 
+# Time after which a new instance counts as a full replacement.
+CATCH_UP_MS = 4000
 # Time for which instances are down whose disk is kept, and is lost.
 DARK_MS = 7000
 WIPED_MS = 1300
@@ -104,6 +106,44 @@
     check_recovered(cluster)
 
 
+def lose_disks_after_replacement(seed, count, losses):
+    """Replace an instance as planned, confirm a change, and lose disks."""
+    cluster = make_cluster(seed, count, losses, memory_only_count=seed % 2)
+    rng = cluster.rng
+    old = rng.choice(durable_names(cluster))
+    add_instance(cluster, "e0")
+    driver.run(cluster, CATCH_UP_MS)
+    driver.stop_planned(cluster, old)
+    cluster.instances.pop(old)
+    if rng.random() < 0.5:
+        confirm(cluster, 2)
+    lose_disks(cluster, rng.sample(durable_names(cluster), losses))
+    check_recovered(cluster)
+
+
+def lose_disks_after_kill(seed, count, losses):
+    """Kill an instance for good, add another one, and lose disks later."""
+    cluster = make_cluster(seed, count, losses, memory_only_count=seed % 2)
+    rng = cluster.rng
+    old = rng.choice(durable_names(cluster))
+    driver.stop(cluster, old, lose_disk=True)
+    cluster.instances.pop(old)
+    if losses:
+        # With no tolerated loss, nothing may be removed without a notice.
+        driver.run(cluster, rng.randrange(500))
+        add_instance(cluster, "e0")
+        driver.run(cluster, CATCH_UP_MS)
+        confirm(cluster, 2)
+        lose_disks(cluster, rng.sample(durable_names(cluster), losses))
+        check_recovered(cluster)
+
+
+def add_instance(cluster, name):
+    """Start a further instance with an empty disk."""
+    cluster.instances[name] = driver.Instance(name, True)
+    driver.start(cluster, name)
+
+
 def failures(play, fleets=FLEETS, seeds=range(SEED_COUNT)):
     """Return the seeds, with fleet and reason, in which a play fails."""
     failed = []
@@ -121,6 +161,14 @@
         """The register had no leader again: too few voters were left."""
         self.assertEqual(failures(lose_disks_beside_dark), [])
 
+    def test_disks_lost_after_a_planned_replacement_end_nothing(self):
+        """The replaced instance was a voter until it was silent for long."""
+        self.assertEqual(failures(lose_disks_after_replacement), [])
+
+    def test_disks_lost_after_an_unplanned_replacement_end_nothing(self):
+        """Guards the time after which a killed instance has no vote."""
+        self.assertEqual(failures(lose_disks_after_kill), [])
+
     def test_seeds_without_a_disk_end_nothing_that_was_confirmed(self):
         """A change was confirmed on votes that a kill ended."""
         self.assertEqual(failures(lose_seeds_without_disk), [])
@@ -149,6 +197,14 @@
                 failures(lose_disks_beside_dark, [(5, 2)], range(8))
             )
 
+    def test_votes_that_are_not_handed_over_are_found(self):
+        with mock.patch.object(
+            electorate, "_is_stopping", lambda member, seen: False
+        ):
+            self.assertTrue(
+                failures(lose_disks_after_replacement, [(3, 1)], range(8))
+            )
+
     def test_confirmations_by_any_voters_are_found(self):
         with mock.patch.object(
             electorate, "may_confirm", lambda record, seen: True
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -595,6 +595,7 @@
 async def _shut_down_on_request(proc: NodeProcess) -> None:
     await proc.stop_requested.wait()
     events.emit(events.STOPPING)
+    mailbox.post_now(proc.register.inbox, register.StopRequested())
     grace_ms = proc.cfg.grace_ms - EXIT_MARGIN_MS
     fleet_frontend.begin_stop(
         proc.frontend,
@@ -606,6 +607,9 @@
         lambda: (
             gateway.is_idle(proc.gateway.gw)
             and not connection_drain.holds_exit(proc.listeners)
+            and not register.awaits_handover(
+                proc.register.node, clock.boot_ms()
+            )
         ),
         min(ACCEPT_AFTER_STOP_MS, grace_ms // 2),
         grace_ms,
