Pass on what a node knows of departures, and ask for what it missed

Cause: a node relayed an announcement as it came, even if its own table refused it, and a node that is back within 10 s is not new to its peers, so nobody told it of departures. The same held for a node that was cut off while a departure was relayed, and for departures that an answer stated.

Change: a node relays what its table holds afterwards, or nothing. It asks each peer that it discovers for recent departures, and then some peer each second, with a checksum, so that nodes that agree send nothing more. A departure of an unknown upstream goes to the others by its id. One that names another start of its upstream changes nothing.

--- a/bilberryramp/decisions/fleet/register/operator_calls.py
+++ b/bilberryramp/decisions/fleet/register/operator_calls.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "Departure",
+    "DepartureQuery",
     "Heartbeat",
     "RelayedResidency",
     "ReadDocument",
@@ -15,6 +16,7 @@
     "Roster",
     "Submit",
     "MalformedCall",
+    "UnknownDeparture",
 ]
 
 
@@ -117,6 +119,48 @@
     relay_id: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class UnknownDeparture:
+    """Departure of an upstream that the node which received it does not know.
+
+    It is answered by a `RelayAck`, and before that by a `Relay` of the
+    departure from the nodes that know the upstream.
+
+    Attributes
+    ----------
+    sender
+        Address of the node that received it.
+    relay_id
+        Identifier that `RelayAck` repeats.
+    upstream_id
+        Id of the upstream.
+    """
+
+    sender: str
+    relay_id: int
+    upstream_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DepartureQuery:
+    """Question of a node for departures that it may have missed.
+
+    It is answered by a `Relay` of each recent departure, unless both nodes
+    know the same.
+
+    Attributes
+    ----------
+    sender
+        Address of the asking node.
+    digest
+        Checksum of the recent departures that it knows; see
+        `departures.digest`.
+    """
+
+    sender: str
+    digest: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RelayedResidency:
     """Report of an agent to one node, relayed to the other nodes.
--- a/bilberryramp/platform/announcements.py
+++ b/bilberryramp/platform/announcements.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberryramp.decisions.fleet.core import presence
+from bilberryramp.decisions.fleet.core import departures, presence
 from bilberryramp.decisions.shared import errors
 
 __all__ = [
@@ -90,34 +90,24 @@
     -------
     Announcement or None
         The announcement with which the upstream is gone; None if neither the
-        body nor `last` describes the upstream.
+        body nor `last` describes the upstream, or if the body names the start
+        of another process than `last`.
     """
+    raw = {}
     try:
         raw = msgspec.json.decode(body) if body else {}
         return _decode_announcement(upstream_id, raw, True, gone=True)
     except (msgspec.MsgspecError, *_INVALID_FIELD_ERRORS):
         # The last announcement describes the upstream instead.
         pass
-    if last is None:
+    if last is None or _names_other_process(raw, last):
         return None
-    return _mark_gone(last)
+    return departures.departure_of(last)
 
 
-def _mark_gone(last: presence.Announcement) -> presence.Announcement:
-    return presence.Announcement(
-        upstream_id=last.upstream_id,
-        service=last.service,
-        address=last.address,
-        failure_domain=last.failure_domain,
-        slots=last.slots,
-        born_ms=last.born_ms,
-        # A higher number makes this announcement replace the last one.
-        seq=last.seq + 1,
-        leaving=True,
-        gone=True,
-        remaining_ms=-1,
-        held=last.held,
-        copies=last.copies,
+def _names_other_process(raw, last: presence.Announcement) -> bool:
+    return isinstance(raw, dict) and raw.get("born", last.born_ms) != (
+        last.born_ms
     )
 
 
--- a/bilberryramp/programs/node.py
+++ b/bilberryramp/programs/node.py
@@ -49,6 +49,7 @@
     client_guard,
     clock,
     connection_drain,
+    departure_relays,
     fleet_frontend,
     fleet_operator,
     gateway_task,
@@ -323,6 +324,7 @@
         mesh,
         service_documents.decode,
         cfg.peer_ports[0],
+        departure_relays.DepartureRelays(address, mesh, rng),
         holder_inbox=holder_inbox,
         issuer=usage_issuer.Issuer(
             usage_terms.Exactness(
--- a/bilberryramp/tasks/gateway_task.py
+++ b/bilberryramp/tasks/gateway_task.py
@@ -8,6 +8,7 @@
 
 from bilberryramp.decisions.fleet.core import (
     calls,
+    departures,
     documents,
     identities,
     presence,
@@ -38,6 +39,7 @@
 from bilberryramp.decisions.shared import effects
 from bilberryramp.tasks import (
     clock,
+    departure_relays,
     large_bodies,
     mailbox,
     peer_mesh,
@@ -55,9 +57,6 @@
     "render_metrics",
 ]
 
-# Time for which the answer to a departing upstream waits for the peers; less
-# than the 1 s after which the upstream tries another node.
-RELAY_TIMEOUT_S = 0.6
 # Fields of traces that become a label of their counters.
 OUTCOME_FIELDS = ("reason", "end", "state")
 # Gauge of the time until a quarantine ends, one for each suspect, and limit on
@@ -94,7 +93,7 @@
     done
         Future that is resolved when the announcement has been recorded; for
         a departure, when the peers have also recorded it or
-        `RELAY_TIMEOUT_S` has passed.
+        `departure_relays.RELAY_TIMEOUT_S` has passed.
     """
 
     upstream_id: str
@@ -118,23 +117,6 @@
     doc: documents.Document
 
 
-@dataclasses.dataclass(slots=True)
-class PendingRelay:
-    """Relay of a departure that some peers have not acknowledged.
-
-    Attributes
-    ----------
-    missing
-        Addresses of the peers that have not acknowledged it.
-    done
-        Future that is resolved when all peers have acknowledged it or the
-        relay has timed out.
-    """
-
-    missing: set[str]
-    done: asyncio.Future
-
-
 @dataclasses.dataclass(slots=True)
 class GatewayTask:
     """State of a gateway's task.
@@ -158,6 +140,8 @@
         Function that decodes a document stored in the register.
     agent_port
         Port on which agents listen, on the instances of their engines.
+    departures
+        Relays and queries of departures.
     peers
         Addresses of the other nodes.
     audiences
@@ -177,13 +161,10 @@
         Timeouts of the attempts in progress, by call id.
     decoding
         Tasks that decode large documents.
-    pending_relays
-        Relayed departures that some peers have not acknowledged, by relay
-        id.
     task_metrics
         Metrics of the gateway's decisions and state.
-    next_call_id, next_relay_id
-        Id of the next call and of the next relayed departure.
+    next_call_id
+        Id of the next call.
     """
 
     gw: gateway_state.Gateway
@@ -193,6 +174,7 @@
     mesh: peer_mesh.Mesh
     decode_document: Callable
     agent_port: int
+    departures: departure_relays.DepartureRelays
     peers: tuple[str, ...] = ()
     audiences: dict[sharing.Audience, tuple[str, ...]] = dataclasses.field(
         default_factory=lambda: dict.fromkeys(sharing.Audience, ())
@@ -208,14 +190,10 @@
         default_factory=dict
     )
     decoding: set[asyncio.Task] = dataclasses.field(default_factory=set)
-    pending_relays: dict[int, PendingRelay] = dataclasses.field(
-        default_factory=dict
-    )
     task_metrics: metrics.Metrics = dataclasses.field(
         default_factory=metrics.Metrics
     )
     next_call_id: int = 1
-    next_relay_id: int = 1
     issuer: usage_issuer.Issuer = dataclasses.field(
         default_factory=usage_issuer.Issuer
     )
@@ -289,8 +267,10 @@
             planner.set_leading(task.planner, message.leads, now_ms)
             _set_coordinating(task, now_ms, message.leads)
         case operator_calls.Roster():
-            _send_known_upstreams(
-                task, now_ms, set(message.addresses) - set(task.peers)
+            new_peers = set(message.addresses) - set(task.peers)
+            _send_known_upstreams(task, now_ms, new_peers)
+            departure_relays.query(
+                task.departures, new_peers, task.gw.table, now_ms
             )
             _apply_roster(task, message)
             _step(task, now_ms, gateway.CoordinatorChanged(message.leader))
@@ -306,7 +286,13 @@
         case presence.Keepalive():
             presence.record_keepalive(task.gw.table, message, now_ms)
         case operator_calls.RelayAck():
-            _record_relay_ack(task, message)
+            departure_relays.record_ack(task.departures, message)
+        case operator_calls.UnknownDeparture():
+            _handle_unknown_departure(task, now_ms, message)
+        case operator_calls.DepartureQuery():
+            departure_relays.answer(
+                task.departures, message, task.gw.table, now_ms
+            )
         case planner.WantModel():
             planner.record_model_request(task.planner, message, now_ms)
             _plan_placement(task, now_ms)
@@ -322,6 +308,9 @@
             _step(task, now_ms, message)
             _plan_placement(task, now_ms)
             _coordinate(task, now_ms, quarantine_coordinator.Tick())
+            departure_relays.query_in_turn(
+                task.departures, task.peers, task.gw.table, now_ms
+            )
         case suspects.ToCoordinator():
             _perform(task, now_ms, message)
         case usage_issuer.Leadership():
@@ -697,49 +686,54 @@
         known.announcement if known is not None else None
     )
     if announcement is None:
-        _resolve(received.done)
+        _handle_unplaced_departure(task, received, known is not None)
         return
     # Peers receive an unchanged announcement as a keepalive, which is shorter.
     # The step changes the table, so the keepalive is determined before it.
     keepalive = presence.keepalive_for(task.gw.table, announcement)
     _step(task, now_ms, announcement)
-    is_departing = announcement.leaving or announcement.gone
-    if not is_departing or not task.peers:
-        relay = keepalive or operator_calls.Relay(
-            task.gw.address, 0, announcement
+    told = departures.announcement_to_relay(task.gw.table, announcement)
+    if told is None or not task.peers:
+        _resolve(received.done)
+    elif announcement.leaving or announcement.gone:
+        departure_relays.relay(
+            task.departures, task.peers, told, received.done
         )
+    else:
+        relay = keepalive or operator_calls.Relay(task.gw.address, 0, told)
         peer_mesh.broadcast(task.mesh, task.peers, relay)
         _resolve(received.done)
+
+
+def _handle_unplaced_departure(
+    task: GatewayTask, received: AnnouncementReceived, is_outdated: bool
+) -> None:
+    """Pass on a departure that does not describe its upstream.
+
+    A departure of an earlier process of a known upstream changes nothing. One
+    of an unknown upstream concerns the nodes that know it.
+    """
+    if is_outdated or not task.peers:
+        _resolve(received.done)
         return
-    _relay_departure(task, announcement, received.done)
+    departure_relays.relay_unknown(
+        task.departures, task.peers, received.upstream_id, received.done
+    )
 
 
-def _relay_departure(
-    task: GatewayTask,
-    announcement: presence.Announcement,
-    done: asyncio.Future,
+def _handle_unknown_departure(
+    task: GatewayTask, now_ms: int, message: operator_calls.UnknownDeparture
 ) -> None:
-    relay_id = task.next_relay_id
-    task.next_relay_id += 1
-    task.pending_relays[relay_id] = PendingRelay(set(task.peers), done)
-    relay = operator_calls.Relay(task.gw.address, relay_id, announcement)
-    peer_mesh.broadcast(task.mesh, task.peers, relay)
-    loop = asyncio.get_running_loop()
-    loop.call_later(RELAY_TIMEOUT_S, _end_relay, task, relay_id)
-
-
-def _record_relay_ack(task: GatewayTask, ack: operator_calls.RelayAck) -> None:
-    pending = task.pending_relays.get(ack.relay_id)
-    if pending is not None:
-        pending.missing.discard(ack.sender)
-        if not pending.missing:
-            _end_relay(task, ack.relay_id)
-
-
-def _end_relay(task: GatewayTask, relay_id: int) -> None:
-    pending = task.pending_relays.pop(relay_id, None)
-    if pending is not None:
-        _resolve(pending.done)
+    """Record the departure of an upstream that another node does not know."""
+    known = task.gw.table.upstreams.get(message.upstream_id)
+    if known is not None:
+        _step(task, now_ms, departures.departure_of(known.announcement))
+        told = operator_calls.Relay(
+            task.gw.address, 0, departures.as_leaving(known)
+        )
+        peer_mesh.send(task.mesh, message.sender, told)
+    ack = operator_calls.RelayAck(task.gw.address, message.relay_id)
+    peer_mesh.send(task.mesh, message.sender, ack)
 
 
 def _resolve(done: asyncio.Future) -> None:
--- a/bilberryramp/tasks/tests/builders.py
+++ b/bilberryramp/tasks/tests/builders.py
@@ -23,6 +23,7 @@
 from bilberryramp.decisions.upstream import upstream_messages
 from bilberryramp.standins import faulty_server
 from bilberryramp.tasks import (
+    departure_relays,
     engine_run,
     gateway_task,
     mailbox,
@@ -135,16 +136,22 @@
 
 
 async def run_dispatch(
-    session, port, dispatch, max_answer_bytes=2**20, messages=None
+    session,
+    port,
+    dispatch,
+    max_answer_bytes=2**20,
+    messages=None,
+    entry_delay_s=0,
 ):
     """Run a dispatch at a server; return its frames and the `RunEnded`.
 
     Broken streams may resume at once. All messages of the run are appended
-    to `messages`.
+    to `messages`. The entry takes `entry_delay_s` for each frame.
     """
     frames, inbox = [], mailbox.Mailbox()
 
     async def send(_entry, frame):
+        await asyncio.sleep(entry_delay_s)
         frames.append(frame)
 
     job = engine_run.Run(
@@ -233,6 +240,7 @@
         None,
         lambda _: doc,
         1,
+        departure_relays.DepartureRelays(gw.address, None, gw.rng),
     )
     mailbox.post_now(task.inbox, gateway.DocumentInForce(doc))
     for number, address in enumerate(addresses):
--- a/bilberryramp/wire/outer_names.py
+++ b/bilberryramp/wire/outer_names.py
@@ -128,6 +128,8 @@
     register_messages.AppendReply: "AppendReply",
     operator_calls.Relay: "Relay",
     operator_calls.RelayAck: "RelayAck",
+    operator_calls.DepartureQuery: "DepartureQuery",
+    operator_calls.UnknownDeparture: "UnknownDeparture",
     sharing.Report: "Report",
     presence.Keepalive: "Pulse",
     presence.LeavingNotice: "LeavingNotice",
