Know of a reset that comes before the head is handled

What callers see: an engine answers with neither a length nor chunks, sends a part of its body and resets the connection. Through bilberry-upstream the caller gets that part as a complete answer if the entry takes the head late.

Cause: whether such an answer was reset is read off its connection, which of_response took from resp.connection. The library drops that reference when the connection ends, and bilberry-upstream asked only after it had sent the head to the entry.

Change: the framing keeps the protocol of the exchange.

--- a/bilberryramp/platform/tests/builders.py
+++ b/bilberryramp/platform/tests/builders.py
@@ -278,6 +278,29 @@
         writer.close()
 
 
+async def upload_bytes(
+    port: int, request_id: str, body: bytes, in_chunks: bool
+) -> bytes:
+    """Send a request with a long body; return all bytes that come back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    framing = f"Content-Length: {len(body)}"
+    if in_chunks:
+        framing = "Transfer-Encoding: chunked"
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    head = (
+        f"POST /once/x HTTP/1.1\r\nHost: {task_builders.HOST}\r\n"
+        f"Connection: close\r\nX-Bilberryramp-Request-Id: {request_id}\r\n"
+        f"X-Bilberryramp-Deadline-Ms: 3000\r\n{framing}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    try:
+        return await reader.read()
+    except ConnectionResetError:
+        return b""
+    finally:
+        writer.close()
+
+
 def parse_answer(received: bytes) -> tuple[int, bytes, bool]:
     """Parse what a connection carried as one answer.
 
--- a/bilberryramp/platform/tests/test_answer_heads.py
+++ b/bilberryramp/platform/tests/test_answer_heads.py
@@ -234,5 +234,42 @@
                 await asyncio.sleep(0.01)
 
 
+class EarlyAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of upstreams that answer before they have read the request."""
+
+    async def test_a_part_of_an_early_answer_is_no_complete_one(self):
+        """Clients of other systems got such a part as a complete answer."""
+        upload = b"x" * 3_000_000
+        for make_answer in ANSWERS:
+            for fault in (
+                "unframed_reset",
+                "unframed_reset_at_once",
+                "unframed_reset_amid",
+                "unframed_unread_close",
+            ):
+                server = await task_builders.start_faulty_server(
+                    self, make_answer
+                )
+                server.answers_early = True
+                server.fault = fault
+                _, port = await builders.start_frontend(
+                    self, [f"127.0.0.1:{server.port}"]
+                )
+                for in_chunks in (False, True):
+                    with self.subTest(
+                        answer=make_answer.__name__,
+                        fault=fault,
+                        in_chunks=in_chunks,
+                    ):
+                        received = await builders.upload_bytes(
+                            port, "q1", upload, in_chunks
+                        )
+                        status, _, is_complete = builders.parse_answer(
+                            received
+                        )
+                        if status == 200:
+                            self.assertFalse(is_complete)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bilberryramp/standins/faulty_server.py
+++ b/bilberryramp/standins/faulty_server.py
@@ -50,6 +50,9 @@
         well-formed answer.
     fault
         Name of the current fault, a key of `FAULTS`.
+    answers_early
+        Whether it answers when it has read the head of a request. The body
+        is not read then.
     requests
         Requests that it has read.
     connections
@@ -64,6 +67,7 @@
 
     answer: Callable[[Request], bytes]
     fault: str = "none"
+    answers_early: bool = False
     requests: list[Request] = dataclasses.field(default_factory=list)
     connections: int = 0
     closed_by_client: int = 0
@@ -85,7 +89,9 @@
         server.connections += 1
         server.writers.add(writer)
         try:
-            while (request := await _read_request(reader)) is not None:
+            while (
+                request := await _read_request(reader, server.answers_early)
+            ) is not None:
                 server.requests.append(request)
                 fault = FAULTS[server.fault]
                 await fault(reader, writer, request, server.answer(request))
@@ -115,7 +121,7 @@
     await server.server.wait_closed()
 
 
-async def _read_request(reader) -> Request | None:
+async def _read_request(reader, head_only: bool) -> Request | None:
     """Read a request; None if the client has closed the connection."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -124,6 +130,8 @@
     line, *rows = head.split("\r\n")
     pairs = (row.partition(":") for row in rows if row)
     headers = {name.lower(): value.strip() for name, _, value in pairs}
+    if head_only:
+        return Request(line, headers, b"")
     length = int(headers.get("content-length", "0"))
     return Request(line, headers, await reader.readexactly(length))
 
@@ -278,6 +286,30 @@
     """Write the answer without its length, and reset the connection."""
     await _write(writer, _without_length(answer))
     await asyncio.sleep(LATE_S)
+    _reset(writer)
+
+
+async def _unframed_reset_at_once(_reader, writer, _request, answer) -> None:
+    await _write(writer, _without_length(answer))
+    _reset(writer)
+
+
+async def _unframed_reset_amid(reader, writer, request, answer) -> None:
+    """Reset the connection while the rest of the request arrives."""
+    await _write(writer, _without_length(answer))
+    if not request.line.startswith("GET"):
+        await reader.read(PIECE_BYTES)
+    _reset(writer)
+
+
+async def _unframed_unread_close(_reader, writer, _request, answer) -> None:
+    """Close the connection, which resets it if bytes are unread."""
+    await _write(writer, _without_length(answer))
+    await asyncio.sleep(LATE_S)
+    writer.close()
+
+
+def _reset(writer) -> None:
     sock = writer.get_extra_info("socket")
     # Closing a socket without lingering sends a reset.
     sock.setsockopt(
@@ -315,4 +347,7 @@
     "silent": _silent,
     "unframed_close": _unframed_close,
     "unframed_reset": _unframed_reset,
+    "unframed_reset_at_once": _unframed_reset_at_once,
+    "unframed_reset_amid": _unframed_reset_amid,
+    "unframed_unread_close": _unframed_unread_close,
 }
--- a/bilberryramp/tasks/answer_framing.py
+++ b/bilberryramp/tasks/answer_framing.py
@@ -19,7 +19,7 @@
     Attributes
     ----------
     protocol
-        Protocol of the connection; None if it is already released.
+        Protocol of the connection, also if that has already ended.
     is_explicit
         Whether the end is recognizable without the connection being closed:
         by the body's length, by chunks or because there is no body.
@@ -44,7 +44,9 @@
     """
     encoding = resp.headers.get(hdrs.TRANSFER_ENCODING, "")
     return Framing(
-        resp.connection.protocol if resp.connection else None,
+        # `resp.connection` is None as soon as the connection has ended, which
+        # may be before the head is handled.
+        resp._protocol,
         hdrs.CONTENT_LENGTH in resp.headers
         or "chunked" in encoding.lower()
         or resp.status in (204, 304)
@@ -65,7 +67,7 @@
     bool
         False if the framing is explicit.
     """
-    if framing.is_explicit or framing.protocol is None:
+    if framing.is_explicit:
         return False
     exc = framing.protocol.exception()
     # A connection that the sender closes sets this exception as well.
--- a/bilberryramp/tasks/tests/test_faulty_upstreams.py
+++ b/bilberryramp/tasks/tests/test_faulty_upstreams.py
@@ -142,6 +142,45 @@
         self.assertEqual(frames, [])
         self.assertIs(ended.failure.outcome, errors.Outcome.UNKNOWN)
 
+    async def test_a_part_of_an_early_answer_is_no_complete_one(self):
+        """A reset before the entry had the head looked like the end."""
+
+        def partial_stream(request):
+            # A broken stream is resumed after its second event.
+            is_resumed = request.line.startswith("GET")
+            start, end = builders.EVENTS[:-size], builders.EVENTS[-size:]
+            return builders.echoing_stream(
+                request, end if is_resumed else start
+            )
+
+        size = builders.EVENT_BYTES
+        for make_answer in (builders.echoing_answer, partial_stream):
+            for fault in (
+                "unframed_reset",
+                "unframed_reset_at_once",
+                "unframed_reset_amid",
+                "unframed_unread_close",
+            ):
+                for entry_delay_s in (0, 0.1):
+                    server = await self.start(make_answer, fault)
+                    server.answers_early = True
+                    dispatch = builders.make_dispatch("a1", b"x" * 3_000_000)
+                    with self.subTest(
+                        answer=make_answer.__name__,
+                        fault=fault,
+                        entry_delay_s=entry_delay_s,
+                    ):
+                        async with asyncio.timeout(TEST_TIMEOUT_S):
+                            frames, ended = await builders.run_dispatch(
+                                self.session,
+                                server.port,
+                                dispatch,
+                                MAX_ANSWER_BYTES,
+                                entry_delay_s=entry_delay_s,
+                            )
+                        if builders.body_of(frames) != builders.EVENTS:
+                            self.assertIsNotNone(ended.failure)
+
     async def test_a_broken_stream_is_resumed_only_with_permission(self):
         """It was read on while the engine wanted no requests."""
         last_event = builders.EVENTS[-builders.EVENT_BYTES :]
