--- a/bilberryramp/platform/standins.py
+++ b/bilberryramp/platform/standins.py
@@ -689,6 +689,8 @@
 memoryMb = {memory_mb}
 maxFds = {max_descriptors}
 linkMbps = 1000.0
+[faultTolerance]
+machines = {tolerated_losses}
 [bounds]
 graceS = 8
 drainMs = 2000
@@ -800,7 +802,7 @@
         `control`, all empty by default, the interval of heartbeats as
         `heartbeat_ms`, by default 1200 ms, and the instance's limits as
         `memory_mb`, by default 300 MB, and `max_descriptors`, by default 0,
-        which means none.
+        which means none, and `tolerated_losses`, by default 0.
 
     Returns
     -------
@@ -810,7 +812,12 @@
     defaults = dict.fromkeys(
         ("folder", "engine", "front", "ready", "control"), ""
     )
-    defaults |= {"heartbeat_ms": 1200, "memory_mb": 300, "max_descriptors": 0}
+    defaults |= {
+        "heartbeat_ms": 1200,
+        "memory_mb": 300,
+        "max_descriptors": 0,
+        "tolerated_losses": 0,
+    }
     return SETTINGS_TEMPLATE.format(
         name=name,
         ip=ip,
--- a/bilberryramp/soak/local_fleet.py
+++ b/bilberryramp/soak/local_fleet.py
@@ -195,6 +195,7 @@
                 ready=f"{bind_ip}:{READINESS_PORT}",
                 control=f"{bind_ip}:{CONTROL_PORT}",
                 heartbeat_ms=HEARTBEAT_INTERVAL_MS,
+                tolerated_losses=(core - 1) // 2,
             ),
         )
         links = [
