Let a leader that is removed from the voters resign in full

What happens: a leader without a disk makes the nodes with disks the voters and is none itself any more. It resigned in the register, but its process was not told, so that it went on planning placements and coordinating the quarantine beside its successor. With planned stops that hand votes over, a stopping leader does the same.

Cause: the effects of the change of phase were dropped, on the assumption that no leader is removed; and the leader resigned before the record without its vote was committed.

Change: the effects are passed on, and a leader resigns when that record is committed.

--- a/bilberryramp/decisions/fleet/register/register.py
+++ b/bilberryramp/decisions/fleet/register/register.py
@@ -448,7 +448,9 @@
         node.record = msgs.Record(0, 0, seed_members)
     node.leader_heard_ms = node.started_ms = now_ms
     _set_election_due(node, now_ms)
-    _update_voter_status(node, now_ms)
+    for _ in _update_voter_status(node, now_ms):
+        # A node that starts does not lead, so it has no leadership to resign.
+        pass
     return node
 
 
@@ -843,6 +845,7 @@
     node.leader = ""
     yield _persist_state(node)
     yield from _fire_event(node, "leader_heard", now_ms)
+    yield from _update_voter_status(node, now_ms)
 
 
 def _become_leader(node: Node, now_ms: int, _payload) -> Iterator:
@@ -886,6 +889,7 @@
         is_grace_over = now_ms - node.led_since_ms > ELECTION_MS
         if is_grace_over:
             yield from _fire_event(node, "lease_lost", now_ms)
+            yield from _update_voter_status(node, now_ms)
             return
     if now_ms >= node.leader_heartbeat_due_ms:
         yield from _send_leader_heartbeats(node, now_ms)
@@ -979,7 +983,7 @@
     ) > _record_id(node):
         node.record = new_record
         yield _persist_state(node)
-        _update_voter_status(node, now_ms)
+        yield from _update_voter_status(node, now_ms)
     node.committed = max(node.committed, message.committed)
     yield from _publish_committed(node)
     _confirm_standing(node, now_ms, message)
@@ -1074,9 +1078,9 @@
     yield from _answer_proposals(node, now_ms)
     if node.record.leaving:
         yield from _replace_record(node, now_ms, leaving=())
-        _update_voter_status(node, now_ms)
     else:
         yield from _send_leader_heartbeats(node, now_ms)
+        yield from _update_voter_status(node, now_ms)
 
 
 def _answer_proposals(node: Node, now_ms: int) -> Iterator:
@@ -1231,16 +1235,17 @@
     yield from ()
 
 
-def _update_voter_status(node: Node, now_ms: int) -> None:
-    """Admit or remove this node as a voter, as its record says."""
+def _update_voter_status(node: Node, now_ms: int) -> Iterator:
+    """Admit or remove this node as a voter, as its record says.
+
+    A leader that is removed resigns. It does so once the record without its
+    vote is committed, so that the next leader need not complete the change.
+    """
     is_voter = node.record is not None and _own_member(
         node
     ) in electorate.voters(node.record)
     event = "admitted" if is_voter else "removed"
-    # In the chart, neither event has an action unless the node is the
-    # leader, so there are no effects to pass on.
-    for _ in _fire_event(node, event, now_ms):
-        pass
+    yield from _fire_event(node, event, now_ms)
 
 
 def _own_member(node: Node) -> msgs.Member:
--- a/bilberryramp/decisions/fleet/tests/register_driver.py
+++ b/bilberryramp/decisions/fleet/tests/register_driver.py
@@ -42,6 +42,8 @@
         Number of starts and stops; messages for an earlier one are dropped.
     in_force_version
         Version of the document in force at the node, or -1.
+    leads
+        Whether the node has told its process that it leads.
     """
 
     address: str
@@ -50,6 +52,7 @@
     persisted: object = None
     incarnation: int = 0
     in_force_version: int = -1
+    leads: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -161,6 +164,7 @@
     )
     instance.node.tolerated_losses = cluster.tolerated_losses
     instance.in_force_version = -1
+    instance.leads = False
     post(cluster, TICK_MS, name, instance.incarnation, register.Tick())
 
 
@@ -245,6 +249,10 @@
         perform(cluster, instance, effect)
         if instance.incarnation != incarnation:
             return
+    if instance.leads != (instance.node.phase == "leader"):
+        raise InvariantViolationError(
+            f"{instance.address} has not told that its leadership changed"
+        )
     check_single_leader(cluster)
 
 
@@ -263,6 +271,8 @@
             note_stored(cluster, instance, effect.stored)
         case register.Committed():
             record_in_force(cluster, instance, effect)
+        case register.LeaderChanged():
+            instance.leads = effect.leads
         case register.Proposed() | register.ReadAnswer():
             record_answer(cluster, effect)
 
