--- a/bilberryramp/wire/tests/test_outer_names.py
+++ b/bilberryramp/wire/tests/test_outer_names.py
@@ -140,6 +140,8 @@
     "Pulse",
     "Relay",
     "RelayAck",
+    "DepartureQuery",
+    "UnknownDeparture",
     "Report",
     "RequestVote",
     "RunReport",
