--- a/bilberryramp/decisions/fleet/tests/test_disk_losses.py
+++ b/bilberryramp/decisions/fleet/tests/test_disk_losses.py
@@ -15,7 +15,7 @@
 # than tolerated, and within which all is well after all are back.
 CONFIRM_MS = 6000
 RECOVERY_MS = 15_000
-SEED_COUNT = 2
+SEED_COUNT = 3
 # Numbers of instances with a disk, and how many may be lost.
 FLEETS = [
     (count, losses)
